--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Pinned tools. `make tools` installs them into GOBIN; nothing else downloads.
+GOBIN ?= $(shell go env GOPATH)/bin
+GOLANGCI_VERSION = v2.15.0
+PROTOC_GEN_GO_VERSION = v1.36.12
+PROTOC_GEN_TWIRP_VERSION = v8.1.3+incompatible
+MODULES = ./... ./coord/...
+
+export GOFLAGS = -buildvcs=false
+
+.PHONY: all demo test lint fmt generate generate-check tools build
+
+all: lint test
+
+build: ## builds both binaries into bin/
+	go build -o bin/ ./cmd/...
+
+demo: ## starts everything on loopback, serves two requests, stays up
+	go run ./cmd/pimentoshore demo
+
+test: ## runs all tests under the race detector
+	go vet $(MODULES)
+	go test -race -timeout 20m $(MODULES)
+
+lint: tools ## checks formatting and lints both modules
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GOBIN)/golangci-lint run ./...
+	cd coord && $(GOBIN)/golangci-lint run ./...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+tools:
+	@$(GOBIN)/golangci-lint version 2>/dev/null | grep -q "$(GOLANGCI_VERSION:v%=%)" || \
+	  go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+
+generate: ## regenerates the committed twirp code; needs protoc
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	go install github.com/twitchtv/twirp/protoc-gen-twirp@$(PROTOC_GEN_TWIRP_VERSION)
+	PATH=$(GOBIN):$$PATH protoc --go_out=. --go_opt=paths=source_relative \
+	  --twirp_out=. --twirp_opt=paths=source_relative internal/peers/peerspb/peers.proto
+
+generate-check: generate ## fails if the committed code differs
+	git diff --exit-code -- internal/peers/peerspb
--- /dev/null
+++ b/coord/inventory/inventory.go
@@ -0,0 +1,108 @@
+// Package inventory describes what operators declare: data centres, VMs,
+// models, services and client accounts. It holds no behaviour beyond lookup
+// and validation, so that every other package can depend on it.
+package inventory
+
+// Role is what a VM runs.
+type Role string
+
+// Roles of a VM.
+const (
+	RoleEntry   Role = "entry"   // runs pimentoshored
+	RoleModel   Role = "model"   // runs a model engine and joins groups
+	RoleService Role = "service" // runs a plain service
+)
+
+// DataCentre is one site. Its VMs receive no new work while Out is set.
+type DataCentre struct {
+	Name   string `toml:"name" json:"name"`
+	Region string `toml:"region" json:"region"`
+	Out    bool   `toml:"out,omitempty" json:"out,omitempty"`
+}
+
+// VM is one machine in the operators' asset register.
+type VM struct {
+	Name         string `toml:"name" json:"name"`
+	DataCentre   string `toml:"data_centre" json:"data_centre"`
+	FabricDomain string `toml:"fabric_domain,omitempty" json:"fabric_domain,omitempty"`
+	Role         Role   `toml:"role" json:"role"`
+	// Address is the host:port of the engine's or service's HTTP interface,
+	// or of the peer interface of an entry VM.
+	Address      string `toml:"address" json:"address"`
+	Accelerators int    `toml:"accelerators,omitempty" json:"accelerators,omitempty"`
+	// Service names the plain service that a RoleService VM runs.
+	Service string `toml:"service,omitempty" json:"service,omitempty"`
+	// ChecksFencing says that the endpoint refuses an order older than the
+	// newest it has seen.
+	ChecksFencing bool `toml:"checks_fencing,omitempty" json:"checks_fencing,omitempty"`
+	// Out excludes the VM from new work.
+	Out bool `toml:"out,omitempty" json:"out,omitempty"`
+}
+
+// Model is one model and the rules for its groups.
+type Model struct {
+	Name string `toml:"name" json:"name"`
+	// GroupSize is the number of VMs that one replica spans.
+	GroupSize int `toml:"group_size" json:"group_size"`
+	// Groups is the number of groups wanted in each allowed data centre; 0
+	// means as many as the VMs allow.
+	Groups int `toml:"groups,omitempty" json:"groups,omitempty"`
+	// DataCentres lists where the model may run; empty means everywhere.
+	DataCentres []string `toml:"data_centres,omitempty" json:"data_centres,omitempty"`
+	// MaxInFlight is the number of concurrent requests that a warm group
+	// bears, ColdInFlight that of a group right after a cold start.
+	MaxInFlight  int `toml:"max_in_flight" json:"max_in_flight"`
+	ColdInFlight int `toml:"cold_in_flight" json:"cold_in_flight"`
+}
+
+// Route says whether calls to a path prefix of a service may be repeated.
+// Calls that match no route are treated as non-idempotent unless their
+// method is idempotent by RFC 9110.
+type Route struct {
+	Method     string `toml:"method" json:"method"`
+	Prefix     string `toml:"prefix" json:"prefix"`
+	Idempotent bool   `toml:"idempotent" json:"idempotent"`
+}
+
+// Service is a plain HTTP service behind the system.
+type Service struct {
+	Name         string  `toml:"name" json:"name"`
+	Routes       []Route `toml:"routes,omitempty" json:"routes,omitempty"`
+	MaxInFlight  int     `toml:"max_in_flight" json:"max_in_flight"`
+	ColdInFlight int     `toml:"cold_in_flight" json:"cold_in_flight"`
+}
+
+// ClientAccount is a customer with its keys and limits.
+type ClientAccount struct {
+	Name string `toml:"name" json:"name"`
+	// KeyHashes are lower-case hex SHA-256 digests of the bearer keys.
+	KeyHashes []string `toml:"key_hashes" json:"key_hashes"`
+	// MaxInFlight bounds concurrent requests over all entry VMs.
+	MaxInFlight int `toml:"max_in_flight" json:"max_in_flight"`
+	// Weight is the account's share under overload, relative to the others.
+	Weight int `toml:"weight,omitempty" json:"weight,omitempty"`
+	// Priority orders queued requests; higher is served first.
+	Priority int `toml:"priority,omitempty" json:"priority,omitempty"`
+}
+
+// Document is one whole inventory with its rules.
+type Document struct {
+	DataCentres    []DataCentre    `toml:"data_centres" json:"data_centres"`
+	VMs            []VM            `toml:"vms" json:"vms"`
+	Models         []Model         `toml:"models" json:"models"`
+	Services       []Service       `toml:"services,omitempty" json:"services,omitempty"`
+	ClientAccounts []ClientAccount `toml:"client_accounts" json:"client_accounts"`
+}
+
+// Allows reports whether the model may run in the data centre.
+func (m Model) Allows(dataCentre string) bool {
+	if len(m.DataCentres) == 0 {
+		return true
+	}
+	for _, dc := range m.DataCentres {
+		if dc == dataCentre {
+			return true
+		}
+	}
+	return false
+}
