Add the coordinator lease as a state machine

Purpose: one coordinator per data centre, by a row of the platform's table, with promises of every candidate while the table cannot be reached.

--- /dev/null
+++ b/coord/lease/options.go
@@ -0,0 +1,91 @@
+package lease
+
+import "time"
+
+// Default durations of a lease.
+const (
+	DefaultDuration     = 9 * time.Second
+	DefaultPromise      = 9 * time.Second
+	DefaultRenewEvery   = 3 * time.Second
+	DefaultPollEvery    = 3 * time.Second
+	DefaultAskEvery     = 3 * time.Second
+	DefaultRetryEvery   = time.Second
+	DefaultOrderTimeout = 2 * time.Second
+	DefaultMargin       = 500 * time.Millisecond
+	DefaultPauseBound   = 10 * time.Second
+	DefaultVMListLag    = 60 * time.Second
+	DefaultVMsEvery     = 30 * time.Second
+	DefaultDriftPPM     = 10_000
+)
+
+const partsPerMillion = 1_000_000
+
+// Options configure one candidate. A zero duration takes its default.
+type Options struct {
+	DataCentre string
+	VM         string
+	// Incarnation is unique to this process. The embedding program creates a
+	// Machine only once it has bound the VM's peer address, so that a new
+	// incarnation of a VM proves the old one dead.
+	Incarnation string
+	// Duration is how long a renewal keeps the lease.
+	Duration time.Duration
+	// Promise is how long a candidate's promise binds it.
+	Promise time.Duration
+	// RenewEvery is the interval between renewals by the holder.
+	RenewEvery time.Duration
+	// PollEvery is the interval between reads by other candidates.
+	PollEvery time.Duration
+	// AskEvery is the interval between rounds of promises in an outage.
+	AskEvery time.Duration
+	// RetryEvery is the pause after a failed read, a lost answer or a
+	// promise that was not given.
+	RetryEvery time.Duration
+	// OrderTimeout bounds an order to an endpoint from sending to answer.
+	OrderTimeout time.Duration
+	// Margin is the part of the lease that must be left beyond an order's
+	// timeout when the order is sent.
+	Margin time.Duration
+	// PauseBound is the longest that an order may be delayed between the
+	// check of the lease and its effect at an endpoint, beyond its timeout.
+	PauseBound time.Duration
+	// VMListLag bounds the age of the platform's list of VMs.
+	VMListLag time.Duration
+	// VMsEvery is the interval between a holder's reads of that list.
+	VMsEvery time.Duration
+	// DriftPPM bounds the relative difference between the rates of any two
+	// nodes' clocks, in parts per million.
+	DriftPPM int64
+	// Seed spreads the candidates' takeovers.
+	Seed uint64
+}
+
+func (o Options) withDefaults() Options {
+	set := func(d *time.Duration, def time.Duration) {
+		if *d == 0 {
+			*d = def
+		}
+	}
+	set(&o.Duration, DefaultDuration)
+	set(&o.Promise, DefaultPromise)
+	set(&o.RenewEvery, DefaultRenewEvery)
+	set(&o.PollEvery, DefaultPollEvery)
+	set(&o.AskEvery, DefaultAskEvery)
+	set(&o.RetryEvery, DefaultRetryEvery)
+	set(&o.OrderTimeout, DefaultOrderTimeout)
+	set(&o.Margin, DefaultMargin)
+	set(&o.PauseBound, DefaultPauseBound)
+	set(&o.VMListLag, DefaultVMListLag)
+	set(&o.VMsEvery, DefaultVMsEvery)
+	if o.DriftPPM == 0 {
+		o.DriftPPM = DefaultDriftPPM
+	}
+	return o
+}
+
+// stretch returns the time to wait on this clock so that at least d has
+// passed on any other.
+func (o Options) stretch(d time.Duration) time.Duration {
+	drift := time.Duration(o.DriftPPM)
+	return d + (d/partsPerMillion+1)*drift
+}
--- /dev/null
+++ b/coord/lease/read.go
@@ -0,0 +1,145 @@
+package lease
+
+import "time"
+
+// startRead sends the next read when it is due. Reads and writes of one node
+// never overlap, so that each write follows a fresh read.
+func (m *Machine) startRead(now time.Time) {
+	if m.read.inFlight || m.writing() || now.Before(m.read.next) {
+		return
+	}
+	m.read.id++
+	m.read.inFlight = true
+	m.read.all = m.mine()
+	r := ReadRows{
+		ID:  m.read.id,
+		Key: Key(m.opts.DataCentre),
+		Own: CandidateKey(m.opts.DataCentre, m.opts.VM),
+		VMs: m.wantsVMs(now),
+	}
+	if m.read.all {
+		r.Prefix = CandidatePrefix(m.opts.DataCentre)
+	}
+	m.emit(r)
+}
+
+// wantsVMs reports whether the next read should bring the platform's list of
+// VMs: for a holder now and then, for a newcomer while the holder is silent.
+func (m *Machine) wantsVMs(now time.Time) bool {
+	if m.mine() {
+		return !m.presence.read || now.Sub(m.presence.at) >= m.opts.VMsEvery
+	}
+	return m.newcomer() && !now.Before(m.seen.takeoverAt)
+}
+
+// writing reports whether a write has not been answered yet.
+func (m *Machine) writing() bool {
+	for _, a := range m.attempts.list {
+		if !a.answered {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) readFailed(now time.Time, ev ReadFailed) {
+	if !m.read.inFlight || ev.Read != m.read.id {
+		return
+	}
+	m.read.inFlight = false
+	m.read.next = now.Add(m.opts.RetryEvery)
+}
+
+func (m *Machine) rowsRead(now time.Time, ev RowsRead) {
+	if !m.read.inFlight || ev.Read != m.read.id {
+		return
+	}
+	m.read.inFlight = false
+	if ev.Revision < m.seen.revision {
+		m.read.next = now.Add(m.opts.RetryEvery)
+		return
+	}
+	m.observe(now, ev)
+	if ev.VMsKnown {
+		m.presence.update(now, ev.VMs)
+		m.watchHolder(now)
+	}
+	m.register(ev.Registrations)
+	m.write(now, ev)
+	m.scheduleRead(now)
+}
+
+// observe takes in the row and settles this node's own writes by it.
+func (m *Machine) observe(now time.Time, ev RowsRead) {
+	m.seen.known = true
+	if ev.Row == nil || ev.Revision == m.seen.revision {
+		return
+	}
+	own, found := m.attempts.find(ev.Row.Token)
+	m.moveTo(now, *ev.Row, ev.Revision)
+	switch {
+	case found:
+		m.written(now, own)
+	case !m.mine():
+		m.lose(Superseded)
+	}
+}
+
+// moveTo records a new revision of the row.
+func (m *Machine) moveTo(now time.Time, row Row, revision uint64) {
+	if row.Term != m.seen.row.Term || m.seen.revision == 0 {
+		m.seen.termAt = now
+		m.seen.goneSince = time.Time{}
+	}
+	m.seen.row = row
+	m.seen.revision = revision
+	m.seen.at = now
+	m.seen.takeoverAt = m.takeoverAt(now, row)
+	m.attempts.dropBefore(revision)
+}
+
+// scheduleRead plans the next read after one that was answered.
+func (m *Machine) scheduleRead(now time.Time) {
+	switch {
+	case m.writing():
+		m.read.next = m.sentAt.Add(m.opts.RenewEvery)
+	case m.mine() || m.stopping || m.attempts.unsettled() || m.seen.revision == 0:
+		m.read.next = now.Add(m.opts.RetryEvery)
+	default:
+		m.read.next = now.Add(m.opts.PollEvery)
+		due := m.seen.takeoverAt
+		if now.Before(due) && due.Before(m.read.next) {
+			m.read.next = due
+		}
+	}
+}
+
+// writeAnswered settles a write, or plans a read that does.
+func (m *Machine) writeAnswered(now time.Time, ev WriteAnswered) {
+	a, ok := m.attempts.find(ev.Token)
+	if !ok {
+		return
+	}
+	switch ev.Outcome {
+	case Applied:
+		m.moveTo(now, a.row, ev.Revision)
+		m.written(now, a)
+	case Unknown:
+		m.answerLost(now, a)
+	case Conflict:
+		m.attempts.drop(ev.Token)
+		m.read.next = now
+	case NotWritten:
+		m.attempts.drop(ev.Token)
+		m.read.next = now.Add(m.opts.RetryEvery)
+	}
+}
+
+func (m *Machine) answerLost(now time.Time, a attempt) {
+	if m.off.readBack {
+		m.written(now, a)
+	}
+	m.attempts.lost(a.row.Token, m.read.id+1)
+	m.attempts.merge(now.Add(-m.opts.Duration))
+	m.read.next = now
+}
--- /dev/null
+++ b/coord/lease/takeover.go
@@ -0,0 +1,67 @@
+package lease
+
+import "time"
+
+// takeoverAt returns when a row first seen now may be taken over: at once if
+// it was released, else after its holder's lease has run out on any clock.
+// Candidates are spread over RetryEvery so that few of them collide.
+func (m *Machine) takeoverAt(now time.Time, row Row) time.Time {
+	if row.Released || m.off.takeoverWait {
+		return now
+	}
+	wait := m.opts.stretch(row.wait())
+	if m.off.drift {
+		wait = row.wait()
+	}
+	spread := time.Duration(m.rng.Int64N(int64(m.opts.RetryEvery)))
+	return now.Add(wait + spread)
+}
+
+// mayTakeOver reports whether the row as last read may be taken over. A row
+// that does not exist may be: there is no earlier holder.
+func (m *Machine) mayTakeOver(now time.Time) bool {
+	if m.seen.revision == 0 {
+		return m.seen.known
+	}
+	if now.Before(m.seen.takeoverAt) {
+		return false
+	}
+	return !m.newcomer() || m.holderGone(now)
+}
+
+// newcomer reports whether this VM is not listed in the row, so that its
+// holder does not ask it for promises.
+func (m *Machine) newcomer() bool {
+	return m.seen.revision > 0 && !m.seen.row.Released && !m.seen.row.lists(m.opts.VM) && !m.off.listed
+}
+
+// watchHolder notes since when the platform's list of VMs lacks the holder. A
+// list that may be older than the holder's term proves nothing.
+func (m *Machine) watchHolder(now time.Time) {
+	switch {
+	case m.seen.revision == 0:
+	case !m.presence.absent(m.seen.row.Holder):
+		m.seen.goneSince = time.Time{}
+	case now.Sub(m.seen.termAt) < m.opts.stretch(m.opts.VMListLag):
+	case m.seen.goneSince.IsZero():
+		m.seen.goneSince = now
+	}
+}
+
+// holderGone reports whether the holder's VM was gone for longer than any
+// promise which that VM gave to an earlier holder.
+func (m *Machine) holderGone(now time.Time) bool {
+	if m.seen.goneSince.IsZero() {
+		return false
+	}
+	return now.Sub(m.seen.goneSince) >= m.opts.stretch(m.seen.row.wait())
+}
+
+// takeOver begins a new term. The list of candidates stays as it was but for
+// this VM: a takeover of unknown fate by a process that died must not give
+// candidates a right to take over of which an earlier holder cannot know.
+func (m *Machine) takeOver(now time.Time) {
+	row := m.newRow(now, m.seen.row.Term+1)
+	row.Candidates = withCandidate(m.seen.row.Candidates, m.self())
+	m.send(now, row)
+}
