--- /dev/null
+++ b/coord/group/event.go
@@ -0,0 +1,132 @@
+package group
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
+	"github.com/pimentoshore/pimentoshore/coord/member"
+)
+
+// Event is an input of Manager.Step.
+type Event interface{ event() }
+
+// Tick asks for what has become due. Send one at least every second.
+type Tick struct{}
+
+// Configuration brings the accepted inventory. One with a lower number than
+// the last is ignored.
+type Configuration struct {
+	Number   uint64
+	Document *inventory.Document
+}
+
+// Fencer gives the fences of a lease holder's orders.
+type Fencer interface {
+	// Fence returns the next fence, or false if the lease may run out before
+	// an order sent now is answered or has timed out.
+	Fence(now time.Time) (member.Fence, bool)
+}
+
+// LeaseGained starts the coordinator's work.
+type LeaseGained struct {
+	Term   uint64
+	Fencer Fencer
+	// UnfencedFrom is when orders of earlier holders can no longer arrive.
+	// VMs that don't check fencing get no order before.
+	UnfencedFrom time.Time
+}
+
+// LeaseLost ends the coordinator's work. Nothing is ordered from then on.
+type LeaseLost struct{}
+
+// RowRead answers ReadRow. Revision 0 means that the row does not exist.
+type RowRead struct {
+	Value    []byte
+	Revision uint64
+}
+
+// RowReadFailed answers ReadRow when the platform cannot be reached.
+type RowReadFailed struct{}
+
+// WriteOutcome is what is known about a write of the row.
+type WriteOutcome string
+
+// Outcomes of a write.
+const (
+	WriteApplied    WriteOutcome = "applied"
+	WriteConflict   WriteOutcome = "conflict"    // the row was at another revision
+	WriteNotWritten WriteOutcome = "not-written" // certainly nothing was written
+	WriteUnknown    WriteOutcome = "unknown"     // the answer was lost
+)
+
+// RowWritten answers WriteRow.
+type RowWritten struct {
+	Token   string
+	Outcome WriteOutcome
+	// Revision is the row's new one if the write was applied.
+	Revision uint64
+}
+
+// Reported brings a VM's report and when its probe was sent. The answer to
+// an order is one as well, with the time at which the order was sent.
+type Reported struct {
+	Report member.Report
+	SentAt time.Time
+}
+
+// ProbeRefused says that a VM refused the connection of a probe.
+type ProbeRefused struct {
+	VM     string
+	SentAt time.Time
+}
+
+// OrderDone says that a SendOrder was answered or has failed. An accepted
+// order is settled by the VM's reports only.
+type OrderDone struct {
+	VM    string
+	Fence member.Fence
+	// Failed is set if the order was refused, or its answer was lost.
+	Failed bool
+}
+
+// LeavingVMs brings the platform's whole list of leaving VMs.
+type LeavingVMs struct {
+	Names []string
+}
+
+// Scope is what a planned stop is about.
+type Scope string
+
+// Scopes of a planned stop.
+const (
+	ScopeVM         Scope = "vm"
+	ScopeGroup      Scope = "group"
+	ScopeDataCentre Scope = "data-centre"
+)
+
+// StopRequested asks for a planned stop of a VM, the members of a group, or
+// all VMs of the data centre. Released notices say when a VM may be stopped.
+type StopRequested struct {
+	Scope Scope
+	Name  string
+}
+
+// StopCancelled takes a planned stop back.
+type StopCancelled struct {
+	Scope Scope
+	Name  string
+}
+
+func (Tick) event()          {}
+func (Configuration) event() {}
+func (LeaseGained) event()   {}
+func (LeaseLost) event()     {}
+func (RowRead) event()       {}
+func (RowReadFailed) event() {}
+func (RowWritten) event()    {}
+func (Reported) event()      {}
+func (ProbeRefused) event()  {}
+func (OrderDone) event()     {}
+func (LeavingVMs) event()    {}
+func (StopRequested) event() {}
+func (StopCancelled) event() {}
