--- a/coord/group/options.go
+++ b/coord/group/options.go
@@ -9,6 +9,7 @@
 	DefaultRepairGrace    = 10 * time.Second
 	DefaultRegroupAfter   = 30 * time.Second
 	DefaultOrderTimeout   = 5 * time.Second
+	DefaultOrderMaxDelay  = 15 * time.Second
 	DefaultLoadTimeout    = 10 * time.Minute
 	DefaultLoadBackoff    = 30 * time.Second
 	DefaultDrainSettle    = 3 * time.Second
@@ -37,6 +38,9 @@
 	// OrderTimeout is how long an order without an answer is waited for, and
 	// the pause between two orders to one VM.
 	OrderTimeout time.Duration
+	// OrderMaxDelay is how long after its sending an order may still take
+	// effect at a VM that does not check fencing.
+	OrderMaxDelay time.Duration
 	// LoadTimeout is how long a group may take to become whole.
 	LoadTimeout time.Duration
 	// LoadBackoff is how long a VM that failed to load is passed over.
@@ -105,6 +109,7 @@
 	orDuration(&o.RepairGrace, DefaultRepairGrace)
 	orDuration(&o.RegroupAfter, DefaultRegroupAfter)
 	orDuration(&o.OrderTimeout, DefaultOrderTimeout)
+	orDuration(&o.OrderMaxDelay, DefaultOrderMaxDelay)
 	orDuration(&o.LoadTimeout, DefaultLoadTimeout)
 	orDuration(&o.LoadBackoff, DefaultLoadBackoff)
 	orDuration(&o.DrainSettle, DefaultDrainSettle)
--- /dev/null
+++ b/coord/group/row.go
@@ -0,0 +1,153 @@
+package group
+
+import (
+	"strconv"
+	"time"
+)
+
+// rowState is what the coordinator knows of the row in the platform's table.
+type rowState struct {
+	known    bool   // revision is that of the last read or write
+	revision uint64 //
+	version  uint64 // of the groups in memory
+	applied  uint64 // newest version that the row holds
+
+	reading   bool
+	writing   bool
+	token     string // of the last write
+	attempt   uint64 // version of the last write
+	writes    uint64
+	askedAt   time.Time // when the open read or write was asked for
+	retryAt   time.Time
+	inherited []Group // read, and not installed yet
+	// down is set while the table cannot be reached. Orders go on without
+	// the row then.
+	down bool
+}
+
+// stepRow reads and writes the row as needed, one request at a time.
+func (m *Manager) stepRow(now time.Time) {
+	r := &m.row
+	if r.reading || r.writing {
+		if now.Sub(r.askedAt) >= m.opts.OrderTimeout {
+			m.setDown(true)
+		}
+		return
+	}
+	if now.Before(r.retryAt) {
+		return
+	}
+	if !r.known {
+		r.reading, r.askedAt = true, now
+		m.emit(ReadRow{})
+		return
+	}
+	if m.stage == stageActive && r.version != r.applied {
+		m.writeRow(now)
+	}
+}
+
+func (m *Manager) writeRow(now time.Time) {
+	r := &m.row
+	r.writes++
+	r.token = strconv.FormatUint(m.term, 10) + "." + strconv.FormatUint(r.writes, 10)
+	r.attempt = r.version
+	r.writing, r.askedAt = true, now
+	row := Row{Term: m.term, Token: r.token, Groups: m.Groups()}
+	m.emit(WriteRow{Revision: r.revision, Token: r.token, Value: row.Encode()})
+}
+
+// rowRead settles the last write by its token. A row of a later term ends
+// this coordinator's work.
+func (m *Manager) rowRead(now time.Time, ev RowRead) {
+	if m.stage == stageOff || !m.row.reading {
+		return
+	}
+	r := &m.row
+	r.reading = false
+	row, err := DecodeRow(ev.Value)
+	if err != nil {
+		row = Row{} // the members' reports still say what runs
+	}
+	if row.Term > m.term {
+		m.lose(now)
+		m.emit(Progress{Notice: NoticeDeposed})
+		return
+	}
+	first := r.writes == 0
+	r.known, r.revision = true, ev.Revision
+	if !first && row.Token == r.token {
+		m.applied()
+	}
+	m.setDown(false)
+	if first {
+		r.inherited = row.Groups
+	}
+	if first && m.stage == stageActive {
+		m.install(now)
+	}
+}
+
+func (m *Manager) rowReadFailed(now time.Time) {
+	m.row.reading = false
+	m.row.retryAt = now.Add(m.opts.RowRetry)
+	m.setDown(true)
+}
+
+func (m *Manager) rowWritten(now time.Time, ev RowWritten) {
+	r := &m.row
+	if !r.writing || ev.Token != r.token {
+		return
+	}
+	r.writing = false
+	switch ev.Outcome {
+	case WriteApplied:
+		r.revision = ev.Revision
+		m.applied()
+		m.setDown(false)
+	case WriteNotWritten:
+		r.retryAt = now.Add(m.opts.RowRetry)
+		m.setDown(true)
+	case WriteConflict, WriteUnknown:
+		r.known = false
+	}
+}
+
+// applied records that the row holds the last write.
+func (m *Manager) applied() {
+	m.row.applied = m.row.attempt
+	m.driveAwaiting()
+}
+
+// setDown records whether the table can be reached.
+func (m *Manager) setDown(down bool) {
+	m.row.down = down
+	if down {
+		m.driveAwaiting()
+	}
+}
+
+// driveAwaiting looks again at the groups whose orders wait for the row.
+func (m *Manager) driveAwaiting() {
+	waiting := m.awaitingRow
+	m.awaitingRow = nil
+	for _, g := range waiting {
+		g.awaiting = false
+		for _, v := range g.members {
+			m.markVM(v)
+		}
+	}
+}
+
+// rowAllows reports whether the group's members may be told to join: the row
+// holds the group, or the table cannot be reached.
+func (m *Manager) rowAllows(g *groupState) bool {
+	if !m.opts.enabled(WriteFirst) || m.row.down || g.version <= m.row.applied {
+		return true
+	}
+	if !g.awaiting {
+		g.awaiting = true
+		m.awaitingRow = append(m.awaitingRow, g)
+	}
+	return false
+}
