--- a/coord/group/lease.go
+++ b/coord/group/lease.go
@@ -25,6 +25,7 @@
 func (m *Manager) lose(now time.Time) {
 	m.stage = stageOff
 	m.fencer = nil
+	m.view = nil
 	m.regroupAt = time.Time{}
 	for len(m.groups) > 0 {
 		m.remove(m.groups[len(m.groups)-1], now)
--- /dev/null
+++ b/coord/group/mechanism_test.go
@@ -0,0 +1,263 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/member"
+)
+
+// Each scenario returns what went wrong: nothing with every mechanism on,
+// and something with the one switched off that it is about.
+var scenarios = []struct {
+	name string
+	off  Mechanism
+	run  func(opts Options) []string
+}{
+	{"a VM leaves before it joins", ReportedLeave, swapWhileMembersLag},
+	{"a VM that left waits for old reports to expire", RejoinWait, quickRejoin},
+	{"a new coordinator waits for late orders", FenceWait, lateOrderOfEarlierHolder},
+	{"a new coordinator adopts running groups", Reconcile, takeover},
+	{"generations of two coordinators differ", TermGeneration, forgottenGeneration},
+	{"a paused member gets time", PauseGrace, pausedMember},
+	{"loads are limited", LoadLimit, coldDataCentre},
+	{"the row is written first", WriteFirst, slowRow},
+	{"spares replace dead members", Spares, deadMember},
+	{"broken groups are merged", Regroup, twoBrokenGroups},
+	{"stragglers are replaced", StragglerSwap, straggler},
+	{"planned stops drain first", GracefulDrain, plannedStop},
+	{"only members in place count", MatchPlace, deadMember},
+}
+
+func TestMechanismsMatter(t *testing.T) {
+	for _, s := range scenarios {
+		t.Run(s.name, func(t *testing.T) {
+			on := s.run(testOptions())
+			assert.Equal(t, len(on), 0, "%v", on)
+			opts := testOptions()
+			opts.Disable = s.off
+			off := s.run(opts)
+			assert.Assert(t, len(off) > 0, "nothing fails with the mechanism off")
+			t.Logf("with it off: %s", off[0])
+		})
+	}
+}
+
+func threes(opts Options, size int) *world {
+	w := newWorld(opts, inventoryOf(1, size, model("m", 3, 0)), 1, 2)
+	w.run(30 * time.Second)
+	return w
+}
+
+// expect notes a fault unless the condition holds.
+func (w *world) expect(ok bool, format string, args ...any) {
+	if !ok {
+		w.fault(format, args...)
+	}
+}
+
+func swapWhileMembersLag(opts Options) []string {
+	w := threes(opts, 7)
+	w.byName["d00-v000"].dead = true
+	w.run(30 * time.Second)
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// quickRejoin dissolves a group while two of its members don't hear of it,
+// and has the third complete another group with no time to load. One router
+// misses that the third one left.
+func quickRejoin(opts Options) []string {
+	opts.ReportTTL = 5 * time.Second
+	w := newWorld(opts, inventoryOf(1, 6, model("m", 3, 0)), 1, 2)
+	w.loadTime = 0
+	w.run(30 * time.Second)
+	w.engines[3].dead = true
+	w.run(10 * time.Second)
+	w.drop = func(o member.Order) bool { return o.VM == "d00-v000" || o.VM == "d00-v002" }
+	w.blind = func(router int, e *engine) bool {
+		return router == 1 && e.vm.Name == "d00-v001" && e.report.Group != "praha/m/1"
+	}
+	w.stepAll(StopRequested{Scope: ScopeVM, Name: "d00-v000"})
+	w.run(20 * time.Second)
+	w.expect(w.serving() == 1, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// lateOrderOfEarlierHolder has the earlier holder's last order arrive after
+// the new holder has put the VM into another group.
+func lateOrderOfEarlierHolder(opts Options) []string {
+	w := threes(opts, 3)
+	e := w.byName["d00-v000"]
+	late := member.Order{
+		VM: e.vm.Name, Action: member.Join, Group: "praha/m/9", Generation: 7, Model: "m",
+		Fence: member.Fence{Term: w.term, Sequence: 1 << 20},
+	}
+	w.orders = append(w.orders, delivery{w.now.Add(opts.OrderMaxDelay - time.Second), late, w.nodes[0]})
+	for _, e := range w.engines {
+		e.restart()
+	}
+	w.grant(w.nodes[1])
+	w.run(30 * time.Second)
+	return w.faults
+}
+
+func takeover(opts Options) []string {
+	w := threes(opts, 7)
+	before := w.sent
+	w.grant(w.nodes[1])
+	w.run(30 * time.Second)
+	w.expect(w.sent == before, "%d orders after the takeover", w.sent-before)
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// forgottenGeneration has two coordinators repair the same group, the second
+// one without the first one's row and while the first one's members pause.
+func forgottenGeneration(opts Options) []string {
+	w := threes(opts, 6)
+	for _, e := range w.engines[:3] {
+		e.dead = true
+	}
+	w.run(20 * time.Second)
+	w.down = true
+	w.engines[0].restart()
+	w.engines[1].restart()
+	w.engines[2].restart()
+	w.run(20 * time.Second)
+	first := w.manager().byID["praha/m/1"].Group
+	for _, e := range w.engines[:3] {
+		e.paused = true
+	}
+	w.down = false
+	w.grantLate(w.nodes[1])
+	w.engines[3].dead = true
+	w.run(20 * time.Second)
+	w.engines[3].restart()
+	w.run(30 * time.Second)
+	for _, g := range w.manager().Groups() {
+		same := g.Generation == first.Generation && fmt.Sprint(g.Members) != fmt.Sprint(first.Members)
+		w.expect(!same, "generation %d names %v and %v", g.Generation, g.Members, first.Members)
+	}
+	return w.faults
+}
+
+// grantLate moves the lease before the earlier holder can write its row.
+func (w *world) grantLate(n *node) {
+	for _, other := range w.nodes {
+		if other != n {
+			other.paused = true
+			other.leased = false
+		}
+	}
+	w.grant(n)
+}
+
+func pausedMember(opts Options) []string {
+	w := threes(opts, 7)
+	before := w.sent
+	w.engines[0].paused = true
+	w.run(opts.RepairGrace - time.Second)
+	w.expect(w.serving() == 1, "%d groups serve during the pause", w.serving())
+	w.engines[0].paused = false
+	w.run(5 * time.Second)
+	w.expect(w.sent == before, "%d orders for a short pause", w.sent-before)
+	w.expect(w.serving() == 2, "%d groups serve after the pause", w.serving())
+	return w.faults
+}
+
+// coldDataCentre counts the groups that load at once after a power cut.
+func coldDataCentre(opts Options) []string {
+	w := newWorld(opts, inventoryOf(2, 13, model("m", 3, 0)), 1, 1)
+	w.run(60 * time.Second)
+	before := w.sent
+	for _, e := range w.engines {
+		e.dead = true
+	}
+	w.run(60 * time.Second)
+	w.expect(w.sent == before, "%d orders to dark VMs", w.sent-before)
+	for _, e := range w.engines {
+		e.restart()
+	}
+	for range 120 {
+		w.advance()
+		loading := map[strayKey]bool{}
+		for _, e := range w.engines {
+			if e.report.State == member.Loading {
+				loading[e.key()] = true
+			}
+		}
+		w.expect(len(loading) <= opts.MaxLoads, "%d groups load", len(loading))
+	}
+	w.expect(w.serving() == 8, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// slowRow holds back the answer to the first write of new groups.
+func slowRow(opts Options) []string {
+	opts.ReportTTL = time.Second
+	w := newWorld(opts, inventoryOf(1, 3, model("m", 3, 0)), 1, 1)
+	w.writeTicks = 3
+	for range 60 {
+		w.advance()
+		var row Row
+		row, _ = DecodeRow(w.row)
+		for _, d := range w.orders {
+			written := false
+			for _, g := range row.Groups {
+				written = written || (g.ID == d.order.Group && g.Generation == d.order.Generation)
+			}
+			w.expect(written || d.order.Action != member.Join, "%s joins before the write", d.order.VM)
+		}
+	}
+	w.expect(w.serving() == 1, "%d groups serve", w.serving())
+	return w.faults
+}
+
+func deadMember(opts Options) []string {
+	w := threes(opts, 7)
+	w.engines[0].dead = true
+	w.run(30 * time.Second)
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// twoBrokenGroups leaves two groups with two members each and no spare.
+func twoBrokenGroups(opts Options) []string {
+	w := threes(opts, 6)
+	w.engines[0].dead = true
+	w.engines[3].dead = true
+	w.run(60 * time.Second)
+	w.expect(w.serving() == 1, "%d groups serve", w.serving())
+	return w.faults
+}
+
+func straggler(opts Options) []string {
+	w := threes(opts, 7)
+	w.engines[1].report.StepLatency *= 5
+	w.run(60 * time.Second)
+	w.expect(w.engines[1].report.Group == "", "the straggler stays in its group")
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// plannedStop asks for a stop while rank 0 has work in flight.
+func plannedStop(opts Options) []string {
+	w := threes(opts, 7)
+	first := w.manager().byID["praha/m/1"].members[0].name
+	w.byName[first].report.InFlight = 1
+	w.stepAll(StopRequested{Scope: ScopeVM, Name: first})
+	for range 10 {
+		w.advance()
+		w.expect(w.byName[first].report.State == member.Ready, "stopped with work in flight")
+		w.expect(!w.released[first], "released with work in flight")
+	}
+	w.byName[first].report.InFlight = 0
+	w.run(30 * time.Second)
+	w.expect(w.released[first], "not released")
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
--- /dev/null
+++ b/coord/group/random_test.go
@@ -0,0 +1,138 @@
+package group
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// fates are the faults that the random test draws from.
+var fates = map[string]func(w *world, e *engine){
+	"die":     func(_ *world, e *engine) { e.dead = true },
+	"pause":   func(_ *world, e *engine) { e.paused = true },
+	"resume":  func(_ *world, e *engine) { e.paused = false },
+	"cold":    func(_ *world, e *engine) { e.restart() },
+	"slow":    func(_ *world, e *engine) { e.report.StepLatency = 80 * time.Millisecond },
+	"swift":   func(_ *world, e *engine) { e.report.StepLatency = 10 * time.Millisecond },
+	"busy":    func(_ *world, e *engine) { e.report.InFlight = 1 },
+	"idle":    func(_ *world, e *engine) { e.report.InFlight = 0 },
+	"refuse":  func(w *world, e *engine) { w.refuse(e) },
+	"dark":    func(w *world, e *engine) { w.domain(e, func(e *engine) { e.paused = true }) },
+	"light":   func(w *world, e *engine) { w.domain(e, func(e *engine) { e.paused = false }) },
+	"out":     func(w *world, e *engine) { w.takeOut(e, true) },
+	"in":      func(w *world, e *engine) { w.takeOut(e, false) },
+	"dcOut":   func(w *world, _ *engine) { w.doc.DataCentres[0].Out = true; w.configure() },
+	"dcIn":    func(w *world, _ *engine) { w.doc.DataCentres[0].Out = false; w.configure() },
+	"stop":    func(w *world, e *engine) { w.stepAll(StopRequested{ScopeVM, e.vm.Name}) },
+	"cancel":  func(w *world, e *engine) { w.stepAll(StopCancelled{ScopeVM, e.vm.Name}) },
+	"leaving": func(w *world, e *engine) { w.stepAll(LeavingVMs{Names: []string{e.vm.Name}}) },
+	"left":    func(w *world, _ *engine) { w.stepAll(LeavingVMs{}) },
+	"outage":  func(w *world, _ *engine) { w.down = true },
+	"online":  func(w *world, _ *engine) { w.down = false },
+	"lossy":   func(w *world, _ *engine) { w.lossy = true },
+	"lease":   func(w *world, _ *engine) { w.swapLease() },
+	"hang":    func(w *world, _ *engine) { w.hangLease() },
+}
+
+func (w *world) refuse(e *engine) {
+	e.dead = true
+	w.stepAll(ProbeRefused{VM: e.vm.Name, SentAt: w.now})
+}
+
+func (w *world) domain(e *engine, f func(*engine)) {
+	for _, other := range w.engines {
+		if other.vm.FabricDomain == e.vm.FabricDomain {
+			f(other)
+		}
+	}
+}
+
+func (w *world) takeOut(e *engine, out bool) {
+	for i := range w.doc.VMs {
+		if w.doc.VMs[i].Name == e.vm.Name {
+			w.doc.VMs[i].Out = out
+		}
+	}
+	w.configure()
+}
+
+// swapLease moves the lease to the other node, which gets its events again.
+func (w *world) swapLease() {
+	for _, n := range w.nodes {
+		n.paused = false
+	}
+	next := w.nodes[0]
+	if next.leased {
+		next = w.nodes[1]
+	}
+	w.grant(next)
+}
+
+// hangLease has the holder stand still while the other takes over.
+func (w *world) hangLease() {
+	for _, n := range w.nodes {
+		n.paused = n.leased
+	}
+	for _, n := range w.nodes {
+		if !n.leased {
+			w.grantLate(n)
+			return
+		}
+	}
+}
+
+// heal ends every fault.
+func (w *world) heal() {
+	w.chaos, w.down, w.lossy = false, false, false
+	for i := range w.doc.VMs {
+		w.doc.VMs[i].Out = false
+	}
+	w.doc.DataCentres[0].Out = false
+	for _, n := range w.nodes {
+		n.paused = false
+		if !n.leased {
+			w.step(n, LeaseLost{})
+		}
+	}
+	w.configure()
+	w.stepAll(LeavingVMs{})
+	for _, e := range w.engines {
+		if e.dead {
+			e.restart()
+		}
+		e.paused = false
+		e.report.InFlight = 0
+		e.report.StepLatency = 10 * time.Millisecond
+		w.stepAll(StopCancelled{ScopeVM, e.vm.Name})
+	}
+}
+
+// TestRandomFaults checks the invariants after every step of random faults,
+// and that every group is whole some time after the last one.
+func TestRandomFaults(t *testing.T) {
+	names := []string{
+		"busy", "cancel", "cold", "cold", "dark", "dcIn", "dcIn", "dcOut", "die", "die", "hang", "idle",
+		"in", "in", "lease", "leaving", "left", "light", "light", "lossy", "online", "online", "out", "outage",
+		"pause", "pause", "refuse", "resume", "resume", "resume", "slow", "stop", "swift",
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		doc := inventoryOf(2, 7, model("a", 3, 0), model("b", 2, 1))
+		w := newWorld(testOptions(), doc, seed, 2)
+		w.chaos = rapid.Bool().Draw(t, "chaos")
+		w.run(rapid.SampledFrom([]time.Duration{0, 20 * time.Second}).Draw(t, "lead"))
+		for range rapid.IntRange(1, 40).Draw(t, "faults") {
+			fate := rapid.SampledFrom(names).Draw(t, "fate")
+			e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
+			fates[fate](w, e)
+			w.run(time.Duration(rapid.IntRange(0, 12).Draw(t, "ticks")) * w.tick)
+			assert.Assert(t, len(w.faults) == 0, "%v", w.faults)
+		}
+		w.heal()
+		w.run(150 * time.Second)
+		assert.Assert(t, len(w.faults) == 0, "%v", w.faults)
+		assert.Equal(t, w.serving(), 4, "%+v", w.manager().Status(w.now))
+	})
+}
