coord/group: barrier orders and no adoption of ended groups

The random test found two faults: a delayed order to join reached a VM that checks fencing just before a newer one, so that it moved without leaving; and a surplus group of an earlier term was dissolved and adopted in turn. A VM is now told to leave until its report shows the newer fence, and a generation that this coordinator ended is not adopted.

--- a/coord/group/freshness.go
+++ b/coord/group/freshness.go
@@ -72,6 +72,9 @@
 		m.markVM(v)
 		m.markGroup(v.group)
 	}
+	if before.Fence != v.report.Fence {
+		m.markVM(v)
+	}
 	m.measured(v, &before, now)
 }
 
--- a/coord/group/groups.go
+++ b/coord/group/groups.go
@@ -49,6 +49,7 @@
 // dissolve removes a group for good and lets its domain wait for the members
 // to become idle, so that they are grouped anew in one go.
 func (m *Manager) dissolve(g *groupState, now time.Time) {
+	end(g)
 	d := g.domain
 	d.departing = append(d.departing, g.members...)
 	d.departUntil = now.Add(m.opts.RepairGrace)
@@ -56,8 +57,17 @@
 	m.emit(Progress{Notice: NoticeDissolved, Group: g.ID, Generation: g.Generation})
 }
 
+// end keeps the group at its generation from being adopted again while its
+// members have not left it yet.
+func end(g *groupState) {
+	for _, v := range g.members {
+		v.ended = strayKey{g.ID, g.Generation}
+	}
+}
+
 // regenerate gives a group a new generation with new members.
 func (m *Manager) regenerate(g *groupState, members []*vm, now time.Time) {
+	end(g)
 	for _, v := range g.members {
 		m.unassign(v, now)
 	}
--- a/coord/group/lease.go
+++ b/coord/group/lease.go
@@ -17,6 +17,7 @@
 	m.unseen = len(m.vmList)
 	for _, v := range m.vmList {
 		v.seen = false
+		v.ended = strayKey{}
 	}
 	m.row = rowState{}
 }
--- a/coord/group/order.go
+++ b/coord/group/order.go
@@ -52,6 +52,9 @@
 	}
 	mayJoin := r.Group == "" || !m.opts.enabled(ReportedLeave)
 	if g != nil && mayJoin {
+		if !m.settled(v, now) {
+			return member.Order{VM: v.name, Action: member.Leave}, true
+		}
 		return joinOrder(v), g.loading && !g.Draining && m.rowAllows(g)
 	}
 	if r.Group == "" {
@@ -66,6 +69,23 @@
 	return member.Order{VM: v.name, Action: member.Leave, Group: r.Group, Generation: r.Generation}, true
 }
 
+// settled reports whether no earlier order to join another place can take
+// effect any more at a VM that checks fencing: the VM reports a newer fence,
+// or the time for it has passed. Until then the VM is told to leave, which
+// raises its fence.
+func (m *Manager) settled(v *vm, now time.Time) bool {
+	if !v.checksFencing || !m.opts.enabled(FenceWait) {
+		return true
+	}
+	seen, last := v.report.Fence, &v.order
+	if seen.Term < m.term && now.Before(m.unfencedFrom) {
+		return false
+	}
+	key := strayKey{v.group.ID, v.group.Generation}
+	mayCome := last.joinKey != key && now.Before(last.joinAt.Add(m.opts.OrderMaxDelay))
+	return !mayCome || !seen.Before(last.fence)
+}
+
 func joinOrder(v *vm) member.Order {
 	g := v.group
 	return member.Order{
--- a/coord/group/stray.go
+++ b/coord/group/stray.go
@@ -129,7 +129,7 @@
 		return false
 	}
 	for _, v := range s.members {
-		if v.domain != s.members[0].domain || (v.group != nil && !m.yields(v.group)) {
+		if v.domain != s.members[0].domain || v.ended == s.key || (v.group != nil && !m.yields(v.group)) {
 			return false
 		}
 	}
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -37,6 +37,8 @@
 	ready  bool // counted in group.ready
 	placed bool // was seen in place at the group's generation
 	stray  *stray
+	// ended is the last place that this coordinator took from the VM.
+	ended strayKey
 
 	order       sentOrder
 	passUntil   time.Time // passed over as a spare until then
