--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -44,6 +44,7 @@
 	m.touchNeedy(g)
 	m.setExcluded(g, false, now)
 	m.setPhase(g, phaseWhole, now)
+	g.model.plannedFrom = now.Add(m.opts.DrainSettle)
 	m.endPlanned(g)
 	m.markDomain(g.domain)
 	m.emit(Progress{Notice: NoticeWhole, Group: g.ID, Generation: g.Generation})
--- a/coord/group/drain.go
+++ b/coord/group/drain.go
@@ -144,10 +144,17 @@
 // beginPlanned drains a group for a change that can wait. Each model has one
 // such group at a time.
 func (m *Manager) beginPlanned(g *groupState, cause drainCause, then drainThen, now time.Time) {
-	if g.model.planned == nil {
-		g.model.planned = g
-		m.beginDrain(g, cause, then, now)
+	s := g.model
+	if s.planned != nil {
+		return
+	}
+	if now.Before(s.plannedFrom) {
+		m.wakeGroup(g, s.plannedFrom)
+		m.balanceAt = s.plannedFrom
+		return
 	}
+	s.planned = g
+	m.beginDrain(g, cause, then, now)
 }
 
 // endPlanned lets the next planned change of the model begin.
--- a/coord/group/event.go
+++ b/coord/group/event.go
@@ -68,7 +68,8 @@
 }
 
 // Reported brings a VM's report and when its probe was sent. The answer to
-// an order is one as well, with the time at which the order was sent.
+// an order is one as well, with the time at which the order was sent. Step
+// takes a pointer to one too, which the caller may use again.
 type Reported struct {
 	Report member.Report
 	SentAt time.Time
--- a/coord/group/freshness.go
+++ b/coord/group/freshness.go
@@ -47,7 +47,7 @@
 
 // reported takes in a report. One that changes nothing costs a constant
 // number of steps and marks nothing.
-func (m *Manager) reported(now time.Time, ev Reported) {
+func (m *Manager) reported(now time.Time, ev *Reported) {
 	v := m.vms[ev.Report.VM]
 	if v == nil || (v.known && ev.SentAt.Before(later(v.sentAt, v.refusedAt))) {
 		return
@@ -59,13 +59,7 @@
 		m.see(v)
 	}
 	restarted := !wasKnown || before.Incarnation != v.report.Incarnation
-	if v.report.Group == "" && (restarted || before.Group != "") {
-		v.leftAt = now
-	}
-	if restarted {
-		v.placed = v.placed && v.report.Group != ""
-		v.slow = false
-	}
+	m.noteLeft(v, &before, restarted, now)
 	if restarted || wasPresent != v.present() || moved(&before, &v.report) {
 		m.presence(v, wasPresent, now)
 		m.touch(v, now)
@@ -78,7 +72,18 @@
 	m.measured(v, &before, now)
 }
 
-func (m *Manager) store(v *vm, now time.Time, ev Reported) {
+// noteLeft notes when a VM is first seen in no group. A restarted engine is
+// no former straggler.
+func (m *Manager) noteLeft(v *vm, before *member.Report, restarted bool, now time.Time) {
+	if v.report.Group == "" && (restarted || before.Group != "") {
+		v.leftAt = now
+	}
+	if restarted {
+		v.slow = false
+	}
+}
+
+func (m *Manager) store(v *vm, now time.Time, ev *Reported) {
 	if v.fresh {
 		m.ages.remove(v)
 	}
--- a/coord/group/manager.go
+++ b/coord/group/manager.go
@@ -48,7 +48,8 @@
 	dirtyGroups  []*groupState
 	dirtyDomains []*domain
 	dirtyStrays  []*stray
-	unbalanced   bool // the number of groups may differ from the wanted one
+	unbalanced   bool      // the number of groups may differ from the wanted one
+	balanceAt    time.Time // when to look at it again; zero if not needed
 
 	term         uint64
 	fencer       Fencer
@@ -96,11 +97,16 @@
 	if m.stage == stageReconciling {
 		m.reconcile(now)
 	}
+	if !m.balanceAt.IsZero() && !now.Before(m.balanceAt) {
+		m.balanceAt = time.Time{}
+		m.unbalanced = true
+	}
 	if m.stage == stageActive {
 		m.decide(now)
 	}
 	if m.stage != stageOff {
-		m.stepRow(now)
+		_, tick := ev.(Tick)
+		m.stepRow(now, tick)
 	}
 	return m.effects
 }
@@ -130,6 +136,8 @@
 	case RowWritten:
 		m.rowWritten(now, ev)
 	case Reported:
+		m.reported(now, &ev)
+	case *Reported:
 		m.reported(now, ev)
 	case ProbeRefused:
 		m.probeRefused(now, ev)
--- a/coord/group/manager_test.go
+++ b/coord/group/manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
+	"github.com/pimentoshore/pimentoshore/coord/member"
 )
 
 // TestMain fixes the seed of the random tests unless one is given.
@@ -27,10 +29,10 @@
 	return inventory.Model{Name: name, GroupSize: size, Groups: groups, MaxInFlight: 8, ColdInFlight: 1}
 }
 
-// formed returns a world of two domains whose groups are whole.
-func formed(t *testing.T, opts Options, size int, models ...inventory.Model) *world {
+// formed returns a world of some domains whose groups are whole.
+func formed(t *testing.T, domains, size int, models ...inventory.Model) *world {
 	t.Helper()
-	w := newWorld(opts, inventoryOf(2, size, models...), 1, 1)
+	w := newWorld(testOptions(), inventoryOf(domains, size, models...), 1, 2)
 	w.run(40 * time.Second)
 	sound(t, w)
 	return w
@@ -41,12 +43,327 @@
 	assert.Equal(t, len(w.faults), 0, "%v", w.faults)
 }
 
+// count returns the number of groups of a model that get work.
+func (w *world) count(model string) int {
+	n := 0
+	for _, g := range w.manager().Groups() {
+		if g.Model == model && !g.Draining && w.routers[0].Whole(&g, w.now) {
+			n++
+		}
+	}
+	return n
+}
+
+// lowest runs and returns the lowest number of groups that served.
+func (w *world) lowest(d time.Duration) int {
+	lowest := w.serving()
+	for range int(d / w.tick) {
+		w.advance()
+		lowest = min(lowest, w.serving())
+	}
+	return lowest
+}
+
+func (w *world) why(vm string) Code {
+	for _, s := range w.manager().Status(w.now).Stranded {
+		if s.VM == vm {
+			return s.Why.Code
+		}
+	}
+	return OK
+}
+
 func TestAssemblesWithinDomains(t *testing.T) {
-	w := formed(t, testOptions(), 7, model("m", 3, 0))
+	w := formed(t, 2, 7, model("m", 3, 0))
 	assert.Equal(t, w.serving(), 4)
 	for _, g := range w.manager().Groups() {
 		for _, name := range g.Members {
 			assert.Equal(t, w.byName[name].vm.FabricDomain, g.FabricDomain)
 		}
 	}
+	assert.Equal(t, w.why("d00-v006"), TooFewInDomain)
+}
+
+func TestWantedNumberIsKept(t *testing.T) {
+	w := formed(t, 2, 7, model("m", 3, 2))
+	assert.Equal(t, w.serving(), 2)
+	assert.Equal(t, w.why("d00-v006"), WantedReached)
+	w.doc.Models[0].Groups = 1
+	w.configure()
+	w.run(20 * time.Second)
+	assert.Equal(t, w.serving(), 1)
+	sound(t, w)
+}
+
+func TestFirstGroupOfEachModelComesFirst(t *testing.T) {
+	w := formed(t, 1, 7, model("a", 3, 0), model("b", 3, 1))
+	assert.Equal(t, w.count("a"), 1)
+	assert.Equal(t, w.count("b"), 1)
+}
+
+func TestNewModelTakesAnExtraGroup(t *testing.T) {
+	w := formed(t, 2, 6, model("a", 3, 0))
+	w.doc.Models = append(w.doc.Models, model("b", 3, 1))
+	w.configure()
+	w.run(60 * time.Second)
+	assert.Equal(t, w.count("a"), 3)
+	assert.Equal(t, w.count("b"), 1)
+	sound(t, w)
+	before := w.sent
+	w.run(120 * time.Second)
+	assert.Equal(t, w.sent, before, "regrouping does not end")
+}
+
+func TestLastGroupOfAModelIsKept(t *testing.T) {
+	w := formed(t, 1, 4, model("a", 4, 0))
+	w.doc.Models = append(w.doc.Models, model("b", 2, 2))
+	w.configure()
+	w.run(120 * time.Second)
+	assert.Equal(t, w.count("a"), 1)
+	sound(t, w)
+}
+
+func TestColdMemberGetsNewGeneration(t *testing.T) {
+	w := formed(t, 1, 6, model("m", 3, 0))
+	before := w.manager().byID["praha/m/1"].Group
+	w.byName[before.Members[1]].restart()
+	w.advance()
+	assert.Equal(t, w.manager().Status(w.now).Groups[0].State, StateForming)
+	w.run(20 * time.Second)
+	after := w.manager().byID["praha/m/1"].Group
+	assert.DeepEqual(t, after.Members, before.Members)
+	assert.Assert(t, after.Generation > before.Generation)
+	assert.Equal(t, w.serving(), 2)
+	sound(t, w)
+}
+
+func TestRestartedMemberInItsOldPlaceIsCold(t *testing.T) {
+	w := formed(t, 1, 3, model("m", 3, 0))
+	before := w.manager().Groups()[0].Generation
+	place := w.engines[1].report
+	w.engines[1].restart()
+	place.Incarnation = w.engines[1].report.Incarnation
+	w.engines[1].report = place
+	w.run(20 * time.Second)
+	assert.Assert(t, w.manager().Groups()[0].Generation > before)
+	assert.Equal(t, w.serving(), 1)
+}
+
+func TestDarkDomainReturnsAsItWas(t *testing.T) {
+	w := formed(t, 2, 7, model("m", 3, 0))
+	before := w.sent
+	w.domain(w.engines[0], func(e *engine) { e.paused = true })
+	w.run(120 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	assert.Equal(t, w.why("d00-v006"), NotReporting)
+	for _, e := range w.engines {
+		e.paused = false
+		w.advance() // one after the other
+	}
+	w.run(5 * time.Second)
+	assert.Equal(t, w.serving(), 4)
+	assert.Equal(t, w.sent, before)
+	sound(t, w)
+}
+
+func TestLostDomainIsReplacedElsewhere(t *testing.T) {
+	w := formed(t, 2, 7, model("m", 3, 3))
+	dark := w.manager().byID["praha/m/2"].domain.name
+	w.domain(w.byName[dark+"-v000"], func(e *engine) { e.dead = true })
+	w.run(60 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	w.domain(w.byName[dark+"-v000"], func(e *engine) { e.restart() })
+	w.run(60 * time.Second)
+	assert.Equal(t, w.serving(), 3)
+	assert.Equal(t, len(w.manager().Groups()), 3)
+	sound(t, w)
+}
+
+func TestOutageGoesOnByReports(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	w.down = true
+	w.engines[0].dead = true
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	assert.Assert(t, w.manager().Status(w.now).PlatformDown)
+	w.down = false
+	w.run(5 * time.Second)
+	row, err := DecodeRow(w.row)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, row.Groups, w.manager().Groups())
+}
+
+func TestTakeoverFollowsReportsWhereTheRowIsOld(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	w.down = true
+	w.engines[0].dead = true
+	w.run(30 * time.Second)
+	running := w.manager().Groups()
+	sent := w.sent
+	w.grantLate(w.nodes[1])
+	w.down = false
+	w.run(30 * time.Second)
+	assert.DeepEqual(t, w.manager().Groups(), running)
+	assert.Equal(t, w.sent, sent)
+	sound(t, w)
+}
+
+func TestTakeoverDuringLongOutageAdopts(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	running, sent := w.manager().Groups(), w.sent
+	w.down = true
+	w.grantLate(w.nodes[1])
+	w.run(30 * time.Second)
+	assert.DeepEqual(t, w.manager().Groups(), running)
+	assert.Equal(t, w.sent, sent)
+	sound(t, w)
+}
+
+func TestLostWriteAnswersAreSettled(t *testing.T) {
+	w := newWorld(testOptions(), inventoryOf(1, 7, model("m", 3, 0)), 3, 1)
+	w.lossy = true
+	w.run(60 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	row, err := DecodeRow(w.row)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, row.Groups, w.manager().Groups())
+	sound(t, w)
+}
+
+func TestLaterTermInTheRowDeposes(t *testing.T) {
+	w := formed(t, 1, 3, model("m", 3, 0))
+	w.row = Row{Term: 9}.Encode()
+	w.revision++
+	w.engines[0].restart()
+	w.run(10 * time.Second)
+	assert.Assert(t, !w.manager().Status(w.now).Coordinating)
+	assert.Equal(t, w.why("d00-v000"), NoCoordinator)
+}
+
+func TestDataCentreOutDrainsAndHolds(t *testing.T) {
+	w := formed(t, 2, 7, model("m", 3, 0))
+	before := w.sent
+	w.doc.DataCentres[0].Out = true
+	w.configure()
+	w.advance()
+	assert.Equal(t, w.serving(), 0)
+	assert.Equal(t, w.why("d00-v006"), DataCentreOut)
+	w.engines[0].dead = true
+	w.run(60 * time.Second)
+	assert.Equal(t, w.sent, before, "no orders while the data centre is out")
+	w.engines[0].restart()
+	w.doc.DataCentres[0].Out = false
+	w.configure()
+	w.run(2 * time.Second)
+	assert.Equal(t, w.serving(), 3)
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 4)
+	sound(t, w)
+}
+
+func TestDataCentreStopReleasesEveryVM(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	w.stepAll(StopRequested{Scope: ScopeDataCentre, Name: "praha"})
+	w.run(30 * time.Second)
+	assert.Equal(t, len(w.released), 7)
+	for _, e := range w.engines {
+		assert.Equal(t, e.report.State, member.Idle)
+	}
+	w.stepAll(StopCancelled{Scope: ScopeDataCentre, Name: "praha"})
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	sound(t, w)
+}
+
+func TestPlannedStopWithWholeReplacementLosesNothing(t *testing.T) {
+	w := formed(t, 2, 4, model("m", 3, 1))
+	stopped := w.manager().Groups()[0].Members[0]
+	w.stepAll(StopRequested{Scope: ScopeVM, Name: stopped})
+	assert.Equal(t, w.lowest(60*time.Second), 1)
+	assert.Assert(t, w.released[stopped])
+	assert.Equal(t, len(w.manager().Groups()), 1)
+	sound(t, w)
+}
+
+func TestPlannedStopsTakeOneGroupAtATime(t *testing.T) {
+	w := formed(t, 1, 9, model("m", 2, 0))
+	assert.Equal(t, w.serving(), 4)
+	for _, g := range w.manager().Groups()[:2] {
+		w.stepAll(StopRequested{Scope: ScopeVM, Name: g.Members[0]})
+	}
+	assert.Equal(t, w.lowest(40*time.Second), 3)
+	assert.Equal(t, len(w.released), 2)
+	sound(t, w)
+}
+
+func TestLeavingVMDrainsAtOnce(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	leaving := w.manager().Groups()[0].Members[2]
+	w.stepAll(LeavingVMs{Names: []string{leaving}})
+	assert.Assert(t, w.manager().Groups()[0].Draining)
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	assert.Assert(t, w.released[leaving])
+	assert.Equal(t, w.why(leaving), VMLeaving)
+	sound(t, w)
+}
+
+func TestGroupStopAndItsEnd(t *testing.T) {
+	w := formed(t, 1, 3, model("m", 3, 0))
+	w.stepAll(StopRequested{Scope: ScopeGroup, Name: "praha/m/1"})
+	w.run(20 * time.Second)
+	assert.Equal(t, w.serving(), 0)
+	assert.Equal(t, len(w.released), 3)
+	w.stepAll(StopCancelled{Scope: ScopeGroup, Name: "praha/m/1"})
+	w.run(20 * time.Second)
+	assert.Equal(t, w.serving(), 1)
+	sound(t, w)
+}
+
+func TestVMThatNeverLoadsIsPassedOver(t *testing.T) {
+	w := newWorld(testOptions(), inventoryOf(1, 4, model("m", 3, 0)), 1, 1)
+	stuck := w.engines[0]
+	for range 200 {
+		stuck.progress = 0
+		w.advance()
+	}
+	assert.Equal(t, w.serving(), 1)
+	sound(t, w)
+}
+
+func TestRemovedVMIsReplaced(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	w.engines[0].dead = true
+	w.doc.VMs = w.doc.VMs[1:]
+	w.configure()
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	sound(t, w)
+}
+
+func TestNoOrderWithoutAFence(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	before := w.sent
+	w.nodes[0].leased = false // the lease is about to run out
+	w.engines[0].dead = true
+	w.run(30 * time.Second)
+	assert.Equal(t, w.sent, before)
+	w.nodes[0].leased = true
+	w.run(30 * time.Second)
+	assert.Equal(t, w.serving(), 2)
+	sound(t, w)
+}
+
+func TestSameInputsGiveSameEffects(t *testing.T) {
+	transcript := func() string {
+		w := newWorld(testOptions(), inventoryOf(2, 7, model("a", 3, 0), model("b", 2, 1)), 5, 2)
+		w.chaos = true
+		w.run(20 * time.Second)
+		w.engines[2].dead = true
+		w.run(20 * time.Second)
+		w.swapLease()
+		w.run(20 * time.Second)
+		return fmt.Sprint(string(w.row), w.sent, w.manager().Visits(), w.manager().Status(w.now))
+	}
+	assert.Equal(t, transcript(), transcript())
 }
--- a/coord/group/mechanism_test.go
+++ b/coord/group/mechanism_test.go
@@ -20,6 +20,7 @@
 	{"a VM leaves before it joins", ReportedLeave, swapWhileMembersLag},
 	{"a VM that left waits for old reports to expire", RejoinWait, quickRejoin},
 	{"a new coordinator waits for late orders", FenceWait, lateOrderOfEarlierHolder},
+	{"an older order can't slip in before a newer one", FenceWait, outrunOrder},
 	{"a new coordinator adopts running groups", Reconcile, takeover},
 	{"generations of two coordinators differ", TermGeneration, forgottenGeneration},
 	{"a paused member gets time", PauseGrace, pausedMember},
@@ -96,7 +97,7 @@
 		VM: e.vm.Name, Action: member.Join, Group: "praha/m/9", Generation: 7, Model: "m",
 		Fence: member.Fence{Term: w.term, Sequence: 1 << 20},
 	}
-	w.orders = append(w.orders, delivery{w.now.Add(opts.OrderMaxDelay - time.Second), late, w.nodes[0]})
+	w.orders = append(w.orders, delivery{at: w.now.Add(opts.OrderMaxDelay - time.Second), order: late, from: w.nodes[0]})
 	for _, e := range w.engines {
 		e.restart()
 	}
@@ -105,6 +106,34 @@
 	return w.faults
 }
 
+// outrunOrder holds back a VM's first order to join until the next one, for
+// another generation, is sent.
+func outrunOrder(opts Options) []string {
+	w := newWorld(opts, inventoryOf(1, 3, model("m", 3, 0)), 1, 1)
+	var held *member.Order
+	w.drop = func(o member.Order) bool {
+		if o.VM != "d00-v001" || o.Action != member.Join {
+			return false
+		}
+		if held == nil {
+			held = &o
+			return true
+		}
+		if o.Generation != held.Generation {
+			w.orders = append(w.orders, delivery{at: w.now, order: *held, from: w.nodes[0]})
+		}
+		return false
+	}
+	for held == nil {
+		w.advance()
+	}
+	w.advance()
+	w.engines[0].restart()
+	w.run(30 * time.Second)
+	w.expect(w.serving() == 1, "%d groups serve", w.serving())
+	return w.faults
+}
+
 func takeover(opts Options) []string {
 	w := threes(opts, 7)
 	before := w.sent
--- a/coord/group/row.go
+++ b/coord/group/row.go
@@ -25,8 +25,9 @@
 	down bool
 }
 
-// stepRow reads and writes the row as needed, one request at a time.
-func (m *Manager) stepRow(now time.Time) {
+// stepRow reads and writes the row as needed, one request at a time. Writing
+// costs a pass over all groups, so it is done on ticks only.
+func (m *Manager) stepRow(now time.Time, tick bool) {
 	r := &m.row
 	if r.reading || r.writing {
 		if now.Sub(r.askedAt) >= m.opts.OrderTimeout {
@@ -42,7 +43,7 @@
 		m.emit(ReadRow{})
 		return
 	}
-	if m.stage == stageActive && r.version != r.applied {
+	if tick && m.stage == stageActive && r.version != r.applied {
 		m.writeRow(now)
 	}
 }
@@ -53,6 +54,7 @@
 	r.token = strconv.FormatUint(m.term, 10) + "." + strconv.FormatUint(r.writes, 10)
 	r.attempt = r.version
 	r.writing, r.askedAt = true, now
+	m.visits += uint64(len(m.groups))
 	row := Row{Term: m.term, Token: r.token, Groups: m.Groups()}
 	m.emit(WriteRow{Revision: r.revision, Token: r.token, Value: row.Encode()})
 }
--- a/coord/group/status.go
+++ b/coord/group/status.go
@@ -45,8 +45,8 @@
 	Stranded []VMStatus
 }
 
-// Groups returns the groups in order of their IDs, and none unless the lease
-// is held. The caller must not change the result.
+// Groups returns the groups in order of their IDs, and none before the holder
+// of the lease has reconciled. The caller must not change the result.
 func (m *Manager) Groups() []Group {
 	if m.stage != stageActive {
 		return nil
@@ -54,6 +54,7 @@
 	if m.view != nil && m.viewVersion == m.row.version {
 		return m.view
 	}
+	m.visits += uint64(len(m.groups))
 	m.view = make([]Group, len(m.groups))
 	for i, g := range m.groups {
 		m.view[i] = g.Group
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -36,7 +36,10 @@
 	rank   int
 	ready  bool // counted in group.ready
 	placed bool // was seen in place at the group's generation
-	stray  *stray
+	// placedAs is the incarnation that was first seen in place. Another one
+	// did not form the group with the other members.
+	placedAs string
+	stray    *stray
 	// ended is the last place that this coordinator took from the VM.
 	ended strayKey
 
@@ -65,9 +68,10 @@
 	return v.fresh && !v.refused
 }
 
-// inPlace reports whether the VM is present and reports its place.
+// inPlace reports whether the VM is present and reports its place, in the
+// incarnation that took it.
 func (v *vm) inPlace() bool {
-	return v.present() && v.group != nil && inPlace(&v.group.Group, v.rank, &v.report)
+	return v.present() && placedBy(v) && (!v.placed || v.placedAs == v.report.Incarnation)
 }
 
 // domain is one fabric domain of the data centre.
@@ -98,6 +102,9 @@
 	// planned is the whole group that is changed by a planned stop, a straggler or
 	// a configuration; there is one at a time.
 	planned *groupState
+	// plannedFrom is when the next such change may begin, so that routers
+	// have heard that the last one's group is whole.
+	plannedFrom time.Time
 }
 
 // counted is the number of groups that count towards the wanted number.
@@ -209,8 +216,8 @@
 
 func (m *Manager) touchReady(v *vm) {
 	inPlace := v.inPlace()
-	if inPlace {
-		v.placed = true
+	if inPlace && !v.placed {
+		v.placed, v.placedAs = true, v.report.Incarnation
 	}
 	ready := inPlace && v.report.State == member.Ready
 	if v.group == nil || ready == v.ready {
--- a/coord/group/world_test.go
+++ b/coord/group/world_test.go
@@ -43,6 +43,7 @@
 
 type delivery struct {
 	at    time.Time
+	until time.Time // the connection of a paused VM lasts until then
 	order member.Order
 	from  *node
 }
@@ -109,6 +110,8 @@
 	blind func(router int, e *engine) bool
 	// writeTicks is how long the platform takes for a write.
 	writeTicks int
+	// quick skips the invariants, and has routers probe each tick.
+	quick bool
 
 	orders   []delivery
 	answers  []answer
@@ -260,8 +263,10 @@
 
 func (w *world) sendOrder(n *node, o member.Order) {
 	w.sent++
-	w.checkTouched(n, o)
-	at := w.now
+	if !w.quick {
+		w.checkTouched(n, o)
+	}
+	at, until := w.now, w.now.Add(w.opts.OrderMaxDelay-w.tick)
 	if w.drop != nil && w.drop(o) {
 		return
 	}
@@ -272,10 +277,10 @@
 		case 1:
 			at = w.now.Add(w.delay())
 		case 2:
-			w.orders = append(w.orders, delivery{w.now.Add(w.delay()), o, n})
+			w.orders = append(w.orders, delivery{w.now.Add(w.delay()), until, o, n})
 		}
 	}
-	w.orders = append(w.orders, delivery{at, o, n})
+	w.orders = append(w.orders, delivery{at, until, o, n})
 }
 
 // delay is how late an order comes, within the bound that is promised.
@@ -310,7 +315,8 @@
 		e.report.State, e.report.Rank, e.report.Model = member.Loading, d.order.Rank, d.order.Model
 		e.report.Group, e.report.Generation = key.group, key.generation
 	}
-	w.answers = append(w.answers, answer{d.from, OrderDone{VM: e.vm.Name, Fence: d.order.Fence}})
+	lost := w.chaos && w.rng.IntN(4) == 0
+	w.answers = append(w.answers, answer{d.from, OrderDone{VM: e.vm.Name, Fence: d.order.Fence, Failed: lost}})
 }
 
 func (w *world) fault(format string, args ...any) {
@@ -342,7 +348,9 @@
 		w.step(a.to, a.ev)
 	}
 	w.stepAll(Tick{})
-	w.check()
+	if !w.quick {
+		w.check()
+	}
 }
 
 func (w *world) run(d time.Duration) {
@@ -355,7 +363,8 @@
 	due := w.orders
 	w.orders = nil
 	for _, d := range due {
-		if d.at.After(w.now) {
+		waits := w.byName[d.order.VM].paused && w.now.Before(d.until)
+		if d.at.After(w.now) || waits {
 			w.orders = append(w.orders, d)
 			continue
 		}
@@ -397,7 +406,7 @@
 		}
 		w.stepAll(Reported{Report: e.report, SentAt: w.now.Add(-w.tick / 5)})
 		for j, r := range w.routers {
-			if (i+j)%2 == turn && !w.blinded(j, e) {
+			if (w.quick || (i+j)%2 == turn) && !w.blinded(j, e) {
 				r.Observe(w.now.Add(-w.tick/5), e.report)
 			}
 		}
