budget: divide in-flight limits over nodes

Purpose: an endpoint's bearable load has to hold as the sum over all entry VMs. Grants without expiry, counted until release is reported, replace leases, which would stop a data centre whose coordinator is away.

--- /dev/null
+++ b/coord/budget/demand.go
@@ -0,0 +1,119 @@
+package budget
+
+// divideByDemand gives each node what it asks for, with some headroom where
+// the limit allows it. Under scarcity every node gets an equal part of the
+// limit or what it asks for, whichever is less. While all demand is met
+// nothing moves.
+func (l *Ledger) divideByDemand(a *account, limit int) []part {
+	var parts []part
+	total := 0
+	for _, m := range l.members {
+		if m.incarnation == "" || !m.synced || !m.eligible() && a.find(m.Name) == nil {
+			continue
+		}
+		p := part{node: m}
+		if h := a.find(m.Name); h != nil && m.eligible() {
+			p.limit = h.demand
+			total += h.demand
+		}
+		parts = append(parts, p)
+	}
+	if total > limit {
+		levelDown(parts, limit)
+	} else {
+		addHeadroom(parts, limit-total)
+		l.keepUnneeded(a, parts, limit)
+	}
+	for i := range parts {
+		parts[i].cold = parts[i].limit
+	}
+	return parts
+}
+
+// levelDown lowers the largest parts to a common level so that they add up
+// to the limit.
+func levelDown(parts []part, limit int) {
+	level := highestLevel(parts, limit)
+	left := limit
+	for i := range parts {
+		left -= min(parts[i].limit, level)
+	}
+	for i := range parts {
+		wanted := parts[i].limit
+		parts[i].scarce = wanted > level
+		parts[i].limit = min(wanted, level)
+		if wanted > level && left > 0 {
+			parts[i].limit++
+			left--
+		}
+	}
+}
+
+// highestLevel returns the largest level at which the parts fit the limit.
+func highestLevel(parts []part, limit int) int {
+	low, high := 0, limit
+	for low < high {
+		level := (low + high + 1) / 2
+		sum := 0
+		for _, p := range parts {
+			sum += min(p.limit, level)
+		}
+		if sum <= limit {
+			low = level
+		} else {
+			high = level - 1
+		}
+	}
+	return low
+}
+
+// addHeadroom divides what is left. When some node asks for something, each
+// idle node gets one unit if there is enough for all of them, and the active
+// nodes share the rest evenly. When none does, all share evenly.
+func addHeadroom(parts []part, left int) {
+	var idle, active []*part
+	for i := range parts {
+		switch p := &parts[i]; {
+		case !p.node.eligible():
+		case p.limit > 0:
+			active = append(active, p)
+		default:
+			idle = append(idle, p)
+		}
+	}
+	if len(active) == 0 {
+		spread(idle, left)
+		return
+	}
+	if left >= len(idle) {
+		spread(idle, len(idle))
+		left -= len(idle)
+	}
+	spread(active, left)
+}
+
+// spread adds the units to the parts as evenly as possible.
+func spread(parts []*part, units int) {
+	for rank, p := range parts {
+		p.limit += split(units, len(parts), rank)
+	}
+}
+
+// keepUnneeded leaves a node's share where it is unless another node lacks
+// what it asks for, so that shares do not move back and forth.
+func (l *Ledger) keepUnneeded(a *account, parts []part, limit int) {
+	sum := 0
+	for _, p := range parts {
+		h := a.find(p.node.Name)
+		if h == nil || h.mostHeld() < h.demand || !p.node.eligible() {
+			return
+		}
+		sum += h.mostHeld()
+	}
+	if sum > limit {
+		return
+	}
+	for i := range parts {
+		parts[i].limit = a.find(parts[i].node.Name).mostHeld()
+	}
+}
--- /dev/null
+++ b/coord/budget/ledger.go
@@ -0,0 +1,288 @@
+package budget
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/member"
+)
+
+// Division says how a ledger divides limits.
+type Division int
+
+// Divisions of a limit.
+const (
+	// ByHomes divides each limit evenly over the endpoint's home nodes.
+	ByHomes Division = iota
+	// ByDemand divides each limit over all nodes as they ask for it.
+	ByDemand
+)
+
+// LedgerOptions configure a Ledger.
+type LedgerOptions struct {
+	// Source names the ledger in its messages.
+	Source string
+	// Term orders successive ledgers of the source. The caller must hold the
+	// coordinator lease of that term, with margin for a message in transit,
+	// whenever it sends the ledger's effects.
+	Term     uint64
+	Division Division
+	// Homes is the number of home nodes per endpoint; 0 means DefaultHomes.
+	Homes  int
+	Warmup Warmup
+	// TrustReleases drops the accounting of what nodes may still hold: a
+	// lowered grant counts as released once it is sent. It exists to show
+	// that the accounting matters.
+	TrustReleases bool
+}
+
+// Node is a process that may hold shares.
+type Node struct {
+	Name string
+	// Live says that the node may be granted shares.
+	Live bool
+	// Guest marks a node of another data centre, which gets a share only
+	// where too few of the data centre's own are live.
+	Guest bool
+}
+
+// Endpoint is what a ledger has to know of a group or a service VM.
+type Endpoint struct {
+	Name        string
+	Incarnation string
+	// ColdInFlight and MaxInFlight bound concurrent requests right after a
+	// start and when warm.
+	ColdInFlight int
+	MaxInFlight  int
+	// Fresh says that this incarnation was created under the ledger's own
+	// term, so that no earlier ledger can have granted shares of it.
+	Fresh bool
+}
+
+// Ledger divides the limits of one data centre's endpoints.
+type Ledger struct {
+	opts      LedgerOptions
+	sequence  uint64
+	members   []*holder
+	unsynced  int
+	endpoints map[string]*account
+	order     []*account
+	pending   []*account
+}
+
+// holder is a process that may hold shares.
+type holder struct {
+	Node
+	incarnation string
+	synced      bool
+	gone        bool
+	stopping    bool
+	challenged  bool
+	nonce       uint64
+	sequence    uint64
+}
+
+// eligible reports whether the node may be granted shares.
+func (m *holder) eligible() bool { return m.Live && !m.stopping }
+
+// origin says what earlier ledgers may have granted of an incarnation.
+type origin int
+
+const (
+	inherited origin = iota // anything
+	witnessed               // nothing, but nodes fall to their cold parts
+	fresh                   // nothing
+)
+
+// account is a ledger's accounting of one endpoint.
+type account struct {
+	Endpoint
+	incarnation incarnation
+	origin      origin
+	since       time.Time
+	reported    uint64
+	holdings    []holding
+	pending     bool
+}
+
+// holding bounds what one node holds of an endpoint.
+type holding struct {
+	node string
+	// held and cold are the node's last report; pendingHeld and pendingCold
+	// are the most that grants it has not acknowledged may give it.
+	held, cold               int
+	pendingHeld, pendingCold int
+	stale                    bool // the report names another incarnation
+	demand                   int
+	completed                uint64
+	acked                    member.Fence
+	last                     Grant
+}
+
+// NewLedger returns the ledger of a new term. It knows of no grants: until
+// every node passed to SetNodes has sent a full usage under this term or is
+// known to be gone, it grants nothing that an earlier ledger may have granted.
+func NewLedger(opts LedgerOptions) *Ledger {
+	if opts.Homes == 0 {
+		opts.Homes = DefaultHomes
+	}
+	return &Ledger{opts: opts, endpoints: map[string]*account{}}
+}
+
+// SetNodes replaces the set of possible holders. A node that is no longer
+// listed is not live but counts with what it holds until NodeGone.
+func (l *Ledger) SetNodes(nodes []Node) Effects {
+	var out Effects
+	for _, m := range l.members {
+		m.Live = false
+	}
+	for _, n := range nodes {
+		m := l.member(n.Name)
+		if m == nil {
+			m = &holder{nonce: 1, challenged: true}
+			l.unsynced++
+			l.members = append(l.members, m)
+			out.Announces = append(out.Announces, l.announce(m, n.Name))
+		}
+		if m.gone && n.Live {
+			m.gone = false
+		}
+		m.Node = n
+	}
+	slices.SortFunc(l.members, func(a, b *holder) int { return strings.Compare(a.Name, b.Name) })
+	out.add(l.balanceAll())
+	return out
+}
+
+// NodeGone takes in that the node's process has certainly ended, which frees
+// everything it held.
+func (l *Ledger) NodeGone(name string) Effects {
+	m := l.member(name)
+	if m == nil {
+		return Effects{}
+	}
+	m.gone = true
+	m.Live = false
+	m.incarnation = ""
+	l.synced(m)
+	l.forget(name)
+	return l.balanceAll()
+}
+
+// SetEndpoint adds an endpoint or takes in a change of it.
+func (l *Ledger) SetEndpoint(now time.Time, e Endpoint) Effects {
+	a, ok := l.endpoints[e.Name]
+	if !ok {
+		a = &account{Endpoint: e, since: now}
+		a.incarnation.see(now, e.Incarnation)
+		if e.Fresh {
+			a.origin = fresh
+		}
+		l.endpoints[e.Name] = a
+		l.order = append(l.order, a)
+		return l.balance(a)
+	}
+	a.ColdInFlight, a.MaxInFlight = e.ColdInFlight, e.MaxInFlight
+	if a.incarnation.see(now, e.Incarnation) {
+		a.restart(now)
+		if e.Fresh {
+			a.origin = fresh
+		}
+	}
+	return l.balance(a)
+}
+
+// RemoveEndpoint forgets an endpoint that no longer exists.
+func (l *Ledger) RemoveEndpoint(name string) {
+	a, ok := l.endpoints[name]
+	if !ok {
+		return
+	}
+	delete(l.endpoints, name)
+	same := func(b *account) bool { return a == b }
+	l.order = slices.DeleteFunc(l.order, same)
+	l.pending = slices.DeleteFunc(l.pending, same)
+}
+
+// Observe takes in an endpoint's own count of completed requests.
+func (l *Ledger) Observe(now time.Time, endpoint, name string, completed uint64) Effects {
+	a, ok := l.endpoints[endpoint]
+	if !ok {
+		return Effects{}
+	}
+	changed := a.incarnation.see(now, name)
+	if changed {
+		a.restart(now)
+	}
+	before := l.limit(a)
+	if name == a.incarnation.current {
+		a.reported = max(a.reported, completed)
+	}
+	if !changed && l.limit(a) == before {
+		return Effects{}
+	}
+	return l.balance(a)
+}
+
+// Usage takes in a node's report.
+func (l *Ledger) Usage(now time.Time, u Usage) Effects {
+	m := l.member(u.Node)
+	if m == nil || u.Source != l.opts.Source {
+		return Effects{}
+	}
+	if u.Term != l.opts.Term {
+		return Effects{Announces: []Announce{l.announce(m, m.Name)}}
+	}
+	answers := m.challenged && u.Full && u.Nonce == m.nonce
+	switch {
+	case answers:
+		return l.sync(now, m, u)
+	case u.NodeIncarnation != m.incarnation || !m.synced:
+		return l.challenge(m)
+	case u.Sequence <= m.sequence:
+		return Effects{}
+	}
+	m.sequence = u.Sequence
+	out := l.stop(m, u.Stopping)
+	out.add(l.read(now, u))
+	return out
+}
+
+// Tick repeats grants and announcements that have not been answered.
+func (l *Ledger) Tick() Effects {
+	var out Effects
+	for _, m := range l.members {
+		if m.challenged && m.Live {
+			out.Announces = append(out.Announces, l.announce(m, m.Name))
+		}
+	}
+	waiting := l.pending[:0]
+	for _, a := range l.pending {
+		a.pending = false
+		for i := range a.holdings {
+			if h := &a.holdings[i]; h.unanswered() {
+				out.Grants = append(out.Grants, h.last)
+				a.pending = true
+			}
+		}
+		if a.pending {
+			waiting = append(waiting, a)
+		}
+	}
+	clear(l.pending[len(waiting):])
+	l.pending = waiting
+	return out
+}
+
+// Limit returns the number of concurrent requests that the endpoint bears
+// now, as far as the ledger knows.
+func (l *Ledger) Limit(endpoint string) int {
+	if a, ok := l.endpoints[endpoint]; ok {
+		return l.limit(a)
+	}
+	return 0
+}
+
+// Synced reports whether every possible holder has reported to this ledger.
+func (l *Ledger) Synced() bool { return l.unsynced == 0 }
--- /dev/null
+++ b/coord/budget/sync.go
@@ -0,0 +1,131 @@
+package budget
+
+import "time"
+
+// announce returns the message that introduces the ledger to a node.
+func (l *Ledger) announce(m *holder, node string) Announce {
+	return Announce{Source: l.opts.Source, Term: l.opts.Term, Node: node, Nonce: m.nonce}
+}
+
+// challenge asks which process now runs under the node's name. A late usage
+// of a dead process cannot carry the new nonce, so it cannot be taken for a
+// restart that frees what its successor holds.
+func (l *Ledger) challenge(m *holder) Effects {
+	if !m.challenged {
+		m.challenged = true
+		m.nonce++
+	}
+	return Effects{Announces: []Announce{l.announce(m, m.Name)}}
+}
+
+// sync takes in the answer to an announcement.
+func (l *Ledger) sync(now time.Time, m *holder, u Usage) Effects {
+	m.challenged = false
+	restarted := m.incarnation != u.NodeIncarnation
+	if restarted {
+		l.forget(m.Name)
+		m.incarnation = u.NodeIncarnation
+		m.sequence = 0
+		m.stopping = false
+	}
+	if u.Sequence <= m.sequence {
+		return Effects{}
+	}
+	m.sequence = u.Sequence
+	first := !m.synced
+	l.synced(m)
+	out := l.stop(m, u.Stopping)
+	out.add(l.read(now, u))
+	if first || restarted {
+		out.add(l.balanceAll())
+	}
+	return out
+}
+
+// stop takes in whether the node gives up its shares for good.
+func (l *Ledger) stop(m *holder, stopping bool) Effects {
+	if !stopping || m.stopping {
+		return Effects{}
+	}
+	m.stopping = true
+	return l.balanceAll()
+}
+
+// synced notes that all grants of earlier ledgers to the node are known.
+func (l *Ledger) synced(m *holder) {
+	if !m.synced {
+		m.synced = true
+		l.unsynced--
+	}
+	if m.gone {
+		m.challenged = false
+	}
+}
+
+// forget drops what the ended process of a node held.
+func (l *Ledger) forget(node string) {
+	for _, a := range l.order {
+		for i := range a.holdings {
+			if a.holdings[i].node == node {
+				a.holdings[i] = holding{node: node}
+			}
+		}
+	}
+}
+
+// read applies the entries of a usage and rebalances what they changed.
+func (l *Ledger) read(now time.Time, u Usage) Effects {
+	var out Effects
+	if u.Full {
+		out.add(l.readMissing(u))
+	}
+	for _, e := range u.Entries {
+		if a, ok := l.endpoints[e.Endpoint]; ok {
+			l.readEntry(now, a, u.Node, e)
+			out.add(l.balance(a))
+		}
+	}
+	return out
+}
+
+// readMissing takes in that a node holds nothing of what its full usage does
+// not list.
+func (l *Ledger) readMissing(u Usage) Effects {
+	listed := make(map[string]bool, len(u.Entries))
+	for _, e := range u.Entries {
+		listed[e.Endpoint] = true
+	}
+	var out Effects
+	for _, a := range l.order {
+		if listed[a.Name] {
+			continue
+		}
+		h := a.find(u.Node)
+		if h == nil || h.held == 0 && h.cold == 0 {
+			continue
+		}
+		h.held, h.cold, h.demand = 0, 0, 0
+		out.add(l.balance(a))
+	}
+	return out
+}
+
+// readEntry takes in what a node says it holds of one endpoint.
+func (l *Ledger) readEntry(now time.Time, a *account, node string, e Entry) {
+	if a.incarnation.see(now, e.Incarnation) {
+		a.restart(now)
+	}
+	h := a.holding(node)
+	h.stale = e.Incarnation != a.incarnation.current
+	h.held, h.cold, h.demand = e.Held, e.Cold, e.Demand
+	if h.stale {
+		// The node falls to its cold part when it learns what is current.
+		h.held = e.Cold
+	} else {
+		h.completed = e.Completed
+	}
+	h.acked = e.Fence
+	if !h.unanswered() {
+		h.pendingHeld, h.pendingCold = 0, 0
+	}
+}
