--- a/coord/budget/balance.go
+++ b/coord/budget/balance.go
@@ -107,7 +107,7 @@
 	room, cold = limit, a.ColdInFlight
 	for i := range a.holdings {
 		h := &a.holdings[i]
-		if l.opts.TrustReleases {
+		if l.without.releases {
 			room -= h.last.Limit
 			cold -= h.last.Cold
 			continue
@@ -115,7 +115,7 @@
 		room -= h.mostHeld()
 		cold -= h.mostCold()
 	}
-	if l.unsynced == 0 || l.opts.TrustReleases {
+	if l.unsynced == 0 || l.without.sync {
 		return room, cold
 	}
 	switch a.origin {
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -31,10 +31,6 @@
 	// Homes is the number of home nodes per endpoint; 0 means DefaultHomes.
 	Homes  int
 	Warmup Warmup
-	// TrustReleases drops the accounting of what nodes may still hold: a
-	// lowered grant counts as released once it is sent. It exists to show
-	// that the accounting matters.
-	TrustReleases bool
 }
 
 // Node is a process that may hold shares.
@@ -69,6 +65,14 @@
 	endpoints map[string]*account
 	order     []*account
 	pending   []*account
+	without   mechanisms
+}
+
+// mechanisms are switched off in tests to show that they matter.
+type mechanisms struct {
+	releases   bool // growth waits for releases
+	sync       bool // a new ledger waits for every possible holder
+	challenges bool // a restart is believed only after a challenge
 }
 
 // holder is a process that may hold shares.
@@ -238,6 +242,8 @@
 	switch {
 	case answers:
 		return l.sync(now, m, u)
+	case u.NodeIncarnation != m.incarnation && l.without.challenges:
+		return l.sync(now, m, u)
 	case u.NodeIncarnation != m.incarnation || !m.synced:
 		return l.challenge(m)
 	case u.Sequence <= m.sequence:
--- /dev/null
+++ b/coord/route/avoid.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"container/heap"
+	"time"
+)
+
+const (
+	// avoidBase is how long a candidate is avoided after a failure; it
+	// doubles with each further one.
+	avoidBase = time.Second
+	avoidMax  = 30 * time.Second
+	// avoidFull is how long a candidate that refused for want of room is
+	// avoided, unless it reports earlier.
+	avoidFull = 200 * time.Millisecond
+)
+
+// avoidance orders avoided candidates by when they are tried again.
+type avoidance []avoidedUntil
+
+type avoidedUntil struct {
+	at        time.Time
+	sequence  uint64
+	candidate *candidate
+}
+
+func (a avoidance) Len() int { return len(a) }
+func (a avoidance) Less(i, j int) bool {
+	if !a[i].at.Equal(a[j].at) {
+		return a[i].at.Before(a[j].at)
+	}
+	return a[i].sequence < a[j].sequence
+}
+func (a avoidance) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *avoidance) Push(x any) { *a = append(*a, x.(avoidedUntil)) }
+
+// Pop implements heap.Interface.
+func (a *avoidance) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// avoid takes a candidate out of choice for a while.
+func (t *Table) avoid(c *candidate, until time.Time) {
+	if c.avoided && !c.retryAt.Before(until) {
+		return
+	}
+	c.avoided = true
+	c.retryAt = until
+	t.avoidSequence++
+	heap.Push(&t.avoided, avoidedUntil{until, t.avoidSequence, c})
+	c.refresh()
+}
+
+// readmit ends the avoidance of candidates whose time has come.
+func (t *Table) readmit(now time.Time) {
+	for len(t.avoided) > 0 && !t.avoided[0].at.After(now) {
+		c := heap.Pop(&t.avoided).(avoidedUntil).candidate
+		if c.avoided && !c.retryAt.After(now) {
+			c.avoided = false
+			c.refresh()
+		}
+	}
+}
+
+// failureDelay returns how long to avoid a candidate after its failures.
+func failureDelay(failures int) time.Duration {
+	delay := avoidBase
+	for range failures - 1 {
+		delay *= 2
+		if delay >= avoidMax {
+			return avoidMax
+		}
+	}
+	return delay
+}
--- /dev/null
+++ b/coord/route/candidate.go
@@ -0,0 +1,103 @@
+package route
+
+import "time"
+
+// tier orders candidates by nearness.
+type tier int
+
+const (
+	local  tier = iota // an endpoint in which this node holds a share
+	peer               // a home node of this data centre
+	remote             // another data centre
+	tiers
+)
+
+// candidate is one place that serves a target.
+type candidate struct {
+	tier        tier
+	name        string
+	target      *target
+	incarnation string
+	generation  uint64
+	node        string
+	// serving is false while the candidate must get nothing new.
+	serving bool
+
+	// limit is this node's share for a local candidate and the reported limit
+	// for others; bears is what the whole endpoint takes, 0 if unknown.
+	limit int
+	bears int
+	// own counts this node's requests in flight, others is the last estimate
+	// of those of other nodes.
+	own    int
+	others int
+	ramp   ramp
+
+	latency  latency
+	failures int
+	avoided  bool
+	retryAt  time.Time
+
+	// cleared is when the cache was last dropped; older hints are void.
+	cleared  time.Time
+	position int
+	counted  int // part of target.free
+}
+
+// free estimates how many more requests the candidate takes from this node.
+// For a local one it is exact.
+func (c *candidate) free() int {
+	if !c.serving || c.avoided {
+		return 0
+	}
+	switch c.tier {
+	case local:
+		return max(0, c.limit-c.own)
+	case remote:
+		return max(0, min(c.limit-c.own-c.others, c.ramp.allowed-c.own))
+	default:
+		return max(0, c.limit-c.own-c.others)
+	}
+}
+
+// load is the outstanding work of all nodes, this one's since the last report
+// included, relative to what the candidate bears.
+func (c *candidate) load(ignoreOwn bool) float64 {
+	outstanding := c.others + c.own
+	if ignoreOwn {
+		outstanding = c.others
+	}
+	return float64(outstanding+1) / float64(max(c.bears, c.limit, 1))
+}
+
+// report takes in a lagging count of requests in flight of all nodes. What
+// this node has in flight by then is taken as part of it.
+func (c *candidate) report(inFlight int, ignoreOwn bool) {
+	if ignoreOwn {
+		c.others = inFlight
+		return
+	}
+	c.others = max(0, inFlight-c.own)
+}
+
+// target is a model or a service with its candidates.
+type target struct {
+	name  string
+	pools [tiers]pool
+	// known counts candidates, pooled or not.
+	known int
+	free  int
+	peers peerLatency
+}
+
+// refresh moves the candidate in or out of its pool after a change.
+func (c *candidate) refresh() {
+	free := c.free()
+	c.target.free += free - c.counted
+	c.counted = free
+	if free > 0 {
+		c.target.pools[c.tier].add(c)
+	} else {
+		c.target.pools[c.tier].remove(c)
+	}
+}
--- /dev/null
+++ b/coord/route/outcome.go
@@ -0,0 +1,81 @@
+package route
+
+import "time"
+
+// settle ends the accounting of an attempt and returns its candidate.
+func (t *Table) settle(choice Choice, whole bool) *candidate {
+	c := choice.candidate
+	if choice.Action == Dispatch {
+		t.shares.Release(choice.Ticket, whole)
+	} else {
+		c.own = max(0, c.own-1)
+	}
+	return c
+}
+
+// current reports whether the attempt went to what the candidate is now.
+func (c *candidate) current(choice Choice) bool {
+	return choice.Action != Dispatch || choice.Ticket.Incarnation == c.incarnation
+}
+
+func (t *Table) firstToken(now time.Time, ev FirstToken) {
+	c := ev.Choice.candidate
+	if !c.current(ev.Choice) {
+		return
+	}
+	c.latency.ended(now)
+	t.measured(now, c, ev.Took)
+}
+
+func (t *Table) measured(now time.Time, c *candidate, took time.Duration) {
+	c.latency.sample(now, took)
+	if c.tier == local {
+		c.target.peers.sample(took)
+	}
+}
+
+func (t *Table) completed(now time.Time, ev Completed) {
+	c := t.settle(ev.Choice, true)
+	if c.tier == local {
+		t.seen(now, c, ev.Incarnation)
+	}
+	if c.current(ev.Choice) {
+		if !ev.Begun {
+			c.latency.ended(now)
+			t.measured(now, c, ev.Took)
+		}
+		c.failures = 0
+		c.ramp.completed(c.limit)
+	}
+	c.refresh()
+}
+
+func (t *Table) failed(now time.Time, ev Failed) {
+	c := t.settle(ev.Choice, false)
+	if c.tier == local {
+		t.seen(now, c, ev.Incarnation)
+	}
+	if c.current(ev.Choice) {
+		if !ev.Begun {
+			c.latency.ended(now)
+		}
+		t.blame(now, c, ev.Reason)
+	}
+	c.refresh()
+}
+
+// blame draws the consequences of a failed attempt for later choices.
+func (t *Table) blame(now time.Time, c *candidate, reason Reason) {
+	switch reason {
+	case Refused:
+		t.avoid(c, now.Add(avoidFull))
+	case Broken:
+		c.failures++
+		c.ramp.restart(t.opts.NoRamp)
+		t.avoid(c, now.Add(failureDelay(c.failures)))
+		if c.tier == local {
+			t.shares.Doubt(c.name)
+		}
+	case Cancelled:
+	}
+}
