budget: prove the sum of shares, count what restarts leave behind

Cause: random walks with lost, late and doubled messages, restarts and coordinator changes broke the first version in three ways: a late message that names an old incarnation made the ledger forget what was held of the newer one; a cold part given up counted as free while its request still ran; a grant in transit for one incarnation counted as held of another. With growth before release, or a new ledger that does not wait for reports, walks do break the limit, which the tests assert.

--- a/coord/budget/demand.go
+++ b/coord/budget/demand.go
@@ -1,10 +1,12 @@
 package budget
 
+import "time"
+
 // divideByDemand gives each node what it asks for, with some headroom where
 // the limit allows it. Under scarcity every node gets an equal part of the
 // limit or what it asks for, whichever is less. While all demand is met
 // nothing moves.
-func (l *Ledger) divideByDemand(a *account, limit int) []part {
+func (l *Ledger) divideByDemand(now time.Time, a *account, limit int) []part {
 	var parts []part
 	total := 0
 	for _, m := range l.members {
@@ -22,7 +24,7 @@
 		levelDown(parts, limit)
 	} else {
 		addHeadroom(parts, limit-total)
-		l.keepUnneeded(a, parts, limit)
+		l.keepUnneeded(now, a, parts, limit)
 	}
 	for i := range parts {
 		parts[i].cold = parts[i].limit
@@ -101,19 +103,19 @@
 
 // keepUnneeded leaves a node's share where it is unless another node lacks
 // what it asks for, so that shares do not move back and forth.
-func (l *Ledger) keepUnneeded(a *account, parts []part, limit int) {
+func (l *Ledger) keepUnneeded(now time.Time, a *account, parts []part, limit int) {
 	sum := 0
 	for _, p := range parts {
 		h := a.find(p.node.Name)
-		if h == nil || h.mostHeld() < h.demand || !p.node.eligible() {
+		if h == nil || h.bound(now, a).limit < h.demand || !p.node.eligible() {
 			return
 		}
-		sum += h.mostHeld()
+		sum += h.bound(now, a).limit
 	}
 	if sum > limit {
 		return
 	}
 	for i := range parts {
-		parts[i].limit = a.find(parts[i].node.Name).mostHeld()
+		parts[i].limit = a.find(parts[i].node.Name).bound(now, a).limit
 	}
 }
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -4,8 +4,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/pimentoshore/pimentoshore/coord/member"
 )
 
 // Division says how a ledger divides limits.
@@ -65,6 +63,7 @@
 	endpoints map[string]*account
 	order     []*account
 	pending   []*account
+	unsettled []*account
 	without   mechanisms
 }
 
@@ -99,31 +98,6 @@
 	fresh                   // nothing
 )
 
-// account is a ledger's accounting of one endpoint.
-type account struct {
-	Endpoint
-	incarnation incarnation
-	origin      origin
-	since       time.Time
-	reported    uint64
-	holdings    []holding
-	pending     bool
-}
-
-// holding bounds what one node holds of an endpoint.
-type holding struct {
-	node string
-	// held and cold are the node's last report; pendingHeld and pendingCold
-	// are the most that grants it has not acknowledged may give it.
-	held, cold               int
-	pendingHeld, pendingCold int
-	stale                    bool // the report names another incarnation
-	demand                   int
-	completed                uint64
-	acked                    member.Fence
-	last                     Grant
-}
-
 // NewLedger returns the ledger of a new term. It knows of no grants: until
 // every node passed to SetNodes has sent a full usage under this term or is
 // known to be gone, it grants nothing that an earlier ledger may have granted.
@@ -136,7 +110,7 @@
 
 // SetNodes replaces the set of possible holders. A node that is no longer
 // listed is not live but counts with what it holds until NodeGone.
-func (l *Ledger) SetNodes(nodes []Node) Effects {
+func (l *Ledger) SetNodes(now time.Time, nodes []Node) Effects {
 	var out Effects
 	for _, m := range l.members {
 		m.Live = false
@@ -155,13 +129,13 @@
 		m.Node = n
 	}
 	slices.SortFunc(l.members, func(a, b *holder) int { return strings.Compare(a.Name, b.Name) })
-	out.add(l.balanceAll())
+	out.add(l.balanceAll(now))
 	return out
 }
 
 // NodeGone takes in that the node's process has certainly ended, which frees
 // everything it held.
-func (l *Ledger) NodeGone(name string) Effects {
+func (l *Ledger) NodeGone(now time.Time, name string) Effects {
 	m := l.member(name)
 	if m == nil {
 		return Effects{}
@@ -171,7 +145,7 @@
 	m.incarnation = ""
 	l.synced(m)
 	l.forget(name)
-	return l.balanceAll()
+	return l.balanceAll(now)
 }
 
 // SetEndpoint adds an endpoint or takes in a change of it.
@@ -181,20 +155,17 @@
 		a = &account{Endpoint: e, since: now}
 		a.incarnation.see(now, e.Incarnation)
 		if e.Fresh {
-			a.origin = fresh
+			a.replace()
 		}
 		l.endpoints[e.Name] = a
 		l.order = append(l.order, a)
-		return l.balance(a)
+		return l.balance(now, a)
 	}
 	a.ColdInFlight, a.MaxInFlight = e.ColdInFlight, e.MaxInFlight
-	if a.incarnation.see(now, e.Incarnation) {
-		a.restart(now)
-		if e.Fresh {
-			a.origin = fresh
-		}
+	if a.see(now, e.Incarnation) && e.Fresh {
+		a.replace()
 	}
-	return l.balance(a)
+	return l.balance(now, a)
 }
 
 // RemoveEndpoint forgets an endpoint that no longer exists.
@@ -207,6 +178,7 @@
 	same := func(b *account) bool { return a == b }
 	l.order = slices.DeleteFunc(l.order, same)
 	l.pending = slices.DeleteFunc(l.pending, same)
+	l.unsettled = slices.DeleteFunc(l.unsettled, same)
 }
 
 // Observe takes in an endpoint's own count of completed requests.
@@ -215,10 +187,7 @@
 	if !ok {
 		return Effects{}
 	}
-	changed := a.incarnation.see(now, name)
-	if changed {
-		a.restart(now)
-	}
+	changed := a.see(now, name)
 	before := l.limit(a)
 	if name == a.incarnation.current {
 		a.reported = max(a.reported, completed)
@@ -226,7 +195,7 @@
 	if !changed && l.limit(a) == before {
 		return Effects{}
 	}
-	return l.balance(a)
+	return l.balance(now, a)
 }
 
 // Usage takes in a node's report.
@@ -250,34 +219,55 @@
 		return Effects{}
 	}
 	m.sequence = u.Sequence
-	out := l.stop(m, u.Stopping)
+	out := l.stop(now, m, u.Stopping)
 	out.add(l.read(now, u))
 	return out
 }
 
 // Tick repeats grants and announcements that have not been answered.
-func (l *Ledger) Tick() Effects {
+func (l *Ledger) Tick(now time.Time) Effects {
 	var out Effects
 	for _, m := range l.members {
 		if m.challenged && m.Live {
 			out.Announces = append(out.Announces, l.announce(m, m.Name))
 		}
 	}
-	waiting := l.pending[:0]
-	for _, a := range l.pending {
+	out.Grants = append(out.Grants, l.resend()...)
+	out.add(l.settle(now))
+	return out
+}
+
+// resend returns the grants that have not been acknowledged.
+func (l *Ledger) resend() []Grant {
+	var out []Grant
+	l.pending = slices.DeleteFunc(l.pending, func(a *account) bool {
 		a.pending = false
 		for i := range a.holdings {
 			if h := &a.holdings[i]; h.unanswered() {
-				out.Grants = append(out.Grants, h.last)
+				out = append(out, h.last)
 				a.pending = true
 			}
 		}
-		if a.pending {
+		return !a.pending
+	})
+	return out
+}
+
+// settle rebalances endpoints of which it has become certain which
+// incarnation is the newest.
+func (l *Ledger) settle(now time.Time) Effects {
+	var out Effects
+	waiting := l.unsettled[:0]
+	for _, a := range l.unsettled {
+		if !a.incarnation.settled(now) {
 			waiting = append(waiting, a)
+			continue
 		}
+		a.unsettled = false
+		out.add(l.balance(now, a))
 	}
-	clear(l.pending[len(waiting):])
-	l.pending = waiting
+	clear(l.unsettled[len(waiting):])
+	l.unsettled = waiting
 	return out
 }
 
--- /dev/null
+++ b/coord/budget/ledger_test.go
@@ -0,0 +1,197 @@
+package budget
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// site is a ledger with nodes whose messages all arrive at once.
+type site struct {
+	ledger *Ledger
+	nodes  map[string]*Shares
+	order  []string
+}
+
+func newSite(opts LedgerOptions, nodes ...Node) *site {
+	opts.Source = "dc"
+	s := &site{ledger: NewLedger(opts), nodes: map[string]*Shares{}}
+	for _, n := range nodes {
+		s.nodes[n.Name] = NewShares(n.Name, n.Name+".1")
+		s.order = append(s.order, n.Name)
+	}
+	s.deliver(s.ledger.SetNodes(start, nodes))
+	return s
+}
+
+func (s *site) deliver(e Effects) {
+	for _, a := range e.Announces {
+		if n, ok := s.nodes[a.Node]; ok && n.Announce(a) {
+			s.report(a.Node, true)
+		}
+	}
+	for _, g := range e.Grants {
+		if n, ok := s.nodes[g.Node]; ok {
+			n.Grant(start, g)
+			s.report(g.Node, false)
+		}
+	}
+}
+
+func (s *site) report(node string, full bool) {
+	s.deliver(s.ledger.Usage(start, s.nodes[node].Report("dc", full)))
+}
+
+// limits returns the nodes' limits in the order of creation.
+func (s *site) limits() []int {
+	var limits []int
+	for _, name := range s.order {
+		limits = append(limits, s.nodes[name].State("e").Limit)
+	}
+	return limits
+}
+
+func live(names ...string) []Node {
+	var nodes []Node
+	for _, name := range names {
+		nodes = append(nodes, Node{Name: name, Live: true})
+	}
+	return nodes
+}
+
+var endpoint = Endpoint{Name: "e", Incarnation: "e.1", ColdInFlight: 2, MaxInFlight: 10}
+
+func TestWarmupFollowsCompletions(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1}, live("a", "b")...)
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+	assert.DeepEqual(t, s.limits(), []int{1, 1})
+	s.deliver(s.ledger.Tick(start.Add(1000 * pastIgnored)))
+	assert.DeepEqual(t, s.limits(), []int{1, 1})
+	s.deliver(s.ledger.Observe(start, "e", "e.1", 4*DefaultWarmup))
+	assert.DeepEqual(t, s.limits(), []int{3, 3})
+	s.deliver(s.ledger.Observe(start, "e", "e.1", 1000))
+	assert.DeepEqual(t, s.limits(), []int{5, 5})
+	s.deliver(s.ledger.Observe(start, "e", "e.2", 0))
+	assert.DeepEqual(t, s.limits(), []int{1, 1})
+}
+
+func TestGuestOnlyBesideSingleNode(t *testing.T) {
+	guest := Node{Name: "g", Live: true, Guest: true}
+	s := newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, append(live("a", "b"), guest)...)
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+	assert.DeepEqual(t, s.limits(), []int{5, 5, 0})
+
+	s = newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, append(live("a"), guest)...)
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+	assert.DeepEqual(t, s.limits(), []int{5, 5})
+}
+
+func TestSharesOutliveCoordinator(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, live("a", "b")...)
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+
+	// A later ledger that hears of one node only leaves both shares as they
+	// are, and grants the rest once the other is known to be gone.
+	next := NewLedger(LedgerOptions{Source: "dc", Term: 2, Warmup: Warmup{Off: true}})
+	s.ledger = next
+	announces := next.SetNodes(start, live("a", "b")).Announces
+	s.deliver(next.SetEndpoint(start, endpoint))
+	s.deliver(Effects{Announces: announces[:1]})
+	assert.DeepEqual(t, s.limits(), []int{5, 5})
+	s.deliver(next.NodeGone(start, "b"))
+	assert.Equal(t, s.nodes["a"].State("e").Limit, 10)
+}
+
+// TestLateUsageOfDeadProcessFreesNothing delivers a usage of a process that
+// has ended after its successor was granted a share.
+func TestLateUsageOfDeadProcessFreesNothing(t *testing.T) {
+	run := func(without mechanisms) int {
+		s := newSite(LedgerOptions{Term: 1, Homes: 1, Warmup: Warmup{Off: true}}, live("a")...)
+		s.ledger.without = without
+		late := s.nodes["a"].Report("dc", true)
+		s.nodes["a"] = NewShares("a", "a.2")
+		s.report("a", true)
+		s.deliver(s.ledger.SetEndpoint(start, endpoint))
+		late.Sequence += 100
+		s.deliver(s.ledger.SetNodes(start, live("a")))
+		held := s.nodes["a"].State("e").Limit
+		delete(s.nodes, "a") // cut off
+		s.nodes["b"] = NewShares("b", "b.1")
+		s.deliver(s.ledger.SetNodes(start, live("b")))
+		s.deliver(s.ledger.Usage(start, late))
+		return held + s.nodes["b"].State("e").Limit
+	}
+	assert.Equal(t, run(mechanisms{}), endpoint.MaxInFlight)
+	assert.Assert(t, run(mechanisms{challenges: true}) > endpoint.MaxInFlight)
+}
+
+func TestDemandMovesIdleShares(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1, Division: ByDemand}, live("a", "b", "c")...)
+	account := Endpoint{Name: "e", Incarnation: "limit", ColdInFlight: 12, MaxInFlight: 12}
+	s.deliver(s.ledger.SetEndpoint(start, account))
+	assert.DeepEqual(t, s.limits(), []int{4, 4, 4})
+	s.nodes["a"].Want("dc", "e", 10)
+	s.report("a", false)
+	assert.DeepEqual(t, s.limits(), []int{10, 1, 1})
+	s.nodes["b"].Want("dc", "e", 10)
+	s.report("b", false)
+	assert.DeepEqual(t, s.limits(), []int{6, 6, 0})
+	assert.Assert(t, s.nodes["b"].State("e").Scarce)
+}
+
+func TestCutOffNodeKeepsLastShare(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1, Division: ByDemand}, live("a", "b")...)
+	account := Endpoint{Name: "e", Incarnation: "limit", ColdInFlight: 10, MaxInFlight: 10}
+	s.deliver(s.ledger.SetEndpoint(start, account))
+	cut := s.nodes["b"]
+	delete(s.nodes, "b")
+	s.nodes["a"].Want("dc", "e", 10)
+	s.report("a", false)
+	assert.Equal(t, cut.State("e").Limit, 5)
+	assert.Equal(t, s.nodes["a"].State("e").Limit, 5, "grows only when the other's release is known")
+	s.nodes["b"] = cut
+	s.deliver(s.ledger.Tick(start))
+	assert.DeepEqual(t, s.limits(), []int{10, 0})
+}
+
+func TestHomesProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 32).Draw(rt, "nodes")
+		var nodes []string
+		for i := range n {
+			nodes = append(nodes, fmt.Sprintf("n%d", i))
+		}
+		name := rapid.String().Draw(rt, "endpoint")
+		homes := Homes(name, nodes, 2)
+		assert.Equal(rt, len(homes), min(2, n))
+		shuffled := rapid.Permutation(nodes).Draw(rt, "order")
+		assert.DeepEqual(rt, Homes(name, shuffled, 2), homes)
+
+		// Removing a node that is no home changes nothing.
+		removed := rapid.IntRange(0, n-1).Draw(rt, "removed")
+		var left []string
+		for i, node := range nodes {
+			if i != removed {
+				left = append(left, node)
+			}
+		}
+		if nodes[removed] != homes[0] && nodes[removed] != homes[min(1, n-1)] {
+			assert.DeepEqual(rt, Homes(name, left, 2), homes)
+		}
+	})
+}
+
+func TestSplitAddsUp(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		total := rapid.IntRange(0, 1000).Draw(rt, "total")
+		n := rapid.IntRange(1, 32).Draw(rt, "n")
+		sum := 0
+		for rank := range n {
+			sum += split(total, n, rank)
+			assert.Assert(rt, split(total+1, n, rank) >= split(total, n, rank))
+		}
+		assert.Equal(rt, sum, total)
+	})
+}
--- a/coord/budget/message.go
+++ b/coord/budget/message.go
@@ -36,9 +36,11 @@
 	Incarnation string       `json:"incarnation"`
 	Fence       member.Fence `json:"fence"`
 	// Held is the larger of the node's limit and its requests in flight at
-	// this incarnation.
-	Held int `json:"held"`
-	Cold int `json:"cold"`
+	// this incarnation, Earlier counts those at the one before that may still
+	// run.
+	Held    int `json:"held"`
+	Earlier int `json:"earlier,omitempty"`
+	Cold    int `json:"cold"`
 	// Demand counts requests in flight and waiting for a larger share.
 	Demand int `json:"demand"`
 	// Completed counts whole answers from this incarnation to this node.
--- a/coord/budget/shares.go
+++ b/coord/budget/shares.go
@@ -36,11 +36,15 @@
 	limit       int
 	cold        int
 	inFlight    int
-	waiting     int
-	completed   uint64
-	doubted     bool
-	scarce      bool
-	changed     bool
+	// earlierInFlight counts requests at the incarnation before. They do not
+	// use up the share, but are reported until it is certain that they ended.
+	earlier         string
+	earlierInFlight int
+	waiting         int
+	completed       uint64
+	doubted         bool
+	scarce          bool
+	changed         bool
 }
 
 // Ticket is one unit of a share, taken by Acquire and given back by Release.
@@ -91,9 +95,7 @@
 	}
 	src.follow(g.Fence.Term)
 	sh.fence = g.Fence
-	if sh.incarnation.see(now, g.Incarnation) {
-		sh.restart()
-	}
+	sh.see(now, g.Incarnation)
 	sh.cold = g.Cold
 	sh.limit = g.Cold
 	if g.Incarnation == sh.incarnation.current {
@@ -115,12 +117,7 @@
 	if !ok {
 		return
 	}
-	switch {
-	case sh.incarnation.see(now, name):
-		sh.restart()
-		s.touch(sh)
-	case sh.doubted && name == sh.incarnation.current:
-		sh.doubted = false
+	if sh.see(now, name) {
 		s.touch(sh)
 	}
 }
@@ -150,12 +147,19 @@
 // counts towards the warm-up.
 func (s *Shares) Release(t Ticket, completed bool) {
 	sh, ok := s.table[t.Endpoint]
-	if !ok || t.Incarnation != sh.incarnation.current || sh.inFlight == 0 {
+	if !ok {
 		return
 	}
-	sh.inFlight--
-	if completed {
-		sh.completed++
+	switch {
+	case t.Incarnation == sh.incarnation.current && sh.inFlight > 0:
+		sh.inFlight--
+		if completed {
+			sh.completed++
+		}
+	case t.Incarnation == sh.earlier && sh.earlierInFlight > 0:
+		sh.earlierInFlight--
+	default:
+		return
 	}
 	s.touch(sh)
 }
@@ -283,10 +287,34 @@
 	}
 }
 
+// see takes in the incarnation named in a message and reports whether the
+// share has changed by it.
+func (sh *share) see(now time.Time, name string) bool {
+	before := sh.incarnation.current
+	if sh.incarnation.see(now, name) == changed {
+		sh.restart(before)
+		return true
+	}
+	if name != sh.incarnation.current {
+		return false
+	}
+	changed := sh.doubted || sh.earlier != "" && sh.incarnation.settled(now)
+	sh.doubted = false
+	if sh.incarnation.settled(now) {
+		sh.earlier, sh.earlierInFlight = "", 0
+	}
+	return changed
+}
+
 // restart makes the share that of a newly started endpoint.
-func (sh *share) restart() {
+func (sh *share) restart(before string) {
+	inFlight := 0
+	if sh.earlier == sh.incarnation.current {
+		inFlight = sh.earlierInFlight
+	}
+	sh.earlier, sh.earlierInFlight = before, sh.inFlight
+	sh.inFlight = inFlight
 	sh.limit = sh.cold
-	sh.inFlight = 0
 	sh.completed = 0
 	sh.doubted = false
 }
@@ -305,6 +333,7 @@
 	return Entry{
 		Endpoint: sh.endpoint, Incarnation: sh.incarnation.current,
 		Fence: sh.fence, Held: max(sh.limit, sh.inFlight), Cold: sh.cold,
-		Demand: sh.inFlight + sh.waiting, Completed: sh.completed,
+		Earlier: sh.earlierInFlight,
+		Demand:  sh.inFlight + sh.waiting, Completed: sh.completed,
 	}
 }
--- a/coord/budget/sync.go
+++ b/coord/budget/sync.go
@@ -34,21 +34,21 @@
 	m.sequence = u.Sequence
 	first := !m.synced
 	l.synced(m)
-	out := l.stop(m, u.Stopping)
+	out := l.stop(now, m, u.Stopping)
 	out.add(l.read(now, u))
 	if first || restarted {
-		out.add(l.balanceAll())
+		out.add(l.balanceAll(now))
 	}
 	return out
 }
 
 // stop takes in whether the node gives up its shares for good.
-func (l *Ledger) stop(m *holder, stopping bool) Effects {
+func (l *Ledger) stop(now time.Time, m *holder, stopping bool) Effects {
 	if !stopping || m.stopping {
 		return Effects{}
 	}
 	m.stopping = true
-	return l.balanceAll()
+	return l.balanceAll(now)
 }
 
 // synced notes that all grants of earlier ledgers to the node are known.
@@ -77,12 +77,12 @@
 func (l *Ledger) read(now time.Time, u Usage) Effects {
 	var out Effects
 	if u.Full {
-		out.add(l.readMissing(u))
+		out.add(l.readMissing(now, u))
 	}
 	for _, e := range u.Entries {
 		if a, ok := l.endpoints[e.Endpoint]; ok {
 			l.readEntry(now, a, u.Node, e)
-			out.add(l.balance(a))
+			out.add(l.balance(now, a))
 		}
 	}
 	return out
@@ -90,7 +90,7 @@
 
 // readMissing takes in that a node holds nothing of what its full usage does
 // not list.
-func (l *Ledger) readMissing(u Usage) Effects {
+func (l *Ledger) readMissing(now time.Time, u Usage) Effects {
 	listed := make(map[string]bool, len(u.Entries))
 	for _, e := range u.Entries {
 		listed[e.Endpoint] = true
@@ -101,31 +101,26 @@
 			continue
 		}
 		h := a.find(u.Node)
-		if h == nil || h.held == 0 && h.cold == 0 {
+		if h == nil || h.reported == (amount{}) {
 			continue
 		}
-		h.held, h.cold, h.demand = 0, 0, 0
-		out.add(l.balance(a))
+		h.reported, h.demand = amount{}, 0
+		out.add(l.balance(now, a))
 	}
 	return out
 }
 
 // readEntry takes in what a node says it holds of one endpoint.
 func (l *Ledger) readEntry(now time.Time, a *account, node string, e Entry) {
-	if a.incarnation.see(now, e.Incarnation) {
-		a.restart(now)
-	}
+	a.see(now, e.Incarnation)
 	h := a.holding(node)
-	h.stale = e.Incarnation != a.incarnation.current
-	h.held, h.cold, h.demand = e.Held, e.Cold, e.Demand
-	if h.stale {
-		// The node falls to its cold part when it learns what is current.
-		h.held = e.Cold
-	} else {
+	h.reported = amount{e.Incarnation, e.Held, e.Cold, e.Earlier}
+	h.demand = e.Demand
+	if e.Incarnation == a.incarnation.current {
 		h.completed = e.Completed
 	}
 	h.acked = e.Fence
 	if !h.unanswered() {
-		h.pendingHeld, h.pendingCold = 0, 0
+		h.sent = h.sent[:0]
 	}
 }
--- /dev/null
+++ b/coord/budget/walk_test.go
@@ -0,0 +1,94 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const walkSteps = 1000
+
+// walk takes random steps and returns the first violation.
+func walk(draw func(int) int, s setup) error {
+	w := newWorld(draw, s)
+	for range walkSteps {
+		w.step()
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func seededDraw(seed uint64) func(int) int {
+	rng := rand.New(rand.NewPCG(seed, seed))
+	return rng.IntN
+}
+
+// violations counts the seeds whose walk breaks an invariant.
+func violations(s setup) int {
+	failed := 0
+	for seed := range uint64(100) {
+		if walk(seededDraw(seed), s) != nil {
+			failed++
+		}
+	}
+	return failed
+}
+
+func TestSharesNeverExceedLimit(t *testing.T) {
+	for _, demand := range []bool{false, true} {
+		for seed := range uint64(150) {
+			assert.NilError(t, walk(seededDraw(seed), setup{demand: demand}), "seed %d, by demand %v", seed, demand)
+		}
+	}
+}
+
+func TestSharesNeverExceedLimitRapid(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "choice") }
+		if err := walk(draw, setup{demand: rapid.Bool().Draw(rt, "by demand")}); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+func TestMechanismsMatter(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup setup
+	}{
+		{"growth without release", setup{without: mechanisms{releases: true}}},
+		{"new ledger without sync", setup{without: mechanisms{sync: true}}},
+		{"no warm-up", setup{noWarmup: true}},
+		{"growth without release, by demand", setup{demand: true, without: mechanisms{releases: true}}},
+		{"new ledger without sync, by demand", setup{demand: true, without: mechanisms{sync: true}}},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			failed := violations(tc.setup)
+			t.Logf("%d of 100 walks break the limit", failed)
+			assert.Assert(t, failed > 0)
+		})
+	}
+}
+
+// TestHealedNetworkGrantsEverything checks that nothing stays stranded for
+// longer than late messages can mislead, once messages get through again.
+func TestHealedNetworkGrantsEverything(t *testing.T) {
+	for seed := range uint64(100) {
+		w := newWorld(seededDraw(seed), setup{})
+		for range walkSteps {
+			w.step()
+		}
+		w.heal()
+		assert.NilError(t, w.check(), "seed %d", seed)
+		total := 0
+		for _, p := range w.nodes {
+			total += p.shares.State("e").Limit
+		}
+		assert.Equal(t, total, w.bears(), "seed %d", seed)
+	}
+}
