--- a/coord/route/outcome.go
+++ b/coord/route/outcome.go
@@ -13,6 +13,14 @@
 	return c
 }
 
+// news takes in the incarnation named in an answer. The one that the request
+// was sent to is no news: a long answer may end after the endpoint restarted.
+func (t *Table) news(now time.Time, c *candidate, choice Choice, incarnation string) {
+	if c.tier == local && incarnation != choice.Ticket.Incarnation {
+		t.seen(now, c, incarnation)
+	}
+}
+
 // current reports whether the attempt went to what the candidate is now.
 func (c *candidate) current(choice Choice) bool {
 	return choice.Action != Dispatch || choice.Ticket.Incarnation == c.incarnation
@@ -36,9 +44,7 @@
 
 func (t *Table) completed(now time.Time, ev Completed) {
 	c := t.settle(ev.Choice, true)
-	if c.tier == local {
-		t.seen(now, c, ev.Incarnation)
-	}
+	t.news(now, c, ev.Choice, ev.Incarnation)
 	if c.current(ev.Choice) {
 		if !ev.Begun {
 			c.latency.ended(now)
@@ -52,9 +58,7 @@
 
 func (t *Table) failed(now time.Time, ev Failed) {
 	c := t.settle(ev.Choice, false)
-	if c.tier == local {
-		t.seen(now, c, ev.Incarnation)
-	}
+	t.news(now, c, ev.Choice, ev.Incarnation)
 	if c.current(ev.Choice) {
 		if !ev.Begun {
 			c.latency.ended(now)
