--- /dev/null
+++ b/coord/config/diff.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
+)
+
+// Diff returns the change that leads from old to new. Its number, tokens and
+// author are left empty. Applying it to old yields the normal form of new.
+func Diff(old, new inventory.Document) Change {
+	old, new = Normalize(old), Normalize(new)
+	var c Change
+	c.Put.DataCentres, c.Delete.DataCentres = difference(dataCentres, old.DataCentres, new.DataCentres)
+	c.Put.VMs, c.Delete.VMs = difference(vms, old.VMs, new.VMs)
+	c.Put.Models, c.Delete.Models = difference(models, old.Models, new.Models)
+	c.Put.Services, c.Delete.Services = difference(services, old.Services, new.Services)
+	c.Put.ClientAccounts, c.Delete.ClientAccounts = difference(clientAccounts, old.ClientAccounts, new.ClientAccounts)
+	return c
+}
+
+// difference walks two lists in order of name.
+func difference[T any](k kind[T], old, new []T) (put []T, del []string) {
+	for len(old) > 0 || len(new) > 0 {
+		switch {
+		case len(new) == 0 || len(old) > 0 && k.name(old[0]) < k.name(new[0]):
+			del = append(del, k.name(old[0]))
+			old = old[1:]
+		case len(old) == 0 || k.name(new[0]) < k.name(old[0]):
+			put = append(put, new[0])
+			new = new[1:]
+		default:
+			if !reflect.DeepEqual(old[0], new[0]) {
+				put = append(put, new[0])
+			}
+			old, new = old[1:], new[1:]
+		}
+	}
+	return put, del
+}
+
+// Describe returns a change as lines for operators, in order of kind and
+// name. A line starts with + for an added entity, ~ for an altered one, which
+// names the fields that differ, and - for a removed one.
+func Describe(old inventory.Document, c Change) []string {
+	var lines []string
+	lines = describe(lines, dataCentres, old.DataCentres, c.Put.DataCentres, c.Delete.DataCentres)
+	lines = describe(lines, vms, old.VMs, c.Put.VMs, c.Delete.VMs)
+	lines = describe(lines, models, old.Models, c.Put.Models, c.Delete.Models)
+	lines = describe(lines, services, old.Services, c.Put.Services, c.Delete.Services)
+	return describe(lines, clientAccounts, old.ClientAccounts, c.Put.ClientAccounts, c.Delete.ClientAccounts)
+}
+
+func describe[T any](lines []string, k kind[T], old, put []T, del []string) []string {
+	known := make(map[string]T, len(old))
+	for _, e := range old {
+		known[k.name(e)] = e
+	}
+	for _, e := range put {
+		before, ok := known[k.name(e)]
+		sign := "~"
+		if !ok {
+			sign = "+"
+		}
+		lines = append(lines, fmt.Sprintf("%s %s %s: %s", sign, k.label, k.name(e), fields(before, e)))
+	}
+	for _, name := range del {
+		lines = append(lines, fmt.Sprintf("- %s %s", k.label, name))
+	}
+	return lines
+}
+
+// fields lists the fields that differ, by their TOML names in struct order.
+func fields[T any](before, after T) string {
+	var parts []string
+	a, b := reflect.ValueOf(before), reflect.ValueOf(after)
+	for i := range b.NumField() {
+		tag, _, _ := strings.Cut(b.Type().Field(i).Tag.Get("toml"), ",")
+		if tag == "name" || reflect.DeepEqual(a.Field(i).Interface(), b.Field(i).Interface()) {
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%s %s -> %s", tag, show(a.Field(i)), show(b.Field(i))))
+	}
+	return strings.Join(parts, ", ")
+}
+
+func show(v reflect.Value) string {
+	if v.Kind() == reflect.Slice || v.Kind() == reflect.String {
+		return fmt.Sprintf("%q", v.Interface())
+	}
+	return fmt.Sprintf("%v", v.Interface())
+}
