--- a/coord/config/apply.go
+++ b/coord/config/apply.go
@@ -51,7 +51,7 @@
 	}
 	next = append(next, put...)
 	k.sort(next)
-	return next
+	return nonEmpty(next)
 }
 
 // checkDeletes reports deletes that make no sense and adds the names to replaced.
--- a/coord/config/event.go
+++ b/coord/config/event.go
@@ -14,6 +14,8 @@
 	// ReadAge is the time since the newest successful read of the platform
 	// that the node knows of, its own or one it heard of; negative if none.
 	ReadAge time.Duration `json:"read_age_ns"`
+	// ReadBy is the VM that did that read.
+	ReadBy string `json:"read_by,omitempty"`
 }
 
 // Event is an input of State.Step.
--- a/coord/config/peers.go
+++ b/coord/config/peers.go
@@ -59,17 +59,21 @@
 // rendezvousRank returns the position of vm among the others by the hash of
 // their names. Nodes that agree on the live VMs agree on the ranks.
 func rendezvousRank(vm string, others []string) int {
-	own := hashName(vm)
 	rank := 0
 	for _, other := range others {
-		h := hashName(other)
-		if h > own || h == own && strings.Compare(other, vm) < 0 {
+		if preferred(other, vm) {
 			rank++
 		}
 	}
 	return rank
 }
 
+// preferred reports whether a comes before b as a reader.
+func preferred(a, b string) bool {
+	x, y := hashName(a), hashName(b)
+	return x > y || x == y && strings.Compare(a, b) < 0
+}
+
 func hashName(vm string) uint64 {
 	return xxhash.Sum64String("config/reader/" + vm)
 }
@@ -107,7 +111,7 @@
 func (s *State) digestReceived(now time.Time, d Digest) []Effect {
 	s.heardAt = now
 	if d.ReadAge >= 0 {
-		s.readAt = latest(s.readAt, now.Add(-d.ReadAge))
+		s.heardRead(now, d)
 	}
 	switch {
 	case d.Number > s.current.Number:
--- a/coord/config/poll.go
+++ b/coord/config/poll.go
@@ -11,6 +11,7 @@
 	sentAt   time.Time
 	next     time.Time
 	failures int
+	standIn  bool // polls in place of silent readers
 	target   Head // the newest head read
 }
 
@@ -56,7 +57,21 @@
 	}
 	turns := time.Duration(s.rank - s.opts.Readers)
 	wait := s.opts.StaleAfter + turns*s.opts.StaleAfter/staleTurns
-	return now.Sub(latest(s.readAt, s.started)) >= wait
+	if now.Sub(latest(s.readAt, s.started)) >= wait {
+		s.poll.standIn = true
+	}
+	return s.poll.standIn
+}
+
+// heardRead takes the newest read that a peer knows of. A stand-in stops once
+// a VM that comes before it reads again.
+func (s *State) heardRead(now time.Time, d Digest) {
+	if d.ReadAge < s.opts.StaleAfter && d.ReadBy != s.opts.VM && preferred(d.ReadBy, s.opts.VM) {
+		s.poll.standIn = false
+	}
+	if at := now.Add(-d.ReadAge); at.After(s.readAt) {
+		s.readAt, s.readBy = at, d.ReadBy
+	}
 }
 
 const (
@@ -84,7 +99,9 @@
 const maxDoublings = 10
 
 func (s *State) headRead(now time.Time, head Head) []Effect {
-	s.readAt = latest(s.readAt, s.poll.sentAt)
+	if s.poll.sentAt.After(s.readAt) {
+		s.readAt, s.readBy = s.poll.sentAt, s.opts.VM
+	}
 	s.poll.target = head
 	switch {
 	case head.Number < s.current.Number:
--- a/coord/config/state.go
+++ b/coord/config/state.go
@@ -29,6 +29,7 @@
 	started    time.Time
 	heardAt    time.Time // a digest of any peer
 	readAt     time.Time // the newest successful platform read known of
+	readBy     string
 	nextDigest time.Time
 	digests    uint64
 	reported   conflictKey
@@ -61,7 +62,10 @@
 	if !s.readAt.IsZero() {
 		age = now.Sub(s.readAt)
 	}
-	return Digest{VM: s.opts.VM, Number: s.current.Number, Token: s.current.Token, ReadAge: age}
+	return Digest{
+		VM: s.opts.VM, Number: s.current.Number, Token: s.current.Token,
+		ReadAge: age, ReadBy: s.readBy,
+	}
 }
 
 // Since answers a peer's Fetch: the changes after a number, or a snapshot if
