coord/claim: keyed calls at most once, by rows and by tickets

Purpose: a call that must not be repeated runs at most once through any entry VM, and orders go on during an outage of the platform's table.

Weighed: an owner per key by lease can run a key twice when it pauses between its check and the dispatch; authority by identity (a row's token, or the issuer that a ticket names) can not.

Change: State with batched claims, read-back, release, following of another claimant, tickets, stop; Unkeyed for calls without a key.

--- /dev/null
+++ b/coord/claim/options.go
@@ -0,0 +1,76 @@
+package claim
+
+import "time"
+
+// Options configures a State. Zero fields take the defaults.
+type Options struct {
+	// Self is this node.
+	Self Node
+	// MaxBatch is the number of rows in one transaction.
+	MaxBatch int
+	// BatchWindow is how long a write waits for others to join it, besides
+	// the time that the transaction before it takes.
+	BatchWindow time.Duration
+	// CommitsPerSecond bounds this node's transactions: its share of what the
+	// platform bears.
+	CommitsPerSecond float64
+	// CommitBurst is the number of transactions that may exceed the rate.
+	CommitBurst int
+	// MaxQueue bounds the claims that wait for a transaction.
+	MaxQueue int
+	// MaxEntries bounds the keys held in memory.
+	MaxEntries int
+	// MaxWaiters bounds the callers and peers that wait for one key.
+	MaxWaiters int
+	// MaxBody is the number of bytes of an answer that a record holds.
+	MaxBody int
+	// CommitPatience is how long a call with a ticket waits for its row.
+	CommitPatience time.Duration
+	// ProbeInterval is the time between reads while the table is down.
+	ProbeInterval time.Duration
+	// TicketLife is how long after its issue a ticket is valid. Used tickets
+	// are remembered for that long.
+	TicketLife time.Duration
+	// RetryAfter is the hint given with refusals.
+	RetryAfter time.Duration
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxBatch         = 64
+	DefaultCommitsPerSecond = 50
+	DefaultCommitBurst      = 20
+	DefaultMaxQueue         = 1024
+	DefaultMaxEntries       = 8192
+	DefaultMaxWaiters       = 64
+	DefaultMaxBody          = 4 << 10
+	DefaultCommitPatience   = 300 * time.Millisecond
+	DefaultProbeInterval    = time.Second
+	DefaultTicketLife       = time.Hour
+	DefaultRetryAfter       = 2 * time.Second
+)
+
+// maxRereads bounds how often one question to a claimant is followed by
+// another read of the row.
+const maxRereads = 3
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.MaxBatch, DefaultMaxBatch)
+	setDefault(&o.CommitsPerSecond, DefaultCommitsPerSecond)
+	setDefault(&o.CommitBurst, DefaultCommitBurst)
+	setDefault(&o.MaxQueue, DefaultMaxQueue)
+	setDefault(&o.MaxEntries, DefaultMaxEntries)
+	setDefault(&o.MaxWaiters, DefaultMaxWaiters)
+	setDefault(&o.MaxBody, DefaultMaxBody)
+	setDefault(&o.CommitPatience, DefaultCommitPatience)
+	setDefault(&o.ProbeInterval, DefaultProbeInterval)
+	setDefault(&o.TicketLife, DefaultTicketLife)
+	setDefault(&o.RetryAfter, DefaultRetryAfter)
+	return o
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, d T) {
+	if *v == 0 {
+		*v = d
+	}
+}
--- /dev/null
+++ b/coord/claim/stop.go
@@ -0,0 +1,48 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/table"
+)
+
+// stop lets running calls finish and refuses the others.
+func (s *State) stop(now time.Time) {
+	if s.stopping {
+		return
+	}
+	s.stopping = true
+	for _, e := range append(append([]*entry(nil), s.writer.inFlight...), s.writer.queue...) {
+		if e.stage == claiming {
+			s.refuseAll(e, e.ticket || e.stored == Claimed, stoppingError())
+			s.advance(now, e)
+		}
+	}
+}
+
+// close writes the closing row once every claim is in the table. From then
+// on, other nodes may take a ticket of this node without a row as unused.
+func (s *State) close(now time.Time) {
+	w := &s.writer
+	if !s.stopping || s.closed || s.down || len(s.entries) > len(s.used) || w.batch != 0 {
+		return
+	}
+	if now.Before(w.retryAt) {
+		return
+	}
+	w.closing = true
+	w.retryAt = now.Add(s.opts.ProbeInterval)
+	row := s.opts.Self.closedRow()
+	s.commit(now, table.Txn{Writes: []table.Write{{Key: row, Value: encode(w.epoch)}}}, nil)
+}
+
+func (s *State) closeCommitted(now time.Time, outcome table.Outcome) {
+	s.writer.closing = false
+	switch outcome {
+	case table.Applied:
+		s.closed = true
+		s.emit(Stopped{})
+	case table.NotWritten:
+		s.setDown(now)
+	}
+}
