--- a/coord/claim/advance.go
+++ b/coord/claim/advance.go
@@ -121,28 +121,34 @@
 	return e
 }
 
-// notSent refuses the call that was dispatched and goes on with the next one
-// that waits for the key, if any.
+// notSent goes on with the next call that waits for the key. Once each has
+// been tried, all are refused together: none is told "not run" while another
+// may still run.
 func (s *State) notSent(now time.Time, e *entry, err *problem.Error) {
 	if e.sent {
 		s.settle(now, e, Unknown, nil)
 		return
 	}
-	if s.removeWaiter(e, e.runner) {
-		refusal := *noEndpoint()
-		if err != nil {
-			refusal = *err
-		}
-		refusal.Ran = ranNo
-		s.emit(Answer{Call: e.runner, Err: &refusal})
+	if err == nil {
+		err = noEndpoint()
 	}
 	e.stage = claiming
-	if s.stopping {
-		s.refuseAll(e, true, stoppingError())
+	e.tried++
+	e.rotate()
+	if s.stopping || e.tried >= len(e.waiters) {
+		s.refuseAll(e, true, err)
+		e.tried = 0
 	}
 	s.advance(now, e)
 }
 
+// rotate puts the call that was dispatched behind the others.
+func (e *entry) rotate() {
+	if len(e.waiters) > 0 && e.waiters[0].call == e.runner {
+		e.waiters = append(e.waiters[1:], e.waiters[0])
+	}
+}
+
 func (s *State) settle(now time.Time, e *entry, status Status, outcome *Outcome) {
 	e.stage = settled
 	e.final = Record{Fingerprint: e.fingerprint, Claimant: s.opts.Self, Token: e.token, Status: status}
--- a/coord/claim/entry.go
+++ b/coord/claim/entry.go
@@ -51,6 +51,7 @@
 	attempt  string
 	runner   uint64
 	sent     bool
+	tried    int // waiting calls whose attempt was not sent
 
 	final   Record // once settled
 	marker  bool   // settles a claim of another node that is gone
--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -109,11 +109,15 @@
 // refuse ends a call that this node did not dispatch. certain says that no
 // earlier call with the key was sent either.
 func (s *State) refuse(w waiter, certain bool, err *problem.Error) {
-	err = err.After(s.opts.RetryAfter)
+	if err.RetryAfter == 0 {
+		err = err.After(s.opts.RetryAfter)
+	}
+	answer := *err
+	answer.Ran = ranNo
 	if !certain && !w.first {
-		err = err.MayHaveRun()
+		answer.Ran = problem.RanUnknown
 	}
-	s.emit(Answer{Call: w.call, Err: err})
+	s.emit(Answer{Call: w.call, Err: &answer})
 }
 
 func overloaded() *problem.Error {
