--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,259 @@
+// Package service is a stand-in for a plain service that takes orders, each
+// of which must run at most once. It counts every run.
+package service
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/standin/meter"
+)
+
+// Paths of the stand-in.
+const (
+	OrdersPath = "/orders"         // POST Order, answers Receipt; GET /orders/{id}
+	FaultsPath = "/faults"         // POST Faults
+	CountsPath = "/control/counts" // GET, answers meter.Counts
+	RunsPath   = "/control/runs"   // GET, answers Runs
+)
+
+// HeaderIdempotencyKey names the key that callers give a request.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+const defaultWarmAfter = 4
+
+// Options set up a Service.
+type Options struct {
+	VM string
+	// RunTime is the time that an order takes.
+	RunTime time.Duration
+	// MaxInFlight and ColdInFlight are what the service bears warm and
+	// cold; 0 means no limit. It is warm after WarmAfter completions; 0
+	// means 4.
+	MaxInFlight  int
+	ColdInFlight int
+	WarmAfter    int
+}
+
+// Order is what a caller asks for.
+type Order struct {
+	OrderID  string `json:"order_id"`
+	Item     string `json:"item"`
+	Quantity int    `json:"quantity"`
+}
+
+// Receipt answers an order.
+type Receipt struct {
+	Order
+	Status string `json:"status"`
+	VM     string `json:"vm"`
+	// Run is 1 for the first run of the order.
+	Run int `json:"run"`
+}
+
+// Run is one order with the number of times that it ran.
+type Run struct {
+	OrderID        string   `json:"order_id"`
+	IdempotencyKey string   `json:"idempotency_key,omitempty"`
+	Runs           int      `json:"runs"`
+	Attempts       []string `json:"attempts"`
+}
+
+// Runs is the log of all orders, in order of their id. Doubles counts runs
+// beyond the first of each.
+type Runs struct {
+	Total   int   `json:"total"`
+	Doubles int   `json:"doubles"`
+	Orders  []Run `json:"orders"`
+}
+
+// Faults are the service's fault switches. They replace the earlier ones; the
+// zero value clears all. They hold for the next Times orders, or until
+// cleared if Times is 0.
+type Faults struct {
+	// DieAfterRunning runs the order and closes the connection.
+	DieAfterRunning bool `json:"die_after_running"`
+	// AnswerLateMS delays the answer of an order that has run.
+	AnswerLateMS int `json:"answer_late_ms"`
+	// Refuse answers 503 without running.
+	Refuse bool `json:"refuse"`
+	// Hang accepts orders, neither runs nor answers them.
+	Hang  bool `json:"hang"`
+	Times int  `json:"times"`
+}
+
+// Service is the stand-in's http.Handler.
+type Service struct {
+	*echo.Echo
+	opts        Options
+	incarnation string
+	meter       *meter.Meter
+
+	mu       sync.Mutex
+	faults   Faults
+	left     int
+	receipts map[string]Receipt
+	runs     map[string]*Run
+}
+
+// New returns a cold service without orders.
+func New(opts Options) *Service {
+	if opts.WarmAfter == 0 {
+		opts.WarmAfter = defaultWarmAfter
+	}
+	limits := meter.Options{MaxInFlight: opts.MaxInFlight, ColdInFlight: opts.ColdInFlight, WarmAfter: uint64(opts.WarmAfter)}
+	s := &Service{
+		Echo: echo.New(), opts: opts, incarnation: uuid.NewString(), meter: meter.New(limits),
+		receipts: map[string]Receipt{}, runs: map[string]*Run{},
+	}
+	s.POST(OrdersPath, s.postOrder)
+	s.GET(OrdersPath+"/:id", s.getOrder)
+	s.POST(FaultsPath, s.postFaults)
+	s.GET(endpoint.ReportPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Report()) })
+	s.GET(CountsPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.meter.Counts()) })
+	s.GET(RunsPath, func(c echo.Context) error { return c.JSON(http.StatusOK, s.Runs()) })
+	return s
+}
+
+// Report returns the service's account of itself, which is always ready.
+func (s *Service) Report() member.Report {
+	return member.Report{
+		VM: s.opts.VM, Incarnation: s.incarnation, State: member.Ready,
+		InFlight: s.meter.InFlight(), Completed: s.meter.Counts().Completed,
+	}
+}
+
+// Runs returns the log of orders.
+func (s *Service) Runs() Runs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	log := Runs{Orders: make([]Run, 0, len(s.runs))}
+	for _, run := range s.runs {
+		copied := *run
+		copied.Attempts = slices.Clone(run.Attempts)
+		log.Orders = append(log.Orders, copied)
+		log.Total += run.Runs
+		log.Doubles += run.Runs - 1
+	}
+	slices.SortFunc(log.Orders, func(a, b Run) int {
+		return cmp.Or(cmp.Compare(a.OrderID, b.OrderID), cmp.Compare(a.IdempotencyKey, b.IdempotencyKey))
+	})
+	return log
+}
+
+// Counts returns what the service has borne so far.
+func (s *Service) Counts() meter.Counts { return s.meter.Counts() }
+
+// SetFaults replaces the fault switches.
+func (s *Service) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.left = f.Times
+}
+
+func (s *Service) postFaults(c echo.Context) error {
+	var f Faults
+	if err := c.Bind(&f); err != nil {
+		return err
+	}
+	s.SetFaults(f)
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Service) postOrder(c echo.Context) error {
+	c.Response().Header().Set(endpoint.HeaderIncarnation, s.incarnation)
+	c.Response().Header().Set(endpoint.HeaderAttempt, c.Request().Header.Get(endpoint.HeaderAttempt))
+	var order Order
+	if err := c.Bind(&order); err != nil {
+		return err
+	}
+	faults := s.takeFaults()
+	if faults.Refuse {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service takes no orders")
+	}
+	completed := false
+	bearable := s.meter.Begin()
+	defer func() { s.meter.End(completed) }()
+	if !bearable {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service is overloaded")
+	}
+	ctx := c.Request().Context()
+	if faults.Hang {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	receipt := s.run(order, c.Request().Header)
+	completed = true
+	if faults.DieAfterRunning {
+		panic(http.ErrAbortHandler)
+	}
+	wait(ctx, s.opts.RunTime+time.Duration(faults.AnswerLateMS)*time.Millisecond)
+	return c.JSON(http.StatusOK, receipt)
+}
+
+// run carries an order out and counts it, by its id or else its key.
+func (s *Service) run(order Order, header http.Header) Receipt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := header.Get(HeaderIdempotencyKey)
+	id := cmp.Or(order.OrderID, key, uuid.NewString())
+	order.OrderID = id
+	run, ok := s.runs[id]
+	if !ok {
+		run = &Run{OrderID: id, IdempotencyKey: key}
+		s.runs[id] = run
+	}
+	run.Runs++
+	run.Attempts = append(run.Attempts, header.Get(endpoint.HeaderAttempt))
+	receipt := Receipt{Order: order, Status: "accepted", VM: s.opts.VM, Run: run.Runs}
+	s.receipts[id] = receipt
+	return receipt
+}
+
+func (s *Service) getOrder(c echo.Context) error {
+	c.Response().Header().Set(endpoint.HeaderIncarnation, s.incarnation)
+	c.Response().Header().Set(endpoint.HeaderAttempt, c.Request().Header.Get(endpoint.HeaderAttempt))
+	s.mu.Lock()
+	receipt, ok := s.receipts[c.Param("id")]
+	s.mu.Unlock()
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "the service has no such order")
+	}
+	return c.JSON(http.StatusOK, receipt)
+}
+
+// takeFaults returns the switches that hold for an order that arrives now.
+func (s *Service) takeFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Times == 0 {
+		return s.faults
+	}
+	if s.left == 0 {
+		return Faults{}
+	}
+	s.left--
+	return s.faults
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
