--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,12 +4,15 @@
 
 import "time"
 
-// Paths of the operators' interface. All are GET and answer JSON; errors are
-// problem documents.
+// Paths of the operators' interface. Answers are JSON, errors problem
+// documents.
 const (
 	StatusPath         = "/operator/status"           // answers Status
-	ExplainVMPath      = "/operator/explain/vm/"      // + VM, answers VMExplanation
-	ExplainRequestPath = "/operator/explain/request/" // + request id, answers RequestExplanation
+	ExplainVMPath      = "/operator/explain/vm/"      // GET, + VM, answers VMExplanation
+	ExplainRequestPath = "/operator/explain/request/" // GET, + request id, answers RequestExplanation
+	// StopPath is a POST without a body that begins the graceful shutdown of
+	// the daemon that receives it and answers 202.
+	StopPath = "/operator/stop"
 )
 
 // Status is what one node knows of the whole system.
@@ -28,6 +31,8 @@
 type Node struct {
 	VM         string `json:"vm"`
 	DataCentre string `json:"data_centre"`
+	// Operators is the address of the node's operators' interface.
+	Operators string `json:"operators,omitempty"`
 	// Configuration is the number in force there; ConfigurationAge is how
 	// long the node has known that it was the newest.
 	Configuration    uint64        `json:"configuration"`
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -154,10 +154,8 @@
 // Parse reads settings from data; file names them in faults.
 func Parse(file string, data []byte) (Settings, error) {
 	s := Default()
-	faults := decodeStrict(data, &s)
-	faults = mergeFaults(faults, s.Validate())
-	if len(faults) > 0 {
-		return Settings{}, &Error{File: file, Faults: faults}
+	if err := Decode(file, data, &s); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
@@ -175,14 +173,29 @@
 // ParseInventory reads an inventory from data; file names it in faults.
 func ParseInventory(file string, data []byte) (inventory.Document, error) {
 	var doc inventory.Document
-	faults := decodeStrict(data, &doc)
-	faults = mergeFaults(faults, doc.Validate())
-	if len(faults) > 0 {
-		return inventory.Document{}, &Error{File: file, Faults: faults}
+	if err := Decode(file, data, &doc); err != nil {
+		return inventory.Document{}, err
 	}
 	return doc, nil
 }
 
+// Document is a struct with toml tags that checks its own values.
+type Document interface {
+	Validate() []inventory.Fault
+}
+
+// Decode reads data into dst, a pointer to a struct, strictly; absent keys
+// leave their fields as they are. Its error is an *Error with every fault
+// and names the data as file.
+func Decode(file string, data []byte, dst Document) error {
+	faults := decodeStrict(data, dst)
+	faults = mergeFaults(faults, dst.Validate())
+	if len(faults) > 0 {
+		return &Error{File: file, Faults: faults}
+	}
+	return nil
+}
+
 // mergeFaults appends the faults found by validation, but for those of keys
 // whose values could not be decoded in the first place. A syntax error
 // stands alone, since nothing was decoded.
--- a/internal/settings/strict.go
+++ b/internal/settings/strict.go
@@ -101,15 +101,25 @@
 			dst.SetInt(v)
 			return
 		}
+		if dst.Kind() == reflect.Float64 {
+			dst.SetFloat(float64(v))
+			return
+		}
+	case float64:
+		if dst.Kind() == reflect.Float64 {
+			dst.SetFloat(v)
+			return
+		}
 	}
 	d.wrongType(key, src, kindNames[dst.Kind()])
 }
 
 var kindNames = map[reflect.Kind]string{
-	reflect.String: "a string",
-	reflect.Bool:   "true or false",
-	reflect.Int:    "a whole number",
-	reflect.Int64:  "a whole number",
+	reflect.String:  "a string",
+	reflect.Bool:    "true or false",
+	reflect.Int:     "a whole number",
+	reflect.Int64:   "a whole number",
+	reflect.Float64: "a number",
 }
 
 func (d *decoder) duration(key string, src any, dst reflect.Value) {
