Add an open-loop load tool

Purpose: figures on latency, refusals, fairness and cold endpoints under the arrivals that users have, with every answer checked for being whole and right.

The schedule is kept, and the first-token time counts from the scheduled arrival; how late the tool itself sent is reported beside it. Requests, time and outstanding requests are bounded; what the bound holds back is counted as not sent.

--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,241 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
+	"github.com/pimentoshore/pimentoshore/internal/standin/service"
+)
+
+// Outcome is how a request ended.
+type Outcome string
+
+// Outcomes of a request.
+const (
+	Whole   Outcome = "whole"    // the whole, right answer
+	Refused Outcome = "refused"  // a problem document, before any event
+	Broken  Outcome = "broken"   // a stream that ended in an explicit error
+	Short   Outcome = "short"    // a stream that ended without its end mark
+	Wrong   Outcome = "wrong"    // a whole answer with another text
+	Failed  Outcome = "failed"   // no answer in time
+	NotSent Outcome = "not-sent" // held back by max_outstanding
+)
+
+// Result is one request's measurement.
+type Result struct {
+	Account int
+	IsOrder bool
+	Outcome Outcome
+	// Reason is the problem's kind of a refusal, and Ran its promise.
+	Reason string
+	Ran    string
+	// FirstToken and Took count from the scheduled arrival.
+	FirstToken time.Duration
+	Took       time.Duration
+	// Between are the times between tokens.
+	Between []time.Duration
+	// Late is how long after its arrival the request was sent.
+	Late time.Duration
+}
+
+const (
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 1 << 20
+	problemType    = "application/problem+json"
+)
+
+// sender sends single requests.
+type sender struct {
+	workload Workload
+	http     *http.Client
+}
+
+// send sends an arrival whose time was due and measures it.
+func (s *sender) send(ctx context.Context, index int, a Arrival, due time.Time) Result {
+	ctx, cancel := context.WithDeadline(ctx, due.Add(s.workload.Deadline))
+	defer cancel()
+	r := Result{Account: a.Account, IsOrder: a.IsOrder, Late: time.Since(due)}
+	req, err := s.request(ctx, index, a)
+	if err != nil {
+		r.Outcome, r.Reason = Failed, err.Error()
+		return r
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		r.Outcome, r.Reason, r.Took = Failed, failure(ctx), time.Since(due)
+		return r
+	}
+	defer resp.Body.Close()
+	switch {
+	case resp.StatusCode != http.StatusOK:
+		r.refusal(resp)
+	case a.IsOrder:
+		r.order(resp.Body, a)
+	default:
+		r.stream(resp.Body, a, due)
+	}
+	if r.Outcome == Short && ctx.Err() != nil {
+		r.Outcome, r.Reason = Failed, failure(ctx)
+	}
+	r.Took = time.Since(due)
+	return r
+}
+
+// failure names why no answer came.
+func failure(ctx context.Context) string {
+	if ctx.Err() != nil {
+		return "deadline"
+	}
+	return "connection"
+}
+
+func (s *sender) request(ctx context.Context, index int, a Arrival) (*http.Request, error) {
+	base := strings.TrimRight(s.workload.URLs[index%len(s.workload.URLs)], "/")
+	path, body := "/v1/chat/completions", s.chat(a)
+	if a.IsOrder {
+		path = "/services/" + s.workload.Orders.Service + service.OrdersPath
+		body = service.Order{OrderID: a.OrderID, Item: "cotton gloves", Quantity: 1}
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, base+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+s.workload.Accounts[a.Account].Key)
+	req.Header.Set("Request-Timeout", fmt.Sprintf("%.3f", s.workload.Deadline.Seconds()))
+	if a.IsOrder {
+		req.Header.Set(service.HeaderIdempotencyKey, a.OrderID)
+	}
+	return req, nil
+}
+
+func (s *sender) chat(a Arrival) any {
+	return engine.Request{Model: s.workload.Chat.Model, Messages: messages(a), MaxTokens: a.AnswerTokens, Stream: true}
+}
+
+func messages(a Arrival) []engine.Message {
+	return []engine.Message{{Role: "user", Content: engine.Text(a.Prompt)}}
+}
+
+// problemBody is the part of a problem document that the report counts.
+type problemBody struct {
+	Title string `json:"title"`
+	Ran   string `json:"ran"`
+}
+
+func (r *Result) refusal(resp *http.Response) {
+	r.Outcome = Refused
+	r.Reason = fmt.Sprintf("status %d without a problem document", resp.StatusCode)
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), problemType) {
+		return
+	}
+	var body problemBody
+	if json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&body) == nil {
+		r.Reason, r.Ran = body.Title, body.Ran
+	}
+}
+
+func (r *Result) order(body io.Reader, a Arrival) {
+	var receipt service.Receipt
+	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&receipt)
+	switch {
+	case err != nil:
+		r.Outcome = Short
+	case receipt.OrderID != a.OrderID:
+		r.Outcome = Wrong
+	default:
+		r.Outcome = Whole
+	}
+}
+
+// stream reads a streamed answer to its end mark and compares its text.
+func (r *Result) stream(body io.Reader, a Arrival, due time.Time) {
+	var text strings.Builder
+	last := due
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			r.finish(text.String(), a)
+			return
+		}
+		token, err := tokenOf(data)
+		if err != nil {
+			r.Outcome, r.Reason = Broken, err.Error()
+			return
+		}
+		if token == "" {
+			continue
+		}
+		text.WriteString(token)
+		last = r.token(last, due)
+	}
+	r.Outcome = Short
+}
+
+// token records the time of a token and returns it.
+func (r *Result) token(last, due time.Time) time.Time {
+	now := time.Now()
+	if r.FirstToken == 0 {
+		r.FirstToken = now.Sub(due)
+		return now
+	}
+	r.Between = append(r.Between, now.Sub(last))
+	return now
+}
+
+func (r *Result) finish(text string, a Arrival) {
+	r.Outcome = Whole
+	if text != engine.ExpectedChatText(messages(a), a.AnswerTokens) {
+		r.Outcome = Wrong
+	}
+}
+
+// event is a stream's event: a chunk, or an error.
+type event struct {
+	engine.Answer
+	Error *eventError `json:"error"`
+}
+
+type eventError struct {
+	Type string `json:"type"`
+}
+
+// streamError is an explicit error in a stream.
+type streamError struct{ kind string }
+
+func (e *streamError) Error() string { return e.kind }
+
+// tokenOf returns an event's text.
+func tokenOf(data string) (string, error) {
+	var ev event
+	if err := json.Unmarshal([]byte(data), &ev); err != nil {
+		return "", &streamError{kind: "not JSON"}
+	}
+	switch {
+	case ev.Error != nil:
+		return "", &streamError{kind: ev.Error.Type}
+	case len(ev.Choices) == 0:
+		return "", nil
+	case ev.Choices[0].Delta != nil:
+		return ev.Choices[0].Delta.Content, nil
+	default:
+		return ev.Choices[0].Text, nil
+	}
+}
