Add the demo of a whole system on loopback

Purpose: a newcomer sees one streamed answer and one order go through three data centres with one command.

Weighed: asking the daemons whether groups are whole against asking the engines. The engines' own reports decide, so that the demo can't pass on a daemon's word; what is missing when time runs out is named one by one.

Daemons are started through a function, so that the package needs none of their code.

--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,167 @@
+// Package demo runs a whole system on loopback in one process: stand-ins for
+// the platform, the model engines and a plain service in three data centres,
+// and the daemons in front of them.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pimentoshore/pimentoshore/internal/configstore"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+)
+
+const (
+	defaultTimeout = 60 * time.Second
+	author         = "demo"
+)
+
+// StartDaemon starts a daemon. It returns the callers' address and a
+// function that stops the daemon gracefully.
+type StartDaemon func(ctx context.Context, s settings.Settings) (address string, stop func(), err error)
+
+// Options set up a demo.
+type Options struct {
+	StartDaemon StartDaemon
+	Out         io.Writer // answers
+	Err         io.Writer // progress
+	// Once ends the demo after its two requests.
+	Once bool
+	// Timeout bounds the time until they are answered; 0 means 60 s.
+	Timeout time.Duration
+}
+
+// daemon is a running daemon.
+type daemon struct {
+	vm        string
+	address   string // of the callers' interface
+	operators string
+	stop      func()
+}
+
+// run is one run of the demo.
+type run struct {
+	opts    Options
+	site    *site
+	daemons []daemon
+}
+
+// Run starts everything, sends one streamed chat completion and one order,
+// and prints the answers with their hops. Without Once it then stays up
+// until ctx ends. Its error names what did not come up.
+func Run(ctx context.Context, opts Options) error {
+	if opts.StartDaemon == nil {
+		return errors.New("this build has no daemon; use the pimentoshore command of a release")
+	}
+	if opts.Timeout == 0 {
+		opts.Timeout = defaultTimeout
+	}
+	r := &run{opts: opts}
+	defer r.stop()
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	if opts.Once {
+		return nil
+	}
+	r.printCommands()
+	<-ctx.Done()
+	return nil
+}
+
+// start brings everything up within the timeout and sends the two requests.
+func (r *run) start(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, r.opts.Timeout)
+	defer cancel()
+	var err error
+	if r.site, err = newSite(); err != nil {
+		return err
+	}
+	r.progress("platform, %d endpoints in %d data centres are up", len(r.site.document.VMs)-len(r.site.entries), len(entryVMs))
+	if err := r.applyInventory(limited); err != nil {
+		return errors.Annotate(err, "applying the inventory")
+	}
+	if err := r.startDaemons(ctx); err != nil {
+		return err
+	}
+	if err := r.awaitService(limited); err != nil {
+		return err
+	}
+	if err := r.chat(limited, r.daemons[0].address); err != nil {
+		return err
+	}
+	return r.order(limited, r.daemons[len(r.daemons)-1].address)
+}
+
+func (r *run) applyInventory(ctx context.Context) error {
+	store := configstore.New(platform.NewClient(platform.ClientOptions{URLs: []string{r.site.platformURL}}))
+	base, err := store.Read(ctx)
+	if err != nil {
+		return err
+	}
+	number, err := store.Propose(ctx, base, r.site.document, author)
+	if err != nil {
+		return err
+	}
+	r.progress("configuration %d is accepted", number)
+	return nil
+}
+
+func (r *run) startDaemons(ctx context.Context) error {
+	for _, s := range r.site.entries {
+		address, stop, err := r.opts.StartDaemon(ctx, s)
+		if err != nil {
+			return errors.Annotatef(err, "starting daemon %s", s.VM)
+		}
+		r.daemons = append(r.daemons, daemon{vm: s.VM, address: address, operators: s.Listen.Operators, stop: stop})
+	}
+	r.progress("%d daemons have started", len(r.daemons))
+	return nil
+}
+
+// awaitService waits until the daemons are ready and the groups are whole.
+func (r *run) awaitService(ctx context.Context) error {
+	err := until(ctx, func(ctx context.Context) []string {
+		return append(notReady(ctx, r.daemons), r.site.notWhole()...)
+	})
+	if err != nil {
+		return err
+	}
+	r.progress("all daemons are ready and all groups are whole")
+	return nil
+}
+
+// stop stops the daemons in turn and then the stand-ins.
+func (r *run) stop() {
+	for _, d := range r.daemons {
+		d.stop()
+	}
+	if r.site != nil {
+		r.site.close()
+	}
+}
+
+func (r *run) progress(format string, args ...any) {
+	fmt.Fprintf(r.opts.Err, format+"\n", args...)
+}
+
+// printCommands prints commands to try.
+func (r *run) printCommands() {
+	out := r.opts.Out
+	fmt.Fprintln(out, "\nUp until interrupted. Entry VMs:")
+	for _, d := range r.daemons {
+		fmt.Fprintf(out, "  %-16s http://%s\n", d.vm, d.address)
+	}
+	first := r.daemons[0]
+	fmt.Fprintf(out, "\nTry:\n  curl -N http://%s%s -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\\n", first.address, chatPath, AccountKey)
+	fmt.Fprintf(out, "    -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":%q}]}'\n", Model, question[0].Content)
+	fmt.Fprintf(out, "  curl -i http://%s%s -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\\n", first.address, ordersPath, AccountKey)
+	fmt.Fprintf(out, "    -H 'Idempotency-Key: order-2' -d '{\"order_id\":\"order-2\",\"item\":\"nitrile gloves\",\"quantity\":3}'\n")
+	fmt.Fprintf(out, "  pimentoshore status --operators %s\n", first.operators)
+	fmt.Fprintf(out, "  pimentoshore drain data-centre praha --platform %s --operators %s --wait\n", r.site.platformURL, first.operators)
+}
--- /dev/null
+++ b/internal/demo/demo_test.go
@@ -0,0 +1,130 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
+	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/internal/configstore"
+	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+)
+
+// fakeDaemons stand in for daemons: the first one forms all groups, each
+// passes requests on to the first group or service of the inventory.
+type fakeDaemons struct {
+	once    sync.Once
+	ready   bool
+	model   string
+	service string
+}
+
+func (f *fakeDaemons) start(ctx context.Context, s settings.Settings) (string, func(), error) {
+	store := configstore.New(platform.NewClient(platform.ClientOptions{URLs: s.Platform.URLs}))
+	snapshot, err := store.Read(ctx)
+	if err != nil {
+		return "", nil, err
+	}
+	if f.ready {
+		f.once.Do(func() { f.formGroups(snapshot.Document) })
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !f.ready {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("POST "+chatPath, func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(endpoint.HeaderGroup, "g-"+f.model)
+		r.Header.Set(endpoint.HeaderGeneration, "1")
+		w.Header().Set(headerHops, s.VM+">"+f.model)
+		passOn(f.model).ServeHTTP(w, r)
+	})
+	mux.Handle("POST "+ordersPath, http.StripPrefix("/services/"+Service, passOn(f.service)))
+	server := httptest.NewServer(mux)
+	return server.Listener.Addr().String(), server.Close, nil
+}
+
+func passOn(address string) http.Handler {
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: address})
+	proxy.FlushInterval = -1
+	return proxy
+}
+
+// formGroups pairs the VMs of each fabric domain.
+func (f *fakeDaemons) formGroups(doc inventory.Document) {
+	first := map[string]inventory.VM{}
+	for _, vm := range doc.VMs {
+		switch vm.Role {
+		case inventory.RoleService:
+			f.service = vm.Address
+		case inventory.RoleModel:
+			if other, ok := first[vm.FabricDomain]; ok {
+				f.model = other.Address
+				join(other, "g-"+other.Address, 0)
+				join(vm, "g-"+other.Address, 1)
+				delete(first, vm.FabricDomain)
+				continue
+			}
+			first[vm.FabricDomain] = vm
+		}
+	}
+}
+
+func join(vm inventory.VM, group string, rank int) {
+	body := fmt.Sprintf(`{"vm":%q,"action":%q,"group":%q,"generation":1,"model":%q,"rank":%d,"fence":{"term":1,"sequence":1}}`,
+		vm.Name, member.Join, group, Model, rank)
+	resp, err := http.Post("http://"+vm.Address+endpoint.OrderPath, "application/json", strings.NewReader(body))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+}
+
+func TestDemoAnswersTwoRequests(t *testing.T) {
+	f := &fakeDaemons{ready: true}
+	var out, progress bytes.Buffer
+	err := Run(context.Background(), Options{StartDaemon: f.start, Out: &out, Err: &progress, Once: true})
+	assert.NilError(t, err)
+	for _, want := range []string{"hops:  praha-entry-1 > " + f.model, "order demo-order-1: 24"} {
+		assert.Assert(t, strings.Contains(out.String(), want), out.String())
+	}
+}
+
+func TestDemoNamesWhatDidNotComeUp(t *testing.T) {
+	f := &fakeDaemons{}
+	var out bytes.Buffer
+	err := Run(context.Background(), Options{StartDaemon: f.start, Out: &out, Err: &out, Once: true, Timeout: time.Second})
+	for _, want := range []string{"daemon brno-entry-1", "fabric domain ostrava-b has 0 of 1 whole groups"} {
+		assert.ErrorContains(t, err, want)
+	}
+	broken := func(context.Context, settings.Settings) (string, func(), error) {
+		return "", nil, errors.New("no address")
+	}
+	err = Run(context.Background(), Options{StartDaemon: broken, Out: &out, Err: &out, Once: true})
+	assert.ErrorContains(t, err, "starting daemon praha-entry-1: no address")
+}
+
+func TestSiteIsValid(t *testing.T) {
+	s, err := newSite()
+	defer s.close()
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.document.Validate()), 0)
+	for _, entry := range s.entries {
+		assert.Equal(t, len(entry.Validate()), 0)
+		assert.Equal(t, len(entry.Peers), len(s.entries)-1)
+	}
+}
