Add the operators' command line

Purpose: validate, apply, diff, history, status, explain, drain, undrain, stop, load, demo and stand-ins, with exit codes 0 done, 1 failed, 2 wrong settings or usage, 3 conflict.

Weighed: planned stops by a state of their own against the inventory's out flag. The flag already keeps new work away everywhere and survives any daemon, so a stop is a change of the configuration that is followed in the status until requests have ended and the VM is in no group.

Results go to standard output, messages and progress to standard error.

--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,282 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/operator"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
+	"github.com/pimentoshore/pimentoshore/internal/standin/table"
+)
+
+const exampleInventory = "../../examples/inventory.toml"
+
+// result is what one run of the command line left.
+type result struct {
+	code     int
+	out, err string
+}
+
+func runWith(stdin string, args ...string) result {
+	var out, err bytes.Buffer
+	code := Run(context.Background(), args, Options{In: strings.NewReader(stdin), Out: &out, Err: &err, PollInterval: 10 * time.Millisecond})
+	return result{code: code, out: out.String(), err: err.String()}
+}
+
+func startTable(t *testing.T) (*table.Server, string) {
+	t.Helper()
+	s := table.New(table.Options{})
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, server.URL
+}
+
+func writeFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "inventory.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestExitCodes(t *testing.T) {
+	_, url := startTable(t)
+	invalid := writeFile(t, "vm = 1\n")
+	tests := []struct {
+		name string
+		args []string
+		code int
+		err  string
+	}{
+		{"valid file", []string{"validate", exampleInventory}, ExitOK, "is valid"},
+		{"unknown command", []string{"serve"}, ExitUsage, "unknown command"},
+		{"missing argument", []string{"apply"}, ExitUsage, "accepts 1 arg"},
+		{"unknown flag", []string{"status", "--wide"}, ExitUsage, "unknown flag"},
+		{"missing subcommand", []string{"stop"}, ExitUsage, "needs a subcommand"},
+		{"missing file", []string{"validate", "none.toml"}, ExitUsage, "name a file that exists"},
+		{"invalid file", []string{"apply", invalid, "--platform", url}, ExitUsage, invalid + ": vm: is not a known key"},
+		{"unknown output", []string{"history", "--platform", url, "--output", "xml"}, ExitUsage, "use table or json"},
+		{"table is gone", []string{"history", "--platform", "http://127.0.0.1:1"}, ExitFailed, "platform-unavailable"},
+		{"no daemon", []string{"status", "--operators", "127.0.0.1:1"}, ExitFailed, "check --operators"},
+		{"unknown VM", []string{"drain", "vm", "x", "--platform", url}, ExitFailed, "not in the configuration"},
+		{"no daemon in build", []string{"demo", "--once"}, ExitFailed, "no daemon"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			r := runWith("", tc.args...)
+			assert.Equal(t, r.code, tc.code, r.err)
+			assert.Assert(t, strings.Contains(r.err, tc.err), r.err)
+			assert.Equal(t, r.out, "")
+		})
+	}
+}
+
+func TestEveryCommandHasExample(t *testing.T) {
+	a := &app{}
+	for _, cmd := range a.root().Commands() {
+		assert.Assert(t, cmd.Example != "", cmd.Name())
+		for _, sub := range cmd.Commands() {
+			assert.Assert(t, sub.Example != "", sub.CommandPath())
+		}
+	}
+}
+
+func TestApplyDiffHistory(t *testing.T) {
+	s, url := startTable(t)
+	r := runWith("", "apply", exampleInventory, "--platform", url, "--dry-run")
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.out, "+ data centre praha"), r.out)
+	assert.Equal(t, s.Table().Counts().Writes, uint64(0))
+
+	r = runWith("", "apply", exampleInventory, "--platform", url, "--expect", "0", "--author", "anna")
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.out, "configuration 1 is accepted"), r.out)
+
+	r = runWith("", "apply", exampleInventory, "--platform", url, "--expect", "0")
+	assert.Equal(t, r.code, ExitConflict, r.err)
+	r = runWith("", "apply", exampleInventory, "--platform", url)
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.out, "nothing to change"), r.out)
+
+	r = runWith("", "drain", "data-centre", "praha", "--platform", url, "--author", "ben")
+	assert.Equal(t, r.code, ExitOK, r.err)
+	r = runWith("", "diff", exampleInventory, "--platform", url)
+	assert.Equal(t, r.out, "~ data centre praha: out true -> false\n")
+
+	r = runWith("", "history", "--platform", url, "--output", "json")
+	assert.Equal(t, r.code, ExitOK, r.err)
+	var changes []struct {
+		Number uint64
+		Author string
+	}
+	assert.NilError(t, json.Unmarshal([]byte(r.out), &changes))
+	assert.Equal(t, len(changes), 2)
+	assert.Equal(t, changes[0].Author, "ben")
+}
+
+func TestApplyWithLostAnswerIsSettled(t *testing.T) {
+	s, url := startTable(t)
+	s.Table().SetFaults(memtable.Faults{LoseAnswers: 1})
+	r := runWith("", "apply", exampleInventory, "--platform", url)
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.out, "configuration 1 is accepted"), r.out)
+}
+
+func TestHashKey(t *testing.T) {
+	r := runWith("test\n", "hash-key")
+	assert.Equal(t, r.out, "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\n")
+	r = runWith("", "hash-key", "--generate")
+	key, hash, _ := strings.Cut(strings.TrimSpace(r.out), "\n")
+	assert.Equal(t, hash, hashKey(key))
+}
+
+// fakeDaemon answers the operators' interface. Its work leaves after a few
+// reads of the status.
+type fakeDaemon struct {
+	*httptest.Server
+	status  operator.Status
+	reads   atomic.Int64
+	stopped atomic.Bool
+}
+
+func startDaemon(t *testing.T) *fakeDaemon {
+	t.Helper()
+	d := &fakeDaemon{status: operator.Status{
+		Node: "praha-entry-1", PlatformReachable: true,
+		DataCentres: []operator.DataCentre{{
+			Name: "praha", Coordinator: "praha-entry-1", Term: 3,
+			Groups: []operator.Group{
+				{Name: "g1", Model: "assistant", State: operator.GroupServing, Members: []string{"praha-a-1", "praha-a-2"}, InFlight: 2, Limit: 16},
+			},
+			Unassigned: []operator.UnassignedVM{{VM: "praha-a-3", Accelerators: 8, Healthy: true, Reason: "no partner in its fabric domain"}},
+			Services:   []operator.ServiceEndpoint{{VM: "praha-shop-1", Service: "glove-orders", Serving: true}},
+		}},
+	}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+operator.StatusPath, func(w http.ResponseWriter, _ *http.Request) { d.answerStatus(w) })
+	mux.HandleFunc("GET "+operator.ExplainVMPath+"{vm}", func(w http.ResponseWriter, r *http.Request) {
+		if r.PathValue("vm") != "praha-a-3" {
+			w.WriteHeader(http.StatusNotFound)
+			_, _ = w.Write([]byte(`{"title":"not-found","detail":"no such VM","remedy":"look at pimentoshore status"}`))
+			return
+		}
+		reasons := []operator.Reason{{Cause: "its fabric domain has no second free VM", Remedy: "add one"}}
+		_ = json.NewEncoder(w).Encode(operator.VMExplanation{VM: "praha-a-3", Role: "model", DataCentre: "praha", ReportAge: -1, Reasons: reasons})
+	})
+	mux.HandleFunc("POST "+operator.StopPath, func(w http.ResponseWriter, _ *http.Request) {
+		d.stopped.Store(true)
+		w.WriteHeader(http.StatusAccepted)
+	})
+	d.Server = httptest.NewServer(mux)
+	t.Cleanup(d.Close)
+	address := d.Listener.Addr().String()
+	d.status.Nodes = []operator.Node{
+		{VM: "praha-entry-1", DataCentre: "praha", Operators: address, Configuration: 100},
+		{VM: "brno-entry-1", DataCentre: "brno", Operators: address, Configuration: 100},
+	}
+	return d
+}
+
+func (d *fakeDaemon) answerStatus(w http.ResponseWriter) {
+	if d.stopped.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	status := d.status
+	if d.reads.Add(1) > 2 {
+		dc := status.DataCentres[0]
+		dc.Groups = nil
+		status.DataCentres = []operator.DataCentre{dc}
+	}
+	_ = json.NewEncoder(w).Encode(status)
+}
+
+func TestStatusOnOneScreen(t *testing.T) {
+	d := startDaemon(t)
+	r := runWith("", "status", "--operators", "127.0.0.1:1,"+d.Listener.Addr().String())
+	assert.Equal(t, r.code, ExitOK, r.err)
+	for _, want := range []string{"praha: in, coordinator praha-entry-1, term 3, 1 of 1 groups serve, 8 accelerators stranded", "g1", "no partner", "glove-orders"} {
+		assert.Assert(t, strings.Contains(r.out, want), r.out)
+	}
+	r = runWith("", "status", "--output", "json", "--operators", d.Listener.Addr().String())
+	var status operator.Status
+	assert.NilError(t, json.Unmarshal([]byte(r.out), &status))
+	assert.DeepEqual(t, status.Nodes, d.status.Nodes)
+}
+
+func TestExplain(t *testing.T) {
+	address := startDaemon(t).Listener.Addr().String()
+	r := runWith("", "explain", "vm", "praha-a-3", "--operators", address)
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.out, "it has not reported\n- its fabric domain has no second free VM; add one\n"), r.out)
+	r = runWith("", "explain", "vm", "x", "--operators", address)
+	assert.Equal(t, r.code, ExitFailed)
+	assert.Assert(t, strings.Contains(r.err, "no such VM"), r.err)
+}
+
+func TestStopWaitsUntilWorkLeaves(t *testing.T) {
+	_, url := startTable(t)
+	assert.Equal(t, runWith("", "apply", exampleInventory, "--platform", url).code, ExitOK)
+	for _, args := range [][]string{{"stop", "vm", "praha-a-1"}, {"stop", "group", "g1"}, {"drain", "vm", "praha-a-1", "--wait"}} {
+		d := startDaemon(t)
+		r := runWith("", append(args, "--platform", url, "--operators", d.Listener.Addr().String())...)
+		assert.Equal(t, r.code, ExitOK, r.err)
+		assert.Assert(t, strings.Contains(r.err, "2 requests in flight"), r.err)
+		assert.Assert(t, d.reads.Load() > 2)
+	}
+	r := runWith("", "stop", "vm", "praha-entry-1", "--platform", url)
+	assert.Equal(t, r.code, ExitUsage)
+}
+
+func TestStopTimesOutWithWhatIsLeft(t *testing.T) {
+	_, url := startTable(t)
+	assert.Equal(t, runWith("", "apply", exampleInventory, "--platform", url).code, ExitOK)
+	d := startDaemon(t)
+	d.reads.Store(-1000)
+	r := runWith("", "stop", "vm", "praha-a-1", "--timeout", "50ms", "--platform", url, "--operators", d.Listener.Addr().String())
+	assert.Equal(t, r.code, ExitFailed)
+	assert.Assert(t, strings.Contains(r.err, "praha-a-1 is still in group g1"), r.err)
+}
+
+func TestStopEntryRefusesLastOfDataCentre(t *testing.T) {
+	d := startDaemon(t)
+	address := d.Listener.Addr().String()
+	r := runWith("", "stop", "entry", "praha-entry-1", "--operators", address)
+	assert.Equal(t, r.code, ExitFailed)
+	assert.Assert(t, strings.Contains(r.err, "last entry VM of praha"), r.err)
+	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", address)
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Equal(t, r.out, "praha-entry-1 has stopped\n")
+}
+
+func TestStandinStopsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out bytes.Buffer
+	code := Run(ctx, []string{"standin", "engine", "--vm", "m1"}, Options{In: strings.NewReader(""), Out: &out, Err: &out})
+	assert.Equal(t, code, ExitOK, out.String())
+	assert.Assert(t, strings.HasPrefix(out.String(), "listening on 127.0.0.1:"), out.String())
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	_, err := settings.LoadInventory(exampleInventory)
+	assert.NilError(t, err)
+	_, err = settings.Load("../../examples/pimentoshored.toml")
+	assert.NilError(t, err)
+	workloads, err := filepath.Glob("../../examples/load-*.toml")
+	assert.NilError(t, err)
+	assert.Assert(t, len(workloads) > 0)
+	for _, file := range workloads {
+		assert.NilError(t, validateFile(fileLoad, file))
+	}
+}
