load: plot runs without tokens or with a single latency

Cause: a plot began at 1 ms, so that shorter latencies drew backwards, and a run without answers or with one value panicked in the axis of the plotting library.

Change: lines begin at the lowest latency, the axis spans more than one value, and a run without answers is an error that says so.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -163,6 +163,13 @@
 	assert.Equal(t, report.Refusals["overloaded, ran: no"], 1)
 }
 
+func TestPlotNeedsAnswers(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "plot.png")
+	assert.ErrorContains(t, Summarize(workload(nil), nil).Plot(path), "nothing to plot")
+	single := []Result{{Outcome: Whole, FirstToken: 200 * time.Microsecond}}
+	assert.NilError(t, Summarize(workload(nil), single).Plot(path))
+}
+
 func TestFairnessIsJainsIndex(t *testing.T) {
 	results := []Result{{Account: 0, Outcome: Whole}, {Account: 1, Outcome: Failed, Reason: "deadline"}}
 	assert.Equal(t, Summarize(workload(nil), results).Fairness, 0.5)
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -1,8 +1,6 @@
 package load
 
 import (
-	"time"
-
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
 	"gonum.org/v1/plot"
@@ -14,21 +12,31 @@
 const (
 	plotWidth  = 16 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+	// plotMargin widens the axis, which must span more than one value.
+	plotMargin = 1.1
 )
 
 // Plot writes the distributions of the first-token time and the time between
 // tokens to a PNG file.
 func (r *Report) Plot(path string) error {
+	if r.firstToken.TotalCount() == 0 {
+		return errors.New("no answer began, so there is nothing to plot; look at the refusals and failures")
+	}
 	p := plot.New()
 	p.Title.Text = "Requests up to a latency"
 	p.X.Label.Text = "milliseconds"
 	p.Y.Label.Text = "fraction"
 	p.X.Scale = plot.LogScale{}
 	p.X.Tick.Marker = plot.LogTicks{Prec: -1}
-	err := plotutil.AddLines(p, "first token", distribution(r.firstToken), "between tokens", distribution(r.between))
-	if err != nil {
+	lines := []any{"first token", distribution(r.firstToken)}
+	if r.between.TotalCount() > 0 {
+		lines = append(lines, "between tokens", distribution(r.between))
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
 		return errors.Trace(err)
 	}
+	p.X.Min /= plotMargin
+	p.X.Max *= plotMargin
 	p.Legend.Left = true
 	p.Legend.Top = true
 	return errors.Annotatef(p.Save(plotWidth, plotHeight, path), "writing the plot to %s", path)
@@ -36,13 +44,12 @@
 
 // distribution returns the points of a histogram's cumulative distribution.
 func distribution(h *hdrhistogram.Histogram) plotter.XYs {
-	points := plotter.XYs{{X: 1, Y: 0}}
+	var points plotter.XYs
 	for _, bracket := range h.CumulativeDistribution() {
-		micros := max(float64(bracket.ValueAt), minMicros)
-		points = append(points, plotter.XY{
-			X: micros / float64(time.Millisecond/time.Microsecond),
-			Y: bracket.Quantile / 100,
-		})
+		if len(points) == 0 {
+			points = append(points, plotter.XY{X: milliseconds(bracket.ValueAt)})
+		}
+		points = append(points, plotter.XY{X: milliseconds(bracket.ValueAt), Y: bracket.Quantile / 100})
 	}
 	return points
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -127,11 +127,15 @@
 	_ = h.RecordValue(micros)
 }
 
+// milliseconds converts a histogram's value.
+func milliseconds(micros int64) float64 {
+	return float64(micros) / float64(time.Millisecond/time.Microsecond)
+}
+
 func quantiles(h *hdrhistogram.Histogram) Quantiles {
-	ms := func(micros int64) float64 { return float64(micros) / float64(time.Millisecond/time.Microsecond) }
 	return Quantiles{
-		Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
-		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+		Count: h.TotalCount(), P50: milliseconds(h.ValueAtQuantile(50)), P95: milliseconds(h.ValueAtQuantile(95)),
+		P99: milliseconds(h.ValueAtQuantile(99)), Max: milliseconds(h.Max()),
 	}
 }
 
