--- /dev/null
+++ b/coord/gossip/gossip_test.go
@@ -0,0 +1,132 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const expiry = 3 * time.Second
+
+func newTable(vm, dataCentre, incarnation string) *Table {
+	return New(Options{VM: vm, DataCentre: dataCentre, Address: vm, Incarnation: incarnation, Fanout: 2, Remote: 1, Expiry: expiry})
+}
+
+// pull has one table learn all that another one can tell it.
+func pull(now time.Time, to, from *Table) []string {
+	return to.Merge(now, from.opts.VM, from.Delta(to.opts.DataCentre, to.Known()))
+}
+
+func TestPullGetsOnlyNewerEntries(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := newTable("a", "praha", "1"), newTable("b", "praha", "1")
+	a.Publish("load", Local, []byte("1"))
+	assert.DeepEqual(t, pull(now, b, a), []string{"a"})
+	assert.Equal(t, len(pull(now, b, a)), 0)
+	a.Tick(0, false)
+	delta := a.Delta("praha", b.Known())
+	assert.Equal(t, len(delta), 1)
+	assert.Equal(t, len(delta[0].Entries), 0)
+}
+
+func TestLocalEntriesStayInDataCentre(t *testing.T) {
+	a, b := newTable("a", "praha", "1"), newTable("b", "brno", "1")
+	a.Publish("load", Local, []byte("1"))
+	a.Publish("summary", Global, []byte("2"))
+	pull(time.Unix(0, 0), b, a)
+	n, _ := b.Get("a")
+	assert.Assert(t, n.Entry("load") == nil)
+	assert.Equal(t, string(n.Entry("summary")), "2")
+}
+
+func TestRestartedNodeIsHeard(t *testing.T) {
+	now := time.Unix(0, 0)
+	old, b, c := newTable("a", "praha", "x"), newTable("b", "praha", "1"), newTable("c", "praha", "1")
+	for range 10 {
+		old.Tick(0, false)
+	}
+	old.Publish("load", Local, []byte("old"))
+	pull(now, b, old)
+	pull(now, c, old)
+	// The new process's counter starts lower than the old one's ended.
+	pull(now, b, newTable("a", "praha", "k"))
+	n, _ := b.Get("a")
+	assert.Equal(t, n.Incarnation, "k")
+	assert.Assert(t, n.Entry("load") == nil)
+	// What c still knows of the old process is stale.
+	pull(now, b, c)
+	n, _ = b.Get("a")
+	assert.Equal(t, n.Incarnation, "k")
+}
+
+func TestStaleIncarnationFromThirdNode(t *testing.T) {
+	now := time.Unix(0, 0)
+	b, c := newTable("b", "praha", "1"), newTable("c", "praha", "1")
+	second, third := newTable("a", "praha", "second"), newTable("a", "praha", "third")
+	pull(now, c, second)
+	pull(now, b, third)
+	pull(now, b, c)
+	n, _ := b.Get("a")
+	assert.Equal(t, n.Incarnation, "third")
+	// Once the live one falls silent, another one may be learned from c, and
+	// the node itself is always believed.
+	later := now.Add(expiry + time.Second)
+	pull(later, b, c)
+	n, _ = b.Get("a")
+	assert.Equal(t, n.Incarnation, "second")
+	pull(later, b, third)
+	n, _ = b.Get("a")
+	assert.Equal(t, n.Incarnation, "third")
+}
+
+func TestSilentNodeExpires(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := newTable("a", "praha", "1"), newTable("b", "praha", "1")
+	pull(now, b, a)
+	assert.Equal(t, len(b.Live(now, "praha")), 2)
+	// Hearing the same counter again from a third node proves nothing.
+	now = now.Add(expiry + time.Nanosecond)
+	pull(now, b, a)
+	assert.Equal(t, len(b.Live(now, "praha")), 1)
+	a.Tick(0, false)
+	pull(now, b, a)
+	assert.Equal(t, len(b.Live(now, "praha")), 2)
+}
+
+// TestSpreadInFewRounds checks that a value reaches all nodes of a data
+// centre of the design size within the rounds that 5 s allow.
+func TestSpreadInFewRounds(t *testing.T) {
+	const nodes, maxRounds = 32, 9
+	now := time.Unix(0, 0)
+	tables := map[string]*Table{}
+	var names []string
+	for i := range nodes {
+		name := fmt.Sprintf("e%02d", i)
+		names = append(names, name)
+		tables[name] = New(Options{VM: name, DataCentre: "praha", Seed: uint64(i), Fanout: 2, Expiry: expiry, Incarnation: "1"})
+	}
+	for _, tab := range tables {
+		for _, name := range names {
+			tab.Seed(name, "praha", name)
+		}
+	}
+	tables["e00"].Publish("x", Local, []byte("1"))
+	for round := 1; ; round++ {
+		assert.Assert(t, round <= maxRounds)
+		have := 0
+		for _, name := range names {
+			for _, n := range tables[name].Tick(0, false) {
+				pull(now, tables[name], tables[n.VM])
+			}
+			n, _ := tables[name].Get("e00")
+			if n.Entry("x") != nil {
+				have++
+			}
+		}
+		if have == nodes {
+			return
+		}
+	}
+}
