--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -6,23 +6,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
-	"time"
 
 	"github.com/juju/errors"
 
 	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
 
-const (
-	dialTimeout         = 500 * time.Millisecond
-	idleTimeout         = 60 * time.Second
-	maxIdlePerEndpoint  = 64
-	maxControlBodyBytes = 64 << 10
-)
+const maxControlBodyBytes = 64 << 10
 
 // ErrFenced means that the endpoint has seen a newer fence and refused.
 var ErrFenced = errors.New("endpoint: the order's fence is older than one already accepted; read the lease again")
@@ -45,55 +38,14 @@
 // Client calls endpoints and other entry VMs over HTTP. It is safe for
 // concurrent use.
 type Client struct {
-	http *http.Client
-	// bytes counts what the client's connections sent and received.
-	bytes atomic.Int64
-}
-
-// NewClient returns a client that keeps connections open between calls.
-func NewClient() *Client {
-	c := &Client{}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.http = &http.Client{
-		Transport: &http.Transport{
-			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, address)
-				if err != nil {
-					return nil, err
-				}
-				return &countingConn{Conn: conn, bytes: &c.bytes}, nil
-			},
-			MaxIdleConnsPerHost: maxIdlePerEndpoint,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-		},
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-	return c
-}
-
-// Bytes returns how many bytes the client's connections have carried.
-func (c *Client) Bytes() int64 { return c.bytes.Load() }
-
-// CloseIdle closes connections that carry no request.
-func (c *Client) CloseIdle() { c.http.CloseIdleConnections() }
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
+	http *transport.Client
 }
 
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
+// NewClient returns a client over the transport.
+func NewClient(t *transport.Client) *Client { return &Client{http: t} }
 
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
+// URL returns the base URL of an address that this client calls.
+func (c *Client) URL(address string) string { return c.http.URL(address) }
 
 // onceBody hides the type of a body from net/http, which otherwise resends a
 // request on a fresh connection when a kept one breaks, as it does for every
@@ -136,7 +88,7 @@
 
 func (c *Client) control(ctx context.Context, method, address, path string, body []byte) (member.Report, error) {
 	var report member.Report
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
+	req, err := http.NewRequestWithContext(ctx, method, c.URL(address)+path, nil)
 	if err != nil {
 		return report, errors.Trace(err)
 	}
--- a/internal/endpoint/client_test.go
+++ b/internal/endpoint/client_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
 
 // closingServer answers the first request of each connection and closes the
@@ -64,7 +66,7 @@
 
 func TestDoNeverResends(t *testing.T) {
 	address, requests := closingServer(t)
-	c := NewClient()
+	c := NewClient(transport.New(nil))
 	assert.NilError(t, post(t, c.Do, address))
 	err := post(t, c.Do, address)
 	assert.Assert(t, err != nil)
@@ -76,7 +78,7 @@
 
 func TestPlainClientResendsKeyedPost(t *testing.T) {
 	address, requests := closingServer(t)
-	c := NewClient()
+	c := NewClient(transport.New(nil))
 	plain := func(req *http.Request, _ []byte) (*http.Response, error) { return c.http.Do(req) }
 	assert.NilError(t, post(t, plain, address))
 	assert.NilError(t, post(t, plain, address))
@@ -88,7 +90,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	l.Close()
-	err = post(t, NewClient().Do, address)
+	err = post(t, NewClient(transport.New(nil)).Do, address)
 	var notSent *NotSentError
 	assert.Assert(t, errors.As(err, &notSent))
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -82,7 +82,7 @@
 		ans.fail(NotSent, problem.New(problem.Internal, err.Error(), "report it with the request id"))
 		return ans
 	}
-	resp, err := s.client.Do(hr, c.body)
+	resp, err := s.clientOf(a.Target()).Do(hr, c.body)
 	if err != nil {
 		s.classify(ans, ctx, err)
 		return ans
@@ -92,13 +92,20 @@
 	return ans
 }
 
+func (s *Server) clientOf(t Target) *endpoint.Client {
+	if t.Peer {
+		return s.peers
+	}
+	return s.endpoints
+}
+
 func (s *Server) newRequest(ctx context.Context, req *request, a Attempt, c call) (*http.Request, error) {
 	t := a.Target()
 	path := c.path
 	if t.Peer {
 		path = c.peerPath
 	}
-	hr, err := http.NewRequestWithContext(ctx, c.method, "http://"+t.Address+path, nil)
+	hr, err := http.NewRequestWithContext(ctx, c.method, s.clientOf(t).URL(t.Address)+path, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,7 +32,8 @@
 type Options struct {
 	VM         string
 	Backend    Backend
-	Client     *endpoint.Client
+	Endpoints  *endpoint.Client // calls endpoints
+	Peers      *endpoint.Client // calls other entry VMs
 	Logger     *slog.Logger
 	Registry   metrics.Registry
 	Tracer     trace.Tracer
@@ -46,7 +47,8 @@
 type Server struct {
 	vm         string
 	backend    Backend
-	client     *endpoint.Client
+	endpoints  *endpoint.Client
+	peers      *endpoint.Client
 	log        *slog.Logger
 	registry   metrics.Registry
 	tracer     trace.Tracer
@@ -60,7 +62,7 @@
 // New returns a server. Its handlers are had from Callers and Forwarded.
 func New(o Options) *Server {
 	return &Server{
-		vm: o.VM, backend: o.Backend, client: o.Client, log: o.Logger,
+		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
 		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody, maxAnswer: o.MaxAnswer,
 		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, now: time.Now,
 	}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,188 @@
+// Package peers carries messages between entry VMs over twirp.
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pimentoshore/pimentoshore/coord/config"
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
+	"github.com/pimentoshore/pimentoshore/internal/transport"
+)
+
+// callTimeout bounds one call to another entry VM.
+const callTimeout = 2 * time.Second
+
+// Message is a typed value that one node tells another.
+type Message struct {
+	Kind string
+	Body []byte // JSON of the type that the kind names
+}
+
+// Handler answers other entry VMs.
+type Handler interface {
+	// Exchange returns what the node of the data centre doesn't know yet.
+	Exchange(vm, dataCentre string, known map[string]gossip.Seen) []gossip.Node
+	// Since returns the changes after a number, or a snapshot if they don't
+	// reach back that far.
+	Since(after uint64) ([]config.Change, *config.Snapshot)
+	// Tell takes in a message and returns the one that answers it. A zero
+	// message is no answer.
+	Tell(ctx context.Context, from string, m Message) (Message, error)
+}
+
+// Server implements the twirp service over a Handler.
+type Server struct {
+	handler Handler
+}
+
+var _ peerspb.Peers = (*Server)(nil)
+
+// NewServer returns the twirp service.
+func NewServer(h Handler) *Server { return &Server{handler: h} }
+
+// Exchange implements peerspb.Peers.
+func (s *Server) Exchange(_ context.Context, req *peerspb.ExchangeRequest) (*peerspb.ExchangeResponse, error) {
+	known := make(map[string]gossip.Seen, len(req.Known))
+	for _, k := range req.Known {
+		known[k.Vm] = gossip.Seen{Incarnation: k.Incarnation, Version: k.Version}
+	}
+	resp := &peerspb.ExchangeResponse{}
+	for _, n := range s.handler.Exchange(req.Vm, req.DataCentre, known) {
+		resp.States = append(resp.States, encodeNode(n))
+	}
+	return resp, nil
+}
+
+// FetchConfiguration implements peerspb.Peers.
+func (s *Server) FetchConfiguration(_ context.Context, req *peerspb.FetchConfigurationRequest) (*peerspb.FetchConfigurationResponse, error) {
+	changes, snapshot := s.handler.Since(req.After)
+	resp := &peerspb.FetchConfigurationResponse{}
+	for _, c := range changes {
+		value, err := json.Marshal(c)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		resp.Changes = append(resp.Changes, value)
+	}
+	if snapshot == nil {
+		return resp, nil
+	}
+	value, err := json.Marshal(snapshot)
+	resp.Snapshot = value
+	return resp, errors.Trace(err)
+}
+
+// Tell implements peerspb.Peers.
+func (s *Server) Tell(ctx context.Context, req *peerspb.TellRequest) (*peerspb.TellResponse, error) {
+	answer, err := s.handler.Tell(ctx, req.From, Message{Kind: req.Kind, Body: req.Body})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &peerspb.TellResponse{Kind: answer.Kind, Body: answer.Body}, nil
+}
+
+func encodeNode(n gossip.Node) *peerspb.NodeState {
+	s := &peerspb.NodeState{
+		Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, Address: n.Address,
+		Version: n.Version, Configuration: n.Configuration, Stopping: n.Stopping,
+	}
+	for _, e := range n.Entries {
+		s.Entries = append(s.Entries, &peerspb.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: uint32(e.Scope)})
+	}
+	return s
+}
+
+func decodeNode(s *peerspb.NodeState) gossip.Node {
+	n := gossip.Node{
+		VM: s.Vm, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
+		Version: s.Version, Configuration: s.Configuration, Stopping: s.Stopping,
+	}
+	for _, e := range s.Entries {
+		n.Entries = append(n.Entries, gossip.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: gossip.Scope(e.Scope)})
+	}
+	return n
+}
+
+// Client calls other entry VMs. It is safe for concurrent use.
+type Client struct {
+	vm         string
+	dataCentre string
+	http       *transport.Client
+
+	mu     sync.Mutex
+	twirps map[string]peerspb.Peers // by address
+}
+
+// NewClient returns the client of a node.
+func NewClient(vm, dataCentre string, t *transport.Client) *Client {
+	return &Client{vm: vm, dataCentre: dataCentre, http: t, twirps: map[string]peerspb.Peers{}}
+}
+
+func (c *Client) at(address string) peerspb.Peers {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.twirps[address]
+	if !ok {
+		t = peerspb.NewPeersProtobufClient(c.http.URL(address), &c.http.Client)
+		c.twirps[address] = t
+	}
+	return t
+}
+
+// Exchange pulls what the node at the address knows beyond known.
+func (c *Client) Exchange(ctx context.Context, address string, known map[string]gossip.Seen) ([]gossip.Node, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req := &peerspb.ExchangeRequest{Vm: c.vm, DataCentre: c.dataCentre}
+	for vm, seen := range known {
+		req.Known = append(req.Known, &peerspb.Seen{Vm: vm, Incarnation: seen.Incarnation, Version: seen.Version})
+	}
+	resp, err := c.at(address).Exchange(ctx, req)
+	if err != nil {
+		return nil, errors.Annotatef(err, "exchange with %s", address)
+	}
+	nodes := make([]gossip.Node, 0, len(resp.States))
+	for _, s := range resp.States {
+		nodes = append(nodes, decodeNode(s))
+	}
+	return nodes, nil
+}
+
+// FetchConfiguration returns what follows a number of the configuration.
+func (c *Client) FetchConfiguration(ctx context.Context, address string, after uint64) ([]config.Change, *config.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.at(address).FetchConfiguration(ctx, &peerspb.FetchConfigurationRequest{After: after})
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "configuration from %s", address)
+	}
+	var changes []config.Change
+	for _, value := range resp.Changes {
+		var change config.Change
+		if err := json.Unmarshal(value, &change); err != nil {
+			return nil, nil, errors.Annotatef(err, "configuration from %s", address)
+		}
+		changes = append(changes, change)
+	}
+	if len(resp.Snapshot) == 0 {
+		return changes, nil, nil
+	}
+	snapshot := &config.Snapshot{}
+	err = json.Unmarshal(resp.Snapshot, snapshot)
+	return changes, snapshot, errors.Annotatef(err, "configuration from %s", address)
+}
+
+// Tell delivers a message and returns its answer.
+func (c *Client) Tell(ctx context.Context, address string, m Message) (Message, error) {
+	resp, err := c.at(address).Tell(ctx, &peerspb.TellRequest{From: c.vm, Kind: m.Kind, Body: m.Body})
+	if err != nil {
+		return Message{}, errors.Annotatef(err, "%s to %s", m.Kind, address)
+	}
+	return Message{Kind: resp.Kind, Body: resp.Body}, nil
+}
--- a/internal/peers/peerspb/peers.twirp.go
+++ b/internal/peers/peerspb/peers.twirp.go
@@ -41,15 +41,8 @@
 	// FetchConfiguration returns the changes after a number, or a snapshot.
 	FetchConfiguration(context.Context, *FetchConfigurationRequest) (*FetchConfigurationResponse, error)
 
-	// AskPromise asks a candidate not to take the lease over for a while.
-	AskPromise(context.Context, *AskPromiseRequest) (*AskPromiseResponse, error)
-
-	// Tell delivers a message between the coordinator and a home node.
+	// Tell delivers a message of one of the coordination protocols.
 	Tell(context.Context, *TellRequest) (*TellResponse, error)
-
-	// ReadOutcome asks the claimant of an idempotency key for its outcome and
-	// waits for it while the call runs.
-	ReadOutcome(context.Context, *ReadOutcomeRequest) (*ReadOutcomeResponse, error)
 }
 
 // =====================
@@ -58,7 +51,7 @@
 
 type peersProtobufClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -86,12 +79,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "pimentoshore.peers", "Peers")
-	urls := [5]string{
+	urls := [3]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchConfiguration",
-		serviceURL + "AskPromise",
 		serviceURL + "Tell",
-		serviceURL + "ReadOutcome",
 	}
 
 	return &peersProtobufClient{
@@ -194,52 +185,6 @@
 	return out, nil
 }
 
-func (c *peersProtobufClient) AskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	caller := c.callAskPromise
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return c.callAskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersProtobufClient) callAskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	out := new(AskPromiseResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 func (c *peersProtobufClient) Tell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
 	ctx = ctxsetters.WithServiceName(ctx, "Peers")
@@ -271,53 +216,7 @@
 
 func (c *peersProtobufClient) callTell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	out := new(TellResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-func (c *peersProtobufClient) ReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	caller := c.callReadOutcome
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return c.callReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersProtobufClient) callReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	out := new(ReadOutcomeResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -338,7 +237,7 @@
 
 type peersJSONClient struct {
 	client      HTTPClient
-	urls        [5]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -366,12 +265,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "pimentoshore.peers", "Peers")
-	urls := [5]string{
+	urls := [3]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchConfiguration",
-		serviceURL + "AskPromise",
 		serviceURL + "Tell",
-		serviceURL + "ReadOutcome",
 	}
 
 	return &peersJSONClient{
@@ -474,52 +371,6 @@
 	return out, nil
 }
 
-func (c *peersJSONClient) AskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	caller := c.callAskPromise
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return c.callAskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersJSONClient) callAskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	out := new(AskPromiseResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 func (c *peersJSONClient) Tell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
 	ctx = ctxsetters.WithServiceName(ctx, "Peers")
@@ -551,53 +402,7 @@
 
 func (c *peersJSONClient) callTell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	out := new(TellResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
-func (c *peersJSONClient) ReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	caller := c.callReadOutcome
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return c.callReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersJSONClient) callReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	out := new(ReadOutcomeResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[4], in, out)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
 		if !ok {
@@ -715,15 +520,9 @@
 	case "FetchConfiguration":
 		s.serveFetchConfiguration(ctx, resp, req)
 		return
-	case "AskPromise":
-		s.serveAskPromise(ctx, resp, req)
-		return
 	case "Tell":
 		s.serveTell(ctx, resp, req)
 		return
-	case "ReadOutcome":
-		s.serveReadOutcome(ctx, resp, req)
-		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1091,186 +890,6 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peersServer) serveAskPromise(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveAskPromiseJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveAskPromiseProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
-}
-
-func (s *peersServer) serveAskPromiseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(AskPromiseRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-
-	handler := s.Peers.AskPromise
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return s.Peers.AskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AskPromiseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AskPromiseResponse and nil error while calling AskPromise. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *peersServer) serveAskPromiseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(AskPromiseRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
-		return
-	}
-
-	handler := s.Peers.AskPromise
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return s.Peers.AskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AskPromiseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AskPromiseResponse and nil error while calling AskPromise. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
 func (s *peersServer) serveTell(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
@@ -1451,186 +1070,6 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peersServer) serveReadOutcome(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveReadOutcomeJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveReadOutcomeProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
-}
-
-func (s *peersServer) serveReadOutcomeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(ReadOutcomeRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-
-	handler := s.Peers.ReadOutcome
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return s.Peers.ReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *ReadOutcomeResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadOutcomeResponse and nil error while calling ReadOutcome. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *peersServer) serveReadOutcomeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(ReadOutcomeRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
-		return
-	}
-
-	handler := s.Peers.ReadOutcome
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return s.Peers.ReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *ReadOutcomeResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadOutcomeResponse and nil error while calling ReadOutcome. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
 func (s *peersServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -2212,47 +1651,40 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 669 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0x4d, 0x6f, 0xd3, 0x40,
-	0x10, 0x55, 0x3e, 0xdc, 0xa4, 0x93, 0x14, 0xca, 0x92, 0x83, 0x6b, 0x09, 0x35, 0x32, 0x05, 0x22,
-	0xa4, 0xba, 0xa2, 0x15, 0x5c, 0x10, 0x07, 0xa8, 0x8a, 0xd4, 0x0b, 0x54, 0x5b, 0xb8, 0x80, 0x44,
-	0xe5, 0xd8, 0xd3, 0xc4, 0x4a, 0xb2, 0x6b, 0x76, 0x37, 0x81, 0xfc, 0x04, 0x7e, 0x23, 0x7f, 0x06,
-	0x79, 0x77, 0x9d, 0x38, 0xb5, 0x4b, 0x11, 0x97, 0x76, 0xdf, 0xec, 0x9b, 0x37, 0x3b, 0x33, 0x2f,
-	0x32, 0xf8, 0x09, 0x53, 0x28, 0x58, 0x38, 0x3d, 0x4a, 0x11, 0x85, 0x34, 0x7f, 0xd3, 0xa1, 0xf9,
-	0x1f, 0xa4, 0x82, 0x2b, 0x4e, 0x48, 0x9a, 0xcc, 0x90, 0x29, 0x2e, 0xc7, 0x5c, 0x60, 0xa0, 0x6f,
-	0xfc, 0x5f, 0x75, 0xd8, 0xfe, 0xc0, 0x63, 0xbc, 0x54, 0xa1, 0x42, 0x72, 0x0f, 0xea, 0x8b, 0x99,
-	0x5b, 0xeb, 0xd7, 0x06, 0xdb, 0xb4, 0xbe, 0x98, 0x91, 0x3e, 0x74, 0x12, 0x16, 0x85, 0x82, 0x85,
-	0x2a, 0xe1, 0xcc, 0xad, 0xeb, 0x8b, 0x62, 0x88, 0xec, 0x43, 0x27, 0x0e, 0x55, 0x78, 0x15, 0x21,
-	0x53, 0x02, 0xdd, 0x86, 0x66, 0x40, 0x16, 0x3a, 0xd5, 0x11, 0xe2, 0x42, 0x2b, 0x8c, 0x63, 0x81,
-	0x52, 0xba, 0x4d, 0x7d, 0x99, 0xc3, 0xec, 0x66, 0x81, 0x42, 0x66, 0xc2, 0x4e, 0xbf, 0x36, 0x68,
-	0xd2, 0x1c, 0x92, 0x03, 0xd8, 0x89, 0x38, 0xbb, 0x4e, 0x46, 0x73, 0x61, 0x0a, 0x6f, 0xe9, 0xfb,
-	0xcd, 0x20, 0xf1, 0xa0, 0x2d, 0x15, 0x4f, 0xd3, 0x84, 0x8d, 0xdc, 0x56, 0xbf, 0x36, 0x68, 0xd3,
-	0x15, 0x26, 0x27, 0xd0, 0xca, 0xca, 0x27, 0x28, 0xdd, 0x76, 0xbf, 0x31, 0xe8, 0x1c, 0xef, 0x05,
-	0xe5, 0xe6, 0x83, 0x33, 0xa6, 0xc4, 0x92, 0xe6, 0x4c, 0xff, 0x0a, 0x1c, 0x1d, 0x21, 0xbb, 0xd0,
-	0x98, 0xe0, 0xd2, 0xce, 0x21, 0x3b, 0x92, 0x1e, 0x38, 0x8b, 0x70, 0x3a, 0x47, 0x3d, 0x82, 0x2e,
-	0x35, 0xa0, 0xd8, 0x41, 0x63, 0xb3, 0x83, 0x1e, 0x38, 0x32, 0xe2, 0x29, 0xea, 0x9e, 0x77, 0xa8,
-	0x01, 0x3e, 0x85, 0xe6, 0x25, 0x22, 0xfb, 0x8f, 0x31, 0xdf, 0x5a, 0xc9, 0x17, 0x70, 0xff, 0xec,
-	0x67, 0x34, 0x0e, 0xd9, 0x08, 0x29, 0x7e, 0x9f, 0xa3, 0x54, 0x25, 0xf9, 0x1b, 0x3b, 0xaa, 0x97,
-	0x76, 0x14, 0x80, 0x33, 0x61, 0xfc, 0x47, 0xa6, 0x9d, 0xcd, 0xca, 0xad, 0x9a, 0x55, 0xf6, 0x70,
-	0x6a, 0x68, 0xfe, 0x39, 0xec, 0xae, 0x6b, 0xca, 0x94, 0x33, 0x89, 0xe4, 0x25, 0x6c, 0xc9, 0xcc,
-	0x43, 0xd2, 0xad, 0x69, 0x91, 0x47, 0x55, 0x22, 0x2b, 0xa7, 0x51, 0x4b, 0xf6, 0x5f, 0xc0, 0xde,
-	0x7b, 0x54, 0xd1, 0xf8, 0xb4, 0xb8, 0xda, 0xbc, 0x91, 0x1e, 0x38, 0xe1, 0xb5, 0x42, 0xa1, 0x7b,
-	0x69, 0x52, 0x03, 0x7c, 0x0a, 0x5e, 0x55, 0x8a, 0x7d, 0x87, 0x0b, 0x2d, 0xf3, 0x32, 0xf3, 0x90,
-	0x2e, 0xcd, 0xa1, 0xf6, 0x0b, 0x0b, 0x53, 0x39, 0xe6, 0xca, 0xae, 0x71, 0x85, 0xfd, 0x43, 0x78,
-	0xf0, 0x56, 0x4e, 0x2e, 0x04, 0x9f, 0x25, 0x72, 0x35, 0x47, 0x17, 0x5a, 0xc2, 0x1c, 0xf5, 0x03,
-	0xba, 0x34, 0x87, 0xfe, 0x73, 0x20, 0x45, 0xba, 0x2d, 0xdd, 0x03, 0x47, 0x60, 0x3a, 0x5d, 0x5a,
-	0xb6, 0x01, 0xfe, 0x39, 0x74, 0x3e, 0xe1, 0x74, 0x9a, 0x8b, 0x12, 0x68, 0x5e, 0x0b, 0x9e, 0xaf,
-	0x47, 0x9f, 0xb3, 0xd8, 0x24, 0x61, 0xb1, 0xdd, 0x8c, 0x3e, 0x67, 0xb1, 0x21, 0x8f, 0x97, 0x7a,
-	0xdd, 0x5d, 0xaa, 0xcf, 0xfe, 0x2b, 0xe8, 0x1a, 0x29, 0x5b, 0x30, 0xcf, 0xab, 0x55, 0xe4, 0xd5,
-	0x0b, 0x79, 0x43, 0x20, 0x14, 0xc3, 0xf8, 0xe3, 0x5c, 0x45, 0x7c, 0x56, 0x6c, 0x2f, 0x8c, 0x22,
-	0x3e, 0x67, 0xca, 0x0a, 0xe4, 0x30, 0xf7, 0x7f, 0x7d, 0xed, 0xff, 0x1b, 0x0e, 0x6d, 0x94, 0x1c,
-	0xea, 0x1f, 0xc1, 0xc3, 0x8d, 0x1a, 0xeb, 0x75, 0x70, 0x13, 0xca, 0x67, 0x68, 0xe1, 0xf1, 0xef,
-	0x06, 0x38, 0x17, 0x99, 0x2b, 0xc8, 0x67, 0x68, 0xe7, 0x76, 0x22, 0x8f, 0x2b, 0x7f, 0xa7, 0x9b,
-	0x06, 0xf7, 0x0e, 0xfe, 0x4e, 0xb2, 0xa5, 0x25, 0x90, 0xb2, 0x4f, 0xc8, 0x61, 0x55, 0xee, 0xad,
-	0x16, 0xf4, 0x82, 0x7f, 0xa5, 0xdb, 0xa2, 0x5f, 0x01, 0xd6, 0xce, 0x20, 0x4f, 0xaa, 0xb2, 0x4b,
-	0x46, 0xf3, 0x9e, 0xde, 0x45, 0xb3, 0xe2, 0xe7, 0xd0, 0xcc, 0xf6, 0x4f, 0xf6, 0xab, 0xf8, 0x05,
-	0x93, 0x79, 0xfd, 0xdb, 0x09, 0x56, 0xea, 0x1b, 0x74, 0x0a, 0xeb, 0x22, 0x95, 0x2f, 0x28, 0x7b,
-	0xc6, 0x7b, 0x76, 0x27, 0xcf, 0xe8, 0xbf, 0x7b, 0xf3, 0xe5, 0xf5, 0x28, 0x51, 0xe3, 0xf9, 0x30,
-	0x88, 0xf8, 0xec, 0xa8, 0x98, 0xb4, 0x09, 0xaa, 0x3f, 0x5b, 0xc3, 0x2d, 0xfd, 0xc5, 0x3a, 0xf9,
-	0x13, 0x00, 0x00, 0xff, 0xff, 0xa6, 0x0e, 0xe2, 0x6c, 0xd7, 0x06, 0x00, 0x00,
+	// 551 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x54, 0xcf, 0x6e, 0xda, 0x4e,
+	0x10, 0x96, 0x8d, 0x1d, 0xc8, 0x40, 0x7e, 0xbf, 0x68, 0xc5, 0xc1, 0x41, 0xaa, 0x62, 0xb9, 0x39,
+	0x70, 0xa9, 0xa3, 0x26, 0x6a, 0x2f, 0x55, 0x2f, 0x8d, 0x52, 0x89, 0x4b, 0x55, 0x6d, 0xda, 0x4b,
+	0x2f, 0xd1, 0x62, 0x0f, 0x60, 0x01, 0xbb, 0xee, 0xee, 0x42, 0xcb, 0x23, 0xf4, 0x25, 0xfa, 0xac,
+	0xd5, 0xee, 0xda, 0x04, 0x8a, 0xa9, 0xaa, 0x5e, 0x60, 0xbf, 0x99, 0x6f, 0xfe, 0x7d, 0x33, 0x32,
+	0x24, 0x05, 0xd7, 0x28, 0x39, 0x5b, 0x5c, 0x97, 0x88, 0x52, 0xb9, 0xdf, 0x72, 0xec, 0xfe, 0xd3,
+	0x52, 0x0a, 0x2d, 0x08, 0x29, 0x8b, 0x25, 0x72, 0x2d, 0xd4, 0x4c, 0x48, 0x4c, 0xad, 0x27, 0xf9,
+	0xe1, 0xc3, 0xe9, 0x07, 0x91, 0xe3, 0x83, 0x66, 0x1a, 0xc9, 0x7f, 0xe0, 0xaf, 0x97, 0x91, 0x17,
+	0x7b, 0xc3, 0x53, 0xea, 0xaf, 0x97, 0x24, 0x86, 0x6e, 0xc1, 0x33, 0x26, 0x39, 0xd3, 0x85, 0xe0,
+	0x91, 0x6f, 0x1d, 0xbb, 0x26, 0x72, 0x09, 0xdd, 0x9c, 0x69, 0xf6, 0x98, 0x21, 0xd7, 0x12, 0xa3,
+	0x96, 0x65, 0x80, 0x31, 0xdd, 0x59, 0x0b, 0x89, 0xa0, 0xcd, 0xf2, 0x5c, 0xa2, 0x52, 0x51, 0x60,
+	0x9d, 0x35, 0x34, 0x9e, 0x35, 0x4a, 0x65, 0x12, 0x87, 0xb1, 0x37, 0x0c, 0x68, 0x0d, 0xc9, 0x15,
+	0x9c, 0x65, 0x82, 0x4f, 0x8a, 0xe9, 0x4a, 0xba, 0xc2, 0x27, 0xd6, 0xbf, 0x6f, 0x24, 0x03, 0xe8,
+	0x28, 0x2d, 0xca, 0xb2, 0xe0, 0xd3, 0xa8, 0x1d, 0x7b, 0xc3, 0x0e, 0xdd, 0x62, 0x72, 0x0b, 0x6d,
+	0x53, 0xbe, 0x40, 0x15, 0x75, 0xe2, 0xd6, 0xb0, 0x7b, 0x73, 0x91, 0x1e, 0x0e, 0x9f, 0xde, 0x73,
+	0x2d, 0x37, 0xb4, 0x66, 0x26, 0x8f, 0x10, 0x5a, 0x0b, 0x39, 0x87, 0xd6, 0x1c, 0x37, 0x95, 0x0e,
+	0xe6, 0x49, 0xfa, 0x10, 0xae, 0xd9, 0x62, 0x85, 0x56, 0x82, 0x1e, 0x75, 0x60, 0x77, 0x82, 0xd6,
+	0xfe, 0x04, 0x7d, 0x08, 0x55, 0x26, 0x4a, 0xb4, 0x33, 0x9f, 0x51, 0x07, 0x12, 0x0a, 0xc1, 0x03,
+	0x22, 0xff, 0x07, 0x99, 0x8f, 0x56, 0x4a, 0x24, 0xfc, 0x7f, 0xff, 0x3d, 0x9b, 0x31, 0x3e, 0x45,
+	0x8a, 0x5f, 0x57, 0xa8, 0xf4, 0x41, 0xfa, 0xdf, 0x76, 0xe4, 0x1f, 0xec, 0x28, 0x85, 0x70, 0xce,
+	0xc5, 0x37, 0x93, 0xdb, 0x68, 0x15, 0x35, 0x69, 0x65, 0x1a, 0xa7, 0x8e, 0x96, 0x8c, 0xe0, 0xfc,
+	0xa9, 0xa6, 0x2a, 0x05, 0x57, 0x48, 0x5e, 0xc1, 0x89, 0x32, 0x37, 0xa4, 0x22, 0xcf, 0x26, 0x79,
+	0xd6, 0x94, 0x64, 0x7b, 0x69, 0xb4, 0x22, 0x27, 0x2f, 0xe1, 0xe2, 0x3d, 0xea, 0x6c, 0x76, 0xb7,
+	0xbb, 0xda, 0x7a, 0x90, 0x3e, 0x84, 0x6c, 0xa2, 0x51, 0xda, 0x59, 0x02, 0xea, 0x40, 0x42, 0x61,
+	0xd0, 0x14, 0x52, 0xf5, 0x11, 0x41, 0xdb, 0x75, 0xe6, 0x1a, 0xe9, 0xd1, 0x1a, 0xda, 0x7b, 0xe1,
+	0xac, 0x54, 0x33, 0xa1, 0xab, 0x35, 0x6e, 0x71, 0x32, 0x82, 0xee, 0x27, 0x5c, 0x2c, 0xea, 0xc2,
+	0x04, 0x82, 0x89, 0x14, 0xb5, 0x86, 0xf6, 0x6d, 0x6c, 0xf3, 0x82, 0xe7, 0x95, 0x7c, 0xf6, 0x6d,
+	0x6c, 0x63, 0x91, 0x6f, 0xec, 0x4e, 0x7a, 0xd4, 0xbe, 0x93, 0xd7, 0xd0, 0x73, 0xa9, 0xaa, 0x86,
+	0xea, 0x38, 0xaf, 0x21, 0xce, 0x7f, 0x8a, 0xbb, 0xf9, 0xe9, 0x43, 0xf8, 0xd1, 0xa8, 0x44, 0x3e,
+	0x43, 0xa7, 0x96, 0x97, 0x3c, 0x6f, 0xbc, 0xdb, 0xfd, 0x85, 0x0f, 0xae, 0xfe, 0x4c, 0xaa, 0x1a,
+	0x51, 0x40, 0x0e, 0x75, 0x23, 0x2f, 0x9a, 0x62, 0x8f, 0xae, 0x64, 0x90, 0xfe, 0x2d, 0xbd, 0x2a,
+	0x3a, 0x82, 0xc0, 0xa8, 0x41, 0x2e, 0x9b, 0xe2, 0x76, 0x24, 0x1f, 0xc4, 0xc7, 0x09, 0x2e, 0xd5,
+	0xbb, 0xb7, 0x5f, 0xde, 0x4c, 0x0b, 0x3d, 0x5b, 0x8d, 0xd3, 0x4c, 0x2c, 0xaf, 0x77, 0xd9, 0xfb,
+	0xa0, 0xf9, 0x4b, 0x38, 0x3e, 0xb1, 0x1f, 0xc1, 0xdb, 0x5f, 0x01, 0x00, 0x00, 0xff, 0xff, 0x82,
+	0x30, 0x43, 0x29, 0x2a, 0x05, 0x00, 0x00,
 }
