Serve the whole path: entry daemon over the coordination library

Purpose: a request from a caller to a whole group and back through separate parts. internal/daemon feeds the state machines of coord (configuration, gossip, lease, groups, budgets, routing, admission) and carries out their effects; no lock is held during I/O.

Found by the first run of TestWholePath and mended: - a stream's last event carries no id and was dropped as a repeat; - a request for a model that nothing served waited in the queue until its deadline (20 s in the run); it is now refused at once with a retry hint.

Client accounts' limits are divided by a second lease, for which coordinators are candidates. Claims are a first version, without batches or expiry.

--- a/coord/gossip/gossip.go
+++ b/coord/gossip/gossip.go
@@ -328,6 +328,9 @@
 	return p.node, true
 }
 
+// Names lists the other nodes by name.
+func (t *Table) Names() []string { return t.names }
+
 // Forget drops a node that neither settings nor the inventory name any more.
 func (t *Table) Forget(vm string) {
 	if _, ok := t.peers[vm]; !ok {
@@ -337,3 +340,13 @@
 	i, _ := slices.BinarySearch(t.names, vm)
 	t.names = slices.Delete(t.names, i, i+1)
 }
+
+// Silence returns how long ago a node's counter was last seen to advance; 0
+// for this node itself.
+func (t *Table) Silence(now time.Time, vm string) time.Duration {
+	p, ok := t.peers[vm]
+	if !ok {
+		return 0
+	}
+	return now.Sub(p.heard)
+}
--- /dev/null
+++ b/internal/daemon/cluster_test.go
@@ -0,0 +1,251 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/trace/noop"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/config"
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
+	"github.com/pimentoshore/pimentoshore/internal/configstore"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
+	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
+	"github.com/pimentoshore/pimentoshore/internal/standin/service"
+)
+
+const (
+	testKey     = "test-key"
+	testModel   = "gloves"
+	testService = "glove-orders"
+	// settleTimeout bounds how long the cluster may take to reach a state.
+	settleTimeout = 30 * time.Second
+)
+
+// cluster is a small system in one process: a table, engines, services and
+// entry VMs in several data centres.
+type cluster struct {
+	t        *testing.T
+	table    *memtable.Table
+	doc      inventory.Document
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+	nodes    map[string]*runningNode
+	starts   []func()
+}
+
+type runningNode struct {
+	*Node
+	callers string
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newCluster(t *testing.T, dataCentres ...string) *cluster {
+	t.Helper()
+	c := &cluster{
+		t: t, table: memtable.New(memtable.Options{}),
+		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, nodes: map[string]*runningNode{},
+	}
+	hash := sha256.Sum256([]byte(testKey))
+	c.doc = inventory.Document{
+		Models: []inventory.Model{{Name: testModel, GroupSize: 2, MaxInFlight: 16, ColdInFlight: 4}},
+		Services: []inventory.Service{{
+			Name: testService, MaxInFlight: 16, ColdInFlight: 4,
+			Routes: []inventory.Route{{Method: http.MethodPost, Prefix: "/orders", NotRunStatuses: []int{http.StatusServiceUnavailable}}},
+		}},
+		ClientAccounts: []inventory.ClientAccount{{Name: "archive", MaxInFlight: 64, KeyHashes: []string{hex.EncodeToString(hash[:])}}},
+	}
+	for _, dc := range dataCentres {
+		c.addDataCentre(dc)
+	}
+	return c
+}
+
+func (c *cluster) addDataCentre(dc string) {
+	c.doc.DataCentres = append(c.doc.DataCentres, inventory.DataCentre{Name: dc, Region: "cz"})
+	for i := range 3 {
+		c.addEngine(dc, fmt.Sprintf("%s-m%d", dc, i))
+	}
+	c.addService(dc, dc+"-s0")
+}
+
+func (c *cluster) serve(h http.Handler) string {
+	srv := httptest.NewServer(h)
+	c.t.Cleanup(srv.CloseClientConnections)
+	c.t.Cleanup(srv.Close)
+	return strings.TrimPrefix(srv.URL, "http://")
+}
+
+func (c *cluster) addEngine(dc, vm string) {
+	e := engine.New(engine.Options{VM: vm, ChecksFencing: true, LoadTime: 50 * time.Millisecond, TokenTime: time.Millisecond})
+	c.engines[vm] = e
+	c.doc.VMs = append(c.doc.VMs, inventory.VM{
+		Name: vm, DataCentre: dc, FabricDomain: "f1", Role: inventory.RoleModel,
+		Address: c.serve(e), ChecksFencing: true, Accelerators: 2,
+	})
+}
+
+func (c *cluster) addService(dc, vm string) {
+	s := service.New(service.Options{VM: vm})
+	c.services[vm] = s
+	c.doc.VMs = append(c.doc.VMs, inventory.VM{
+		Name: vm, DataCentre: dc, Role: inventory.RoleService, Service: testService, Address: c.serve(s),
+	})
+}
+
+// addNode opens an entry VM's ports and declares it.
+func (c *cluster) addNode(dc, vm string) {
+	l, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	set := settings.Default()
+	set.VM, set.DataCentre = vm, dc
+	set.Listen = settings.Listen{Callers: l.Callers.Addr().String(), Peers: l.Peers.Addr().String(), Operators: l.Operators.Addr().String()}
+	set.Intervals.Probe = 100 * time.Millisecond
+	set.Intervals.Exchange = 100 * time.Millisecond
+	set.Intervals.Lease = 3 * time.Second
+	set.Intervals.ConfigPoll = 200 * time.Millisecond
+	set.Limits.RequestTimeout = 20 * time.Second
+	c.doc.VMs = append(c.doc.VMs, inventory.VM{Name: vm, DataCentre: dc, Role: inventory.RoleEntry, Address: set.Listen.Peers})
+	c.starts = append(c.starts, func() { c.start(set, l) })
+}
+
+// startAll starts the nodes added so far.
+func (c *cluster) startAll() {
+	for _, start := range c.starts {
+		start()
+	}
+	c.starts = nil
+}
+
+func (c *cluster) start(set settings.Settings, l Listeners) {
+	out := io.Discard
+	if testing.Verbose() {
+		out = os.Stderr
+	}
+	n := New(Options{
+		Settings: set, Logger: slog.New(slog.NewTextHandler(out, nil)).With("vm", set.VM),
+		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: c.table,
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	r := &runningNode{Node: n, callers: set.Listen.Callers, stop: stop, done: make(chan struct{})}
+	c.nodes[set.VM] = r
+	go func() {
+		defer close(r.done)
+		if err := n.Run(ctx, l); err != nil {
+			c.t.Error(err)
+		}
+	}()
+	c.t.Cleanup(func() {
+		stop()
+		<-r.done
+	})
+}
+
+// apply puts the cluster's document in force.
+func (c *cluster) apply() {
+	c.t.Helper()
+	var vms []platform.VMStatus
+	for _, vm := range c.doc.VMs {
+		vms = append(vms, platform.VMStatus{Name: vm.Name})
+	}
+	c.table.SetVMs(vms)
+	ctx := context.Background()
+	base, err := configstore.New(c.table).Read(ctx)
+	assert.NilError(c.t, err)
+	_, err = configstore.New(c.table).Propose(ctx, base, config.Normalize(c.doc), "test")
+	assert.NilError(c.t, err)
+}
+
+// eventually polls until the condition holds.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(settleTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", settleTimeout, what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// call sends a caller's request to a node.
+func (c *cluster) call(vm, method, path, body string, header ...string) (status int, answer string, h http.Header) {
+	c.t.Helper()
+	req, err := http.NewRequest(method, "http://"+c.nodes[vm].callers+path, strings.NewReader(body))
+	assert.NilError(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(c.t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(c.t, err)
+	return resp.StatusCode, string(raw), resp.Header
+}
+
+// serves reports whether a node answers a completion.
+func (c *cluster) serves(vm string) bool {
+	status, _, _ := c.call(vm, http.MethodPost, "/v1/completions", `{"model":"gloves","prompt":"cotton","max_tokens":4}`)
+	return status == http.StatusOK
+}
+
+func TestWholePath(t *testing.T) {
+	c := newCluster(t, "praha", "brno")
+	c.addNode("praha", "praha-e0")
+	c.addNode("praha", "praha-e1")
+	c.addNode("brno", "brno-e0")
+	c.startAll()
+	c.apply()
+	eventually(t, "a completion through every node", func() bool {
+		return c.serves("praha-e0") && c.serves("praha-e1") && c.serves("brno-e0")
+	})
+
+	t.Run("stream", func(t *testing.T) {
+		status, answer, h := c.call("praha-e0", http.MethodPost, "/v1/chat/completions",
+			`{"model":"gloves","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"which gloves for vellum?"}]}`)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, strings.HasSuffix(strings.TrimSpace(answer), "data: [DONE]"), answer)
+		assert.Assert(t, strings.HasPrefix(h.Get("Pimentoshore-Hops"), "praha-e0>"), h)
+	})
+	t.Run("order once through two nodes", func(t *testing.T) {
+		body := `{"order_id":"o-1","item":"cotton gloves","quantity":12}`
+		status, first, _ := c.call("praha-e0", http.MethodPost, "/services/glove-orders/orders", body, "Idempotency-Key", "k-1")
+		assert.Equal(t, status, http.StatusOK, first)
+		eventually(t, "the recorded answer through another data centre", func() bool {
+			status, again, _ := c.call("brno-e0", http.MethodPost, "/services/glove-orders/orders", body, "Idempotency-Key", "k-1")
+			return status == http.StatusOK && again == first
+		})
+		runs := 0
+		for _, s := range c.services {
+			runs += s.Runs().Total
+		}
+		assert.Equal(t, runs, 1)
+	})
+	t.Run("refusals", func(t *testing.T) {
+		status, _, _ := c.call("praha-e0", http.MethodGet, "/v1/models", "", "Authorization", "Bearer wrong")
+		assert.Equal(t, status, http.StatusUnauthorized)
+		status, answer, _ := c.call("praha-e0", http.MethodPost, "/v1/completions", `{"model":"nope"}`)
+		assert.Equal(t, status, http.StatusNotFound)
+		assert.Assert(t, strings.Contains(answer, `"ran":"no"`), answer)
+		status, _, _ = c.call("praha-e0", http.MethodPost, "/v1/completions", `{"model":`)
+		assert.Equal(t, status, http.StatusBadRequest)
+	})
+}
--- /dev/null
+++ b/internal/daemon/exchange.go
@@ -0,0 +1,179 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pimentoshore/pimentoshore/coord/budget"
+	"github.com/pimentoshore/pimentoshore/coord/config"
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/internal/peers"
+)
+
+// Kinds of messages between entry VMs.
+const (
+	kindDigest   = "config.digest"   // config.Digest
+	kindPromise  = "lease.promise"   // promiseAsk, answered by lease.PromiseReply
+	kindAnnounce = "budget.announce" // budget.Announce, answered by budget.Usage
+	kindGrants   = "budget.grants"   // []budget.Grant, answered by budget.Usage
+	kindUsage    = "budget.usage"    // budget.Usage
+)
+
+// messageTimeout bounds a message between entry VMs.
+const messageTimeout = time.Second
+
+// sendTo tells another node something. A node's messages to itself are taken
+// in at once. The answer, if any, is handed to then with mu held. mu is held.
+func (n *Node) sendTo(vm, kind string, message any, then func(now time.Time, body []byte)) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		n.log.Error("a message could not be encoded", "kind", kind, "error", err)
+		return
+	}
+	if vm == n.set.VM {
+		n.spawn(func(context.Context) { n.tellSelf(kind, body, then) })
+		return
+	}
+	node, ok := n.gossip.Get(vm)
+	if !ok || node.Address == "" {
+		return
+	}
+	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, messageTimeout)
+		defer cancel()
+		answer, err := n.peers.Tell(ctx, node.Address, peers.Message{Kind: kind, Body: body})
+		if err != nil {
+			n.log.Debug("a message was not answered", "kind", kind, "to", vm, "error", err)
+			return
+		}
+		if then != nil && len(answer.Body) > 0 {
+			n.locked(func(now time.Time) { then(now, answer.Body) })
+		}
+	})
+}
+
+func (n *Node) tellSelf(kind string, body []byte, then func(now time.Time, body []byte)) {
+	answer, err := n.Tell(n.ctx, n.set.VM, peers.Message{Kind: kind, Body: body})
+	if err == nil && then != nil && len(answer.Body) > 0 {
+		n.locked(func(now time.Time) { then(now, answer.Body) })
+	}
+}
+
+// Tell implements peers.Handler.
+func (n *Node) Tell(_ context.Context, from string, m peers.Message) (peers.Message, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	switch m.Kind {
+	case kindDigest:
+		return take(m, func(d config.Digest) (any, bool) {
+			n.digests[d.VM] = d
+			n.stepConfig(now, config.DigestReceived{Digest: d})
+			return nil, false
+		})
+	case kindPromise:
+		return take(m, func(ask promiseAsk) (any, bool) {
+			reply := n.stepLease(now, n.officeOf(ask.Office), lease.PromiseAsked{Request: ask.Request})
+			return reply, reply != nil
+		})
+	case kindAnnounce:
+		return take(m, func(a budget.Announce) (any, bool) { return n.takeAnnounce(from, a) })
+	case kindGrants:
+		return take(m, func(g []budget.Grant) (any, bool) { return n.takeGrants(now, g) })
+	case kindUsage:
+		return take(m, func(u budget.Usage) (any, bool) {
+			n.takeUsage(now, n.ledgerOf(u.Source), u)
+			return nil, false
+		})
+	}
+	return peers.Message{}, errors.NotSupportedf("message kind %q", m.Kind)
+}
+
+func (n *Node) officeOf(name string) *office {
+	if name == accountsOffice {
+		return n.accounts
+	}
+	return n.lease
+}
+
+// take decodes a message, hands it on and encodes what answers it.
+func take[T any](m peers.Message, f func(T) (any, bool)) (peers.Message, error) {
+	var v T
+	if err := json.Unmarshal(m.Body, &v); err != nil {
+		return peers.Message{}, errors.Annotatef(err, "message %s", m.Kind)
+	}
+	answer, ok := f(v)
+	if !ok {
+		return peers.Message{}, nil
+	}
+	body, err := json.Marshal(answer)
+	return peers.Message{Kind: m.Kind, Body: body}, errors.Trace(err)
+}
+
+// Since implements peers.Handler.
+func (n *Node) Since(after uint64) ([]config.Change, *config.Snapshot) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.config.Since(after)
+}
+
+// Exchange implements peers.Handler.
+func (n *Node) Exchange(_, dataCentre string, known map[string]gossip.Seen) []gossip.Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gossip.Delta(dataCentre, known)
+}
+
+// exchange pulls news from a few nodes and reports usage.
+func (n *Node) exchange(context.Context) {
+	n.locked(func(now time.Time) {
+		n.publishLoad(now)
+		targets := n.gossip.Tick(n.config.Number(), n.stopping)
+		for _, target := range targets {
+			known := n.gossip.Known()
+			n.spawn(func(ctx context.Context) { n.pull(ctx, target, known) })
+		}
+		n.reportUsage()
+		n.stepConfig(now, n.peersChanged(now))
+	})
+}
+
+func (n *Node) pull(ctx context.Context, target gossip.Node, known map[string]gossip.Seen) {
+	delta, err := n.peers.Exchange(ctx, target.Address, known)
+	if err != nil {
+		n.log.Debug("an exchange failed", "with", target.VM, "error", err)
+		return
+	}
+	n.locked(func(now time.Time) {
+		for _, vm := range n.gossip.Merge(now, target.VM, delta) {
+			if node, ok := n.gossip.Get(vm); ok {
+				n.learnGroups(now, node)
+			}
+		}
+	})
+}
+
+func (n *Node) peersChanged(now time.Time) config.PeersChanged {
+	var ev config.PeersChanged
+	for _, node := range n.gossip.Live(now, "") {
+		switch {
+		case node.VM == n.set.VM:
+		case node.DataCentre == n.set.DataCentre:
+			ev.Local = append(ev.Local, node.VM)
+		default:
+			ev.Remote = append(ev.Remote, node.VM)
+		}
+	}
+	return ev
+}
+
+func (n *Node) addressOf(vm string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node, _ := n.gossip.Get(vm)
+	return node.Address
+}
--- /dev/null
+++ b/internal/daemon/groups.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/group"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+)
+
+const (
+	vmListInterval = 5 * time.Second
+	// groupEntry prefixes the gossip keys of groups.
+	groupEntry = "group/"
+)
+
+// published is a group as its coordinator spreads it.
+type published struct {
+	Term  uint64      `json:"term"`
+	Group group.Group `json:"group"`
+}
+
+// groupView is what this node knows of the groups of all data centres.
+type groupView struct {
+	byID map[string]published
+}
+
+// stepManager feeds the groups' manager. mu is held.
+func (n *Node) stepManager(now time.Time, ev group.Event) {
+	effects := n.manager.Step(now, ev)
+	for _, effect := range effects {
+		n.runManager(effect)
+	}
+	if len(effects) > 0 {
+		n.publishGroups(now)
+	}
+}
+
+func (n *Node) runManager(effect group.Effect) {
+	switch e := effect.(type) {
+	case group.ReadRow:
+		n.spawn(n.readGroups)
+	case group.WriteRow:
+		n.spawn(func(ctx context.Context) { n.writeGroups(ctx, e) })
+	case group.SendOrder:
+		n.spawn(func(ctx context.Context) { n.sendOrder(ctx, e) })
+	case group.Progress:
+		n.log.Info("group "+string(e.Notice), "group", e.Group, "generation", e.Generation, "member", e.VM)
+	}
+}
+
+func (n *Node) readGroups(ctx context.Context) {
+	rows, err := n.platform.Get(ctx, group.RowKey(n.set.DataCentre))
+	n.locked(func(now time.Time) {
+		if err != nil {
+			n.stepManager(now, group.RowReadFailed{})
+			return
+		}
+		n.stepManager(now, group.RowRead{Value: rows[0].Value, Revision: rows[0].Revision})
+	})
+}
+
+func (n *Node) writeGroups(ctx context.Context, e group.WriteRow) {
+	key := group.RowKey(n.set.DataCentre)
+	revision, err := n.platform.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Revision: e.Revision}},
+		Writes:     []platform.Write{{Key: key, Value: e.Value}},
+	})
+	n.locked(func(now time.Time) {
+		n.stepManager(now, group.RowWritten{Token: e.Token, Outcome: groupOutcome(err), Revision: revision})
+	})
+}
+
+func groupOutcome(err error) group.WriteOutcome {
+	switch {
+	case err == nil:
+		return group.WriteApplied
+	case errors.Is(err, platform.ErrConflict):
+		return group.WriteConflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return group.WriteNotWritten
+	}
+	return group.WriteUnknown
+}
+
+// sendOrder sends an order unless the lease has grown too short for it.
+func (n *Node) sendOrder(ctx context.Context, e group.SendOrder) {
+	timeout := orderTimeout(n.set)
+	var address string
+	allowed := false
+	sent := time.Now()
+	n.locked(func(now time.Time) {
+		sent = now
+		allowed = n.lease.MayOrder(now, timeout)
+		if vm, ok := n.index.vms[e.Order.VM]; ok {
+			address = vm.Address
+		}
+	})
+	done := group.OrderDone{VM: e.Order.VM, Fence: e.Order.Fence, Failed: true}
+	if !allowed || address == "" {
+		n.locked(func(now time.Time) { n.stepManager(now, done) })
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	report, err := n.prober.Order(ctx, address, e.Order)
+	if err != nil {
+		n.log.Warn("an order failed", "to", e.Order.VM, "action", e.Order.Action, "error", err)
+	}
+	n.locked(func(now time.Time) {
+		done.Failed = err != nil
+		n.stepManager(now, done)
+		if err == nil {
+			n.observe(now, sent, report)
+		}
+	})
+}
+
+// publishGroups spreads this coordinator's groups. mu is held.
+func (n *Node) publishGroups(now time.Time) {
+	g, held := n.lease.Held(now)
+	if !held {
+		return
+	}
+	current := map[string]bool{}
+	for _, grp := range n.manager.Groups() {
+		p := published{Term: g.Term, Group: grp}
+		current[grp.ID] = true
+		n.groups.put(p)
+		if value, err := json.Marshal(p); err == nil {
+			n.gossip.Publish(groupEntry+grp.ID, gossip.Global, value)
+		}
+	}
+	for _, id := range n.groups.of(n.set.DataCentre) {
+		if !current[id] {
+			n.groups.drop(id)
+			n.gossip.Withdraw(groupEntry + id)
+		}
+	}
+	n.updateMembers(now)
+}
+
+// withdrawGroups stops spreading groups that another coordinator decides now.
+// mu is held.
+func (n *Node) withdrawGroups() {
+	self, _ := n.gossip.Get(n.set.VM)
+	for _, e := range self.Entries {
+		if strings.HasPrefix(e.Key, groupEntry) {
+			n.gossip.Withdraw(e.Key)
+		}
+	}
+}
+
+// learnGroups takes in the groups that a node spreads. mu is held.
+func (n *Node) learnGroups(now time.Time, node gossip.Node) {
+	known := map[string]bool{}
+	var term uint64
+	for _, e := range node.Entries {
+		if !strings.HasPrefix(e.Key, groupEntry) || len(e.Value) == 0 {
+			continue
+		}
+		var p published
+		if json.Unmarshal(e.Value, &p) != nil {
+			continue
+		}
+		term = max(term, p.Term)
+		known[p.Group.ID] = true
+		n.groups.put(p)
+	}
+	for _, id := range n.groups.of(node.DataCentre) {
+		if !known[id] && term > 0 && n.groups.byID[id].Term <= term {
+			n.groups.drop(id)
+		}
+	}
+	n.updateMembers(now)
+}
+
+// put keeps the newest account of a group: by term, then by generation.
+func (v *groupView) put(p published) {
+	old, ok := v.byID[p.Group.ID]
+	if ok && (p.Term < old.Term || p.Term == old.Term && p.Group.Generation < old.Group.Generation) {
+		return
+	}
+	if v.byID == nil {
+		v.byID = map[string]published{}
+	}
+	v.byID[p.Group.ID] = p
+}
+
+func (v *groupView) drop(id string) { delete(v.byID, id) }
+
+// of lists the groups of a data centre.
+func (v *groupView) of(dataCentre string) []string {
+	var ids []string
+	for id := range v.byID {
+		if strings.HasPrefix(id, dataCentre+"/") {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// readVMList reads the platform's list of VMs on the coordinator.
+func (n *Node) readVMList(ctx context.Context) {
+	coordinating := false
+	n.locked(func(now time.Time) { _, coordinating = n.lease.Held(now) })
+	if !coordinating {
+		return
+	}
+	vms, err := n.platform.VMs(ctx)
+	if err != nil {
+		n.log.Debug("reading the VM list failed", "error", err)
+		return
+	}
+	var leaving []string
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		listed[vm.Name] = true
+		if vm.Leaving {
+			leaving = append(leaving, vm.Name)
+		}
+	}
+	n.locked(func(now time.Time) {
+		n.stepManager(now, group.LeavingVMs{Names: leaving})
+		n.releaseGone(listed)
+	})
+}
--- /dev/null
+++ b/internal/daemon/lease.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/budget"
+	"github.com/pimentoshore/pimentoshore/coord/group"
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+)
+
+// maxCandidates bounds the registrations read of one data centre.
+const maxCandidates = 256
+
+// office is a lease that this node is a candidate of, with the work of its
+// holder.
+type office struct {
+	*lease.Machine
+	name string
+	// won and lost run with mu held.
+	won  func(now time.Time, g lease.Grant)
+	lost func(now time.Time)
+}
+
+// promiseAsk is a request for a promise about one office.
+type promiseAsk struct {
+	Office  string               `json:"office"`
+	Request lease.PromiseRequest `json:"request"`
+}
+
+// newOffice returns the candidacy for the lease of a name.
+func (n *Node) newOffice(name string, seed uint64) *office {
+	interval := n.set.Intervals.Lease / 3
+	return &office{name: name, Machine: lease.New(lease.Options{
+		DataCentre: name, VM: n.set.VM, Incarnation: n.incarnation, Seed: seed,
+		Duration: n.set.Intervals.Lease, Promise: n.set.Intervals.Lease,
+		RenewEvery: interval, PollEvery: interval, AskEvery: interval, RetryEvery: interval / 3,
+		OrderTimeout: orderTimeout(n.set),
+	})}
+}
+
+// stepLease feeds a lease. mu is held.
+func (n *Node) stepLease(now time.Time, o *office, ev lease.Event) (reply *lease.PromiseReply) {
+	for _, effect := range o.Step(now, ev) {
+		if e, ok := effect.(lease.AnswerPromise); ok {
+			reply = &e.Reply
+			continue
+		}
+		n.runLease(now, o, effect)
+	}
+	return reply
+}
+
+func (n *Node) runLease(now time.Time, o *office, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.ReadRows:
+		n.spawn(func(ctx context.Context) { n.readLease(ctx, o, e) })
+	case lease.WriteRow:
+		n.spawn(func(ctx context.Context) { n.writeLease(ctx, o, e) })
+	case lease.RegisterCandidate:
+		n.spawn(func(ctx context.Context) { n.register(ctx, e) })
+	case lease.RemoveCandidate:
+		n.spawn(func(ctx context.Context) { n.unregister(ctx, e) })
+	case lease.AskPromise:
+		n.askPromise(o, e)
+	case lease.BecameHolder:
+		n.log.Info("lease won", "lease", o.name, "term", e.Grant.Term)
+		o.won(now, e.Grant)
+	case lease.LostLease:
+		n.log.Warn("lease lost", "lease", o.name, "term", e.Term, "reason", e.Reason)
+		o.lost(now)
+	}
+}
+
+// readLease reads the registrations' keys first and then all rows in one
+// snapshot. A registration made in between is read the next time.
+func (n *Node) readLease(ctx context.Context, o *office, e lease.ReadRows) {
+	ev, err := n.leaseRows(ctx, e)
+	n.locked(func(now time.Time) {
+		if err != nil {
+			n.stepLease(now, o, lease.ReadFailed{Read: e.ID})
+			return
+		}
+		n.platformSeen = now
+		n.stepLease(now, o, ev)
+	})
+}
+
+func (n *Node) leaseRows(ctx context.Context, e lease.ReadRows) (lease.RowsRead, error) {
+	ev := lease.RowsRead{Read: e.ID}
+	if e.VMs {
+		vms, err := n.platform.VMs(ctx)
+		if err != nil {
+			return ev, err
+		}
+		ev.VMsKnown = true
+		for _, vm := range vms {
+			ev.VMs = append(ev.VMs, vm.Name)
+		}
+	}
+	keys := []string{e.Key, e.Own}
+	if e.Prefix != "" {
+		listed, err := n.platform.List(ctx, e.Prefix, "", maxCandidates)
+		if err != nil {
+			return ev, err
+		}
+		keys = keys[:1]
+		for _, row := range listed {
+			keys = append(keys, row.Key)
+		}
+	}
+	rows, err := n.platform.Get(ctx, keys...)
+	if err != nil {
+		return ev, err
+	}
+	return decodeLease(ev, rows)
+}
+
+func decodeLease(ev lease.RowsRead, rows []platform.Row) (lease.RowsRead, error) {
+	if rows[0].Revision > 0 {
+		ev.Row = &lease.Row{}
+		ev.Revision = rows[0].Revision
+		if err := json.Unmarshal(rows[0].Value, ev.Row); err != nil {
+			return ev, err
+		}
+	}
+	for _, row := range rows[1:] {
+		if row.Revision == 0 {
+			continue
+		}
+		reg := lease.Registration{Revision: row.Revision}
+		if err := json.Unmarshal(row.Value, &reg.Candidate); err != nil {
+			return ev, err
+		}
+		ev.Registrations = append(ev.Registrations, reg)
+	}
+	return ev, nil
+}
+
+func (n *Node) writeLease(ctx context.Context, o *office, e lease.WriteRow) {
+	revision, err := n.commit(ctx, e.Key, e.Revision, e.Row)
+	n.locked(func(now time.Time) {
+		n.stepLease(now, o, lease.WriteAnswered{Token: e.Row.Token, Outcome: leaseOutcome(err), Revision: revision})
+	})
+}
+
+func leaseOutcome(err error) lease.Outcome {
+	switch {
+	case err == nil:
+		return lease.Applied
+	case errors.Is(err, platform.ErrConflict):
+		return lease.Conflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return lease.NotWritten
+	}
+	return lease.Unknown
+}
+
+// commit writes one row if it's at the revision.
+func (n *Node) commit(ctx context.Context, key string, revision uint64, value any) (uint64, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return 0, platform.ErrUnavailable
+	}
+	return n.platform.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: raw}},
+	})
+}
+
+func (n *Node) register(ctx context.Context, e lease.RegisterCandidate) {
+	if _, err := n.commit(ctx, e.Key, e.Revision, e.Candidate); err != nil {
+		n.log.Debug("registering as a candidate failed", "error", err)
+	}
+}
+
+func (n *Node) unregister(ctx context.Context, e lease.RemoveCandidate) {
+	_, err := n.platform.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: e.Key, Revision: e.Revision}},
+		Writes:     []platform.Write{{Key: e.Key, Delete: true}},
+	})
+	if err != nil {
+		n.log.Debug("removing a candidate failed", "key", e.Key, "error", err)
+	}
+}
+
+func (n *Node) askPromise(o *office, e lease.AskPromise) {
+	ask := promiseAsk{Office: o.name, Request: e.Request}
+	n.sendTo(e.Candidate, kindPromise, ask, func(now time.Time, body []byte) {
+		var reply lease.PromiseReply
+		if json.Unmarshal(body, &reply) == nil {
+			n.stepLease(now, o, lease.PromiseAnswered{Reply: reply})
+		}
+	})
+}
+
+// fencer hands out the fences of this node's orders. mu is held.
+type fencer struct{ n *Node }
+
+// Fence implements group.Fencer.
+func (f fencer) Fence(now time.Time) (member.Fence, bool) {
+	if !f.n.lease.MayOrder(now, orderTimeout(f.n.set)) {
+		return member.Fence{}, false
+	}
+	return f.n.lease.NextFence(now)
+}
+
+// becomeCoordinator starts the work of the data centre's lease holder. It
+// also becomes a candidate for dividing the client accounts' limits. mu is
+// held.
+func (n *Node) becomeCoordinator(now time.Time, g lease.Grant) {
+	n.ledger = n.newLedger(n.set.DataCentre, g.Term, budget.ByHomes)
+	n.accountsCandidate = true
+	n.stepManager(now, group.LeaseGained{Term: g.Term, Fencer: fencer{n}, UnfencedFrom: g.UnfencedFrom})
+}
+
+// stopCoordinating ends the work of the data centre's lease holder. mu is
+// held.
+func (n *Node) stopCoordinating(now time.Time) {
+	n.ledger = nil
+	n.stepManager(now, group.LeaseLost{})
+	n.withdrawGroups()
+}
--- /dev/null
+++ b/internal/daemon/routes.go
@@ -0,0 +1,254 @@
+package daemon
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/route"
+)
+
+// Gossip keys of loads.
+const (
+	loadEntry    = "load"    // loads of one node's shares, within the data centre
+	summaryEntry = "summary" // loads of a data centre, spread by its coordinator
+)
+
+// load is what a node or a data centre holds of one target.
+type load struct {
+	Limit    int `json:"limit"`
+	InFlight int `json:"in_flight"`
+	// Node is the entry VM to which other data centres send requests.
+	Node string `json:"node,omitempty"`
+}
+
+// loads holds the load of each target by name.
+type loads map[string]load
+
+// refreshEndpoints tells the routing table which endpoints may get work from
+// this node now. mu is held.
+func (n *Node) refreshEndpoints(now time.Time) {
+	for id, p := range n.groups.byID {
+		dataCentre := n.vmDataCentre(p.Group.Members)
+		if !n.mayServe(now, id, dataCentre) {
+			continue
+		}
+		incarnation, whole := n.groupIncarnation(now, &p.Group)
+		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
+			Name: id, Incarnation: incarnation, Target: p.Group.Model, Generation: p.Group.Generation,
+			Serving: whole && !p.Group.Draining && !n.anyOut(p.Group.Members),
+		}})
+	}
+	for i := range n.servedServices(now) {
+		vm := n.servedServices(now)[i]
+		r, _, _ := n.reports.Report(vm.name)
+		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
+			Name: vm.name, Incarnation: r.Incarnation, Target: serviceTarget(vm.service),
+			Serving: n.fresh(now, vm.name) && !n.index.out(vm.name),
+		}})
+	}
+}
+
+// serviceTarget names a service among the routing table's targets.
+func serviceTarget(service string) string { return "service/" + service }
+
+type servedVM struct{ name, service string }
+
+// servedServices lists the service VMs that this node may dispatch to.
+func (n *Node) servedServices(now time.Time) []servedVM {
+	var vms []servedVM
+	if n.index.doc == nil {
+		return nil
+	}
+	for i := range n.index.doc.VMs {
+		vm := &n.index.doc.VMs[i]
+		if vm.Service != "" && n.mayServe(now, vm.Name, vm.DataCentre) {
+			vms = append(vms, servedVM{vm.Name, vm.Service})
+		}
+	}
+	return vms
+}
+
+func (n *Node) anyOut(vms []string) bool {
+	for _, vm := range vms {
+		if n.index.out(vm) {
+			return true
+		}
+	}
+	return false
+}
+
+// updateMembers drops what this node knows of endpoints that are no more. mu
+// is held.
+func (n *Node) updateMembers(now time.Time) {
+	for _, name := range n.knownEndpoints {
+		_, isGroup := n.groups.byID[name]
+		_, isVM := n.index.vms[name]
+		if isGroup || isVM {
+			continue
+		}
+		n.routes.Step(now, route.EndpointRemoved{Name: name})
+		if n.ledger != nil {
+			n.ledger.RemoveEndpoint(name)
+		}
+	}
+	n.knownEndpoints = n.knownEndpoints[:0]
+	for id := range n.groups.byID {
+		n.knownEndpoints = append(n.knownEndpoints, id)
+	}
+	for name := range n.index.vms {
+		n.knownEndpoints = append(n.knownEndpoints, name)
+	}
+	sort.Strings(n.knownEndpoints)
+}
+
+// ownLoads sums this node's shares by target. mu is held.
+func (n *Node) ownLoads(now time.Time) loads {
+	sums := loads{}
+	if n.stopping || n.out() {
+		return sums
+	}
+	add := func(target, endpointName string) {
+		s := n.shares.State(endpointName)
+		if s.Limit == 0 {
+			return
+		}
+		l := sums[target]
+		l.Limit += s.Limit
+		l.InFlight += s.InFlight
+		sums[target] = l
+	}
+	for id, p := range n.groups.byID {
+		whole := n.reports.Whole(&p.Group, now)
+		if whole && !p.Group.Draining && !n.anyOut(p.Group.Members) {
+			add(p.Group.Model, id)
+		}
+	}
+	for _, vm := range n.servedServices(now) {
+		if n.fresh(now, vm.name) && !n.index.out(vm.name) {
+			add(serviceTarget(vm.service), vm.name)
+		}
+	}
+	return sums
+}
+
+// out reports whether this node's own data centre is taken out.
+func (n *Node) out() bool {
+	dc, ok := n.index.dataCentres[n.set.DataCentre]
+	return ok && dc.Out
+}
+
+// publishLoad spreads this node's load and, on the coordinator, that of its
+// data centre. mu is held.
+func (n *Node) publishLoad(now time.Time) {
+	n.publish(loadEntry, gossip.Local, n.ownLoads(now))
+	if _, held := n.lease.Held(now); held {
+		n.publish(summaryEntry, gossip.Global, n.summary(now))
+	} else {
+		n.gossip.Withdraw(summaryEntry)
+	}
+	n.readLoads(now)
+}
+
+func (n *Node) publish(key string, scope gossip.Scope, value loads) {
+	raw, err := json.Marshal(value)
+	if err == nil {
+		n.gossip.Publish(key, scope, raw)
+	}
+}
+
+// summary sums the loads of the data centre's live nodes. Requests from other
+// data centres go to the node with the most room.
+func (n *Node) summary(now time.Time) loads {
+	sums := loads{}
+	room := map[string]int{}
+	for _, node := range n.gossip.Live(now, n.set.DataCentre) {
+		for target, l := range decodeLoads(node.Entry(loadEntry)) {
+			s := sums[target]
+			s.Limit += l.Limit
+			s.InFlight += l.InFlight
+			if free := l.Limit - l.InFlight; s.Node == "" || free > room[target] {
+				s.Node = node.VM
+				room[target] = free
+			}
+			sums[target] = s
+		}
+	}
+	return sums
+}
+
+func decodeLoads(raw []byte) loads {
+	var l loads
+	if json.Unmarshal(raw, &l) != nil {
+		return nil
+	}
+	return l
+}
+
+// readLoads passes what other nodes spread on to the routing table. mu is
+// held.
+func (n *Node) readLoads(now time.Time) {
+	live := map[string]bool{}
+	summaries := map[string]bool{}
+	for _, node := range n.gossip.Live(now, "") {
+		if node.VM == n.set.VM || node.Stopping {
+			continue
+		}
+		if node.DataCentre == n.set.DataCentre {
+			live[node.VM] = true
+			n.readPeerLoads(now, node)
+			continue
+		}
+		if sums := decodeLoads(node.Entry(summaryEntry)); sums != nil {
+			summaries[node.DataCentre] = true
+			n.readSummary(now, node.DataCentre, sums)
+		}
+	}
+	for _, name := range n.gossip.Names() {
+		if !live[name] {
+			n.routes.Step(now, route.PeerRemoved{Node: name})
+		}
+	}
+	for name, dc := range n.index.dataCentres {
+		if dc.Out || !summaries[name] {
+			n.routes.Step(now, route.RemoteRemoved{DataCentre: name})
+		}
+	}
+}
+
+func (n *Node) readPeerLoads(now time.Time, node gossip.Node) {
+	held := decodeLoads(node.Entry(loadEntry))
+	for _, target := range n.targets() {
+		l := held[target]
+		n.routes.Step(now, route.PeerReported{Node: node.VM, Target: target, Limit: l.Limit, InFlight: l.InFlight})
+	}
+}
+
+func (n *Node) readSummary(now time.Time, dataCentre string, sums loads) {
+	dc, ok := n.index.dataCentres[dataCentre]
+	if !ok || dc.Out {
+		return
+	}
+	for _, target := range n.targets() {
+		l := sums[target]
+		n.routes.Step(now, route.RemoteReported{
+			DataCentre: dataCentre, Target: target, Limit: l.Limit, InFlight: l.InFlight, Node: l.Node,
+		})
+	}
+}
+
+// targets lists the models and services of the configuration in force.
+func (n *Node) targets() []string {
+	if n.index.doc == nil {
+		return nil
+	}
+	names := make([]string, 0, len(n.index.doc.Models)+len(n.index.doc.Services))
+	for i := range n.index.doc.Models {
+		names = append(names, n.index.doc.Models[i].Name)
+	}
+	for i := range n.index.doc.Services {
+		names = append(names, serviceTarget(n.index.doc.Services[i].Name))
+	}
+	return names
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/internal/gateway"
+	"github.com/pimentoshore/pimentoshore/internal/peers"
+	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxRetries        = 3
+	maxRecordedAnswer = 64 << 10
+	// drainNotice is how long a stopping node goes on taking requests, so
+	// that the balancer and the other nodes hear that it stops.
+	drainNotice = 1 * time.Second
+	pollStop    = 20 * time.Millisecond
+)
+
+// Listeners are the node's open ports.
+type Listeners struct {
+	Callers, Peers, Operators net.Listener
+}
+
+// Listen opens the ports that the settings name.
+func Listen(callers, peerAddress, operators string) (Listeners, error) {
+	var l Listeners
+	var err error
+	open := func(address, key string) net.Listener {
+		if err != nil {
+			return nil
+		}
+		var ln net.Listener
+		ln, err = net.Listen("tcp", address)
+		err = errors.Annotatef(err, "listen.%s; choose an address of this VM and a free port", key)
+		return ln
+	}
+	l.Callers = open(callers, "callers")
+	l.Peers = open(peerAddress, "peers")
+	l.Operators = open(operators, "operators")
+	if err != nil {
+		l.close()
+	}
+	return l, err
+}
+
+func (l Listeners) close() {
+	for _, ln := range []net.Listener{l.Callers, l.Peers, l.Operators} {
+		if ln != nil {
+			ln.Close()
+		}
+	}
+}
+
+// Run serves until the context ends and then stops gracefully.
+func (n *Node) Run(ctx context.Context, l Listeners) error {
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	servers := n.servers(l)
+	var g errgroup.Group
+	for ln, srv := range servers {
+		g.Go(func() error {
+			err := srv.Serve(ln)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return errors.Trace(err)
+		})
+	}
+	n.start(work)
+	<-ctx.Done()
+	n.shutdown(servers)
+	endWork()
+	n.wg.Wait()
+	return errors.Trace(g.Wait())
+}
+
+func (n *Node) servers(l Listeners) map[net.Listener]*http.Server {
+	gw := gateway.New(gateway.Options{
+		VM: n.set.VM, Backend: n, Endpoints: n.endpoints, Peers: n.forwards,
+		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
+		MaxBody: n.set.Limits.MaxBodyBytes, MaxAnswer: maxRecordedAnswer,
+		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries,
+	})
+	twirp := peerspb.NewPeersServer(peers.NewServer(n))
+	mux := http.NewServeMux()
+	mux.Handle(twirp.PathPrefix(), twirp)
+	mux.Handle(gateway.ForwardPrefix+"/", gw.Forwarded())
+	return map[net.Listener]*http.Server{
+		l.Callers:   n.server(gw.Callers()),
+		l.Peers:     n.server(mux),
+		l.Operators: n.server(n.operatorHandler()),
+	}
+}
+
+func (n *Node) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    n.set.Limits.MaxHeaderBytes,
+	}
+}
+
+// shutdown fails the readiness check, gives up the leases and shares, lets
+// requests in flight end within the grace and closes the servers.
+func (n *Node) shutdown(servers map[net.Listener]*http.Server) {
+	n.log.Info("stopping", "grace", n.set.Intervals.StopGrace)
+	n.locked(func(now time.Time) {
+		n.stopping = true
+		n.shares.Stop()
+		n.stepLease(now, n.lease, lease.Stop{})
+		n.stepLease(now, n.accounts, lease.Stop{})
+	})
+	time.Sleep(drainNotice)
+	ctx, cancel := context.WithTimeout(context.Background(), n.set.Intervals.StopGrace)
+	defer cancel()
+	n.awaitHandOver(ctx)
+	var g errgroup.Group
+	for _, srv := range servers {
+		g.Go(func() error { return srv.Shutdown(ctx) })
+	}
+	if err := g.Wait(); err != nil {
+		n.log.Warn("the grace passed with requests in flight", "error", err)
+	}
+}
+
+// awaitHandOver waits until this node holds no lease any more.
+func (n *Node) awaitHandOver(ctx context.Context) {
+	ticker := time.NewTicker(pollStop)
+	defer ticker.Stop()
+	for {
+		done := false
+		n.locked(func(time.Time) {
+			done = n.lease.HandedOver() && (!n.accountsCandidate || n.accounts.HandedOver())
+		})
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			n.log.Warn("the grace passed before the leases were handed over")
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return report, errors.Trace(err)
 	}
+	req.Header.Set("Content-Type", "application/json")
 	resp, err := c.send(req, body)
 	if err != nil {
 		return report, errors.Trace(err)
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -24,8 +24,9 @@
 	Name     string // model or service
 	Account  inventory.ClientAccount
 	Deadline time.Time
-	// PrefixHash identifies the start of the prompt; 0 means no locality.
-	PrefixHash uint64
+	// Prefix holds hashes of the prompt's prefixes, shortest first; empty
+	// means no locality.
+	Prefix []uint64
 	// Forwarded requests are served by this node or refused.
 	Forwarded bool
 	// Exclude lists endpoints that earlier attempts found wanting.
@@ -67,6 +68,14 @@
 	Done(Outcome)
 }
 
+// Admission is the right of one request to make attempts.
+type Admission interface {
+	// Dispatch chooses where the next attempt goes and takes a place there.
+	Dispatch(need Need) (Attempt, error)
+	// Release ends the request.
+	Release()
+}
+
 // ClaimRequest asks for the right to run a keyed request once.
 type ClaimRequest struct {
 	Account     string
@@ -101,11 +110,9 @@
 	Models() []string
 	// Service finds a plain service.
 	Service(name string) (inventory.Service, bool)
-	// Admit waits for a place under the account's limit. It refuses as soon
-	// as it's known that no place comes free before the deadline.
-	Admit(ctx context.Context, need Need) (release func(), err error)
-	// Dispatch chooses where an attempt goes and takes a place there.
-	Dispatch(need Need) (Attempt, error)
+	// Admit waits for a place under the account's limit and at an endpoint.
+	// It refuses as soon as it's known that none comes free in time.
+	Admit(ctx context.Context, need Need) (Admission, error)
 	// Claim returns a claim, or the recorded answer of an earlier run.
 	Claim(ctx context.Context, req ClaimRequest) (Claim, *Recorded, error)
 	// Ready returns why this node should receive no callers, if so.
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -27,13 +27,14 @@
 	}
 	need := Need{
 		Kind: ModelEndpoint, Name: head.Model, Account: req.account, Deadline: req.deadline,
-		PrefixHash: head.prefixHash(), Forwarded: req.forwarded,
+		Prefix: head.prefixHashes(), Forwarded: req.forwarded,
 	}
-	release, err := s.admit(req, need)
+	adm, err := s.backend.Admit(req.ctx(), need)
 	if err != nil {
 		return writeProblem(c, problem.As(err))
 	}
-	defer release()
+	defer adm.Release()
+	req.admission = adm
 	path := strings.TrimPrefix(c.Path(), ForwardPrefix)
 	if head.Stream {
 		return s.stream(req, need, path)
@@ -41,15 +42,6 @@
 	return s.answerWhole(req, need, path)
 }
 
-// admit takes a place under the account's limit; the entry VM that the caller
-// reached has done so for forwarded requests.
-func (s *Server) admit(req *request, need Need) (func(), error) {
-	if req.forwarded {
-		return func() {}, nil
-	}
-	return s.backend.Admit(req.ctx(), need)
-}
-
 // answerWhole delivers an answer only once it has been read whole, so that a
 // broken one can be had anew.
 func (s *Server) answerWhole(req *request, need Need, path string) error {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,8 +31,10 @@
 )
 
 const (
-	// prefixBytes is how much of a prompt identifies its prefix.
-	prefixBytes     = 1024
+	// prefixBlock is the length in bytes of the blocks by which prompts are
+	// compared, of which at most maxPrefixBlocks are.
+	prefixBlock     = 512
+	maxPrefixBlocks = 16
 	maxKeyBytes     = 255
 	maxRequestIDLen = 128
 	hopSeparator    = ">"
@@ -45,6 +47,7 @@
 	body      []byte
 	deadline  time.Time
 	forwarded bool
+	admission Admission
 }
 
 // authenticate returns the account of the bearer key.
@@ -147,11 +150,19 @@
 	return head, nil
 }
 
-// prefixHash identifies the start of the prompt for cache locality.
-func (h completionHead) prefixHash() uint64 {
+// prefixHashes identifies the prompt's prefixes of whole blocks, shortest
+// first, for cache locality.
+func (h completionHead) prefixHashes() []uint64 {
 	text := h.Prompt
 	if len(text) == 0 {
 		text = h.Messages
 	}
-	return xxhash.Sum64(text[:min(len(text), prefixBytes)])
+	blocks := min(len(text)/prefixBlock, maxPrefixBlocks)
+	hashes := make([]uint64, 0, blocks)
+	d := xxhash.New()
+	for i := range blocks {
+		_, _ = d.Write(text[i*prefixBlock : (i+1)*prefixBlock])
+		hashes = append(hashes, d.Sum64())
+	}
+	return hashes
 }
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -27,7 +27,7 @@
 	var last *problem.Error
 	for n := 0; n <= s.maxRetries; n++ {
 		need.Retry = n > 0
-		a, err := s.backend.Dispatch(need)
+		a, err := req.admission.Dispatch(need)
 		if err != nil {
 			if last == nil {
 				last = problem.As(err)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -31,11 +31,12 @@
 		Kind: ServiceEndpoint, Name: service.Name, Account: req.account,
 		Deadline: req.deadline, Forwarded: req.forwarded,
 	}
-	release, err := s.admit(req, need)
+	adm, err := s.backend.Admit(req.ctx(), need)
 	if err != nil {
 		return writeProblem(c, problem.As(err))
 	}
-	defer release()
+	defer adm.Release()
+	req.admission = adm
 	idempotent := idempotentCall(service, c.Request().Method, path)
 	if !idempotent {
 		defer req.detach(s.now())()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// streamEnd is the data of the last event of a completion stream.
+	// streamEnd is the data of the last event of a completion stream, which
+	// carries no id.
 	streamEnd = "[DONE]"
 	// slowCallerTimeout bounds the write of one event to the caller.
 	slowCallerTimeout = 10 * time.Second
@@ -102,6 +103,10 @@
 	if event.Type == "error" {
 		return problem.New(problem.StreamInterrupted, "the endpoint gave the stream up", "retry").MayHaveRun().After(retryDelay)
 	}
+	if event.Data == streamEnd {
+		r.ended = true
+		return r.write("data: " + streamEnd + "\n\n")
+	}
 	id, err := strconv.ParseUint(event.LastEventID, 10, 64)
 	if err != nil || id > r.last+1 {
 		return endpointFailed("the stream left events out")
@@ -110,7 +115,6 @@
 		return nil
 	}
 	r.last = id
-	r.ended = event.Data == streamEnd
 	return r.write("id: " + event.LastEventID + "\ndata: " + event.Data + "\n\n")
 }
 
