Run keyed calls through coord/claim, also by tickets

Cause: the first claims knew nothing of a claimant's life, so that a repeat during the first run got an error. Keyed calls now follow coord/claim: repeats wait for the one outcome at the claimant, claims go to the table in batches, and POST /v1/idempotency-keys hands out tickets that run without the table. A keyed call takes its claim before it asks for admission, so that recorded answers need no endpoint; a refused admission costs a second write.

The platform client and the state machines now share one set of row types.

--- a/coord/claim/record.go
+++ b/coord/claim/record.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 
@@ -67,3 +69,12 @@
 func keyReused() *problem.Error {
 	return problem.New(problem.KeyReused, "the idempotency key belongs to another request", "send this request with a key of its own")
 }
+
+// NewOutcome returns the outcome of an answer with its digest.
+func NewOutcome(statusCode int, contentType string, body []byte) Outcome {
+	sum := sha256.Sum256(body)
+	return Outcome{
+		StatusCode: statusCode, ContentType: contentType,
+		BodyDigest: hex.EncodeToString(sum[:]), Body: body,
+	}
+}
--- a/coord/gossip/gossip.go
+++ b/coord/gossip/gossip.go
@@ -316,6 +316,12 @@
 	return !p.heard.IsZero() && now.Sub(p.heard) <= t.opts.Expiry
 }
 
+// IsLive reports whether another node's counter was lately seen to advance.
+func (t *Table) IsLive(now time.Time, vm string) bool {
+	_, known := t.peers[vm]
+	return known && t.isLive(now, vm)
+}
+
 // Get returns what is known of a node.
 func (t *Table) Get(vm string) (Node, bool) {
 	if vm == t.opts.VM {
--- a/coord/table/table.go
+++ b/coord/table/table.go
@@ -4,28 +4,28 @@
 
 // Row is one row. Revision 0 means that it does not exist.
 type Row struct {
-	Key      string
-	Value    []byte
-	Revision uint64
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
 }
 
 // Condition requires a row to be at a revision; 0 requires its absence.
 type Condition struct {
-	Key      string
-	Revision uint64
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
 }
 
 // Write sets a row, or deletes it.
 type Write struct {
-	Key    string
-	Value  []byte
-	Delete bool
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
 }
 
 // Txn is applied whole if all its conditions hold, and else not at all.
 type Txn struct {
-	Conditions []Condition
-	Writes     []Write
+	Conditions []Condition `json:"conditions"`
+	Writes     []Write     `json:"writes"`
 }
 
 // Outcome is what is known of a transaction.
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	stderrors "errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -197,32 +196,12 @@
 	if err != nil {
 		return config.RowsFailed{}
 	}
-	event := config.RowsRead{}
-	for _, row := range rows {
-		event.Rows = append(event.Rows, table.Row(row))
-	}
-	return event
+	return config.RowsRead{Rows: rows}
 }
 
 func (s *Store) commit(ctx context.Context, txn table.Txn) table.Outcome {
-	var request platform.Txn
-	for _, c := range txn.Conditions {
-		request.Conditions = append(request.Conditions, platform.Condition(c))
-	}
-	for _, w := range txn.Writes {
-		request.Writes = append(request.Writes, platform.Write(w))
-	}
-	_, err := s.table.Commit(ctx, request)
-	switch {
-	case err == nil:
-		return table.Applied
-	case stderrors.Is(err, platform.ErrConflict):
-		return table.Conflict
-	case stderrors.Is(err, platform.ErrUnavailable):
-		return table.NotWritten
-	default:
-		return table.Unknown
-	}
+	_, err := s.table.Commit(ctx, txn)
+	return platform.OutcomeOf(err)
 }
 
 // Edit applies an edit that holds on top of any configuration, and repeats
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -33,6 +33,20 @@
 	return *a, true
 }
 
+// AccountByName implements gateway.Backend.
+func (n *Node) AccountByName(name string) (inventory.ClientAccount, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.index.doc == nil {
+		return inventory.ClientAccount{}, false
+	}
+	i := slices.IndexFunc(n.index.doc.ClientAccounts, func(a inventory.ClientAccount) bool { return a.Name == name })
+	if i < 0 {
+		return inventory.ClientAccount{}, false
+	}
+	return n.index.doc.ClientAccounts[i], true
+}
+
 // Models implements gateway.Backend.
 func (n *Node) Models() []string {
 	n.mu.Lock()
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -3,94 +3,244 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
+	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/gateway"
+	"github.com/pimentoshore/pimentoshore/internal/peers"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
-// claimRow is the row of one idempotency key.
-type claimRow struct {
-	Fingerprint uint64      `json:"fingerprint"`
-	Token       string      `json:"token"`
-	Done        bool        `json:"done,omitempty"`
-	Status      int         `json:"status,omitempty"`
-	Header      http.Header `json:"header,omitempty"`
-	Body        []byte      `json:"body,omitempty"`
+const (
+	// askTimeout bounds the wait for the outcome of a call that another node
+	// runs.
+	askTimeout = 30 * time.Second
+	// keyedSteps is the number of steps that may be pending for one call.
+	keyedSteps = 4
+)
+
+// claimAsk asks a claimant for the outcome of a key.
+type claimAsk struct {
+	Key         claim.Key `json:"key"`
+	Incarnation string    `json:"incarnation"`
 }
 
-// claim implements gateway.Claim.
-type claim struct {
-	node     *Node
-	key      string
-	revision uint64
-	row      claimRow
+// keyedCall implements gateway.KeyedCall.
+type keyedCall struct {
+	node  *Node
+	call  claim.Call
+	steps chan keyedStep
+	// attempt is the one of the last StepDispatch.
+	attempt string
+	ended   bool
 }
 
-func claimKey(req gateway.ClaimRequest) string {
-	return "claim/" + req.Account + "/" + strconv.FormatUint(xxhash.Sum64String(req.Key), 36)
+type keyedStep struct {
+	step    gateway.Step
+	err     error
+	attempt string
 }
 
-// Claim implements gateway.Backend.
-func (n *Node) Claim(ctx context.Context, req gateway.ClaimRequest) (gateway.Claim, *gateway.Recorded, error) {
-	c := &claim{node: n, key: claimKey(req), row: claimRow{Fingerprint: req.Fingerprint, Token: n.incarnation}}
-	revision, err := n.commit(ctx, c.key, 0, c.row)
-	switch {
-	case err == nil:
-		c.revision = revision
-		return c, nil, nil
-	case errors.Is(err, platform.ErrConflict):
-		return n.readClaim(ctx, c)
+// stepClaims feeds the claims. mu is held.
+func (n *Node) stepClaims(now time.Time, ev claim.Event) {
+	for _, effect := range n.claims.Step(now, ev) {
+		n.runClaim(effect)
 	}
-	return nil, nil, problem.New(problem.PlatformDown, "the idempotency key could not be claimed", "retry with the same key").After(retryLater)
 }
 
-func (n *Node) readClaim(ctx context.Context, c *claim) (gateway.Claim, *gateway.Recorded, error) {
-	rows, err := n.platform.Get(ctx, c.key)
-	if err != nil {
-		return nil, nil, problem.New(problem.PlatformDown, "the idempotency key could not be read", "retry with the same key").After(retryLater)
-	}
-	var row claimRow
-	if err := json.Unmarshal(rows[0].Value, &row); err != nil {
-		return nil, nil, problem.As(err)
+func (n *Node) runClaim(effect claim.Effect) {
+	switch e := effect.(type) {
+	case claim.Commit:
+		n.spawn(func(ctx context.Context) { n.commitClaims(ctx, e) })
+	case claim.Read:
+		n.spawn(func(ctx context.Context) { n.readClaims(ctx, e) })
+	case claim.Dispatch:
+		n.pushStep(e.Call, keyedStep{step: gateway.Step{Kind: gateway.StepDispatch}, attempt: e.Attempt})
+	case claim.Forward:
+		n.pushStep(e.Call.ID, keyedStep{step: gateway.Step{Kind: gateway.StepForward, Target: n.peerTarget(e.To.VM)}})
+	case claim.AskPeer:
+		n.askClaimant(e)
+	case claim.ReplyPeer:
+		if ch, ok := n.asks[e.Ask]; ok {
+			ch <- e.Reply
+			delete(n.asks, e.Ask)
+		}
+	case claim.Answer:
+		n.pushStep(e.Call, answerStep(e))
+	case claim.Stopped:
+		n.claimsClosed = true
 	}
+}
+
+func (n *Node) peerTarget(vm string) gateway.Target {
+	node, _ := n.gossip.Get(vm)
+	return gateway.Target{Endpoint: vm, Address: node.Address, Peer: true}
+}
+
+func answerStep(e claim.Answer) keyedStep {
 	switch {
-	case row.Fingerprint != c.row.Fingerprint:
-		return nil, nil, problem.New(problem.KeyReused, "the Idempotency-Key was used for another request", "use a fresh key")
-	case !row.Done:
-		return nil, nil, problem.New(problem.OutcomeUnknown, "an earlier request with this key has no recorded outcome", "check whether it took effect").MayHaveRun()
+	case e.Err != nil:
+		return keyedStep{err: e.Err}
+	case e.Outcome.BodyOmitted:
+		return keyedStep{err: problem.New(problem.OutcomeUnknown,
+			"the call ran and was answered, but its answer was too large to keep",
+			"read the result at the service").MayHaveRun()}
+	}
+	rec := gateway.Recorded{Status: e.Outcome.StatusCode, Header: http.Header{}, Body: e.Outcome.Body}
+	if e.Outcome.ContentType != "" {
+		rec.Header.Set("Content-Type", e.Outcome.ContentType)
 	}
-	return nil, &gateway.Recorded{Status: row.Status, Header: row.Header, Body: row.Body}, nil
+	return keyedStep{step: gateway.Step{Kind: gateway.StepAnswer, Recorded: rec}}
 }
 
-// Release implements gateway.Claim.
-func (c *claim) Release() {
-	c.node.spawn(func(ctx context.Context) {
-		_, err := c.node.platform.Commit(ctx, platform.Txn{
-			Conditions: []platform.Condition{{Key: c.key, Revision: c.revision}},
-			Writes:     []platform.Write{{Key: c.key, Delete: true}},
-		})
+// pushStep hands a call its next step. mu is held.
+func (n *Node) pushStep(call uint64, s keyedStep) {
+	k, ok := n.keyed[call]
+	if !ok {
+		return
+	}
+	select {
+	case k.steps <- s:
+	default:
+		n.log.Error("a keyed call was given more steps than it takes", "key", k.call.Key.Hash)
+	}
+}
+
+func (n *Node) commitClaims(ctx context.Context, e claim.Commit) {
+	revision, err := n.platform.Commit(ctx, e.Txn)
+	n.locked(func(now time.Time) {
+		n.stepClaims(now, claim.Committed{Batch: e.Batch, Outcome: platform.OutcomeOf(err), Revision: revision})
+	})
+}
+
+func (n *Node) readClaims(ctx context.Context, e claim.Read) {
+	rows, err := n.platform.Get(ctx, e.Keys...)
+	n.locked(func(now time.Time) {
 		if err != nil {
-			c.node.log.Warn("a claim could not be released", "error", err)
+			n.stepClaims(now, claim.ReadFailed{Read: e.Read})
+			return
+		}
+		n.stepClaims(now, claim.RowsRead{Read: e.Read, Rows: rows})
+	})
+}
+
+// askClaimant asks the node that runs a call for its outcome. mu is held.
+func (n *Node) askClaimant(e claim.AskPeer) {
+	node, _ := n.gossip.Get(e.To.VM)
+	n.spawn(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		reply := claim.Reply{Kind: claim.ReplyUnreachable}
+		body, err := json.Marshal(claimAsk{Key: e.Key, Incarnation: e.To.Incarnation})
+		if err == nil && node.Address != "" {
+			var answer peers.Message
+			answer, err = n.peers.Tell(ctx, node.Address, peers.Message{Kind: kindAsk, Body: body})
+			if err != nil || json.Unmarshal(answer.Body, &reply) != nil {
+				reply = claim.Reply{Kind: claim.ReplyUnreachable}
+			}
 		}
+		n.locked(func(now time.Time) {
+			n.stepClaims(now, claim.PeerReplied{Key: e.Key, From: e.To, Reply: reply})
+		})
+	})
+}
+
+// answerAsk waits for the outcome that another node asks for.
+func (n *Node) answerAsk(ctx context.Context, ask claimAsk) (claim.Reply, bool) {
+	ch := make(chan claim.Reply, 1)
+	n.locked(func(now time.Time) {
+		n.nextCall++
+		n.asks[n.nextCall] = ch
+		n.stepClaims(now, claim.PeerAsked{Ask: n.nextCall, Key: ask.Key, Incarnation: ask.Incarnation})
 	})
+	select {
+	case reply := <-ch:
+		return reply, true
+	case <-ctx.Done():
+		return claim.Reply{}, false
+	}
 }
 
-// Record implements gateway.Claim.
-func (c *claim) Record(r gateway.Recorded) {
-	c.row.Done = true
-	c.row.Status, c.row.Header, c.row.Body = r.Status, r.Header, r.Body
-	c.node.spawn(func(ctx context.Context) {
-		if _, err := c.node.commit(ctx, c.key, c.revision, c.row); err != nil {
-			c.node.log.Warn("an outcome could not be recorded", "error", err)
+// Keyed implements gateway.Backend.
+func (n *Node) Keyed(req gateway.KeyedRequest) gateway.KeyedCall {
+	k := &keyedCall{node: n, steps: make(chan keyedStep, keyedSteps)}
+	n.locked(func(now time.Time) {
+		n.nextCall++
+		k.call = claim.Call{
+			ID: n.nextCall, Key: claim.NewKey(req.Account, req.Key),
+			Fingerprint: req.Fingerprint, First: req.First,
+		}
+		if t, ok := claim.ParseTicket(req.Key); ok {
+			k.call.Ticket = &t
 		}
+		n.keyed[k.call.ID] = k
+		n.stepClaims(now, claim.Arrived{Call: k.call})
 	})
+	return k
 }
 
-// Unknown implements gateway.Claim.
-func (c *claim) Unknown() {}
+// IssueKey implements gateway.Backend.
+func (n *Node) IssueKey() (key string, valid time.Duration) {
+	n.locked(func(now time.Time) { key = n.claims.IssueTicket(now).String() })
+	return key, claim.DefaultTicketLife
+}
+
+// Next implements gateway.KeyedCall.
+func (k *keyedCall) Next(ctx context.Context) (gateway.Step, error) {
+	select {
+	case s := <-k.steps:
+		k.attempt = s.attempt
+		return s.step, s.err
+	case <-ctx.Done():
+		return gateway.Step{}, problem.New(problem.DeadlineExceeded,
+			"the deadline passed before the outcome of the key was known", "repeat the call with the same key").MayHaveRun()
+	}
+}
+
+// Settle implements gateway.KeyedCall.
+func (k *keyedCall) Settle(outcome gateway.Outcome, rec gateway.Recorded, err *problem.Error) {
+	k.node.locked(func(now time.Time) { k.node.stepClaims(now, k.settled(outcome, rec, err)) })
+}
+
+func (k *keyedCall) settled(outcome gateway.Outcome, rec gateway.Recorded, err *problem.Error) claim.Event {
+	switch outcome {
+	case gateway.Succeeded:
+		return claim.Answered{Key: k.call.Key, Attempt: k.attempt, Outcome: claim.NewOutcome(
+			rec.Status, rec.Header.Get("Content-Type"), rec.Body)}
+	case gateway.NotSent, gateway.Refused:
+		return claim.NotSent{Key: k.call.Key, Attempt: k.attempt, Err: err}
+	}
+	return claim.Failed{Key: k.call.Key, Attempt: k.attempt}
+}
+
+// ForwardFailed implements gateway.KeyedCall. An issuer that refuses
+// connections and has been silent counts as gone: what it left in the table
+// decides then.
+func (k *keyedCall) ForwardFailed(outcome gateway.Outcome) {
+	n := k.node
+	n.locked(func(now time.Time) {
+		reason := claim.IssuerSilent
+		if outcome == gateway.NotSent {
+			reason = claim.IssuerUnreachable
+			if !n.gossip.IsLive(now, k.call.Ticket.Issuer.VM) {
+				reason = claim.IssuerGone
+			}
+		}
+		n.stepClaims(now, claim.ForwardFailed{Call: k.call, Reason: reason})
+	})
+}
+
+// Close implements gateway.KeyedCall.
+func (k *keyedCall) Close() {
+	n := k.node
+	n.locked(func(now time.Time) {
+		if k.ended {
+			return
+		}
+		k.ended = true
+		delete(n.keyed, k.call.ID)
+		n.stepClaims(now, claim.Cancelled{Call: k.call.ID})
+	})
+}
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -21,6 +21,7 @@
 	kindAnnounce = "budget.announce" // budget.Announce, answered by budget.Usage
 	kindGrants   = "budget.grants"   // []budget.Grant, answered by budget.Usage
 	kindUsage    = "budget.usage"    // budget.Usage
+	kindAsk      = "claim.ask"       // claimAsk, answered by claim.Reply
 )
 
 // messageTimeout bounds a message between entry VMs.
@@ -64,7 +65,10 @@
 }
 
 // Tell implements peers.Handler.
-func (n *Node) Tell(_ context.Context, from string, m peers.Message) (peers.Message, error) {
+func (n *Node) Tell(ctx context.Context, from string, m peers.Message) (peers.Message, error) {
+	if m.Kind == kindAsk {
+		return take(m, func(ask claimAsk) (any, bool) { return n.answerAsk(ctx, ask) })
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"strings"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
 	"github.com/pimentoshore/pimentoshore/coord/group"
+	"github.com/pimentoshore/pimentoshore/coord/table"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
@@ -76,12 +76,12 @@
 }
 
 func groupOutcome(err error) group.WriteOutcome {
-	switch {
-	case err == nil:
+	switch platform.OutcomeOf(err) {
+	case table.Applied:
 		return group.WriteApplied
-	case errors.Is(err, platform.ErrConflict):
+	case table.Conflict:
 		return group.WriteConflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case table.NotWritten:
 		return group.WriteNotWritten
 	}
 	return group.WriteUnknown
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/budget"
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/coord/table"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
@@ -149,12 +149,12 @@
 }
 
 func leaseOutcome(err error) lease.Outcome {
-	switch {
-	case err == nil:
+	switch platform.OutcomeOf(err) {
+	case table.Applied:
 		return lease.Applied
-	case errors.Is(err, platform.ErrConflict):
+	case table.Conflict:
 		return lease.Conflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case table.NotWritten:
 		return lease.NotWritten
 	}
 	return lease.Unknown
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/admit"
 	"github.com/pimentoshore/pimentoshore/coord/budget"
+	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/config"
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
 	"github.com/pimentoshore/pimentoshore/coord/group"
@@ -85,8 +86,15 @@
 	retries   *admit.RetryBudget
 	waiting   map[admit.ID]*waiter
 	nextID    admit.ID
-	index     index
-	groups    groupView
+	claims    *claim.State
+	// keyed holds the calls with a key that wait for their next step, asks
+	// the peers that wait for an outcome.
+	keyed        map[uint64]*keyedCall
+	asks         map[uint64]chan claim.Reply
+	nextCall     uint64
+	claimsClosed bool
+	index        index
+	groups       groupView
 	// knownEndpoints lists the endpoints last told to the routing table.
 	knownEndpoints []string
 	stopping       bool
@@ -126,6 +134,9 @@
 		digests: map[string]config.Digest{},
 		ledgers: map[string]ledgerSeen{},
 		waiting: map[admit.ID]*waiter{},
+		claims:  claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
+		keyed:   map[uint64]*keyedCall{},
+		asks:    map[uint64]chan claim.Reply{},
 	}
 	n.lease = n.newOffice(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
@@ -196,6 +207,7 @@
 	n.refreshEndpoints(now)
 	n.routes.Step(now, route.Tick{})
 	n.settle(now, n.admission.Tick(now))
+	n.stepClaims(now, claim.Tick{})
 	n.recordControl()
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/internal/gateway"
 	"github.com/pimentoshore/pimentoshore/internal/peers"
@@ -19,7 +20,6 @@
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxRetries        = 3
-	maxRecordedAnswer = 64 << 10
 	// drainNotice is how long a stopping node goes on taking requests, so
 	// that the balancer and the other nodes hear that it stops.
 	drainNotice = 1 * time.Second
@@ -88,7 +88,7 @@
 	gw := gateway.New(gateway.Options{
 		VM: n.set.VM, Backend: n, Endpoints: n.endpoints, Peers: n.forwards,
 		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
-		MaxBody: n.set.Limits.MaxBodyBytes, MaxAnswer: maxRecordedAnswer,
+		MaxBody:    n.set.Limits.MaxBodyBytes,
 		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries,
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
@@ -120,6 +120,7 @@
 		n.shares.Stop()
 		n.stepLease(now, n.lease, lease.Stop{})
 		n.stepLease(now, n.accounts, lease.Stop{})
+		n.stepClaims(now, claim.Stop{})
 	})
 	time.Sleep(drainNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), n.set.Intervals.StopGrace)
@@ -134,21 +135,23 @@
 	}
 }
 
-// awaitHandOver waits until this node holds no lease any more.
+// awaitHandOver waits until this node holds no lease and no claim that the
+// table lacks.
 func (n *Node) awaitHandOver(ctx context.Context) {
 	ticker := time.NewTicker(pollStop)
 	defer ticker.Stop()
 	for {
 		done := false
 		n.locked(func(time.Time) {
-			done = n.lease.HandedOver() && (!n.accountsCandidate || n.accounts.HandedOver())
+			accounts := !n.accountsCandidate || n.accounts.HandedOver()
+			done = n.lease.HandedOver() && accounts && n.claimsClosed
 		})
 		if done {
 			return
 		}
 		select {
 		case <-ctx.Done():
-			n.log.Warn("the grace passed before the leases were handed over")
+			n.log.Warn("the grace passed before leases and claims were handed over")
 			return
 		case <-ticker.C:
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -111,16 +111,15 @@
 	}
 	hr.Header = c.header.Clone()
 	h := hr.Header
-	telemetry.Propagator.Inject(ctx, propagation.HeaderCarrier(h))
-	h.Set(headerRequestID, req.echo.Response().Header().Get(headerRequestID))
 	h.Set(endpoint.HeaderAttempt, a.ID())
 	if c.lastEventID > 0 {
 		h.Set(endpoint.HeaderLastEventID, strconv.FormatUint(c.lastEventID, 10))
 	}
 	if t.Peer {
-		left := req.deadline.Sub(s.now())
-		h.Set(headerTimeout, strconv.FormatFloat(max(left, time.Millisecond).Seconds(), 'f', 3, 64))
-		h.Set(headerAccount, req.account.Name)
+		s.setPeerHeaders(ctx, hr, req)
+		h.Set(headerForward, forwardAttempt)
+	} else {
+		s.setTraceHeaders(ctx, hr, req)
 	}
 	if t.Group != "" {
 		h.Set(endpoint.HeaderGroup, t.Group)
@@ -129,19 +128,46 @@
 	return hr, nil
 }
 
+// setTraceHeaders identifies the request to the next hop.
+func (s *Server) setTraceHeaders(ctx context.Context, hr *http.Request, req *request) {
+	telemetry.Propagator.Inject(ctx, propagation.HeaderCarrier(hr.Header))
+	hr.Header.Set(headerRequestID, req.echo.Response().Header().Get(headerRequestID))
+}
+
+// setPeerHeaders tells another entry VM whose request it serves and for how
+// long.
+func (s *Server) setPeerHeaders(ctx context.Context, hr *http.Request, req *request) {
+	s.setTraceHeaders(ctx, hr, req)
+	left := max(req.deadline.Sub(s.now()), time.Millisecond)
+	hr.Header.Set(headerTimeout, strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	hr.Header.Set(headerAccount, req.account.Name)
+}
+
 // classify turns a transport error into an outcome.
 func (s *Server) classify(ans *answer, ctx context.Context, err error) {
-	var notSent *endpoint.NotSentError
+	outcome := s.outcomeOf(ctx, err)
 	switch {
-	case errors.As(err, &notSent):
-		ans.fail(NotSent, problem.New(problem.NoEndpoint, "the endpoint could not be reached", "retry later").After(retryDelay))
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		ans.fail(Failed, deadlinePassed())
+	case outcome == NotSent:
+		ans.fail(outcome, problem.New(problem.NoEndpoint, "the endpoint could not be reached", "retry later").After(retryDelay))
+	case outcome == Cancelled:
+		ans.fail(outcome, problem.New(problem.EndpointFailed, "the caller left", "none is needed").MayHaveRun())
 	case ctx.Err() != nil:
-		ans.fail(Cancelled, problem.New(problem.EndpointFailed, "the caller left", "none is needed").MayHaveRun())
+		ans.fail(outcome, deadlinePassed())
 	default:
-		ans.fail(Failed, endpointFailed("the connection to the endpoint broke before its answer"))
+		ans.fail(outcome, endpointFailed("the connection to the endpoint broke before its answer"))
+	}
+}
+
+// outcomeOf says what a transport error tells about the request.
+func (s *Server) outcomeOf(ctx context.Context, err error) Outcome {
+	var notSent *endpoint.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		return NotSent
+	case errors.Is(ctx.Err(), context.Canceled):
+		return Cancelled
 	}
+	return Failed
 }
 
 // retryDelay is when a caller may find an endpoint that was out of reach.
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -76,30 +76,52 @@
 	Release()
 }
 
-// ClaimRequest asks for the right to run a keyed request once.
-type ClaimRequest struct {
+// KeyedRequest is a call with an idempotency key.
+type KeyedRequest struct {
 	Account     string
 	Key         string
-	Fingerprint uint64
-	Deadline    time.Time
+	Fingerprint string
+	// First says that the caller vouches not to have sent the key before.
+	First bool
 }
 
-// Recorded is the answer that an earlier run of a keyed request had.
+// Recorded is the answer that a call had.
 type Recorded struct {
 	Status int
 	Header http.Header
 	Body   []byte
 }
 
-// Claim is the right to run a keyed request. Exactly one of its methods has
-// to be called.
-type Claim interface {
-	// Release gives the claim up: the request certainly was not sent.
-	Release()
-	// Record keeps the answer for repeats of the key.
-	Record(Recorded)
-	// Unknown records that the request may have run without an answer.
-	Unknown()
+// StepKind is what a keyed call does next.
+type StepKind int
+
+// Steps of a keyed call.
+const (
+	// StepAnswer: the call ends with Recorded.
+	StepAnswer StepKind = iota
+	// StepDispatch: the call is sent to an endpoint and then settled.
+	StepDispatch
+	// StepForward: the call is passed on to the entry VM at Target.
+	StepForward
+)
+
+// Step is what a keyed call does next.
+type Step struct {
+	Kind     StepKind
+	Recorded Recorded
+	Target   Target
+}
+
+// KeyedCall is a call that runs at most once per idempotency key.
+type KeyedCall interface {
+	// Next waits for the next step. An error is the call's answer.
+	Next(ctx context.Context) (Step, error)
+	// Settle ends a StepDispatch with the outcome of all its attempts.
+	Settle(outcome Outcome, rec Recorded, err *problem.Error)
+	// ForwardFailed ends a StepForward that brought no answer.
+	ForwardFailed(outcome Outcome)
+	// Close frees what the call holds. It may be called at any time.
+	Close()
 }
 
 // Backend makes the gateway's decisions.
@@ -113,8 +135,13 @@
 	// Admit waits for a place under the account's limit and at an endpoint.
 	// It refuses as soon as it's known that none comes free in time.
 	Admit(ctx context.Context, need Need) (Admission, error)
-	// Claim returns a claim, or the recorded answer of an earlier run.
-	Claim(ctx context.Context, req ClaimRequest) (Claim, *Recorded, error)
+	// Keyed begins a call with an idempotency key.
+	Keyed(req KeyedRequest) KeyedCall
+	// IssueKey returns a fresh idempotency key that this node vouches for
+	// also while the platform is down, and how long it is valid.
+	IssueKey() (key string, valid time.Duration)
+	// AccountByName finds the account that another entry VM names.
+	AccountByName(name string) (inventory.ClientAccount, bool)
 	// Ready returns why this node should receive no callers, if so.
 	Ready() *problem.Error
 }
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -63,13 +63,18 @@
 
 // answerHeader picks the headers that the caller sees of an answer.
 func (s *Server) answerHeader(ans *answer) http.Header {
+	h := passedAnswerHeader(ans.resp)
+	h.Set(headerHops, s.hops(ans))
+	return h
+}
+
+func passedAnswerHeader(resp *http.Response) http.Header {
 	h := http.Header{}
 	for _, name := range []string{"Content-Type", "Location", "Retry-After"} {
-		if v := ans.resp.Header.Get(name); v != "" {
+		if v := resp.Header.Get(name); v != "" {
 			h.Set(name, v)
 		}
 	}
-	h.Set(headerHops, s.hops(ans))
 	return h
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,7 +15,6 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
@@ -38,7 +37,6 @@
 	Registry   metrics.Registry
 	Tracer     trace.Tracer
 	MaxBody    int64         // bytes of a request's body
-	MaxAnswer  int64         // bytes of an answer that is kept for repeats
 	MaxTimeout time.Duration // longest time a request may take
 	MaxRetries int           // attempts after the first
 }
@@ -53,7 +51,6 @@
 	registry   metrics.Registry
 	tracer     trace.Tracer
 	maxBody    int64
-	maxAnswer  int64
 	maxTimeout time.Duration
 	maxRetries int
 	now        func() time.Time
@@ -63,7 +60,7 @@
 func New(o Options) *Server {
 	return &Server{
 		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
-		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody, maxAnswer: o.MaxAnswer,
+		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody,
 		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, now: time.Now,
 	}
 }
@@ -74,6 +71,7 @@
 	e.GET("/healthz", s.healthz)
 	e.GET("/readyz", s.readyz)
 	e.GET("/metrics", s.metrics)
+	e.POST("/v1/idempotency-keys", s.issueKey)
 	e.GET("/v1/models", s.listModels)
 	e.GET("/v1/models/:model", s.getModel)
 	return e
@@ -101,7 +99,11 @@
 // readForwarded takes the account from the forwarding entry VM.
 func (s *Server) readForwarded(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		account := inventory.ClientAccount{Name: c.Request().Header.Get(headerAccount)}
+		name := c.Request().Header.Get(headerAccount)
+		account, ok := s.backend.AccountByName(name)
+		if !ok {
+			account.Name = name
+		}
 		c.Set(forwardedKey, account)
 		return next(c)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -28,6 +28,19 @@
 	headerHops           = "Pimentoshore-Hops"
 	headerProblem        = "Pimentoshore-Problem"
 	headerAccount        = "Pimentoshore-Account"
+	// headerFirst vouches that an Idempotency-Key was not sent before.
+	headerFirst = "Idempotency-First"
+	// headerForward says what an entry VM forwards.
+	headerForward = "Pimentoshore-Forward"
+)
+
+// Values of headerForward.
+const (
+	// forwardAttempt is one attempt of a request whose account and key are
+	// in the care of the entry VM that sends it.
+	forwardAttempt = "attempt"
+	// forwardKeyed is a whole call whose key the receiving VM vouches for.
+	forwardKeyed = "keyed"
 )
 
 const (
@@ -42,11 +55,14 @@
 
 // request is one call of a caller, or of another entry VM on its behalf.
 type request struct {
-	echo      echo.Context
-	account   inventory.ClientAccount
-	body      []byte
-	deadline  time.Time
+	echo     echo.Context
+	account  inventory.ClientAccount
+	body     []byte
+	deadline time.Time
+	// forwarded requests are served from this node's own shares or refused.
 	forwarded bool
+	// claimed requests run under another entry VM's claim.
+	claimed   bool
 	admission Admission
 }
 
@@ -103,7 +119,8 @@
 	var p *problem.Error
 	if account, ok := c.Get(forwardedKey).(inventory.ClientAccount); ok {
 		req.account = account
-		req.forwarded = true
+		req.forwarded = r.Header.Get(headerForward) != forwardKeyed
+		req.claimed = req.forwarded
 	} else if req.account, p = s.authenticate(r); p != nil {
 		return nil, nil, p
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -6,7 +6,6 @@
 	"slices"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
@@ -27,26 +26,28 @@
 		return writeProblem(c, problem.New(problem.UnknownService, "the service does not exist", "check the path /services/{service}/"))
 	}
 	path := "/" + c.Param("*")
-	need := Need{
-		Kind: ServiceEndpoint, Name: service.Name, Account: req.account,
-		Deadline: req.deadline, Forwarded: req.forwarded,
-	}
-	adm, err := s.backend.Admit(req.ctx(), need)
-	if err != nil {
-		return writeProblem(c, problem.As(err))
-	}
-	defer adm.Release()
-	req.admission = adm
-	idempotent := idempotentCall(service, c.Request().Method, path)
-	if !idempotent {
+	sc := &serviceCall{server: s, req: req, service: service, path: path}
+	if !sc.idempotent() {
 		defer req.detach(s.now())()
 	}
 	key := c.Request().Header.Get(headerIdempotencyKey)
-	if idempotent || key == "" || req.forwarded {
-		_, res := s.call(req, need, service, path)
+	if sc.idempotent() || key == "" || req.claimed {
+		_, res := sc.run()
 		return res.answer(c)
 	}
-	return s.callOnce(req, need, service, path, key)
+	return sc.runOnce(key)
+}
+
+// serviceCall is one call of a plain service.
+type serviceCall struct {
+	server  *Server
+	req     *request
+	service inventory.Service
+	path    string
+}
+
+func (sc *serviceCall) idempotent() bool {
+	return idempotentCall(sc.service, sc.req.echo.Request().Method, sc.path)
 }
 
 // matchRoute finds the service's route of the longest matching prefix.
@@ -91,73 +92,53 @@
 	return r.recorded.write(c)
 }
 
-// call runs a call and reads its answer whole.
-func (s *Server) call(req *request, need Need, service inventory.Service, path string) (Outcome, result) {
-	r := req.echo.Request()
-	route, _ := matchRoute(service, r.Method, path)
-	c := newCall(r, path, "/services/"+service.Name+path, req.body)
+// run admits and dispatches the call and reads its answer whole.
+func (sc *serviceCall) run() (Outcome, result) {
+	s, req := sc.server, sc.req
+	need := Need{
+		Kind: ServiceEndpoint, Name: sc.service.Name, Account: req.account,
+		Deadline: req.deadline, Forwarded: req.forwarded,
+	}
+	adm, err := s.backend.Admit(req.ctx(), need)
+	if err != nil {
+		return NotSent, result{err: problem.As(err)}
+	}
+	defer adm.Release()
+	req.admission = adm
+	c := sc.newCall()
 	var res result
-	deliver := func(ans *answer) *problem.Error {
-		if slices.Contains(route.NotRunStatuses, ans.resp.StatusCode) {
-			return problem.New(problem.Overloaded, "the service refused the call", "retry later").After(retryDelay)
-		}
-		body, err := io.ReadAll(ans.resp.Body)
-		if err != nil {
-			return endpointFailed("the service's answer broke off")
-		}
-		res.recorded = Recorded{Status: ans.resp.StatusCode, Header: s.answerHeader(ans), Body: body}
-		return nil
+	deliver := func(ans *answer) (p *problem.Error) {
+		res.recorded, p = sc.read(ans)
+		return p
 	}
 	var outcome Outcome
-	outcome, res.err = s.try(req, need, func() call { return c }, idempotentCall(service, r.Method, path), deliver)
+	outcome, res.err = s.try(req, need, func() call { return c }, sc.idempotent(), deliver)
 	if res.err != nil && outcome != Failed && outcome != Cancelled {
 		res.err = notRun(res.err)
 	}
 	return outcome, res
 }
 
-// notRun corrects an error after attempts that all certainly did not run.
-func notRun(err *problem.Error) *problem.Error {
-	c := *err
-	c.Ran = problem.RanNo
-	return &c
+func (sc *serviceCall) newCall() call {
+	return newCall(sc.req.echo.Request(), sc.path, "/services/"+sc.service.Name+sc.path, sc.req.body)
 }
 
-// callOnce runs a keyed call under a claim.
-func (s *Server) callOnce(req *request, need Need, service inventory.Service, path, key string) error {
-	if len(key) > maxKeyBytes {
-		return writeProblem(req.echo, problem.New(problem.MalformedRequest, "the Idempotency-Key is too long", "use at most 255 bytes"))
+// read takes in the service's answer.
+func (sc *serviceCall) read(ans *answer) (Recorded, *problem.Error) {
+	route, _ := matchRoute(sc.service, sc.req.echo.Request().Method, sc.path)
+	if slices.Contains(route.NotRunStatuses, ans.resp.StatusCode) {
+		return Recorded{}, problem.New(problem.Overloaded, "the service refused the call", "retry later").After(retryDelay)
 	}
-	claim, recorded, err := s.backend.Claim(req.ctx(), ClaimRequest{
-		Account: req.account.Name, Key: key, Deadline: req.deadline,
-		Fingerprint: s.fingerprint(req, need, path),
-	})
+	body, err := io.ReadAll(ans.resp.Body)
 	if err != nil {
-		return writeProblem(req.echo, problem.As(err))
+		return Recorded{}, endpointFailed("the service's answer broke off")
 	}
-	if recorded != nil {
-		return recorded.write(req.echo)
-	}
-	outcome, res := s.call(req, need, service, path)
-	switch {
-	case res.err == nil && int64(len(res.recorded.Body)) <= s.maxAnswer:
-		claim.Record(res.recorded)
-	case res.err != nil && (outcome == NotSent || outcome == Refused):
-		claim.Release()
-	default:
-		claim.Unknown()
-	}
-	return res.answer(req.echo)
+	return Recorded{Status: ans.resp.StatusCode, Header: sc.server.answerHeader(ans), Body: body}, nil
 }
 
-// fingerprint identifies the content of a keyed call, so that a key used for
-// another one is found out.
-func (s *Server) fingerprint(req *request, need Need, path string) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{req.echo.Request().Method, need.Name, path, req.echo.Request().URL.RawQuery} {
-		_, _ = d.WriteString(part)
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(req.body)
-	return d.Sum64()
+// notRun corrects an error after attempts that all certainly did not run.
+func notRun(err *problem.Error) *problem.Error {
+	c := *err
+	c.Ran = problem.RanNo
+	return &c
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+
+	"github.com/pimentoshore/pimentoshore/coord/table"
 )
 
 // Errors of the table service. Each says what is known about a write.
@@ -17,30 +19,29 @@
 	ErrUnknown = errors.New("platform: the answer was lost; read the row back and look for the write's token")
 )
 
-// Row is one row of the table. Revision 0 means that it does not exist.
-type Row struct {
-	Key      string `json:"key"`
-	Value    []byte `json:"value"`
-	Revision uint64 `json:"revision"`
-}
-
-// Condition requires a row to be at a revision; 0 requires its absence.
-type Condition struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
-}
-
-// Write sets a row, or deletes it.
-type Write struct {
-	Key    string `json:"key"`
-	Value  []byte `json:"value,omitempty"`
-	Delete bool   `json:"delete,omitempty"`
-}
+// Types of rows and transactions, shared with the state machines.
+type (
+	// Row is one row of the table.
+	Row = table.Row
+	// Condition requires a row to be at a revision.
+	Condition = table.Condition
+	// Write sets or deletes a row.
+	Write = table.Write
+	// Txn is applied whole or not at all.
+	Txn = table.Txn
+)
 
-// Txn is applied whole if all its conditions hold, and else not at all.
-type Txn struct {
-	Conditions []Condition `json:"conditions"`
-	Writes     []Write     `json:"writes"`
+// OutcomeOf says what an error of Commit tells about the transaction.
+func OutcomeOf(err error) table.Outcome {
+	switch {
+	case err == nil:
+		return table.Applied
+	case errors.Is(err, ErrConflict):
+		return table.Conflict
+	case errors.Is(err, ErrUnavailable):
+		return table.NotWritten
+	}
+	return table.Unknown
 }
 
 // VMStatus is the platform's lagging view of one VM.
