Run the demo with real daemons

Cause of a failed first run: engines were whole before the daemons had heard so, and the first call was refused as not run. The demo now repeats a call that certainly did not run, as callers should, and none whose fate is open. Daemons stop side by side.

stop entry falls back to the address that answered, for the node itself.

--- a/cmd/pimentoshore/main.go
+++ b/cmd/pimentoshore/main.go
@@ -12,7 +12,9 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := cli.Run(ctx, os.Args[1:], cli.Options{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	code := cli.Run(ctx, os.Args[1:], cli.Options{
+		In: os.Stdin, Out: os.Stdout, Err: os.Stderr, StartDaemon: startDaemon,
+	})
 	stop()
 	os.Exit(code)
 }
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -259,6 +259,17 @@
 	assert.Equal(t, r.out, "praha-entry-1 has stopped\n")
 }
 
+func TestStopEntryNeedsItsAddress(t *testing.T) {
+	d := startDaemon(t)
+	d.status.Nodes[0].Operators, d.status.Nodes[1].Operators = "", ""
+	address := d.Listener.Addr().String()
+	r := runWith("", "stop", "entry", "brno-entry-1", "--force", "--operators", address)
+	assert.Equal(t, r.code, ExitFailed)
+	assert.Assert(t, strings.Contains(r.err, "name it with --operators"), r.err)
+	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", address)
+	assert.Equal(t, r.code, ExitOK, r.err)
+}
+
 func TestStandinStopsWithContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -43,6 +43,8 @@
 	scheme    string
 	addresses []string
 	http      *http.Client
+	// answering is the address that answered last.
+	answering string
 }
 
 func newOperatorClient(access operatorAccess) (*operatorClient, error) {
@@ -88,6 +90,7 @@
 		var answered bool
 		answered, err = c.call(ctx, http.MethodGet, address, path, dst)
 		if answered {
+			c.answering = address
 			break
 		}
 	}
--- a/internal/cli/stop.go
+++ b/internal/cli/stop.go
@@ -138,6 +138,12 @@
 	if err != nil {
 		return err
 	}
+	if node.Operators == "" && node.VM == status.Node {
+		node.Operators = client.answering
+	}
+	if node.Operators == "" {
+		return errors.Errorf("%s does not tell its operators' address; name it with --operators", name)
+	}
 	if _, err := client.call(ctx, http.MethodPost, node.Operators, operator.StopPath, nil); err != nil {
 		return err
 	}
@@ -158,7 +164,7 @@
 // entryToStop finds a node and refuses the last one of its data centre.
 func entryToStop(s operator.Status, name string, force bool) (operator.Node, error) {
 	i := slices.IndexFunc(s.Nodes, func(n operator.Node) bool { return n.VM == name })
-	if i < 0 || s.Nodes[i].Operators == "" {
+	if i < 0 {
 		return operator.Node{}, errors.Errorf("entry VM %q is not known; look at pimentoshore status for its name", name)
 	}
 	node := s.Nodes[i]
--- a/internal/demo/calls.go
+++ b/internal/demo/calls.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -24,14 +25,46 @@
 	orderKey    = "demo-order-1"
 
 	maxProblemBytes = 16 << 10
+	retryInterval   = 200 * time.Millisecond
 )
 
 var question = []engine.Message{{Role: "user", Content: "Which gloves suit a parchment reading room?"}}
 
 var order = service.Order{OrderID: orderKey, Item: "cotton gloves, size M", Quantity: 24}
 
-// post sends JSON to a daemon as the demo's client account.
+// post sends JSON to a daemon as the demo's client account. It repeats a
+// call that was refused and certainly did not run until ctx ends.
 func post(ctx context.Context, address, path, key string, body any) (*http.Response, error) {
+	for {
+		resp, err := postOnce(ctx, address, path, key, body)
+		var refused *refusal
+		if !errors.As(err, &refused) || refused.Ran != "no" || refused.Status != http.StatusServiceUnavailable {
+			return resp, err
+		}
+		timer := time.NewTimer(retryInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, err
+		case <-timer.C:
+		}
+	}
+}
+
+// refusal is a problem document in answer to a call.
+type refusal struct {
+	Path   string `json:"-"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	Remedy string `json:"remedy"`
+	Ran    string `json:"ran"`
+}
+
+func (r *refusal) Error() string {
+	return fmt.Sprintf("POST %s answered status %d: %s; %s", r.Path, r.Status, r.Detail, r.Remedy)
+}
+
+func postOnce(ctx context.Context, address, path, key string, body any) (*http.Response, error) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -49,12 +82,16 @@
 	if err != nil {
 		return nil, errors.Annotatef(err, "POST %s", path)
 	}
-	if resp.StatusCode != http.StatusOK {
-		defer resp.Body.Close()
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxProblemBytes))
-		return nil, errors.Errorf("POST %s answered status %d: %s", path, resp.StatusCode, strings.TrimSpace(string(text)))
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer resp.Body.Close()
+	refused := &refusal{Path: path}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxProblemBytes)).Decode(refused); err != nil {
+		refused.Detail, refused.Remedy = "the answer is no problem document", "look at the daemon's log"
 	}
-	return resp, nil
+	refused.Status = resp.StatusCode
+	return nil, refused
 }
 
 // chat prints a streamed chat completion as it comes and checks that it is
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -136,11 +137,13 @@
 	return nil
 }
 
-// stop stops the daemons in turn and then the stand-ins.
+// stop stops the daemons and then the stand-ins.
 func (r *run) stop() {
+	var stopping sync.WaitGroup
 	for _, d := range r.daemons {
-		d.stop()
+		stopping.Go(d.stop)
 	}
+	stopping.Wait()
 	if r.site != nil {
 		r.site.close()
 	}
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -128,3 +129,25 @@
 		assert.Equal(t, len(entry.Peers), len(s.entries)-1)
 	}
 }
+
+func TestPostRepeatsOnlyWhatDidNotRun(t *testing.T) {
+	for _, tc := range []struct {
+		ran   string
+		calls int64
+	}{{"no", 2}, {"unknown", 1}} {
+		var calls atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if calls.Add(1) == 1 {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				_, _ = fmt.Fprintf(w, `{"detail":"nothing serves","remedy":"retry","ran":%q}`, tc.ran)
+			}
+		}))
+		resp, err := post(context.Background(), server.Listener.Addr().String(), chatPath, "", order)
+		if resp != nil {
+			_ = resp.Body.Close()
+		}
+		server.Close()
+		assert.Equal(t, calls.Load(), tc.calls)
+		assert.Equal(t, err == nil, tc.ran == "no")
+	}
+}
