--- a/coord/lease/events.go
+++ b/coord/lease/events.go
@@ -54,8 +54,7 @@
 // PromiseAnswered is a candidate's reply to AskPromise.
 type PromiseAnswered struct{ Reply PromiseReply }
 
-// RowChanged is a peer's hint that the lease row has changed, such as after a
-// planned stop. It brings the next read forward and proves nothing.
+// RowChanged is a peer's hint that the lease row has changed, sent on Released. It brings the next read forward and proves nothing.
 type RowChanged struct{}
 
 // Stop begins a planned stop: the lease is released and never taken again.
@@ -127,6 +126,10 @@
 	Reason LossReason
 }
 
+// Released says that the row shows this VM's lease as released. Telling the
+// data centre's other candidates lets one of them take over at once.
+type Released struct{ Term uint64 }
+
 // LossReason says why a lease was lost.
 type LossReason string
 
@@ -145,6 +148,7 @@
 func (AnswerPromise) isEffect()     {}
 func (BecameHolder) isEffect()      {}
 func (LostLease) isEffect()         {}
+func (Released) isEffect()          {}
 
 // Grant is the right to coordinate for a time.
 type Grant struct {
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -38,10 +38,10 @@
 type mechanisms struct {
 	takeoverWait bool // takes over without waiting
 	readBack     bool // takes a lost answer for a success
+	promises     bool // lets the lease run out in an outage
 	promiseOfAll bool // extends the lease by one candidate's promise
 	listed       bool // takes over without being listed
 	keepPromise  bool // takes over in spite of a promise
-	drift        bool // waits without the drift bound
 }
 
 // seen is the lease row as this node knows it.
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -8,7 +8,7 @@
 	DefaultPromise      = 9 * time.Second
 	DefaultRenewEvery   = 3 * time.Second
 	DefaultPollEvery    = 3 * time.Second
-	DefaultAskEvery     = 3 * time.Second
+	DefaultAskEvery     = 4 * time.Second
 	DefaultRetryEvery   = time.Second
 	DefaultOrderTimeout = 2 * time.Second
 	DefaultMargin       = 500 * time.Millisecond
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -96,14 +96,19 @@
 	m.seen.at = now
 	m.seen.takeoverAt = m.takeoverAt(now, row)
 	m.attempts.dropBefore(revision)
+	if row.Released && m.mine() {
+		m.emit(Released{Term: row.Term})
+	}
 }
 
 // scheduleRead plans the next read after one that was answered.
 func (m *Machine) scheduleRead(now time.Time) {
 	switch {
+	case m.stopping:
+		m.read.next = now.Add(m.opts.RetryEvery)
 	case m.writing():
 		m.read.next = m.sentAt.Add(m.opts.RenewEvery)
-	case m.mine() || m.stopping || m.attempts.unsettled() || m.seen.revision == 0:
+	case m.mine() || m.attempts.unsettled() || m.seen.revision == 0:
 		m.read.next = now.Add(m.opts.RetryEvery)
 	default:
 		m.read.next = now.Add(m.opts.PollEvery)
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -10,9 +10,6 @@
 		return now
 	}
 	wait := m.opts.stretch(row.wait())
-	if m.off.drift {
-		wait = row.wait()
-	}
 	spread := time.Duration(m.rng.Int64N(int64(m.opts.RetryEvery)))
 	return now.Add(wait + spread)
 }
