--- a/coord/lease/liveness_test.go
+++ b/coord/lease/liveness_test.go
@@ -77,7 +77,10 @@
 				tc.disturb(w, holder)
 			}
 			held, total := heldTicks(w, outage)
-			t.Logf("control for %d of %d ticks", held, total)
+			t.Logf("control for %d of %d ticks, %d requests for promises", held, total, w.asks)
+			// A tenth more than one request a round allows for those lost.
+			rounds := int(outage / holder.opts.AskEvery)
+			assert.Assert(t, w.asks <= (tc.nodes-1)*rounds*11/10, "%d requests", w.asks)
 			assert.Equal(t, w.broken, "")
 			if tc.whole {
 				assert.Equal(t, held, total)
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -38,8 +38,8 @@
 	PollEvery time.Duration
 	// AskEvery is the interval between rounds of promises in an outage.
 	AskEvery time.Duration
-	// RetryEvery is the pause after a failed read, a lost answer or a
-	// promise that was not given.
+	// RetryEvery is the pause after a failed read by the holder, a failed
+	// write or a promise that was not given.
 	RetryEvery time.Duration
 	// OrderTimeout bounds an order to an endpoint from sending to answer.
 	OrderTimeout time.Duration
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -47,7 +47,16 @@
 		return
 	}
 	m.read.inFlight = false
-	m.read.next = now.Add(m.opts.RetryEvery)
+	m.read.next = now.Add(m.retryAfter())
+}
+
+// retryAfter returns the pause after a failed read. Those who do not hold the
+// lease need not hurry.
+func (m *Machine) retryAfter() time.Duration {
+	if m.mine() || m.stopping || m.attempts.unsettled() {
+		return m.opts.RetryEvery
+	}
+	return m.opts.PollEvery
 }
 
 func (m *Machine) rowsRead(now time.Time, ev RowsRead) {
--- a/coord/lease/world_test.go
+++ b/coord/lease/world_test.go
@@ -16,6 +16,7 @@
 	faults  faults
 	now     time.Duration // true time
 	seq     int
+	asks    int // requests for promises sent
 	queue   []message
 	nodes   []*node
 	table   table
@@ -258,6 +259,7 @@
 }
 
 func (w *world) ask(n *node, m *Machine, e AskPromise) {
+	w.asks++
 	copies := 1
 	if w.chance(w.faults.doubled) {
 		copies = 2
