--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -1,6 +1,11 @@
 package lease
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+)
 
 // Default durations of a lease.
 const (
@@ -83,6 +88,28 @@
 	return o
 }
 
+// Validate returns a *problem.Error if the durations cannot keep a lease.
+func (o Options) Validate() error {
+	o = o.withDefaults()
+	limits := []struct {
+		name        string
+		value       time.Duration
+		below       time.Duration
+		consequence string
+	}{
+		{"RenewEvery", o.RenewEvery, o.Duration / 2, "half of Duration, or one slow write costs the lease"},
+		{"AskEvery", o.AskEvery, o.Promise, "Promise, or promises run out before the next round"},
+		{"OrderTimeout plus Margin", o.OrderTimeout + o.Margin, min(o.Duration, o.Promise) / 2, "half of Duration and of Promise, or orders rarely fit into the lease"},
+	}
+	for _, l := range limits {
+		if l.value >= l.below {
+			message := fmt.Sprintf("%s of %v is too long", l.name, l.value)
+			return problem.New(problem.ConfigInvalid, message, "set it below "+l.consequence)
+		}
+	}
+	return nil
+}
+
 // stretch returns the time to wait on this clock so that at least d has
 // passed on any other.
 func (o Options) stretch(d time.Duration) time.Duration {
--- a/coord/lease/trace_test.go
+++ b/coord/lease/trace_test.go
@@ -264,6 +264,14 @@
 	assert.Equal(t, took.Row.Term, uint64(2))
 }
 
+func TestValidateNamesRemedy(t *testing.T) {
+	assert.NilError(t, Options{}.Validate())
+	assert.NilError(t, testOptions("e1").Validate())
+	for _, o := range []Options{{RenewEvery: 5 * time.Second}, {AskEvery: 9 * time.Second}, {OrderTimeout: 4 * time.Second}} {
+		assert.ErrorContains(t, o.Validate(), "set it below")
+	}
+}
+
 func TestLostAnswersTakeBoundedMemory(t *testing.T) {
 	d := own(t, "e2")
 	row := d.m.seen.row
