--- a/coord/group/repair.go
+++ b/coord/group/repair.go
@@ -130,7 +130,10 @@
 	slices.SortStableFunc(broken, compareNeed)
 	target := broken[0]
 	missing, _ := m.missing(target, now)
-	spares := slices.Clone(d.free)
+	var spares []*vm
+	if m.opts.enabled(Spares) {
+		spares = slices.Clone(d.free)
+	}
 	donors := 0
 	for i := len(broken) - 1; i > 0 && len(spares) < missing; i-- {
 		spares = append(spares, m.sound(broken[i], now)...)
