coord/group: members that pause often, and pauses of the coordinator

A coordinator that stood still for longer than the repair grace held every silent member for dead at once and replaced a member of a healthy group when a spare's report came first. Silence now counts from when it goes on.

--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -101,7 +101,7 @@
 }
 
 func (m *Manager) countSilent(f *faults, v *vm, now time.Time) {
-	due := later(v.sentAt, m.activeAt)
+	due := later(v.sentAt, m.listeningFrom)
 	if m.opts.enabled(PauseGrace) {
 		due = due.Add(m.opts.RepairGrace)
 	}
--- a/coord/group/drain.go
+++ b/coord/group/drain.go
@@ -37,7 +37,7 @@
 
 // stepDrain goes on with a drain.
 func (m *Manager) stepDrain(g *groupState, now time.Time) {
-	if !m.causeLasts(g) {
+	if !m.causeLasts(g, now) {
 		m.undrain(g, now)
 		return
 	}
@@ -53,14 +53,14 @@
 }
 
 // causeLasts reports whether the group still has to drain.
-func (m *Manager) causeLasts(g *groupState) bool {
+func (m *Manager) causeLasts(g *groupState, now time.Time) bool {
 	switch g.cause {
 	case causeOut:
 		return m.dcOut
 	case causeUnfit:
 		return m.dcOut || unfitMembers(g) > 0
 	case causeStraggler:
-		return g.drained || slowest(g) != nil
+		return g.drained || m.weakest(g, now) != nil
 	default:
 		return true
 	}
@@ -111,7 +111,7 @@
 		m.repair(g, now)
 		return
 	}
-	slow := slowest(g)
+	slow := m.weakest(g, now)
 	if slow == nil || !m.hasSwiftSpare(g.domain) {
 		m.undrain(g, now)
 		return
--- a/coord/group/freshness.go
+++ b/coord/group/freshness.go
@@ -147,6 +147,7 @@
 }
 
 func (m *Manager) absent(v *vm, now time.Time) {
+	m.countPause(v, now)
 	m.presence(v, true, now)
 	m.touch(v, now)
 	m.markGroup(v.group)
--- a/coord/group/lease.go
+++ b/coord/group/lease.go
@@ -7,13 +7,18 @@
 
 // gain starts the coordinator's work with an empty table of groups.
 func (m *Manager) gain(now time.Time, ev LeaseGained) {
+	if ev.Term < m.term {
+		return
+	}
 	m.lose(now)
 	m.stage = stageReconciling
-	m.term = ev.Term
+	if ev.Term != m.term {
+		m.term = ev.Term
+		m.generations = 0
+	}
 	m.fencer = ev.Fencer
 	m.unfencedFrom = ev.UnfencedFrom
 	m.gainedAt = now
-	m.generations = 0
 	m.unseen = len(m.vmList)
 	for _, v := range m.vmList {
 		v.seen = false
@@ -58,7 +63,7 @@
 		return
 	}
 	m.stage = stageActive
-	m.activeAt = now
+	m.listeningFrom = now
 	m.install(now)
 	m.markAll(now)
 	m.markStrays()
--- a/coord/group/manager.go
+++ b/coord/group/manager.go
@@ -55,12 +55,16 @@
 	fencer       Fencer
 	unfencedFrom time.Time
 	gainedAt     time.Time
-	activeAt     time.Time
-	unseen       int    // VMs without a report since gainedAt
-	generations  uint64 // made in this term
-	newest       uint64 // highest generation seen
+	// listeningFrom is since when the VMs' silence counts: when the manager
+	// began to decide, or came back from a pause of its own.
+	listeningFrom time.Time
+	steppedAt     time.Time
+	unseen        int    // VMs without a report since gainedAt
+	generations   uint64 // made in this term
+	newest        uint64 // highest generation seen
 
 	row         rowState
+	writes      uint64 // of the row, for its tokens
 	awaitingRow []*groupState
 	queue       []*groupState // waits for a load slot
 	loads       int
@@ -91,6 +95,10 @@
 // follows what the event and the time since the last step changed.
 func (m *Manager) Step(now time.Time, ev Event) []Effect {
 	m.effects = nil
+	if now.Sub(m.steppedAt) >= m.opts.ReportTTL && m.opts.enabled(OwnPause) {
+		m.listeningFrom = now
+	}
+	m.steppedAt = now
 	m.handle(now, ev)
 	m.expireReports(now)
 	m.fireAlarms(now)
--- a/coord/group/mechanism_test.go
+++ b/coord/group/mechanism_test.go
@@ -30,6 +30,8 @@
 	{"broken groups are merged", Regroup, twoBrokenGroups},
 	{"stragglers are replaced", StragglerSwap, straggler},
 	{"planned stops drain first", GracefulDrain, plannedStop},
+	{"members that pause often are replaced", StragglerSwap, unsteadyMember},
+	{"the coordinator's own pause is no silence", OwnPause, pausedCoordinator},
 	{"only members in place count", MatchPlace, deadMember},
 }
 
@@ -273,6 +275,36 @@
 	return w.faults
 }
 
+func unsteadyMember(opts Options) []string {
+	w := threes(opts, 7)
+	for range 3 {
+		w.engines[0].paused = true
+		w.run(opts.RepairGrace - time.Second)
+		w.engines[0].paused = false
+		w.run(5 * time.Second)
+	}
+	w.run(30 * time.Second)
+	w.expect(w.engines[0].report.Group == "", "the unsteady member stays in its group")
+	w.expect(w.serving() == 2, "%d groups serve", w.serving())
+	return w.faults
+}
+
+// pausedCoordinator has the holder hear of a spare first when it goes on.
+func pausedCoordinator(opts Options) []string {
+	w := threes(opts, 7)
+	w.engines[0].dead = true
+	w.run(30 * time.Second)
+	w.engines[0].restart()
+	w.run(10 * time.Second)
+	before := w.sent
+	w.nodes[0].paused = true
+	w.run(20 * time.Second)
+	w.nodes[0].paused = false
+	w.run(20 * time.Second)
+	w.expect(w.sent == before, "%d orders after a pause of the coordinator", w.sent-before)
+	return w.faults
+}
+
 // plannedStop asks for a stop while rank 0 has work in flight.
 func plannedStop(opts Options) []string {
 	w := threes(opts, 7)
--- a/coord/group/options.go
+++ b/coord/group/options.go
@@ -18,6 +18,8 @@
 	DefaultStragglerAfter = 30 * time.Second
 	DefaultStragglerRatio = 2.0
 	DefaultMaxLoads       = 4
+	DefaultPauseWindow    = 10 * time.Minute
+	DefaultMaxPauses      = 3
 )
 
 // Options configures Reports and Manager. Zero values take the defaults.
@@ -55,6 +57,10 @@
 	// StragglerRatio times its peers' median for StragglerAfter.
 	StragglerAfter time.Duration
 	StragglerRatio float64
+	// A member that paused MaxPauses times within PauseWindow, and broke its
+	// group each time, is replaced like a straggler.
+	PauseWindow time.Duration
+	MaxPauses   int
 	// MaxLoads bounds the groups that load weights at the same time.
 	MaxLoads int
 	// Disable switches mechanisms off, for tests and measurements.
@@ -89,10 +95,13 @@
 	Spares
 	// Regroup: groups are dissolved for the sake of others where it pays.
 	Regroup
-	// StragglerSwap: stragglers are replaced.
+	// StragglerSwap: stragglers and members that pause often are replaced.
 	StragglerSwap
 	// GracefulDrain: a group finishes its work before planned changes.
 	GracefulDrain
+	// OwnPause: the time in which the coordinator itself stood still does not
+	// count as silence of the VMs.
+	OwnPause
 	// MatchPlace: only reports that name the group, generation, model and
 	// rank make a group whole.
 	MatchPlace
@@ -115,10 +124,14 @@
 	orDuration(&o.DrainSettle, DefaultDrainSettle)
 	orDuration(&o.DrainGrace, DefaultDrainGrace)
 	orDuration(&o.RowRetry, DefaultRowRetry)
+	orDuration(&o.PauseWindow, DefaultPauseWindow)
 	orDuration(&o.StragglerAfter, DefaultStragglerAfter)
 	if o.StragglerRatio == 0 {
 		o.StragglerRatio = DefaultStragglerRatio
 	}
+	if o.MaxPauses == 0 {
+		o.MaxPauses = DefaultMaxPauses
+	}
 	if o.MaxLoads == 0 {
 		o.MaxLoads = DefaultMaxLoads
 	}
--- a/coord/group/row.go
+++ b/coord/group/row.go
@@ -14,9 +14,9 @@
 
 	reading   bool
 	writing   bool
-	token     string // of the last write
-	attempt   uint64 // version of the last write
-	writes    uint64
+	token     string    // of the last write
+	attempt   uint64    // version of the last write
+	merged    bool      // the row was read since the lease was gained
 	askedAt   time.Time // when the open read or write was asked for
 	retryAt   time.Time
 	inherited []Group // read, and not installed yet
@@ -50,8 +50,8 @@
 
 func (m *Manager) writeRow(now time.Time) {
 	r := &m.row
-	r.writes++
-	r.token = strconv.FormatUint(m.term, 10) + "." + strconv.FormatUint(r.writes, 10)
+	m.writes++
+	r.token = strconv.FormatUint(m.term, 10) + "." + strconv.FormatUint(m.writes, 10)
 	r.attempt = r.version
 	r.writing, r.askedAt = true, now
 	m.visits += uint64(len(m.groups))
@@ -76,9 +76,10 @@
 		m.emit(Progress{Notice: NoticeDeposed})
 		return
 	}
-	first := r.writes == 0
+	first := !r.merged
+	r.merged = true
 	r.known, r.revision = true, ev.Revision
-	if !first && row.Token == r.token {
+	if r.token != "" && row.Token == r.token {
 		m.applied()
 	}
 	m.setDown(false)
--- a/coord/group/straggler.go
+++ b/coord/group/straggler.go
@@ -26,17 +26,35 @@
 	return limit > 0 && float64(v.report.StepLatency) > limit
 }
 
-// planStraggler drains a group to replace a straggler if a spare is there.
+// countPause counts the pauses by which a member broke its group. What the
+// coordinator missed in a pause of its own is none.
+func (m *Manager) countPause(v *vm, now time.Time) {
+	if v.group == nil || v.group.phase != phaseWhole || m.listeningFrom.Equal(now) {
+		return
+	}
+	if now.Sub(v.pausesFrom) >= m.opts.PauseWindow {
+		v.pauses, v.pausesFrom = 0, now
+	}
+	v.pauses++
+}
+
+// unsteady reports whether a member has paused too often of late.
+func (m *Manager) unsteady(v *vm, now time.Time) bool {
+	return v.pauses >= m.opts.MaxPauses && now.Sub(v.pausesFrom) < m.opts.PauseWindow
+}
+
+// planStraggler drains a group to replace its weakest member if a spare is
+// there.
 func (m *Manager) planStraggler(g *groupState, now time.Time) {
 	if now.Sub(g.medianAt) >= m.opts.StragglerAfter {
 		m.measureMedian(g, now)
 	}
-	v := slowest(g)
+	v := m.weakest(g, now)
 	if v == nil || !m.opts.enabled(StragglerSwap) {
 		return
 	}
 	due := v.slowSince.Add(m.opts.StragglerAfter)
-	if now.Before(due) {
+	if now.Before(due) && !m.unsteady(v, now) {
 		m.wakeGroup(g, due)
 		return
 	}
@@ -70,18 +88,25 @@
 	}
 }
 
-// slowest returns the member that has been a straggler for longest.
-func slowest(g *groupState) *vm {
-	var worst *vm
+// weakest returns the one member that pauses often, or else the one that has
+// been a straggler for longest. Members that pause often together share a
+// cause that no spare of the domain would mend.
+func (m *Manager) weakest(g *groupState, now time.Time) *vm {
+	var slowest, unsteady *vm
+	count := 0
 	for _, v := range g.members {
-		if v.slowSince.IsZero() {
-			continue
+		if m.unsteady(v, now) {
+			unsteady = v
+			count++
 		}
-		if worst == nil || v.slowSince.Before(worst.slowSince) {
-			worst = v
+		if !v.slowSince.IsZero() && (slowest == nil || v.slowSince.Before(slowest.slowSince)) {
+			slowest = v
 		}
 	}
-	return worst
+	if count == 1 {
+		return unsteady
+	}
+	return slowest
 }
 
 // hasSwiftSpare reports whether the domain has a free VM that is not itself
--- a/coord/group/stray.go
+++ b/coord/group/stray.go
@@ -160,7 +160,7 @@
 	if len(s.members)+silent < m.strayModel(s).GroupSize {
 		return time.Time{}
 	}
-	return later(s.since, m.activeAt).Add(m.opts.RepairGrace)
+	return later(s.since, m.listeningFrom).Add(m.opts.RepairGrace)
 }
 
 // adopt enters a complete stray into the table in place of what the row said.
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -47,6 +47,8 @@
 	passUntil   time.Time // passed over as a spare until then
 	slow        bool      // was replaced as a straggler
 	slowSince   time.Time
+	pauses      int // that broke its group since pausesFrom
+	pausesFrom  time.Time
 	free        bool // listed in domain.free
 	dirty       bool
 	wake        wakeup
@@ -282,6 +284,7 @@
 	v.group, v.rank = g, rank
 	v.ready, v.placed = false, false
 	v.slowSince = time.Time{}
+	v.pauses = 0
 	m.touch(v, now)
 	m.markVM(v)
 }
