coord/group: a paused coordinator neither dissolves nor repairs what it has not heard of

The random test with pauses of the lease holder found three faults: after such a pause a group with a leaving member was dissolved without a drain, a draining group counted as quiet, and a holder that paused while it reconciled repaired a group by an old row before the members that ran a newer generation had all reported.

--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -5,9 +5,9 @@
 // faults counts what keeps a group from being whole.
 type faults struct {
 	cold   int // present, and no longer in place
-	dead   int // silent for longer than the grace, or failed to load
+	dead   int // silent for longer than the grace, or passed over
 	paused int // silent within the grace
-	unfit  int // taken out, leaving or stopping
+	unfit  int // present, and taken out, leaving or stopping
 	// due is when the next paused member counts as dead.
 	due time.Time
 }
@@ -86,23 +86,40 @@
 
 func (m *Manager) countFault(f *faults, g *groupState, v *vm, now time.Time) {
 	switch {
-	case !v.fit():
+	case v.gone, v.present() && !v.fit():
 		f.unfit++
 	case v.present() && now.Before(v.passUntil):
 		f.dead++
 		f.due = earliest(f.due, v.passUntil)
 	case v.present():
-		if !v.inPlace() && (v.placed || g.phase == phaseBroken) {
-			f.cold++
-		}
+		m.countCold(f, g, v, now)
 	default:
 		m.countSilent(f, v, now)
 	}
 }
 
+// countCold counts a present member that is not in place, unless it reports
+// another generation that silent VMs may yet show to be running.
+func (m *Manager) countCold(f *faults, g *groupState, v *vm, now time.Time) {
+	if v.inPlace() || (!v.placed && g.phase != phaseBroken) {
+		return
+	}
+	if v.stray != nil {
+		if due := m.heldUntil(v.stray); now.Before(due) {
+			f.paused++
+			f.due = earliest(f.due, due)
+			return
+		}
+	}
+	f.cold++
+}
+
 func (m *Manager) countSilent(f *faults, v *vm, now time.Time) {
 	due := later(v.sentAt, m.listeningFrom)
-	if m.opts.enabled(PauseGrace) {
+	switch {
+	case !v.fit():
+		due = due.Add(m.opts.ReportTTL) // it is not expected back
+	case m.opts.enabled(PauseGrace):
 		due = due.Add(m.opts.RepairGrace)
 	}
 	if now.Before(due) {
--- a/coord/group/drain.go
+++ b/coord/group/drain.go
@@ -79,7 +79,8 @@
 // quiet reports whether no work is in flight, the grace has passed, or the
 // group is not whole, in which case its work is lost already.
 func (m *Manager) quiet(g *groupState, now time.Time) bool {
-	if g.ready < len(g.members) || !m.opts.enabled(GracefulDrain) {
+	heardAll := now.Sub(m.listeningFrom) >= m.opts.ReportTTL
+	if (heardAll && g.ready < len(g.members)) || !m.opts.enabled(GracefulDrain) {
 		return true
 	}
 	if now.Sub(g.drainAt) >= m.opts.DrainSettle+m.opts.DrainGrace {
--- a/coord/group/lease.go
+++ b/coord/group/lease.go
@@ -18,13 +18,19 @@
 	}
 	m.fencer = ev.Fencer
 	m.unfencedFrom = ev.UnfencedFrom
+	for _, v := range m.vmList {
+		v.ended = strayKey{}
+	}
+	m.awaitReports(now)
+}
+
+// awaitReports has a report of every VM waited for.
+func (m *Manager) awaitReports(now time.Time) {
 	m.gainedAt = now
 	m.unseen = len(m.vmList)
 	for _, v := range m.vmList {
 		v.seen = false
-		v.ended = strayKey{}
 	}
-	m.row = rowState{}
 }
 
 // lose ends the coordinator's work. The reports are kept.
--- a/coord/group/manager.go
+++ b/coord/group/manager.go
@@ -96,7 +96,7 @@
 func (m *Manager) Step(now time.Time, ev Event) []Effect {
 	m.effects = nil
 	if now.Sub(m.steppedAt) >= m.opts.ReportTTL && m.opts.enabled(OwnPause) {
-		m.listeningFrom = now
+		m.resume(now)
 	}
 	m.steppedAt = now
 	m.handle(now, ev)
@@ -119,6 +119,14 @@
 	return m.effects
 }
 
+// resume goes on after a pause of the manager's own.
+func (m *Manager) resume(now time.Time) {
+	m.listeningFrom = now
+	if m.stage == stageReconciling {
+		m.awaitReports(now)
+	}
+}
+
 // Visits returns the number of table rows that all steps so far have looked
 // at.
 func (m *Manager) Visits() uint64 {
--- a/coord/group/plan.go
+++ b/coord/group/plan.go
@@ -93,13 +93,20 @@
 	}
 }
 
-// dropUnfinished dissolves the model's groups that do not serve.
+// dropUnfinished dissolves the model's groups that do not serve, but for
+// those of which a member may merely pause.
 func (m *Manager) dropUnfinished(s *modelState, now time.Time) {
 	for i := len(s.groups) - 1; i >= 0; i-- {
 		g := s.groups[i]
-		if g.phase != phaseWhole && !g.Draining {
-			m.dissolve(g, now)
+		if g.phase == phaseWhole || g.Draining {
+			continue
 		}
+		until := later(g.since, m.listeningFrom).Add(m.opts.RepairGrace)
+		if g.phase == phaseBroken && now.Before(until) {
+			m.balanceAt = until
+			continue
+		}
+		m.dissolve(g, now)
 	}
 }
 
--- a/coord/group/random_test.go
+++ b/coord/group/random_test.go
@@ -33,6 +33,10 @@
 	"online":  func(w *world, _ *engine) { w.down = false },
 	"lossy":   func(w *world, _ *engine) { w.lossy = true },
 	"lease":   func(w *world, _ *engine) { w.swapLease() },
+	"stall":   func(w *world, _ *engine) { w.stall(true) },
+	"go on":   func(w *world, _ *engine) { w.stall(false) },
+	"group":   func(w *world, _ *engine) { w.stepAll(StopRequested{ScopeGroup, "praha/a/1"}) },
+	"ungroup": func(w *world, _ *engine) { w.stepAll(StopCancelled{ScopeGroup, "praha/a/1"}) },
 	"hang":    func(w *world, _ *engine) { w.hangLease() },
 }
 
@@ -70,6 +74,13 @@
 	w.grant(next)
 }
 
+// stall has the holder stand still, or every node go on.
+func (w *world) stall(paused bool) {
+	for _, n := range w.nodes {
+		n.paused = paused && (n.leased || n.paused)
+	}
+}
+
 // hangLease has the holder stand still while the other takes over.
 func (w *world) hangLease() {
 	for _, n := range w.nodes {
@@ -98,6 +109,7 @@
 	}
 	w.configure()
 	w.stepAll(LeavingVMs{})
+	w.stepAll(StopCancelled{ScopeGroup, "praha/a/1"})
 	for _, e := range w.engines {
 		if e.dead {
 			e.restart()
@@ -113,7 +125,7 @@
 // and that every group is whole some time after the last one.
 func TestRandomFaults(t *testing.T) {
 	names := []string{
-		"busy", "cancel", "cold", "cold", "dark", "dcIn", "dcIn", "dcOut", "die", "die", "hang", "idle",
+		"go on", "group", "stall", "ungroup", "busy", "cancel", "cold", "cold", "dark", "dcIn", "dcIn", "dcOut", "die", "die", "hang", "idle",
 		"in", "in", "lease", "leaving", "left", "light", "light", "lossy", "online", "online", "out", "outage",
 		"pause", "pause", "refuse", "resume", "resume", "resume", "slow", "stop", "swift",
 	}
--- a/coord/group/world_test.go
+++ b/coord/group/world_test.go
@@ -118,7 +118,7 @@
 	sent     int
 	known    map[strayKey]Group // every group that any node has announced
 	whole    map[strayKey]time.Time
-	drained  map[strayKey]bool
+	drained  map[strayKey]bool // drained, or ended while not whole
 	released map[string]bool
 	faults   []string // violated invariants
 }
@@ -219,6 +219,9 @@
 		if e.Notice == NoticeDraining {
 			w.drained[strayKey{e.Group, e.Generation}] = true
 		}
+		if e.Notice == NoticeDissolved || e.Notice == NoticeForming {
+			w.noteEnded(e.Group)
+		}
 		if e.Notice == NoticeReleased {
 			w.released[e.VM] = true
 		}
@@ -483,6 +486,20 @@
 	}
 }
 
+// noteEnded notes the generations of a group that were not whole when the
+// manager ended them.
+func (w *world) noteEnded(id string) {
+	for key, g := range w.known {
+		if key.group != id {
+			continue
+		}
+		w.noteWhole(&g, key)
+		if _, whole := w.whole[key]; !whole {
+			w.drained[key] = true
+		}
+	}
+}
+
 // checkTouched faults an order to a member of a group that has long been
 // whole and does not drain.
 func (w *world) checkTouched(n *node, o member.Order) {
