--- a/coord/route/avoid.go
+++ b/coord/route/avoid.go
@@ -6,12 +6,15 @@
 )
 
 const (
-	// avoidBase is how long a candidate is avoided after a failure; it
-	// doubles with each further one.
+	// maxFailures is the number of failures in a row from which a candidate
+	// is avoided.
+	maxFailures = 3
+	// avoidBase is how long a candidate is avoided first; it doubles with
+	// each further failure.
 	avoidBase = time.Second
 	avoidMax  = 30 * time.Second
 	// avoidFull is how long a candidate that refused for want of room is
-	// avoided, unless it reports earlier.
+	// avoided.
 	avoidFull = 200 * time.Millisecond
 )
 
@@ -67,10 +70,10 @@
 	}
 }
 
-// failureDelay returns how long to avoid a candidate after its failures.
-func failureDelay(failures int) time.Duration {
+// failureDelay returns how long to avoid a candidate after further failures.
+func failureDelay(further int) time.Duration {
 	delay := avoidBase
-	for range failures - 1 {
+	for range further {
 		delay *= 2
 		if delay >= avoidMax {
 			return avoidMax
--- a/coord/route/event.go
+++ b/coord/route/event.go
@@ -84,8 +84,12 @@
 const (
 	// Refused: the endpoint or node answered that it cannot take the request.
 	Refused Reason = iota
-	// Broken: the connection failed or the answer was cut.
+	// Broken: the connection failed, the answer was cut or it was an error.
+	// Without an incarnation in the answer, the endpoint may have restarted.
 	Broken
+	// FailedBeyond: the node that the request was sent to answered, but what
+	// it sent the request on to failed.
+	FailedBeyond
 	// Cancelled: the caller went away. It says nothing about the endpoint.
 	Cancelled
 )
--- a/coord/route/outcome.go
+++ b/coord/route/outcome.go
@@ -63,23 +63,25 @@
 		if !ev.Begun {
 			c.latency.ended(now)
 		}
-		t.blame(now, c, ev.Reason)
+		t.blame(now, c, ev)
 	}
 	c.refresh()
 }
 
 // blame draws the consequences of a failed attempt for later choices.
-func (t *Table) blame(now time.Time, c *candidate, reason Reason) {
-	switch reason {
+func (t *Table) blame(now time.Time, c *candidate, ev Failed) {
+	switch ev.Reason {
 	case Refused:
 		t.avoid(c, now.Add(avoidFull))
 	case Broken:
 		c.failures++
 		c.ramp.restart(t.opts.NoRamp)
-		t.avoid(c, now.Add(failureDelay(c.failures)))
-		if c.tier == local {
+		if c.failures >= maxFailures {
+			t.avoid(c, now.Add(failureDelay(c.failures-maxFailures)))
+		}
+		if c.tier == local && ev.Incarnation == "" {
 			t.shares.Doubt(c.name)
 		}
-	case Cancelled:
+	case FailedBeyond, Cancelled:
 	}
 }
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -71,13 +71,16 @@
 	return best, false
 }
 
-// sampled compares a few random members of the pool. If none of them may take
-// the request, as on a retry, it looks at a bounded run of others.
+// sampled compares a run of members of the pool from a random start, all of
+// them in a small pool. The run is longer by the number of members that could
+// be excluded, as on a retry.
 func (t *Table) sampled(now time.Time, p *pool, r *Request) *candidate {
 	var best *candidate
 	lowest := 0.0
-	for range t.opts.Samples {
-		c := p.sample(t.rng)
+	size := len(p.items)
+	first := t.rng.IntN(size)
+	for i := range min(size, t.opts.Samples+len(r.Tried)) {
+		c := p.items[(first+i)%size]
 		t.steps++
 		if !t.usable(c, r) {
 			continue
@@ -86,23 +89,7 @@
 			best, lowest = c, cost
 		}
 	}
-	if best != nil {
-		return best
-	}
-	return t.anyUsable(p, r)
-}
-
-// anyUsable looks at as many members as could be excluded, and one more.
-func (t *Table) anyUsable(p *pool, r *Request) *candidate {
-	start := t.rng.IntN(len(p.items))
-	bound := min(len(p.items), len(r.Tried)+t.opts.Samples)
-	for i := range bound {
-		t.steps++
-		if c := p.items[(start+i)%len(p.items)]; t.usable(c, r) {
-			return c
-		}
-	}
-	return nil
+	return best
 }
 
 func (t *Table) inTurn(p *pool, r *Request) *candidate {
--- a/coord/route/pool.go
+++ b/coord/route/pool.go
@@ -1,12 +1,10 @@
 package route
 
-import "math/rand/v2"
-
 // notPooled is the position of a candidate outside its pool.
 const notPooled = -1
 
 // pool is the set of one tier's candidates that can take another request.
-// Adding, removing and sampling take constant time.
+// Adding, removing and indexing take constant time.
 type pool struct {
 	items []*candidate
 }
@@ -30,8 +28,3 @@
 	p.items = p.items[:len(p.items)-1]
 	c.position = notPooled
 }
-
-// sample returns a random member of a pool that is not empty.
-func (p *pool) sample(rng *rand.Rand) *candidate {
-	return p.items[rng.IntN(len(p.items))]
-}
