Ask every node for the status, and let the demo write a workload

Cause: a node knows its own requests in flight only, and the VMs of its own data centre at most. A drain followed on one node could call itself done while another still had requests there; a dissolved group hid them too.

Weighed: spreading each node's load to all others against asking each node. Asking costs the control traffic nothing and is as fresh as the answer.

A node that is up and silent is named, and a wait doesn't end without it.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -150,50 +150,68 @@
 	stopped atomic.Bool
 }
 
-func startDaemon(t *testing.T) *fakeDaemon {
+func (d *fakeDaemon) address() string { return d.Listener.Addr().String() }
+
+// startNode starts a daemon that knows of inFlight requests of its own at
+// the only group.
+func startNode(t *testing.T, node string, inFlight int) *fakeDaemon {
 	t.Helper()
 	d := &fakeDaemon{status: operator.Status{
-		Node: "praha-entry-1", PlatformReachable: true,
+		Node: node, PlatformReachable: true,
 		DataCentres: []operator.DataCentre{{
 			Name: "praha", Coordinator: "praha-entry-1", Term: 3,
 			Groups: []operator.Group{
-				{Name: "g1", Model: "assistant", State: operator.GroupServing, Members: []string{"praha-a-1", "praha-a-2"}, InFlight: 2, Limit: 16},
+				{Name: "g1", Model: "assistant", State: operator.GroupServing, Members: []string{"praha-a-1", "praha-a-2"}, InFlight: inFlight, Limit: 8},
 			},
-			Unassigned: []operator.UnassignedVM{{VM: "praha-a-3", Accelerators: 8, Healthy: true, Reason: "no partner in its fabric domain"}},
-			Services:   []operator.ServiceEndpoint{{VM: "praha-shop-1", Service: "glove-orders", Serving: true}},
+			Services: []operator.ServiceEndpoint{{VM: "praha-shop-1", Service: "glove-orders", Serving: true}},
 		}},
 	}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+operator.StatusPath, func(w http.ResponseWriter, _ *http.Request) { d.answerStatus(w) })
-	mux.HandleFunc("GET "+operator.ExplainVMPath+"{vm}", func(w http.ResponseWriter, r *http.Request) {
-		if r.PathValue("vm") != "praha-a-3" {
-			w.WriteHeader(http.StatusNotFound)
-			_, _ = w.Write([]byte(`{"title":"not-found","detail":"no such VM","remedy":"look at pimentoshore status"}`))
-			return
-		}
-		reasons := []operator.Reason{{Cause: "its fabric domain has no second free VM", Remedy: "add one"}}
-		_ = json.NewEncoder(w).Encode(operator.VMExplanation{VM: "praha-a-3", Role: "model", DataCentre: "praha", ReportAge: -1, Reasons: reasons})
-	})
+	mux.HandleFunc("GET "+operator.ExplainVMPath+"{vm}", explainVM)
 	mux.HandleFunc("POST "+operator.StopPath, func(w http.ResponseWriter, _ *http.Request) {
 		d.stopped.Store(true)
 		w.WriteHeader(http.StatusAccepted)
 	})
 	d.Server = httptest.NewServer(mux)
 	t.Cleanup(d.Close)
-	address := d.Listener.Addr().String()
-	d.status.Nodes = []operator.Node{
-		{VM: "praha-entry-1", DataCentre: "praha", Operators: address, Configuration: 100},
-		{VM: "brno-entry-1", DataCentre: "brno", Operators: address, Configuration: 100},
-	}
 	return d
 }
 
+func explainVM(w http.ResponseWriter, r *http.Request) {
+	if r.PathValue("vm") != "praha-a-3" {
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = w.Write([]byte(`{"title":"not-found","detail":"no such VM","remedy":"look at pimentoshore status"}`))
+		return
+	}
+	reasons := []operator.Reason{{Cause: "its fabric domain has no second free VM", Remedy: "add one"}}
+	_ = json.NewEncoder(w).Encode(operator.VMExplanation{VM: "praha-a-3", Role: "model", DataCentre: "praha", ReportAge: -1, Reasons: reasons})
+}
+
+// startDaemons starts the coordinator of praha and a node of brno, and
+// returns the latter.
+func startDaemons(t *testing.T) (praha, brno *fakeDaemon) {
+	t.Helper()
+	praha, brno = startNode(t, "praha-entry-1", 2), startNode(t, "brno-entry-1", 1)
+	praha.status.DataCentres[0].Unassigned = []operator.UnassignedVM{
+		{VM: "praha-a-3", Accelerators: 8, Healthy: true, Reason: "no partner in its fabric domain"},
+	}
+	nodes := []operator.Node{
+		{VM: "praha-entry-1", DataCentre: "praha", Operators: praha.address(), Configuration: 100},
+		{VM: "brno-entry-1", DataCentre: "brno", Operators: brno.address(), Configuration: 100},
+	}
+	praha.status.Nodes, brno.status.Nodes = nodes, nodes
+	return praha, brno
+}
+
+const readsUntilIdle = 2
+
 func (d *fakeDaemon) answerStatus(w http.ResponseWriter) {
 	if d.stopped.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	status := d.status
-	if d.reads.Add(1) > 2 {
+	if d.reads.Add(1) > readsUntilIdle {
 		dc := status.DataCentres[0]
 		dc.Groups = nil
 		status.DataCentres = []operator.DataCentre{dc}
@@ -201,72 +219,99 @@
 	_ = json.NewEncoder(w).Encode(status)
 }
 
-func TestStatusOnOneScreen(t *testing.T) {
-	d := startDaemon(t)
-	r := runWith("", "status", "--operators", "127.0.0.1:1,"+d.Listener.Addr().String())
+func TestStatusJoinsWhatNodesKnow(t *testing.T) {
+	_, brno := startDaemons(t)
+	r := runWith("", "status", "--operators", "127.0.0.1:1,"+brno.address())
 	assert.Equal(t, r.code, ExitOK, r.err)
-	for _, want := range []string{"praha: in, coordinator praha-entry-1, term 3, 1 of 1 groups serve, 8 accelerators stranded", "g1", "no partner", "glove-orders"} {
+	for _, want := range []string{
+		"praha: in, coordinator praha-entry-1, term 3, 1 of 1 groups serve, 8 accelerators stranded",
+		"praha-a-1,praha-a-2  3/16", "no partner", "glove-orders",
+	} {
 		assert.Assert(t, strings.Contains(r.out, want), r.out)
 	}
-	r = runWith("", "status", "--output", "json", "--operators", d.Listener.Addr().String())
+	assert.Equal(t, r.err, "")
+}
+
+func TestStatusNamesSilentNodes(t *testing.T) {
+	praha, brno := startDaemons(t)
+	brno.Close()
+	r := runWith("", "status", "--output", "json", "--operators", praha.address())
+	assert.Equal(t, r.code, ExitOK, r.err)
+	assert.Assert(t, strings.Contains(r.err, "no status of its own from brno-entry-1"), r.err)
 	var status operator.Status
 	assert.NilError(t, json.Unmarshal([]byte(r.out), &status))
-	assert.DeepEqual(t, status.Nodes, d.status.Nodes)
+	assert.DeepEqual(t, status.Nodes, praha.status.Nodes)
 }
 
 func TestExplain(t *testing.T) {
-	address := startDaemon(t).Listener.Addr().String()
-	r := runWith("", "explain", "vm", "praha-a-3", "--operators", address)
+	praha, _ := startDaemons(t)
+	r := runWith("", "explain", "vm", "praha-a-3", "--operators", praha.address())
 	assert.Equal(t, r.code, ExitOK, r.err)
 	assert.Assert(t, strings.Contains(r.out, "it has not reported\n- its fabric domain has no second free VM; add one\n"), r.out)
-	r = runWith("", "explain", "vm", "x", "--operators", address)
+	r = runWith("", "explain", "vm", "x", "--operators", praha.address())
 	assert.Equal(t, r.code, ExitFailed)
 	assert.Assert(t, strings.Contains(r.err, "no such VM"), r.err)
 }
 
-func TestStopWaitsUntilWorkLeaves(t *testing.T) {
+func TestStopWaitsUntilWorkLeavesEveryNode(t *testing.T) {
 	_, url := startTable(t)
 	assert.Equal(t, runWith("", "apply", exampleInventory, "--platform", url).code, ExitOK)
 	for _, args := range [][]string{{"stop", "vm", "praha-a-1"}, {"stop", "group", "g1"}, {"drain", "vm", "praha-a-1", "--wait"}} {
-		d := startDaemon(t)
-		r := runWith("", append(args, "--platform", url, "--operators", d.Listener.Addr().String())...)
+		praha, brno := startDaemons(t)
+		r := runWith("", append(args, "--platform", url, "--operators", praha.address())...)
 		assert.Equal(t, r.code, ExitOK, r.err)
-		assert.Assert(t, strings.Contains(r.err, "2 requests in flight"), r.err)
-		assert.Assert(t, d.reads.Load() > 2)
+		assert.Assert(t, strings.Contains(r.err, "3 requests in flight") || args[1] == "group", r.err)
+		assert.Assert(t, praha.reads.Load() > readsUntilIdle)
+		assert.Assert(t, brno.reads.Load() > readsUntilIdle)
 	}
 	r := runWith("", "stop", "vm", "praha-entry-1", "--platform", url)
 	assert.Equal(t, r.code, ExitUsage)
 }
 
 func TestStopTimesOutWithWhatIsLeft(t *testing.T) {
-	_, url := startTable(t)
-	assert.Equal(t, runWith("", "apply", exampleInventory, "--platform", url).code, ExitOK)
-	d := startDaemon(t)
-	d.reads.Store(-1000)
-	r := runWith("", "stop", "vm", "praha-a-1", "--timeout", "50ms", "--platform", url, "--operators", d.Listener.Addr().String())
-	assert.Equal(t, r.code, ExitFailed)
-	assert.Assert(t, strings.Contains(r.err, "praha-a-1 is still in group g1"), r.err)
+	tests := []struct {
+		name string
+		edit func(praha, brno *fakeDaemon)
+		left string
+	}{
+		{"group stays", func(praha, brno *fakeDaemon) { praha.reads.Store(-1000); brno.reads.Store(-1000) }, "praha-a-1 is still in group g1"},
+		{"other node has work", func(_, brno *fakeDaemon) { brno.reads.Store(-1000) }, "praha-a-1 is still in group g1"},
+		{"other node is silent", func(_, brno *fakeDaemon) { brno.Close() }, "no status of its own from brno-entry-1"},
+		{"other node is behind", func(_, brno *fakeDaemon) {
+			brno.status.Nodes = []operator.Node{{VM: "brno-entry-1", DataCentre: "brno", Operators: brno.address()}}
+		}, "1 of 2 nodes are behind"},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			_, url := startTable(t)
+			assert.Equal(t, runWith("", "apply", exampleInventory, "--platform", url).code, ExitOK)
+			praha, brno := startDaemons(t)
+			tc.edit(praha, brno)
+			r := runWith("", "stop", "vm", "praha-a-1", "--timeout", "500ms", "--platform", url, "--operators", praha.address())
+			assert.Equal(t, r.code, ExitFailed)
+			assert.Assert(t, strings.Contains(r.err, tc.left), r.err)
+		})
+	}
 }
 
 func TestStopEntryRefusesLastOfDataCentre(t *testing.T) {
-	d := startDaemon(t)
-	address := d.Listener.Addr().String()
-	r := runWith("", "stop", "entry", "praha-entry-1", "--operators", address)
+	praha, brno := startDaemons(t)
+	r := runWith("", "stop", "entry", "praha-entry-1", "--operators", brno.address())
 	assert.Equal(t, r.code, ExitFailed)
 	assert.Assert(t, strings.Contains(r.err, "last entry VM of praha"), r.err)
-	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", address)
+	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", brno.address())
 	assert.Equal(t, r.code, ExitOK, r.err)
 	assert.Equal(t, r.out, "praha-entry-1 has stopped\n")
+	assert.Assert(t, praha.stopped.Load() && !brno.stopped.Load())
 }
 
 func TestStopEntryNeedsItsAddress(t *testing.T) {
-	d := startDaemon(t)
-	d.status.Nodes[0].Operators, d.status.Nodes[1].Operators = "", ""
-	address := d.Listener.Addr().String()
-	r := runWith("", "stop", "entry", "brno-entry-1", "--force", "--operators", address)
+	praha, _ := startDaemons(t)
+	praha.status.Nodes = []operator.Node{{VM: "praha-entry-1", DataCentre: "praha"}, {VM: "brno-entry-1", DataCentre: "brno"}}
+	r := runWith("", "stop", "entry", "brno-entry-1", "--force", "--operators", praha.address())
 	assert.Equal(t, r.code, ExitFailed)
 	assert.Assert(t, strings.Contains(r.err, "name it with --operators"), r.err)
-	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", address)
+	r = runWith("", "stop", "entry", "praha-entry-1", "--force", "--operators", praha.address())
 	assert.Equal(t, r.code, ExitOK, r.err)
 }
 
--- a/internal/cli/follow.go
+++ b/internal/cli/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,7 +17,7 @@
 
 // condition reads from a status whether an effect is there, and what is
 // still to come.
-type condition func(operator.Status) (done bool, left string)
+type condition func(view) (done bool, left string)
 
 // target is the VM, VMs or data centre that work leaves.
 type target struct {
@@ -42,10 +43,10 @@
 	defer cancel()
 	last := ""
 	for {
-		status, err := client.status(ctx)
+		gathered, err := client.gather(ctx)
 		done, left := false, fmt.Sprint(err)
 		if err == nil {
-			done, left = met(status)
+			done, left = met(gathered)
 		}
 		if done {
 			a.progress("done")
@@ -75,7 +76,7 @@
 // inForce is met when every node that is heard of has a configuration and,
 // if work leaves, none is left in flight.
 func inForce(number uint64, of target, leaves bool) condition {
-	return func(s operator.Status) (bool, string) {
+	return func(s view) (bool, string) {
 		behind := 0
 		for _, n := range s.Nodes {
 			if n.Configuration < number && n.LastHeard < lostAfter {
@@ -84,10 +85,13 @@
 		}
 		inFlight := 0
 		if leaves {
-			inFlight = work(s, of)
+			inFlight = work(s.Status, of)
 		}
 		left := fmt.Sprintf("%s: %d requests in flight; %d of %d nodes are behind configuration %d",
 			of.name, inFlight, behind, len(s.Nodes), number)
+		if leaves && len(s.Silent) > 0 {
+			return false, fmt.Sprintf("%s; no status of its own from %s, name it with --operators", left, strings.Join(s.Silent, ", "))
+		}
 		return behind == 0 && inFlight == 0, left
 	}
 }
@@ -113,7 +117,7 @@
 // leftGroups is met when inForce is and none of the VMs is in a group.
 func leftGroups(number uint64, of target) condition {
 	drained := inForce(number, of, true)
-	return func(s operator.Status) (bool, string) {
+	return func(s view) (bool, string) {
 		done, left := drained(s)
 		for _, dc := range s.DataCentres {
 			for _, g := range dc.Groups {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,7 +17,7 @@
 		Use:   "status",
 		Short: "Show groups, stranded VMs, coordinators and configuration",
 		Long: "Show which groups are whole, which VMs are in no group and why, which data centre is out,\n" +
-			"who coordinates each, and which configuration each node has.",
+			"who coordinates each, and which configuration each node has. Every node that can be reached is asked.",
 		Example: "  pimentoshore status --operators 10.0.0.1:7001\n  pimentoshore status --output json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -25,10 +25,14 @@
 			if err != nil {
 				return err
 			}
-			status, err := client.status(cmd.Context())
+			gathered, err := client.gather(cmd.Context())
 			if err != nil {
 				return err
 			}
+			if len(gathered.Silent) > 0 {
+				a.progress("no status of its own from %s: its load is not counted; name it with --operators", strings.Join(gathered.Silent, ", "))
+			}
+			status := gathered.Status
 			return a.print(status, func(w io.Writer) { writeStatus(w, status) })
 		},
 	}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	Once bool
 	// Timeout bounds the time until they are answered; 0 means 60 s.
 	Timeout time.Duration
+	// Workload is a file to write for the load tool; empty means none.
+	Workload string
 }
 
 // daemon is a running daemon.
@@ -67,6 +70,11 @@
 	if err := r.start(ctx); err != nil {
 		return err
 	}
+	if opts.Workload != "" {
+		if err := r.writeWorkload(opts.Workload); err != nil {
+			return err
+		}
+	}
 	if opts.Once {
 		return nil
 	}
@@ -165,6 +173,16 @@
 	fmt.Fprintf(out, "    -d '{\"model\":%q,\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":%q}]}'\n", Model, question[0].Content)
 	fmt.Fprintf(out, "  curl -i http://%s%s -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' \\\n", first.address, ordersPath, AccountKey)
 	fmt.Fprintf(out, "    -H 'Idempotency-Key: order-2' -d '{\"order_id\":\"order-2\",\"item\":\"nitrile gloves\",\"quantity\":3}'\n")
-	fmt.Fprintf(out, "  pimentoshore status --operators %s\n", first.operators)
-	fmt.Fprintf(out, "  pimentoshore drain data-centre praha --platform %s --operators %s --wait\n", r.site.platformURL, first.operators)
+	operators := r.operators()
+	fmt.Fprintf(out, "  pimentoshore status --operators %s\n", operators)
+	fmt.Fprintf(out, "  pimentoshore drain data-centre praha --platform %s --operators %s --wait\n", r.site.platformURL, operators)
+}
+
+// operators lists the daemons' operators' addresses for the command line.
+func (r *run) operators() string {
+	addresses := make([]string, 0, len(r.daemons))
+	for _, d := range r.daemons {
+		addresses = append(addresses, d.operators)
+	}
+	return strings.Join(addresses, ",")
 }
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/http/httputil"
 	"net/url"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/member"
 	"github.com/pimentoshore/pimentoshore/internal/configstore"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/load"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
@@ -98,8 +100,12 @@
 func TestDemoAnswersTwoRequests(t *testing.T) {
 	f := &fakeDaemons{ready: true}
 	var out, progress bytes.Buffer
-	err := Run(context.Background(), Options{StartDaemon: f.start, Out: &out, Err: &progress, Once: true})
+	workload := filepath.Join(t.TempDir(), "load.toml")
+	err := Run(context.Background(), Options{StartDaemon: f.start, Out: &out, Err: &progress, Once: true, Workload: workload})
 	assert.NilError(t, err)
+	w, err := load.ReadWorkload(workload)
+	assert.NilError(t, err)
+	assert.Equal(t, len(w.Engines), 18)
 	for _, want := range []string{"hops:  praha-entry-1 > " + f.model, "order demo-order-1: 24"} {
 		assert.Assert(t, strings.Contains(out.String(), want), out.String())
 	}
