--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -1,6 +1,11 @@
 package lease
 
-import "time"
+import (
+	"fmt"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+)
 
 // Default durations of a lease.
 const (
@@ -8,7 +13,7 @@
 	DefaultPromise      = 9 * time.Second
 	DefaultRenewEvery   = 3 * time.Second
 	DefaultPollEvery    = 3 * time.Second
-	DefaultAskEvery     = 3 * time.Second
+	DefaultAskEvery     = 4 * time.Second
 	DefaultRetryEvery   = time.Second
 	DefaultOrderTimeout = 2 * time.Second
 	DefaultMargin       = 500 * time.Millisecond
@@ -38,8 +43,8 @@
 	PollEvery time.Duration
 	// AskEvery is the interval between rounds of promises in an outage.
 	AskEvery time.Duration
-	// RetryEvery is the pause after a failed read, a lost answer or a
-	// promise that was not given.
+	// RetryEvery is the pause after a failed read by the holder, a failed
+	// write or a promise that was not given.
 	RetryEvery time.Duration
 	// OrderTimeout bounds an order to an endpoint from sending to answer.
 	OrderTimeout time.Duration
@@ -83,6 +88,28 @@
 	return o
 }
 
+// Validate returns a *problem.Error if the durations cannot keep a lease.
+func (o Options) Validate() error {
+	o = o.withDefaults()
+	limits := []struct {
+		name        string
+		value       time.Duration
+		below       time.Duration
+		consequence string
+	}{
+		{"RenewEvery", o.RenewEvery, o.Duration / 2, "half of Duration, or one slow write costs the lease"},
+		{"AskEvery", o.AskEvery, o.Promise, "Promise, or promises run out before the next round"},
+		{"OrderTimeout plus Margin", o.OrderTimeout + o.Margin, min(o.Duration, o.Promise) / 2, "half of Duration and of Promise, or orders rarely fit into the lease"},
+	}
+	for _, l := range limits {
+		if l.value >= l.below {
+			message := fmt.Sprintf("%s of %v is too long", l.name, l.value)
+			return problem.New(problem.ConfigInvalid, message, "set it below "+l.consequence)
+		}
+	}
+	return nil
+}
+
 // stretch returns the time to wait on this clock so that at least d has
 // passed on any other.
 func (o Options) stretch(d time.Duration) time.Duration {
