--- a/coord/route/candidate.go
+++ b/coord/route/candidate.go
@@ -6,8 +6,9 @@
 type tier int
 
 const (
-	local  tier = iota // an endpoint in which this node holds a share
+	local  tier = iota // an endpoint of this data centre in which this node holds a share
 	peer               // a home node of this data centre
+	guest              // an endpoint of another data centre in which this node holds a share
 	remote             // another data centre
 	tiers
 )
@@ -42,8 +43,13 @@
 	cleared  time.Time
 	position int
 	counted  int // part of target.free
+	// bearing says that the candidate is part of target.bearing.
+	bearing bool
 }
 
+// held reports whether this node holds a share of the candidate.
+func (c *candidate) held() bool { return c.tier == local || c.tier == guest }
+
 // free estimates how many more requests the candidate takes from this node.
 // For a local one it is exact.
 func (c *candidate) free() int {
@@ -51,7 +57,7 @@
 		return 0
 	}
 	switch c.tier {
-	case local:
+	case local, guest:
 		return max(0, c.limit-c.own)
 	case remote:
 		return max(0, min(c.limit-c.own-c.others, c.ramp.allowed-c.own))
@@ -87,7 +93,21 @@
 	// known counts candidates, pooled or not.
 	known int
 	free  int
-	peers peerLatency
+	// bearing counts candidates that get requests now or once some have ended.
+	bearing int
+	peers   peerLatency
+}
+
+// recountBearing keeps target.bearing after a change.
+func (c *candidate) recountBearing() {
+	bearing := c.serving && c.limit > 0
+	switch {
+	case bearing && !c.bearing:
+		c.target.bearing++
+	case !bearing && c.bearing:
+		c.target.bearing--
+	}
+	c.bearing = bearing
 }
 
 // refresh moves the candidate in or out of its pool after a change.
@@ -95,6 +115,7 @@
 	free := c.free()
 	c.target.free += free - c.counted
 	c.counted = free
+	c.recountBearing()
 	if free > 0 {
 		c.target.pools[c.tier].add(c)
 	} else {
--- a/coord/route/event.go
+++ b/coord/route/event.go
@@ -13,10 +13,19 @@
 	// Target is the model or service that the endpoint serves.
 	Target     string
 	Generation uint64
+	// Guest is set on an endpoint of another data centre.
+	Guest bool
 	// Serving is set while the endpoint is whole and neither leaving nor out.
 	Serving bool
 }
 
+func (e Endpoint) tier() tier {
+	if e.Guest {
+		return guest
+	}
+	return local
+}
+
 // EndpointUpdated adds an endpoint or replaces what is known of it.
 type EndpointUpdated struct{ Endpoint Endpoint }
 
--- a/coord/route/outcome.go
+++ b/coord/route/outcome.go
@@ -16,7 +16,7 @@
 // news takes in the incarnation named in an answer. The one that the request
 // was sent to is no news: a long answer may end after the endpoint restarted.
 func (t *Table) news(now time.Time, c *candidate, choice Choice, incarnation string) {
-	if c.tier == local && incarnation != choice.Ticket.Incarnation {
+	if c.held() && incarnation != choice.Ticket.Incarnation {
 		t.seen(now, c, incarnation)
 	}
 }
@@ -79,7 +79,7 @@
 		if c.failures >= maxFailures {
 			t.avoid(c, now.Add(failureDelay(c.failures-maxFailures)))
 		}
-		if c.tier == local && ev.Incarnation == "" {
+		if c.held() && ev.Incarnation == "" {
 			t.shares.Doubt(c.name)
 		}
 	case FailedBeyond, Cancelled:
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -36,11 +36,25 @@
 	return t.take(now, c, &r, hit), nil
 }
 
+// allows reports whether the request may go to candidates of the tier.
+func (r *Request) allows(tr tier) bool {
+	switch tr {
+	case peer:
+		return !r.LocalOnly
+	case guest:
+		return !r.DataCentreOnly
+	case remote:
+		return !r.LocalOnly && !r.DataCentreOnly
+	default:
+		return true
+	}
+}
+
 // choose returns the best candidate of the nearest tier that has one.
 func (t *Table) choose(now time.Time, tg *target, r *Request) (c *candidate, hit bool) {
 	for tr := range tiers {
-		if tr == peer && r.LocalOnly || tr == remote && r.DataCentreOnly {
-			break
+		if !r.allows(tr) {
+			continue
 		}
 		if c, hit = t.chooseFrom(now, tg, tr, r); c != nil {
 			return c, hit
@@ -124,7 +138,7 @@
 func (t *Table) take(now time.Time, c *candidate, r *Request, hit bool) Choice {
 	choice := Choice{Target: c.target.name, PrefixHit: hit, candidate: c}
 	switch c.tier {
-	case local:
+	case local, guest:
 		choice.Action = Dispatch
 		choice.Endpoint = c.name
 		choice.Generation = c.generation
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -143,12 +143,12 @@
 
 func (t *Table) updateEndpoint(now time.Time, e Endpoint) {
 	c, ok := t.local[e.Name]
-	if ok && c.target.name != e.Target {
+	if ok && (c.target.name != e.Target || c.tier != e.tier()) {
 		t.removeEndpoint(e.Name)
 		ok = false
 	}
 	if !ok {
-		c = t.add(&candidate{tier: local, name: e.Name}, e.Target)
+		c = t.add(&candidate{tier: e.tier(), name: e.Name}, e.Target)
 		t.local[e.Name] = c
 	}
 	c.generation = e.Generation
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -19,6 +19,10 @@
 // limits are divided over all entry VMs.
 const accountsOffice = "accounts"
 
+// fullUsageEvery is the number of exchanges after which a node reports all
+// that it holds, to make up for lost messages.
+const fullUsageEvery = 20
+
 // ledgerSeen is the newest ledger heard of from one source.
 type ledgerSeen struct {
 	vm   string
@@ -58,7 +62,7 @@
 		nodes = append(nodes, budget.Node{Name: node.VM, Live: !node.Stopping})
 	}
 	l := n.accountLedger
-	n.sendBudget(l, l.SetNodes(nodes))
+	n.sendBudget(l, l.SetNodes(now, nodes))
 	for i := range n.index.doc.ClientAccounts {
 		a := &n.index.doc.ClientAccounts[i]
 		n.sendBudget(l, l.SetEndpoint(now, budget.Endpoint{
@@ -66,12 +70,12 @@
 			ColdInFlight: a.MaxInFlight, MaxInFlight: a.MaxInFlight,
 		}))
 	}
-	n.sendBudget(l, l.Tick())
+	n.sendBudget(l, l.Tick(now))
 }
 
 func (n *Node) tickEndpoints(now time.Time) {
 	l := n.ledger
-	n.sendBudget(l, l.SetNodes(n.budgetNodes(now)))
+	n.sendBudget(l, l.SetNodes(now, n.budgetNodes(now)))
 	for id, p := range n.groups.byID {
 		m, ok := n.index.models[p.Group.Model]
 		if !ok || n.vmDataCentre(p.Group.Members) != n.set.DataCentre {
@@ -86,7 +90,7 @@
 	for _, vm := range n.index.serviceVMs(n.set.DataCentre) {
 		n.setServiceEndpoint(now, vm)
 	}
-	n.sendBudget(l, l.Tick())
+	n.sendBudget(l, l.Tick(now))
 }
 
 func (n *Node) setServiceEndpoint(now time.Time, vm *inventory.VM) {
@@ -120,15 +124,15 @@
 
 // releaseGone frees what entry VMs held that the platform no longer lists.
 // mu is held.
-func (n *Node) releaseGone(listed map[string]bool) {
+func (n *Node) releaseGone(now time.Time, listed map[string]bool) {
 	if n.ledger == nil || n.index.doc == nil || len(listed) == 0 {
 		return
 	}
 	for _, vm := range n.index.doc.VMs {
 		if vm.Role == inventory.RoleEntry && !listed[vm.Name] {
-			n.sendBudget(n.ledger, n.ledger.NodeGone(vm.Name))
+			n.sendBudget(n.ledger, n.ledger.NodeGone(now, vm.Name))
 			if n.accountLedger != nil {
-				n.sendBudget(n.accountLedger, n.accountLedger.NodeGone(vm.Name))
+				n.sendBudget(n.accountLedger, n.accountLedger.NodeGone(now, vm.Name))
 			}
 		}
 	}
@@ -226,8 +230,10 @@
 // reportUsage tells each ledger what changed in this node's shares. mu is
 // held.
 func (n *Node) reportUsage() {
+	n.usageRounds++
+	full := n.usageRounds%fullUsageEvery == 0
 	for source, seen := range n.ledgers {
-		u := n.shares.Report(source, false)
+		u := n.shares.Report(source, full)
 		if len(u.Entries) > 0 || u.Stopping {
 			n.sendTo(seen.vm, kindUsage, u, nil)
 		}
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -119,6 +119,7 @@
 	set.Intervals.Exchange = 100 * time.Millisecond
 	set.Intervals.Lease = 3 * time.Second
 	set.Intervals.ConfigPoll = 200 * time.Millisecond
+	set.Intervals.StopGrace = 2 * time.Second
 	set.Limits.RequestTimeout = 20 * time.Second
 	c.doc.VMs = append(c.doc.VMs, inventory.VM{Name: vm, DataCentre: dc, Role: inventory.RoleEntry, Address: set.Listen.Peers})
 	c.starts = append(c.starts, func() { c.start(set, l) })
@@ -130,6 +131,7 @@
 		start()
 	}
 	c.starts = nil
+	c.t.Cleanup(c.stopAll)
 }
 
 func (c *cluster) start(set settings.Settings, l Listeners) {
@@ -138,7 +140,7 @@
 		out = os.Stderr
 	}
 	n := New(Options{
-		Settings: set, Logger: slog.New(slog.NewTextHandler(out, nil)).With("vm", set.VM),
+		Settings: set, Logger: slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("vm", set.VM),
 		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: c.table,
 	})
 	ctx, stop := context.WithCancel(context.Background())
@@ -150,10 +152,16 @@
 			c.t.Error(err)
 		}
 	}()
-	c.t.Cleanup(func() {
-		stop()
-		<-r.done
-	})
+}
+
+// stopAll stops the nodes at the same time.
+func (c *cluster) stopAll() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		<-n.done
+	}
 }
 
 // apply puts the cluster's document in force.
@@ -208,6 +216,7 @@
 }
 
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := newCluster(t, "praha", "brno")
 	c.addNode("praha", "praha-e0")
 	c.addNode("praha", "praha-e1")
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -135,6 +135,7 @@
 // exchange pulls news from a few nodes and reports usage.
 func (n *Node) exchange(context.Context) {
 	n.locked(func(now time.Time) {
+		n.publishGroups(now)
 		n.publishLoad(now)
 		targets := n.gossip.Tick(n.config.Number(), n.stopping)
 		for _, target := range targets {
@@ -158,6 +159,7 @@
 				n.learnGroups(now, node)
 			}
 		}
+		n.readLoads(now)
 	})
 }
 
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -226,6 +226,6 @@
 	}
 	n.locked(func(now time.Time) {
 		n.stepManager(now, group.LeavingVMs{Names: leaving})
-		n.releaseGone(listed)
+		n.releaseGone(now, listed)
 	})
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -80,13 +80,14 @@
 	accountLedger     *budget.Ledger
 	accountsCandidate bool
 	// ledgers holds the newest ledger heard of by source.
-	ledgers   map[string]ledgerSeen
-	routes    *route.Table
-	admission *admit.Controller
-	retries   *admit.RetryBudget
-	waiting   map[admit.ID]*waiter
-	nextID    admit.ID
-	claims    *claim.State
+	ledgers     map[string]ledgerSeen
+	usageRounds int
+	routes      *route.Table
+	admission   *admit.Controller
+	retries     *admit.RetryBudget
+	waiting     map[admit.ID]*waiter
+	nextID      admit.ID
+	claims      *claim.State
 	// keyed holds the calls with a key that wait for their next step, asks
 	// the peers that wait for an outcome.
 	keyed        map[uint64]*keyedCall
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -37,14 +37,15 @@
 		incarnation, whole := n.groupIncarnation(now, &p.Group)
 		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
 			Name: id, Incarnation: incarnation, Target: p.Group.Model, Generation: p.Group.Generation,
+			Guest:   dataCentre != n.set.DataCentre,
 			Serving: whole && !p.Group.Draining && !n.anyOut(p.Group.Members),
 		}})
 	}
-	for i := range n.servedServices(now) {
-		vm := n.servedServices(now)[i]
+	for _, vm := range n.servedServices(now) {
 		r, _, _ := n.reports.Report(vm.name)
 		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
 			Name: vm.name, Incarnation: r.Incarnation, Target: serviceTarget(vm.service),
+			Guest:   n.index.vms[vm.name].DataCentre != n.set.DataCentre,
 			Serving: n.fresh(now, vm.name) && !n.index.out(vm.name),
 		}})
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -27,6 +28,8 @@
 	peerPath string
 	header   http.Header
 	body     []byte
+	// exclude lists endpoints that another entry VM must not choose.
+	exclude []string
 	// lastEventID resumes a stream after that event; 0 starts it.
 	lastEventID uint64
 }
@@ -118,6 +121,7 @@
 	if t.Peer {
 		s.setPeerHeaders(ctx, hr, req)
 		h.Set(headerForward, forwardAttempt)
+		h.Set(headerExclude, strings.Join(c.exclude, listSeparator))
 	} else {
 		s.setTraceHeaders(ctx, hr, req)
 	}
@@ -131,7 +135,7 @@
 // setTraceHeaders identifies the request to the next hop.
 func (s *Server) setTraceHeaders(ctx context.Context, hr *http.Request, req *request) {
 	telemetry.Propagator.Inject(ctx, propagation.HeaderCarrier(hr.Header))
-	hr.Header.Set(headerRequestID, req.echo.Response().Header().Get(headerRequestID))
+	hr.Header.Set(headerRequestID, req.id())
 }
 
 // setPeerHeaders tells another entry VM whose request it serves and for how
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -27,7 +27,7 @@
 	}
 	need := Need{
 		Kind: ModelEndpoint, Name: head.Model, Account: req.account, Deadline: req.deadline,
-		Prefix: head.prefixHashes(), Forwarded: req.forwarded,
+		Prefix: head.prefixHashes(), Forwarded: req.forwarded, Exclude: req.excluded(),
 	}
 	adm, err := s.backend.Admit(req.ctx(), need)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,8 +24,11 @@
 // forward callers' requests to each other.
 const ForwardPrefix = "/forward"
 
-// forwardedKey is the context key that marks a forwarded request.
-const forwardedKey = "forwarded_account"
+// Keys of values that handlers keep in echo's context.
+const (
+	forwardedKey = "forwarded_account" // marks a forwarded request
+	outcomeKey   = "outcome"           // kind of the problem that ended it
+)
 
 // Options configures a Server.
 type Options struct {
@@ -138,9 +141,8 @@
 
 func (s *Server) record(c echo.Context, id string, took time.Duration) {
 	status := c.Response().Status
-	kind := c.Response().Header().Get(headerProblem)
 	outcome := "ok"
-	if kind != "" {
+	if kind, ok := c.Get(outcomeKey).(string); ok {
 		outcome = kind
 	}
 	telemetry.Counter(s.registry, "requests_total", "outcome", outcome).Inc(1)
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -42,6 +42,7 @@
 		First: req.echo.Request().Header.Get(headerFirst) == "true",
 	})
 	defer keyed.Close()
+	hops := s.vm
 	for {
 		step, err := keyed.Next(req.ctx())
 		if err != nil {
@@ -49,9 +50,13 @@
 		}
 		switch step.Kind {
 		case StepAnswer:
+			step.Recorded.Header.Set(headerHops, hops)
 			return step.Recorded.write(req.echo)
 		case StepDispatch:
 			outcome, res := sc.run()
+			if outcome == Succeeded {
+				hops = res.recorded.Header.Get(headerHops)
+			}
 			keyed.Settle(outcome, res.recorded, res.err)
 		case StepForward:
 			outcome, res := sc.forward(step.Target)
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -86,6 +86,7 @@
 	doc := newDocument(e, c.Response().Header().Get(headerRequestID))
 	h := c.Response().Header()
 	h.Set(headerProblem, string(e.Kind))
+	c.Set(outcomeKey, string(e.Kind))
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -32,6 +32,8 @@
 	headerFirst = "Idempotency-First"
 	// headerForward says what an entry VM forwards.
 	headerForward = "Pimentoshore-Forward"
+	// headerExclude lists endpoints that have failed a forwarded request.
+	headerExclude = "Pimentoshore-Exclude"
 )
 
 // Values of headerForward.
@@ -51,6 +53,7 @@
 	maxKeyBytes     = 255
 	maxRequestIDLen = 128
 	hopSeparator    = ">"
+	listSeparator   = ","
 )
 
 // request is one call of a caller, or of another entry VM on its behalf.
@@ -139,6 +142,18 @@
 
 func (r *request) ctx() context.Context { return r.echo.Request().Context() }
 
+// id returns the request's id.
+func (r *request) id() string { return r.echo.Response().Header().Get(headerRequestID) }
+
+// excluded lists the endpoints that have failed a forwarded request.
+func (r *request) excluded() []string {
+	list := r.echo.Request().Header.Get(headerExclude)
+	if !r.forwarded || list == "" {
+		return nil
+	}
+	return strings.Split(list, listSeparator)
+}
+
 // detach lets the request run until its deadline even if the caller leaves,
 // so that its outcome is known. The result frees the context.
 func (r *request) detach(now time.Time) context.CancelFunc {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -29,12 +29,15 @@
 		need.Retry = n > 0
 		a, err := req.admission.Dispatch(need)
 		if err != nil {
+			s.log.Debug("no further attempt", "request_id", req.id(), "error", err)
 			if last == nil {
 				last = problem.As(err)
 			}
 			return outcome, last
 		}
-		ans := s.send(req, a, next())
+		c := next()
+		c.exclude = need.Exclude
+		ans := s.send(req, a, c)
 		if ans.err == nil {
 			ans.err = deliver(ans)
 			if ans.err == nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -97,7 +97,7 @@
 	s, req := sc.server, sc.req
 	need := Need{
 		Kind: ServiceEndpoint, Name: sc.service.Name, Account: req.account,
-		Deadline: req.deadline, Forwarded: req.forwarded,
+		Deadline: req.deadline, Forwarded: req.forwarded, Exclude: req.excluded(),
 	}
 	adm, err := s.backend.Admit(req.ctx(), need)
 	if err != nil {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,8 +132,8 @@
 
 // fail ends a stream that has begun with an explicit error event.
 func (r *relay) fail(p *problem.Error) error {
-	resp := r.req.echo.Response()
-	data, err := json.Marshal(newDocument(p, resp.Header().Get(headerRequestID)))
+	r.req.echo.Set(outcomeKey, string(p.Kind))
+	data, err := json.Marshal(newDocument(p, r.req.id()))
 	if err != nil {
 		return err
 	}
