Split the larger files of the tools by concern

Change: moves only, no behaviour; the report, the stand-ins' counts and the text form stand apart, as do reading and proposing, status and explain, orders and their log.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net/url"
 	"strconv"
 	"strings"
 
@@ -142,80 +141,3 @@
 }
 
 func loadCell(inFlight, limit int) string { return fmt.Sprintf("%d/%d", inFlight, limit) }
-
-func (a *app) explainCommand() *cobra.Command {
-	cmd := &cobra.Command{
-		Use:     "explain",
-		Short:   "Say why a VM is in no group, or what became of a request",
-		Example: "  pimentoshore explain vm praha-a-3\n  pimentoshore explain request 0f6c1b4e",
-		Args:    cobra.NoArgs,
-		RunE:    needSubcommand,
-	}
-	vm := &cobra.Command{
-		Use:     "vm NAME",
-		Short:   "Say what a VM does and why",
-		Example: "  pimentoshore explain vm praha-a-3",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			var e operator.VMExplanation
-			return a.explain(cmd, operator.ExplainVMPath+url.PathEscape(args[0]), &e, func(w io.Writer) { writeVM(w, e) })
-		},
-	}
-	request := &cobra.Command{
-		Use:     "request ID",
-		Short:   "Say what became of a recent request",
-		Example: "  pimentoshore explain request 0f6c1b4e",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			var e operator.RequestExplanation
-			return a.explain(cmd, operator.ExplainRequestPath+url.PathEscape(args[0]), &e, func(w io.Writer) { writeRequest(w, e) })
-		},
-	}
-	for _, c := range []*cobra.Command{vm, request} {
-		a.operatorFlags(c)
-		a.outputFlag(c)
-		cmd.AddCommand(c)
-	}
-	return cmd
-}
-
-// needSubcommand refuses a command that only groups others.
-func needSubcommand(cmd *cobra.Command, _ []string) error {
-	return &usageError{message: fmt.Sprintf("%s needs a subcommand; see %s --help", cmd.CommandPath(), cmd.CommandPath())}
-}
-
-func (a *app) explain(cmd *cobra.Command, path string, dst any, table func(io.Writer)) error {
-	client, err := newOperatorClient(a.access)
-	if err != nil {
-		return err
-	}
-	if err := client.get(cmd.Context(), path, dst); err != nil {
-		return err
-	}
-	return a.print(dst, table)
-}
-
-func writeVM(w io.Writer, e operator.VMExplanation) {
-	fmt.Fprintf(w, "%s: %s VM of %s, fabric domain %s, group %s\n", e.VM, e.Role, e.DataCentre, orDash(e.FabricDomain), orDash(e.Group))
-	if e.ReportAge < 0 {
-		fmt.Fprintln(w, "it has not reported")
-	} else {
-		fmt.Fprintf(w, "it reported %s in group %s, %s ago\n", orDash(e.ReportedState), orDash(e.ReportedGroup), age(e.ReportAge))
-	}
-	writeReasons(w, e.Reasons)
-}
-
-func writeRequest(w io.Writer, e operator.RequestExplanation) {
-	fmt.Fprintf(w, "%s: %s of account %s was %s\n", e.Request, e.Target, e.Account, e.Outcome)
-	if e.Kind != "" {
-		fmt.Fprintf(w, "problem %s, ran: %s\n", e.Kind, e.Ran)
-	}
-	fmt.Fprintf(w, "hops: %s\n", orDash(strings.Join(e.Hops, " > ")))
-	writeReasons(w, e.Reasons)
-}
-
-func writeReasons(w io.Writer, reasons []operator.Reason) {
-	for _, r := range reasons {
-		fmt.Fprintf(w, "- %s; %s\n", r.Cause, r.Remedy)
-	}
-}
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -5,15 +5,11 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
-	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/pimentoshore/pimentoshore/coord/config"
-	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
-	"github.com/pimentoshore/pimentoshore/coord/table"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
@@ -21,9 +17,6 @@
 	pageRows = 256
 	// maxReads bounds the reads of a sequence that moves on meanwhile.
 	maxReads = 4
-	// maxEdits bounds the attempts at an edit that others race.
-	maxEdits      = 8
-	readBackDelay = 200 * time.Millisecond
 )
 
 // Store is the sequence in a table.
@@ -156,77 +149,3 @@
 func unreadable(err error) error {
 	return problem.New(problem.PlatformDown, err.Error(), "check --platform and try again later")
 }
-
-// Propose writes the change from base to target and returns its number.
-func (s *Store) Propose(ctx context.Context, base config.Snapshot, target inventory.Document, author string) (uint64, error) {
-	opts := config.ProposalOptions{Author: author, Token: uuid.NewString(), Base: base, Target: target}
-	proposal, err := config.NewProposal(opts)
-	if err != nil {
-		return 0, err
-	}
-	effects := proposal.Step(config.Begin{})
-	for reads := 0; ; reads++ {
-		var event config.ProposalEvent
-		for _, effect := range effects {
-			switch effect := effect.(type) {
-			case config.Done:
-				return effect.Number, effect.Err
-			case config.ReadRows:
-				event = s.readRows(ctx, effect.Keys, reads > 0)
-			case config.Commit:
-				event = config.Committed{Outcome: s.commit(ctx, effect.Txn)}
-			}
-		}
-		effects = proposal.Step(event)
-	}
-}
-
-// readRows reads rows for a proposal; a read back waits a little, so that a
-// table that comes back is seen.
-func (s *Store) readRows(ctx context.Context, keys []string, again bool) config.ProposalEvent {
-	if again {
-		timer := time.NewTimer(readBackDelay)
-		defer timer.Stop()
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-	}
-	rows, err := s.table.Get(ctx, keys...)
-	if err != nil {
-		return config.RowsFailed{}
-	}
-	return config.RowsRead{Rows: rows}
-}
-
-func (s *Store) commit(ctx context.Context, txn table.Txn) table.Outcome {
-	_, err := s.table.Commit(ctx, txn)
-	return platform.OutcomeOf(err)
-}
-
-// Edit applies an edit that holds on top of any configuration, and repeats
-// it on the newest one where another change came first. An edit that alters
-// nothing returns the number in force.
-func (s *Store) Edit(ctx context.Context, author string, edit func(*inventory.Document) error) (uint64, error) {
-	var err error
-	for range maxEdits {
-		var base config.Snapshot
-		if base, err = s.Read(ctx); err != nil {
-			return 0, err
-		}
-		target := config.Normalize(base.Document)
-		if err = edit(&target); err != nil {
-			return 0, err
-		}
-		change := config.Diff(base.Document, target)
-		if change.Empty() {
-			return base.Number, nil
-		}
-		var number uint64
-		number, err = s.Propose(ctx, base, target, author)
-		if !problem.Is(err, problem.ConfigConflict) {
-			return number, err
-		}
-	}
-	return 0, err
-}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,21 +1,10 @@
 package load
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
-	"io"
-	"maps"
-	"net/http"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
-	"github.com/pimentoshore/pimentoshore/internal/standin/meter"
-	"github.com/pimentoshore/pimentoshore/internal/standin/service"
 )
 
 // Histograms count microseconds.
@@ -44,21 +33,6 @@
 	Served float64 `json:"served"`
 }
 
-// EndpointReport is what stand-ins counted, over all of them. It reaches
-// back to their start.
-type EndpointReport struct {
-	// ColdLoad is the largest load on a cold endpoint over what it bears; it
-	// must not pass 1.
-	ColdLoad  float64 `json:"cold_load"`
-	Overloads uint64  `json:"overloads"`
-	Cancelled uint64  `json:"cancelled"`
-	// Orders counts runs of orders, Doubles those beyond each order's first.
-	Orders  int `json:"orders"`
-	Doubles int `json:"doubles"`
-	// NotRunThatRan counts orders refused with "ran: no" that did run.
-	NotRunThatRan int `json:"not_run_that_ran"`
-}
-
 // Report sums a run up.
 type Report struct {
 	Offered  int             `json:"offered"`
@@ -159,120 +133,3 @@
 	}
 	return sum * sum / (float64(n) * squares)
 }
-
-// ReadEndpoints adds what the workload's stand-ins counted.
-func (r *Report) ReadEndpoints(ctx context.Context, w Workload, results []Result) error {
-	if len(w.Engines)+len(w.Services) == 0 {
-		return nil
-	}
-	r.Endpoints = &EndpointReport{}
-	for _, url := range w.Engines {
-		var counts engine.Counts
-		if err := getJSON(ctx, url+engine.CountsPath, &counts); err != nil {
-			return err
-		}
-		r.Endpoints.addCounts(counts.Counts)
-		r.Endpoints.Cancelled += counts.Cancelled
-	}
-	ran := map[string]bool{}
-	for _, url := range w.Services {
-		var counts meter.Counts
-		var runs service.Runs
-		if err := getJSON(ctx, url+service.CountsPath, &counts); err != nil {
-			return err
-		}
-		if err := getJSON(ctx, url+service.RunsPath, &runs); err != nil {
-			return err
-		}
-		r.Endpoints.addCounts(counts)
-		r.Endpoints.addRuns(ran, runs)
-	}
-	r.Endpoints.checkPromises(ran, Schedule(w), results)
-	return nil
-}
-
-func (e *EndpointReport) addCounts(c meter.Counts) {
-	e.Overloads += c.Overloads
-	if c.ColdLimit > 0 {
-		e.ColdLoad = max(e.ColdLoad, float64(c.MaxColdInFlight)/float64(c.ColdLimit))
-	}
-}
-
-// addRuns counts doubles over all services, since an order may have run at
-// two of them.
-func (e *EndpointReport) addRuns(ran map[string]bool, runs service.Runs) {
-	for _, run := range runs.Orders {
-		e.Orders += run.Runs
-		e.Doubles += run.Runs - 1
-		if ran[run.OrderID] {
-			e.Doubles++
-		}
-		ran[run.OrderID] = true
-	}
-}
-
-// checkPromises counts orders that were refused as not run and did run.
-func (e *EndpointReport) checkPromises(ran map[string]bool, arrivals []Arrival, results []Result) {
-	for i, result := range results {
-		if result.IsOrder && result.Ran == "no" && ran[arrivals[i].OrderID] {
-			e.NotRunThatRan++
-		}
-	}
-}
-
-const countsTimeout = 5 * time.Second
-
-func getJSON(ctx context.Context, url string, dst any) error {
-	ctx, cancel := context.WithTimeout(ctx, countsTimeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("reading a stand-in's counts; check engines and services in the workload: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s answered status %d; check engines and services in the workload", url, resp.StatusCode)
-	}
-	return json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(dst)
-}
-
-// WriteText writes the report for people.
-func (r *Report) WriteText(w io.Writer) {
-	fmt.Fprintf(w, "requests offered     %d\n", r.Offered)
-	for _, outcome := range []Outcome{Whole, Refused, Broken, Short, Wrong, Failed, NotSent} {
-		fmt.Fprintf(w, "  %-18s %d\n", outcome, r.Outcomes[outcome])
-	}
-	writeCounts(w, "refusals", r.Refusals)
-	writeCounts(w, "failures", r.Failures)
-	writeQuantiles(w, "first token", r.FirstToken)
-	writeQuantiles(w, "between tokens", r.BetweenToken)
-	writeQuantiles(w, "sent late by", r.SendLate)
-	fmt.Fprintln(w, "accounts             offered  whole  served")
-	for _, a := range r.Accounts {
-		fmt.Fprintf(w, "  %-18s %7d %6d  %6.3f\n", a.Name, a.Offered, a.Whole, a.Served)
-	}
-	fmt.Fprintf(w, "fairness (Jain)      %.3f\n", r.Fairness)
-	if e := r.Endpoints; e != nil {
-		fmt.Fprintf(w, "cold load            %.2f of what a cold endpoint bears\n", e.ColdLoad)
-		fmt.Fprintf(w, "overloads            %d\ncancelled            %d\n", e.Overloads, e.Cancelled)
-		fmt.Fprintf(w, "orders run           %d, doubles %d, refused as not run but ran %d\n", e.Orders, e.Doubles, e.NotRunThatRan)
-	}
-}
-
-func writeCounts(w io.Writer, title string, counts map[string]int) {
-	if len(counts) == 0 {
-		return
-	}
-	fmt.Fprintln(w, title)
-	for _, key := range slices.Sorted(maps.Keys(counts)) {
-		fmt.Fprintf(w, "  %-40s %d\n", strings.TrimSpace(key), counts[key])
-	}
-}
-
-func writeQuantiles(w io.Writer, title string, q Quantiles) {
-	fmt.Fprintf(w, "%-20s p50 %.1f ms, p95 %.1f ms, p99 %.1f ms, max %.1f ms (%d)\n", title, q.P50, q.P95, q.P99, q.Max, q.Count)
-}
--- /dev/null
+++ b/internal/standin/service/orders.go
@@ -0,0 +1,101 @@
+package service
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+
+	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+)
+
+func (s *Service) postOrder(c echo.Context) error {
+	c.Response().Header().Set(endpoint.HeaderIncarnation, s.incarnation)
+	c.Response().Header().Set(endpoint.HeaderAttempt, c.Request().Header.Get(endpoint.HeaderAttempt))
+	var order Order
+	if err := c.Bind(&order); err != nil {
+		return err
+	}
+	faults := s.takeFaults()
+	if faults.Refuse {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service takes no orders")
+	}
+	completed := false
+	bearable := s.meter.Begin()
+	defer func() { s.meter.End(completed) }()
+	if !bearable {
+		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service is overloaded")
+	}
+	ctx := c.Request().Context()
+	if faults.Hang {
+		<-ctx.Done()
+		panic(http.ErrAbortHandler)
+	}
+	receipt := s.run(order, c.Request().Header)
+	completed = true
+	if faults.DieAfterRunning {
+		panic(http.ErrAbortHandler)
+	}
+	wait(ctx, s.opts.RunTime+time.Duration(faults.AnswerLateMS)*time.Millisecond)
+	return c.JSON(http.StatusOK, receipt)
+}
+
+// run carries an order out and counts it, by its id or else its key.
+func (s *Service) run(order Order, header http.Header) Receipt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := header.Get(HeaderIdempotencyKey)
+	id := cmp.Or(order.OrderID, key, uuid.NewString())
+	order.OrderID = id
+	run, ok := s.runs[id]
+	if !ok {
+		run = &Run{OrderID: id, IdempotencyKey: key}
+		s.runs[id] = run
+	}
+	run.Runs++
+	run.Attempts = append(run.Attempts, header.Get(endpoint.HeaderAttempt))
+	receipt := Receipt{Order: order, Status: "accepted", VM: s.opts.VM, Run: run.Runs}
+	s.receipts[id] = receipt
+	return receipt
+}
+
+func (s *Service) getOrder(c echo.Context) error {
+	c.Response().Header().Set(endpoint.HeaderIncarnation, s.incarnation)
+	c.Response().Header().Set(endpoint.HeaderAttempt, c.Request().Header.Get(endpoint.HeaderAttempt))
+	s.mu.Lock()
+	receipt, ok := s.receipts[c.Param("id")]
+	s.mu.Unlock()
+	if !ok {
+		return echo.NewHTTPError(http.StatusNotFound, "the service has no such order")
+	}
+	return c.JSON(http.StatusOK, receipt)
+}
+
+// takeFaults returns the switches that hold for an order that arrives now.
+func (s *Service) takeFaults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Times == 0 {
+		return s.faults
+	}
+	if s.left == 0 {
+		return Faults{}
+	}
+	s.left--
+	return s.faults
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
