coord/claim: more courses, and a tick that does not walk the queue

Cause: in an outage each tick walked the queue of unwritten records.

TestOutageWays has a course with a data centre cut off; TestOrdersRunAtMostOnce has cuts and callers that change from plain keys to tickets; a counted test of the transactions.

--- a/coord/claim/event.go
+++ b/coord/claim/event.go
@@ -139,7 +139,8 @@
 // Effect is an output of State.Step for the embedding program to carry out.
 type Effect interface{ effect() }
 
-// Effects of a State.
+// Effects of a State. Each Commit, Read, AskPeer and Forward must be answered
+// with its event, if need be after a timeout of the embedding program's.
 type (
 	// Commit asks for one attempt at a transaction.
 	Commit struct {
--- a/coord/claim/fakes_test.go
+++ b/coord/claim/fakes_test.go
@@ -130,8 +130,8 @@
 	runs   map[Key]int
 	total  int
 	onRun  func(Key)
-	// cut says whether two VMs cannot reach each other.
-	cut func(a, b *vm) bool
+	// cutSite is a site that reaches neither the others nor the table, or -1.
+	cutSite int
 	// tamper alters an event on its way into a State: a mechanism off.
 	tamper func(*vm, Event) Event
 	// tamperTxn alters a transaction on its way to the table.
@@ -157,7 +157,7 @@
 	c := &cluster{
 		sim: newSim(seed), opts: opts, up: true,
 		table: &fakeTable{rows: map[string]table.Row{}}, runs: map[Key]int{},
-		onRun: func(Key) {}, cut: func(*vm, *vm) bool { return false },
+		onRun: func(Key) {}, cutSite: -1,
 		tamper:    func(_ *vm, ev Event) Event { return ev },
 		tamperTxn: func(txn table.Txn) table.Txn { return txn },
 	}
@@ -263,7 +263,7 @@
 	lost := c.chance(c.faults.lostCommit)
 	late := c.chance(c.faults.lateCommit)
 	c.after(c.upTo(tableLatency), func() {
-		if !c.up {
+		if !c.tableFor(v) {
 			c.step(v, inc, Committed{Batch: e.Batch, Outcome: table.NotWritten})
 			return
 		}
@@ -284,9 +284,13 @@
 	})
 }
 
+func (c *cluster) tableFor(v *vm) bool { return c.up && v.site != c.cutSite }
+
+func (c *cluster) cut(a, b *vm) bool { return (a.site == c.cutSite) != (b.site == c.cutSite) }
+
 func (c *cluster) read(v *vm, inc int, e Read) {
 	c.after(c.upTo(tableLatency), func() {
-		if !c.up || c.chance(c.faults.readFailed) {
+		if !c.tableFor(v) || c.chance(c.faults.readFailed) {
 			c.step(v, inc, ReadFailed{Read: e.Read})
 			return
 		}
--- a/coord/claim/outage_test.go
+++ b/coord/claim/outage_test.go
@@ -32,6 +32,7 @@
 	kills           []planKill
 	down, up        time.Duration // of the table
 	leaves, returns time.Duration // of one data centre
+	cut, joined     time.Duration // of the same one
 }
 
 type planKill struct {
@@ -41,11 +42,14 @@
 
 func newPlan(seed uint64, course course) plan {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	p := plan{seed: seed, down: planLength, up: planLength, leaves: planLength, returns: planLength}
-	if course.outage {
+	p := plan{seed: seed, down: planLength, up: planLength, leaves: planLength, returns: planLength, cut: planLength, joined: planLength}
+	if course.event&tableDown10 != 0 {
 		p.down, p.up = 2*time.Minute, 12*time.Minute
 	}
-	if course.leaving {
+	if course.event&siteCut != 0 {
+		p.cut, p.joined = 4*time.Minute, 9*time.Minute
+	}
+	if course.event&siteLeaves != 0 {
 		p.leaves, p.returns = 4*time.Minute, 9*time.Minute
 	}
 	for at := time.Second; at < planLength; at += arrivalEvery/2 + time.Duration(rng.Int64N(int64(arrivalEvery))) {
@@ -90,6 +94,8 @@
 	}
 	c.after(p.down, func() { c.up = false })
 	c.after(p.up, func() { c.up = true })
+	c.after(p.cut, func() { c.cutSite = leavingSite })
+	c.after(p.joined, func() { c.cutSite = -1 })
 	c.after(p.leaves, func() { c.leave() })
 	c.after(p.returns, func() { c.enter() })
 	c.run(planLength + 2*outagePatience)
@@ -134,19 +140,29 @@
 
 const outageSeeds = 2
 
+// courseEvent is a set of what may happen once.
+type courseEvent int
+
+const (
+	tableDown10 courseEvent = 1 << iota
+	siteLeaves
+	siteCut
+)
+
 // course is what happens while the orders arrive.
 type course struct {
-	name            string
-	outage, leaving bool
-	killEvery       time.Duration
+	name      string
+	event     courseEvent
+	killEvery time.Duration
 }
 
 func TestOutageWays(t *testing.T) {
 	courses := []course{
-		{"table down for 10 minutes, a kill every 45 s", true, false, killOften},
-		{"table down for 10 minutes, a kill every 5 min", true, false, killSeldom},
-		{"a data centre leaves and returns, a kill every 45 s", false, true, killOften},
-		{"both, a kill every 45 s", true, true, killOften},
+		{"table down for 10 minutes, a kill every 45 s", tableDown10, killOften},
+		{"table down for 10 minutes, a kill every 5 min", tableDown10, killSeldom},
+		{"a data centre leaves and returns, a kill every 45 s", siteLeaves, killOften},
+		{"both, a kill every 45 s", tableDown10 | siteLeaves, killOften},
+		{"a data centre cut off for 5 minutes, a kill every 45 s", siteCut, killOften},
 	}
 	var lines []string
 	for _, course := range courses {
--- a/coord/claim/ownermodel_test.go
+++ b/coord/claim/ownermodel_test.go
@@ -57,7 +57,8 @@
 	for _, k := range m.plan.kills {
 		s.after(k.at, func() { m.kill(k) })
 	}
-	s.after(m.plan.up, m.tableBack)
+	s.after(m.plan.up, func() { m.tableBack(m.plan.up) })
+	s.after(m.plan.joined, func() { m.tableBack(m.plan.joined) })
 	for i, at := range m.plan.arrivals {
 		s.after(at, func() { m.attempt(s, t, ownerAttempt{order: i, first: at}) })
 	}
@@ -65,13 +66,23 @@
 	return *t
 }
 
-func (m *ownerModel) tableUp(at time.Duration) bool { return at < m.plan.down || at >= m.plan.up }
+func (m *ownerModel) tableUp(site int, at time.Duration) bool {
+	return (at < m.plan.down || at >= m.plan.up) && (site != leavingSite || !m.cutAt(at))
+}
+
+func (m *ownerModel) cutAt(at time.Duration) bool { return at >= m.plan.cut && at < m.plan.joined }
+
+// reaches reports whether a random entry VM reaches the key's home.
+func (m *ownerModel) reaches(site int, at time.Duration) bool {
+	inside := m.rng.IntN(m.sites) == leavingSite
+	return !m.cutAt(at) || inside == (site == leavingSite)
+}
 
 // kill ends a VM. A dead holder takes its memory along; a dead VM beside the
 // holder gives no promise until its replacement proves that it is dead.
 func (m *ownerModel) kill(k planKill) {
 	site := k.vm / m.perSite
-	if m.tableUp(k.at) {
+	if m.tableUp(site, k.at) {
 		if k.vm == m.holders[site] {
 			m.succeed(site, k.at+leaseLength)
 		}
@@ -81,7 +92,7 @@
 		m.lapsed[site] = true
 	}
 	if k.vm == m.holders[site] && m.memory[site] {
-		m.tainted[site] = m.plan.up + repeatWindow
+		m.tainted[site] = min(m.plan.up, m.plan.joined) + repeatWindow
 	}
 }
 
@@ -91,11 +102,11 @@
 	m.holders[site] = site*m.perSite + next
 }
 
-func (m *ownerModel) tableBack() {
+func (m *ownerModel) tableBack(at time.Duration) {
 	for site := range m.sites {
 		if m.lapsed[site] {
 			m.lapsed[site] = false
-			m.succeed(site, m.plan.up+leaseLength)
+			m.succeed(site, at+leaseLength)
 		}
 		m.memory[site] = false
 	}
@@ -121,9 +132,9 @@
 		if a.runAt > 0 {
 			a.last = unsure
 		}
-	case a.at < m.takeover[site]:
+	case a.at < m.takeover[site] || !m.reaches(site, a.at):
 		a.last = refused
-	case a.at >= m.plan.up && a.at < m.tainted[site]:
+	case m.tableUp(site, a.at) && a.at < m.tainted[site]:
 		a.last = unsure // it may have run under the holder that died
 	default:
 		m.serve(t, a, site)
@@ -143,7 +154,7 @@
 	if m.runs[a.order] > 1 {
 		t.doubled++
 	}
-	m.memory[site] = m.memory[site] || !m.tableUp(a.at)
+	m.memory[site] = m.memory[site] || !m.tableUp(site, a.at)
 	if m.rng.Float64() < lostAnswerShare {
 		m.finish(t, unsure)
 		return
--- a/coord/claim/scripted_test.go
+++ b/coord/claim/scripted_test.go
@@ -182,6 +182,44 @@
 	assert.Equal(t, len(next.Txn.Writes), 8)
 }
 
+// TestTickAllocatesNothing holds keys during an outage.
+func TestTickAllocatesNothing(t *testing.T) {
+	for _, held := range []int{10, 1000} {
+		s := ready(Options{})
+		s.down = true
+		for i := range held {
+			ticket := s.IssueTicket(epoch)
+			key := NewKey("archive", ticket.String())
+			d := only[Dispatch](t, s.Step(epoch, Arrived{Call{ID: uint64(i + 1), Key: key, Fingerprint: "f", Ticket: &ticket}}))
+			s.Step(epoch, Answered{Key: key, Attempt: d.Attempt})
+		}
+		s.Step(epoch, Tick{}) // probes the table
+		assert.Equal(t, s.Held(), held)
+		allocs := testing.AllocsPerRun(100, func() { s.Step(epoch, Tick{}) })
+		assert.Equal(t, allocs, 0.0)
+	}
+}
+
+// TestWritesStayWithinTheRate sends far more calls than fit into single
+// transactions, through nodes that each have a share of the platform's writes.
+func TestWritesStayWithinTheRate(t *testing.T) {
+	const share, burst, seconds, callsPerSecond, nodes = 25, 5, 4, 1000, 4
+	c := newCluster(1, Options{CommitsPerSecond: share, CommitBurst: burst}, 2, 2)
+	l := &ledger{}
+	l.watch(c)
+	for i := range seconds * callsPerSecond {
+		o := &order{}
+		c.after(time.Duration(i)*time.Second/callsPerSecond, func() { l.add(c, o, 5*time.Second) })
+	}
+	c.run(2 * seconds * time.Second)
+	got := l.count()
+	t.Logf("%d calls in %d s, served %d, %d transactions within %d s",
+		seconds*callsPerSecond, seconds, got.served, c.table.commits, 2*seconds)
+	assert.Assert(t, c.table.commits <= nodes*(2*seconds*share+burst))
+	assert.Equal(t, got.served, seconds*callsPerSecond)
+	assert.Equal(t, got.doubled+got.lies, 0)
+}
+
 func TestTicketsInAnOutage(t *testing.T) {
 	s := ready(Options{})
 	ticket := s.IssueTicket(epoch)
--- a/coord/claim/state_test.go
+++ b/coord/claim/state_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,12 +14,19 @@
 // scenario is a random run with kills, pauses, lost and late answers.
 type scenario struct {
 	tickets   bool
+	switches  bool
+	cut       bool // one site is cut off from the other and the table
 	outage    bool
 	unsent    bool // most attempts are not sent, and many writes get lost
 	tamper    func(*vm, Event) Event
 	tamperTxn func(table.Txn) table.Txn
 }
 
+func (sc scenario) name() string {
+	return fmt.Sprintf("tickets %v, switches %v, outage %v, cut %v, unsent %v",
+		sc.tickets, sc.switches, sc.outage, sc.cut, sc.unsent)
+}
+
 // drawFaults draws how often each fault comes.
 func drawFaults(t *rapid.T) faults {
 	draw := func(name string, most float64) float64 { return rapid.Float64Range(0, most).Draw(t, name) }
@@ -57,7 +65,7 @@
 	l := &ledger{}
 	l.watch(c)
 	for range scenarioOrders {
-		o := &order{tickets: sc.tickets, vouch: c.chance(0.5)}
+		o := &order{tickets: sc.tickets, switches: sc.switches, vouch: c.chance(0.5)}
 		c.after(c.upTo(scenarioLength/2), func() { l.add(c, o, scenarioPatience) })
 	}
 	c.disturb(scenarioLength)
@@ -65,6 +73,10 @@
 		c.after(scenarioLength/8, func() { c.up = false })
 		c.after(scenarioLength/2, func() { c.up = true })
 	}
+	if sc.cut {
+		c.after(scenarioLength/8, func() { c.cutSite = 1 })
+		c.after(scenarioLength/2, func() { c.cutSite = -1 })
+	}
 	c.run(3 * scenarioLength)
 	return l.count()
 }
@@ -83,7 +95,10 @@
 }
 
 func TestOrdersRunAtMostOnce(t *testing.T) {
-	for _, sc := range []scenario{{}, {outage: true}, {tickets: true}, {tickets: true, outage: true}, {unsent: true}} {
+	for _, sc := range []scenario{
+		{}, {outage: true}, {cut: true}, {unsent: true}, {switches: true, outage: true},
+		{tickets: true}, {tickets: true, outage: true}, {tickets: true, cut: true},
+	} {
 		var sum totals
 		rapid.Check(t, func(t *rapid.T) {
 			got := sc.run(t)
@@ -94,8 +109,8 @@
 			sum.refused += got.refused
 			sum.unsure += got.unsure
 		})
-		t.Logf("tickets %v, outage %v: served %d, refused %d, unsure %d",
-			sc.tickets, sc.outage, sum.served, sum.refused, sum.unsure)
+		t.Logf("%s: served %d, refused %d, unsure %d",
+			sc.name(), sum.served, sum.refused, sum.unsure)
 		assert.Assert(t, sc.unsent || sum.served > sum.refused+sum.unsure, "too little is served to show anything")
 	}
 }
--- a/coord/claim/write.go
+++ b/coord/claim/write.go
@@ -15,6 +15,7 @@
 	batch    uint64 // in flight, 0 without one
 	inFlight []*entry
 	sentAt   time.Time
+	overdue  uint64 // the batch found to take too long
 	// paidUntil is when the transactions so far are paid for at the rate.
 	paidUntil time.Time
 	closing   bool // the batch in flight is the closing row
@@ -38,12 +39,15 @@
 	return s.down || s.writer.batch != 0 && now.Sub(s.writer.sentAt) >= s.opts.CommitPatience
 }
 
-// runOverdue dispatches calls with tickets that have waited long enough.
+// runOverdue dispatches calls with tickets once the transaction in flight has
+// taken too long. Calls that come later find the table slow by themselves.
 func (s *State) runOverdue(now time.Time) {
-	if !s.tableSlow(now) {
+	w := &s.writer
+	if w.batch == 0 || w.overdue == w.batch || now.Sub(w.sentAt) < s.opts.CommitPatience {
 		return
 	}
-	for _, list := range [][]*entry{s.writer.inFlight, s.writer.queue} {
+	w.overdue = w.batch
+	for _, list := range [][]*entry{w.inFlight, w.queue} {
 		for _, e := range list {
 			if e.stage == claiming && e.ticket {
 				s.advance(now, e)
