--- a/coord/claim/outage_test.go
+++ b/coord/claim/outage_test.go
@@ -82,6 +82,7 @@
 		return newOwnerModel(p, p.seed).run()
 	}
 	c := newCluster(p.seed, Options{}, planSites, planPerSite)
+	c.tick = longTickInterval
 	c.faults = faults{notSent: 0.02, lostAnswer: lostAnswerShare}
 	l := &ledger{}
 	l.watch(c)
