route, admit: bound refused hops, keep half of failing endpoints, test admission

Change: no more than half of a target's candidates are avoided for failures; a request that four places refused stays at its node.

--- /dev/null
+++ b/coord/admit/main_test.go
@@ -0,0 +1,18 @@
+package admit
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes rapid's seed, so that every run checks the same traces.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/coord/route/avoid.go
+++ b/coord/route/avoid.go
@@ -52,19 +52,37 @@
 	if c.avoided && !c.retryAt.Before(until) {
 		return
 	}
-	c.avoided = true
+	c.setAvoided(true)
 	c.retryAt = until
 	t.avoidSequence++
 	heap.Push(&t.avoided, avoidedUntil{until, t.avoidSequence, c})
 	c.refresh()
 }
 
+// setAvoided keeps the target's count of avoided candidates.
+func (c *candidate) setAvoided(avoided bool) {
+	if c.avoided == avoided {
+		return
+	}
+	c.avoided = avoided
+	if avoided {
+		c.target.avoided++
+	} else {
+		c.target.avoided--
+	}
+}
+
+// mostAvoided reports whether half of the target's candidates are avoided
+// already. Failures that are so common are not the endpoints' own, and
+// avoiding more of them would only lose capacity.
+func (tg *target) mostAvoided() bool { return 2*tg.avoided >= tg.known }
+
 // readmit ends the avoidance of candidates whose time has come.
 func (t *Table) readmit(now time.Time) {
 	for len(t.avoided) > 0 && !t.avoided[0].at.After(now) {
 		c := heap.Pop(&t.avoided).(avoidedUntil).candidate
 		if c.avoided && !c.retryAt.After(now) {
-			c.avoided = false
+			c.setAvoided(false)
 			c.refresh()
 		}
 	}
--- a/coord/route/candidate.go
+++ b/coord/route/candidate.go
@@ -85,9 +85,10 @@
 	name  string
 	pools [tiers]pool
 	// known counts candidates, pooled or not.
-	known int
-	free  int
-	peers peerLatency
+	known   int
+	avoided int
+	free    int
+	peers   peerLatency
 }
 
 // refresh moves the candidate in or out of its pool after a change.
--- a/coord/route/choice.go
+++ b/coord/route/choice.go
@@ -2,6 +2,9 @@
 
 import "github.com/pimentoshore/pimentoshore/coord/budget"
 
+// MaxRefusals bounds how often one request is refused elsewhere.
+const MaxRefusals = 4
+
 // Request is what the choice of an endpoint depends on.
 type Request struct {
 	// Target is the model or service asked for.
@@ -14,6 +17,10 @@
 	// Tried names endpoints, nodes and data centres that have failed this
 	// request and are not chosen again.
 	Tried []string
+	// Refusals counts the nodes and data centres that refused this request.
+	// After MaxRefusals it is served by this node or not at all, so that
+	// refused requests do not multiply in the network.
+	Refusals int
 	// LocalOnly is set on a request that another node forwarded; it is
 	// served from this node's own shares or not at all.
 	LocalOnly bool
--- a/coord/route/outcome.go
+++ b/coord/route/outcome.go
@@ -76,7 +76,7 @@
 	case Broken:
 		c.failures++
 		c.ramp.restart(t.opts.NoRamp)
-		if c.failures >= maxFailures {
+		if c.failures >= maxFailures && !c.target.mostAvoided() {
 			t.avoid(c, now.Add(failureDelay(c.failures-maxFailures)))
 		}
 		if c.tier == local && ev.Incarnation == "" {
--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -38,8 +38,9 @@
 
 // choose returns the best candidate of the nearest tier that has one.
 func (t *Table) choose(now time.Time, tg *target, r *Request) (c *candidate, hit bool) {
+	stay := r.LocalOnly || r.Refusals >= MaxRefusals
 	for tr := range tiers {
-		if tr == peer && r.LocalOnly || tr == remote && r.DataCentreOnly {
+		if tr == peer && stay || tr == remote && r.DataCentreOnly {
 			break
 		}
 		if c, hit = t.chooseFrom(now, tg, tr, r); c != nil {
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -130,6 +130,7 @@
 
 func (t *Table) remove(c *candidate) {
 	c.serving = false
+	c.setAvoided(false)
 	c.refresh()
 	c.target.known--
 }
@@ -188,7 +189,7 @@
 		c.bears = 0
 		c.latency = latency{}
 		c.failures = 0
-		c.avoided = false
+		c.setAvoided(false)
 	}
 	c.limit = s.Limit
 	c.own = s.InFlight
--- a/coord/route/table_test.go
+++ b/coord/route/table_test.go
@@ -61,6 +61,8 @@
 	_, p := f.Pick(start, Request{Target: "m", LocalOnly: true})
 	assert.Equal(t, p.Kind, problem.Overloaded)
 	assert.Equal(t, p.Ran, problem.RanNo)
+	_, p = f.Pick(start, Request{Target: "m", Refusals: MaxRefusals})
+	assert.Equal(t, p.Kind, problem.Overloaded)
 	assert.Equal(t, f.pick(t, start, Request{}).Action, Forward)
 	_, p = f.Pick(start, Request{Target: "m", DataCentreOnly: true})
 	assert.Equal(t, p.Kind, problem.Overloaded)
@@ -271,6 +273,18 @@
 	f.pick(t, start.Add(avoidBase), Request{})
 }
 
+// TestCommonFailuresKeepHalf lets every endpoint fail: avoiding all of them
+// would leave nothing.
+func TestCommonFailuresKeepHalf(t *testing.T) {
+	f := newFixture(Options{})
+	for i := range 4 {
+		f.add(fmt.Sprint("g", i), 100)
+	}
+	for range 200 {
+		f.Step(start, Failed{Choice: f.pick(t, start, Request{}), Reason: Broken})
+	}
+}
+
 func TestBrokenConnectionHoldsToColdPart(t *testing.T) {
 	f := newFixture(Options{})
 	f.add("g1", 8)
