--- a/coord/budget/shares.go
+++ b/coord/budget/shares.go
@@ -45,6 +45,7 @@
 	doubted         bool
 	scarce          bool
 	changed         bool
+	reported        Entry
 }
 
 // Ticket is one unit of a share, taken by Acquire and given back by Release.
@@ -224,8 +225,9 @@
 	}
 }
 
-// Report returns what changed since the last report to the source, or
-// everything held from it.
+// Report returns what a ledger has to know of what changed since the last
+// report to the source, or everything held from it. A usage without entries
+// that is not full need not be sent.
 func (s *Shares) Report(sourceName string, full bool) Usage {
 	src := s.source(sourceName)
 	src.sequence++
@@ -239,7 +241,11 @@
 		listed = src.shares
 	}
 	for _, sh := range listed {
-		u.Entries = append(u.Entries, sh.entry())
+		e := sh.entry()
+		if full || e.news(sh.reported) {
+			u.Entries = append(u.Entries, e)
+			sh.reported = e
+		}
 	}
 	for _, sh := range src.changed {
 		sh.changed = false
--- a/coord/budget/shares_test.go
+++ b/coord/budget/shares_test.go
@@ -98,3 +98,29 @@
 	assert.Equal(t, len(s.Report("dc", false).Entries), 0)
 	assert.Equal(t, len(s.Report("dc", true).Entries), 1)
 }
+
+// TestReportsDoNotGrowWithRequests counts the entries that steady work within
+// a share causes.
+func TestReportsDoNotGrowWithRequests(t *testing.T) {
+	s := NewShares("a", "a.1")
+	assert.Assert(t, grantTo(s, 1, 64, 2))
+	entries := 0
+	work := func(requests int) int {
+		entries = 0
+		for range requests {
+			first, _ := s.Acquire("e")
+			second, _ := s.Acquire("e")
+			entries += len(s.Report("dc", false).Entries)
+			s.Release(first, true)
+			entries += len(s.Report("dc", false).Entries)
+			s.Release(second, true)
+		}
+		return entries
+	}
+	acquireAll(s)
+	for range 32 {
+		s.Release(Ticket{"e", "e.1"}, true)
+	}
+	assert.Assert(t, work(1000) <= 25, "%d entries", entries)
+	assert.Assert(t, work(10000) <= 25, "%d entries", entries)
+}
