budget, admit: cost follows what changed

Cause: a usage searched all nodes and computed home nodes anew for each entry, and admission searched every account that had ever asked. Change: holdings are indexed by node, homes are kept until the membership changes, and only accounts with waiting requests are looked at.

--- a/coord/admit/admit_test.go
+++ b/coord/admit/admit_test.go
@@ -131,6 +131,30 @@
 	assert.Equal(t, d.offer(start, "x", 0, 0).Problem.Kind, problem.Unauthorized)
 }
 
+func TestRemovedAccountIsRefused(t *testing.T) {
+	d := newDesk(Options{}, 1)
+	d.grant("c", 2, 2, false)
+	d.offer(start, "c", 0, 0)
+	d.offer(start, "c", 0, 0)
+	d.RemoveAccount("c")
+	assert.Equal(t, d.offer(start, "c", 0, 0).Verdict, Refuse)
+	d.finish(start)
+	assert.Equal(t, d.admitted["c"], 2)
+}
+
+// TestAdmissionCost bounds the allocations of an admitted request.
+func TestAdmissionCost(t *testing.T) {
+	d := newDesk(Options{}, 1)
+	d.grant("c", 2, 2, false)
+	id := ID(0)
+	allocs := testing.AllocsPerRun(500, func() {
+		id++
+		d.Offer(start, Request{ID: id, Account: "c", Target: "m"})
+		d.Release(start, id, true)
+	})
+	assert.Assert(t, allocs <= 2, "%v", allocs)
+}
+
 func TestAccountLimit(t *testing.T) {
 	d := newDesk(Options{}, 100)
 	d.grant("c", 2, 2, false)
--- a/coord/admit/offer.go
+++ b/coord/admit/offer.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/budget"
@@ -47,7 +48,7 @@
 		return false
 	}
 	for _, other := range t.lanes {
-		if other != l && len(other.items) > 0 && c.shares.Free(other.account.share) > 0 {
+		if other != l && c.shares.Free(other.account.share) > 0 {
 			return false
 		}
 	}
@@ -103,7 +104,7 @@
 	weights := l.account.Weight
 	others := 0
 	for _, other := range t.lanes {
-		if other != l && len(other.items) > 0 {
+		if other != l {
 			weights += other.account.Weight
 			others += len(other.items)
 		}
@@ -116,6 +117,7 @@
 func (c *Controller) enqueue(now time.Time, t *target, l *lane, w waiting) {
 	if len(l.items) == 0 {
 		l.served = max(l.served, t.served)
+		t.lanes = append(t.lanes, l)
 	}
 	l.insert(w)
 	t.queued++
@@ -127,9 +129,12 @@
 	c.shares.Want(c.opts.Source, a.share, a.waiting)
 }
 
-// dequeued keeps the counts when a request leaves a lane.
+// dequeued keeps the counts when a request has left a lane.
 func (c *Controller) dequeued(t *target, l *lane) {
 	t.queued--
+	if len(l.items) == 0 {
+		t.lanes = slices.DeleteFunc(t.lanes, func(o *lane) bool { return o == l })
+	}
 	l.account.waiting--
 	c.shares.Want(c.opts.Source, l.account.share, l.account.waiting)
 }
--- a/coord/admit/queue.go
+++ b/coord/admit/queue.go
@@ -59,10 +59,12 @@
 
 // target is the queue of one model or service.
 type target struct {
-	name   string
-	lanes  []*lane
-	queued int
-	pace   pace
+	name string
+	// lanes are those with waiting requests.
+	lanes     []*lane
+	byAccount map[*account]*lane
+	queued    int
+	pace      pace
 	// served is the largest past use of any account that was served, so that
 	// one that returns does not claim the time it was away.
 	served float64
@@ -109,6 +111,10 @@
 	c.accounts[a.Name] = &account{Account: a, share: ShareName(a.Name)}
 }
 
+// RemoveAccount removes an account. Its requests that wait or run end as usual,
+// new ones are refused.
+func (c *Controller) RemoveAccount(name string) { delete(c.accounts, name) }
+
 // Queued returns the number of requests that wait for the target.
 func (c *Controller) Queued(targetName string) int {
 	if t, ok := c.targets[targetName]; ok {
@@ -120,7 +126,7 @@
 func (c *Controller) target(name string) *target {
 	t, ok := c.targets[name]
 	if !ok {
-		t = &target{name: name}
+		t = &target{name: name, byAccount: map[*account]*lane{}}
 		c.targets[name] = t
 		c.order = append(c.order, t)
 	}
@@ -129,12 +135,10 @@
 
 // lane returns the account's lane of the target.
 func (t *target) lane(a *account) *lane {
-	for _, l := range t.lanes {
-		if l.account == a {
-			return l
-		}
+	l, ok := t.byAccount[a]
+	if !ok {
+		l = &lane{account: a, served: t.served}
+		t.byAccount[a] = l
 	}
-	l := &lane{account: a, served: t.served}
-	t.lanes = append(t.lanes, l)
 	return l
 }
--- a/coord/admit/serve.go
+++ b/coord/admit/serve.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 )
 
@@ -96,7 +97,7 @@
 func (c *Controller) next(t *target) *lane {
 	var best *lane
 	for _, l := range t.lanes {
-		if len(l.items) == 0 || c.shares.Free(l.account.share) <= 0 {
+		if c.shares.Free(l.account.share) <= 0 {
 			continue
 		}
 		if best == nil || c.goesBefore(l, best) {
@@ -120,19 +121,18 @@
 // expire refuses waiting requests whose estimated start has become too late,
 // and those that waited in vain for a part of their account's limit.
 func (c *Controller) expire(now time.Time, t *target, out []Effect) []Effect {
-	for _, l := range t.lanes {
-		kept := l.items[:0]
-		for _, w := range l.items {
-			p := c.expired(now, t, l, &w, len(kept))
+	for _, l := range slices.Clone(t.lanes) {
+		for i := 0; i < len(l.items); {
+			w := &l.items[i]
+			p := c.expired(now, t, l, w, i)
 			if p == nil {
-				kept = append(kept, w)
+				i++
 				continue
 			}
 			out = append(out, Effect{ID: w.ID, Verdict: Refuse, Problem: p})
+			l.removeAt(i)
 			c.dequeued(t, l)
 		}
-		clear(l.items[len(kept):])
-		l.items = kept
 	}
 	return out
 }
@@ -156,13 +156,21 @@
 	var longest *lane
 	most := 0.0
 	for _, l := range t.lanes {
-		n := len(l.items)
-		if l == joining {
-			n++
-		}
-		if length := float64(n) / float64(l.account.Weight); length > most {
+		if length := l.length(joining); length > most {
 			longest, most = l, length
 		}
 	}
+	if joining != nil && joining.length(joining) > most {
+		return joining
+	}
 	return longest
 }
+
+// length is the number of waiting requests for the account's weight.
+func (l *lane) length(joining *lane) float64 {
+	n := len(l.items)
+	if l == joining {
+		n++
+	}
+	return float64(n) / float64(l.account.Weight)
+}
--- a/coord/budget/balance.go
+++ b/coord/budget/balance.go
@@ -18,8 +18,8 @@
 // larger of the endpoint's own report and the nodes' reports.
 func (l *Ledger) limit(a *account) int {
 	var seen uint64
-	for i := range a.holdings {
-		seen += a.holdings[i].completed
+	for _, h := range a.holdings {
+		seen += h.completed
 	}
 	return l.opts.Warmup.Limit(a.ColdInFlight, a.MaxInFlight, max(a.reported, seen))
 }
@@ -40,7 +40,7 @@
 	free := l.room(now, a, limit)
 	var out Effects
 	for _, p := range parts {
-		h := a.holding(p.node.Name)
+		h := a.holding(p.node)
 		limit, cold := free.take(h.bound(now, a), p.limit, p.cold)
 		if h.inForce(a.incarnation.current, limit, cold, p.scarce) {
 			continue
@@ -63,8 +63,7 @@
 // room returns how much of the limits no node can hold.
 func (l *Ledger) room(now time.Time, a *account, limit int) room {
 	r := room{limit: limit, cold: a.ColdInFlight}
-	for i := range a.holdings {
-		h := &a.holdings[i]
+	for _, h := range a.holdings {
 		if l.without.releases {
 			r.use(bound{limit: h.last.Limit, cold: h.last.Cold})
 			continue
@@ -110,22 +109,20 @@
 	if l.opts.Division == ByDemand {
 		return l.divideByDemand(now, a, limit)
 	}
-	homes := l.homes(a.Name)
+	homes := l.homes(a)
 	parts := make([]part, 0, len(homes))
-	for _, m := range l.members {
-		if m.incarnation == "" || !m.synced {
-			continue
-		}
-		rank := slices.Index(homes, m.Name)
-		switch {
-		case rank >= 0:
+	for rank, m := range homes {
+		if m.grantable() {
 			parts = append(parts, part{
 				node:  m,
 				limit: split(limit, len(homes), rank),
 				cold:  split(a.ColdInFlight, len(homes), rank),
 			})
-		case a.find(m.Name) != nil:
-			parts = append(parts, part{node: m})
+		}
+	}
+	for _, h := range a.holdings {
+		if h.node.grantable() && !slices.Contains(homes, h.node) {
+			parts = append(parts, part{node: h.node})
 		}
 	}
 	return parts
@@ -133,7 +130,10 @@
 
 // homes returns the endpoint's home nodes: live nodes of the data centre,
 // with guests in the places that they leave free.
-func (l *Ledger) homes(endpoint string) []string {
+func (l *Ledger) homes(a *account) []*holder {
+	if a.homesOf == l.membership {
+		return a.homes
+	}
 	var own, guests []string
 	for _, m := range l.members {
 		switch {
@@ -144,15 +144,12 @@
 			own = append(own, m.Name)
 		}
 	}
-	homes := Homes(endpoint, own, l.opts.Homes)
-	return append(homes, Homes(endpoint, guests, l.opts.Homes-len(homes))...)
-}
-
-func (l *Ledger) member(name string) *holder {
-	for _, m := range l.members {
-		if m.Name == name {
-			return m
-		}
+	names := Homes(a.Name, own, l.opts.Homes)
+	names = append(names, Homes(a.Name, guests, l.opts.Homes-len(names))...)
+	a.homesOf = l.membership
+	a.homes = a.homes[:0]
+	for _, name := range names {
+		a.homes = append(a.homes, l.byName[name])
 	}
-	return nil
+	return a.homes
 }
--- a/coord/budget/demand.go
+++ b/coord/budget/demand.go
@@ -10,11 +10,11 @@
 	var parts []part
 	total := 0
 	for _, m := range l.members {
-		if m.incarnation == "" || !m.synced || !m.eligible() && a.find(m.Name) == nil {
+		if !m.grantable() || !m.eligible() && a.find(m) == nil {
 			continue
 		}
 		p := part{node: m}
-		if h := a.find(m.Name); h != nil && m.eligible() {
+		if h := a.find(m); h != nil && m.eligible() {
 			p.limit = h.demand
 			total += h.demand
 		}
@@ -106,7 +106,7 @@
 func (l *Ledger) keepUnneeded(now time.Time, a *account, parts []part, limit int) {
 	sum := 0
 	for _, p := range parts {
-		h := a.find(p.node.Name)
+		h := a.find(p.node)
 		if h == nil || h.bound(now, a).limit < h.demand || !p.node.eligible() {
 			return
 		}
@@ -116,6 +116,6 @@
 		return
 	}
 	for i := range parts {
-		parts[i].limit = a.find(parts[i].node.Name).bound(now, a).limit
+		parts[i].limit = a.find(parts[i].node).bound(now, a).limit
 	}
 }
--- a/coord/budget/doc.go
+++ b/coord/budget/doc.go
@@ -11,11 +11,17 @@
 //   - The ledger counts a node with the largest of what it last reported and
 //     of every grant that it may still accept. It grants growth only within
 //     what is left of the limit.
-//   - A new ledger counts the whole remainder as held until each possible
-//     holder has reported under its term or is known to be gone.
+//   - A new ledger grants no growth until each possible holder has reported
+//     under its term or is known to be gone.
 //   - Each grant carries the node's part of the cold limit. A node that learns
 //     of a new incarnation falls to that part at once; these parts add up to
 //     no more than the cold limit by the same accounting.
 //
 // Grants do not expire, so nodes keep serving while the coordinator is away.
+//
+// The embedding program has to drop usages, reports and answers that are more
+// than 10 seconds old, and to send a full Usage from time to time, which
+// repairs what lost ones would have told. Grants may arrive at any age. A
+// request has to name the incarnation of its Ticket, so that an endpoint that
+// has restarted does not run it.
 package budget
--- a/coord/budget/holding.go
+++ b/coord/budget/holding.go
@@ -13,7 +13,10 @@
 	origin      origin
 	since       time.Time
 	reported    uint64
-	holdings    []holding
+	holdings    []*holding // in order of creation
+	byHolder    []*holding // by holder.index, nil for none
+	homes       []*holder
+	homesOf     uint64 // the membership that homes were computed for
 	pending     bool
 	unsettled   bool
 }
@@ -28,7 +31,7 @@
 
 // holding bounds what one node holds of an endpoint.
 type holding struct {
-	node string
+	node *holder
 	// reported is the node's last report; sent are the grants that it has not
 	// acknowledged, merged by incarnation.
 	reported  amount
@@ -90,21 +93,26 @@
 	return h.reported.incarnation == incarnation && h.reported.limit >= limit && h.reported.cold == cold
 }
 
-func (a *account) find(node string) *holding {
-	for i := range a.holdings {
-		if a.holdings[i].node == node {
-			return &a.holdings[i]
-		}
+// find returns what the node holds, or nil if it was never granted anything.
+func (a *account) find(m *holder) *holding {
+	if m.index < len(a.byHolder) {
+		return a.byHolder[m.index]
 	}
 	return nil
 }
 
-func (a *account) holding(node string) *holding {
-	if h := a.find(node); h != nil {
+// holding returns the accounting of the node, made if need be.
+func (a *account) holding(m *holder) *holding {
+	if h := a.find(m); h != nil {
 		return h
 	}
-	a.holdings = append(a.holdings, holding{node: node})
-	return &a.holdings[len(a.holdings)-1]
+	for len(a.byHolder) <= m.index {
+		a.byHolder = append(a.byHolder, nil)
+	}
+	h := &holding{node: m}
+	a.byHolder[m.index] = h
+	a.holdings = append(a.holdings, h)
+	return h
 }
 
 // see takes in the incarnation named in a message and reports whether it is
@@ -119,8 +127,8 @@
 		a.origin = witnessed
 	}
 	a.reported = 0
-	for i := range a.holdings {
-		a.holdings[i].completed = 0
+	for _, h := range a.holdings {
+		h.completed = 0
 	}
 	return true
 }
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -56,15 +56,18 @@
 
 // Ledger divides the limits of one data centre's endpoints.
 type Ledger struct {
-	opts      LedgerOptions
-	sequence  uint64
-	members   []*holder
-	unsynced  int
-	endpoints map[string]*account
-	order     []*account
-	pending   []*account
-	unsettled []*account
-	without   mechanisms
+	opts     LedgerOptions
+	sequence uint64
+	members  []*holder // by name
+	byName   map[string]*holder
+	unsynced int
+	// membership changes with the set of nodes that may be granted shares.
+	membership uint64
+	endpoints  map[string]*account
+	order      []*account
+	pending    []*account
+	unsettled  []*account
+	without    mechanisms
 }
 
 // mechanisms are switched off in tests to show that they matter.
@@ -77,6 +80,7 @@
 // holder is a process that may hold shares.
 type holder struct {
 	Node
+	index       int
 	incarnation string
 	synced      bool
 	gone        bool
@@ -89,6 +93,9 @@
 // eligible reports whether the node may be granted shares.
 func (m *holder) eligible() bool { return m.Live && !m.stopping }
 
+// grantable reports whether a grant can be addressed to the node's process.
+func (m *holder) grantable() bool { return m.synced && m.incarnation != "" }
+
 // origin says what earlier ledgers may have granted of an incarnation.
 type origin int
 
@@ -105,46 +112,69 @@
 	if opts.Homes == 0 {
 		opts.Homes = DefaultHomes
 	}
-	return &Ledger{opts: opts, endpoints: map[string]*account{}}
+	return &Ledger{
+		opts: opts, membership: 1,
+		byName: map[string]*holder{}, endpoints: map[string]*account{},
+	}
 }
 
-// SetNodes replaces the set of possible holders. A node that is no longer
-// listed is not live but counts with what it holds until NodeGone.
+// SetNodes replaces the set of possible holders. It has to list every entry VM
+// that may run, live or not, also one that was removed from the configuration;
+// for those that certainly do not run, call NodeGone. A node that is no longer
+// listed is not live but counts with what it holds until then.
 func (l *Ledger) SetNodes(now time.Time, nodes []Node) Effects {
 	var out Effects
-	for _, m := range l.members {
-		m.Live = false
-	}
+	listed := make(map[string]Node, len(nodes))
 	for _, n := range nodes {
-		m := l.member(n.Name)
-		if m == nil {
-			m = &holder{nonce: 1, challenged: true}
-			l.unsynced++
-			l.members = append(l.members, m)
-			out.Announces = append(out.Announces, l.announce(m, n.Name))
+		listed[n.Name] = n
+		if _, ok := l.byName[n.Name]; !ok {
+			out.Announces = append(out.Announces, l.addNode(n))
 		}
-		if m.gone && n.Live {
-			m.gone = false
+	}
+	changed := len(out.Announces) > 0
+	for _, m := range l.members {
+		n, ok := listed[m.Name]
+		if !ok {
+			n = Node{Name: m.Name, Guest: m.Guest}
 		}
-		m.Node = n
+		if n != m.Node {
+			changed = true
+			m.Node = n
+			m.gone = m.gone && !n.Live
+		}
+	}
+	if changed {
+		l.membership++
+		out.add(l.balanceAll(now))
 	}
-	slices.SortFunc(l.members, func(a, b *holder) int { return strings.Compare(a.Name, b.Name) })
-	out.add(l.balanceAll(now))
 	return out
 }
 
+// addNode adds a possible holder that has not reported yet.
+func (l *Ledger) addNode(n Node) Announce {
+	m := &holder{Node: n, index: len(l.members), nonce: 1, challenged: true}
+	l.unsynced++
+	l.byName[n.Name] = m
+	at, _ := slices.BinarySearchFunc(l.members, n.Name, func(m *holder, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+	l.members = slices.Insert(l.members, at, m)
+	return l.announce(m, n.Name)
+}
+
 // NodeGone takes in that the node's process has certainly ended, which frees
 // everything it held.
 func (l *Ledger) NodeGone(now time.Time, name string) Effects {
-	m := l.member(name)
+	m := l.byName[name]
 	if m == nil {
 		return Effects{}
 	}
 	m.gone = true
 	m.Live = false
 	m.incarnation = ""
+	l.membership++
 	l.synced(m)
-	l.forget(name)
+	l.forget(m)
 	return l.balanceAll(now)
 }
 
@@ -200,7 +230,7 @@
 
 // Usage takes in a node's report.
 func (l *Ledger) Usage(now time.Time, u Usage) Effects {
-	m := l.member(u.Node)
+	m := l.byName[u.Node]
 	if m == nil || u.Source != l.opts.Source {
 		return Effects{}
 	}
@@ -220,7 +250,7 @@
 	}
 	m.sequence = u.Sequence
 	out := l.stop(now, m, u.Stopping)
-	out.add(l.read(now, u))
+	out.add(l.read(now, m, u))
 	return out
 }
 
@@ -242,8 +272,8 @@
 	var out []Grant
 	l.pending = slices.DeleteFunc(l.pending, func(a *account) bool {
 		a.pending = false
-		for i := range a.holdings {
-			if h := &a.holdings[i]; h.unanswered() {
+		for _, h := range a.holdings {
+			if h.unanswered() {
 				out = append(out, h.last)
 				a.pending = true
 			}
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -156,6 +156,36 @@
 	assert.DeepEqual(t, s.limits(), []int{10, 0})
 }
 
+// TestUsageCostFollowsChanges bounds the work for one changed entry, whatever
+// the number of endpoints and nodes.
+func TestUsageCostFollowsChanges(t *testing.T) {
+	allocs := func(endpoints, nodes int) float64 {
+		var names []string
+		for i := range nodes {
+			names = append(names, fmt.Sprint("n", i))
+		}
+		s := newSite(LedgerOptions{Term: 1}, live(names...)...)
+		for i := range endpoints {
+			e := endpoint
+			e.Name = fmt.Sprint("e", i)
+			s.deliver(s.ledger.SetEndpoint(start, e))
+		}
+		home := Homes("e0", names, 1)[0]
+		usage := s.nodes[home].Report("dc", false)
+		entry := s.nodes[home].table["e0"].entry()
+		return testing.AllocsPerRun(100, func() {
+			usage.Sequence++
+			entry.Completed += DefaultWarmup
+			usage.Entries = append(usage.Entries[:0], entry)
+			s.ledger.Usage(start, usage)
+			s.ledger.Tick(start)
+		})
+	}
+	few, many := allocs(10, 4), allocs(1000, 32)
+	t.Logf("%.0f allocations with 10 endpoints, %.0f with 1000", few, many)
+	assert.Assert(t, many <= few+1)
+}
+
 func TestHomesProperties(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		n := rapid.IntRange(1, 32).Draw(rt, "nodes")
--- a/coord/budget/sync.go
+++ b/coord/budget/sync.go
@@ -23,10 +23,11 @@
 	m.challenged = false
 	restarted := m.incarnation != u.NodeIncarnation
 	if restarted {
-		l.forget(m.Name)
+		l.forget(m)
 		m.incarnation = u.NodeIncarnation
 		m.sequence = 0
 		m.stopping = false
+		l.membership++
 	}
 	if u.Sequence <= m.sequence {
 		return Effects{}
@@ -35,7 +36,7 @@
 	first := !m.synced
 	l.synced(m)
 	out := l.stop(now, m, u.Stopping)
-	out.add(l.read(now, u))
+	out.add(l.read(now, m, u))
 	if first || restarted {
 		out.add(l.balanceAll(now))
 	}
@@ -48,6 +49,7 @@
 		return Effects{}
 	}
 	m.stopping = true
+	l.membership++
 	return l.balanceAll(now)
 }
 
@@ -63,25 +65,23 @@
 }
 
 // forget drops what the ended process of a node held.
-func (l *Ledger) forget(node string) {
+func (l *Ledger) forget(m *holder) {
 	for _, a := range l.order {
-		for i := range a.holdings {
-			if a.holdings[i].node == node {
-				a.holdings[i] = holding{node: node}
-			}
+		if h := a.find(m); h != nil {
+			*h = holding{node: m}
 		}
 	}
 }
 
 // read applies the entries of a usage and rebalances what they changed.
-func (l *Ledger) read(now time.Time, u Usage) Effects {
+func (l *Ledger) read(now time.Time, m *holder, u Usage) Effects {
 	var out Effects
 	if u.Full {
-		out.add(l.readMissing(now, u))
+		out.add(l.readMissing(now, m, u))
 	}
 	for _, e := range u.Entries {
 		if a, ok := l.endpoints[e.Endpoint]; ok {
-			l.readEntry(now, a, u.Node, e)
+			a.read(now, m, e)
 			out.add(l.balance(now, a))
 		}
 	}
@@ -90,7 +90,7 @@
 
 // readMissing takes in that a node holds nothing of what its full usage does
 // not list.
-func (l *Ledger) readMissing(now time.Time, u Usage) Effects {
+func (l *Ledger) readMissing(now time.Time, m *holder, u Usage) Effects {
 	listed := make(map[string]bool, len(u.Entries))
 	for _, e := range u.Entries {
 		listed[e.Endpoint] = true
@@ -100,7 +100,7 @@
 		if listed[a.Name] {
 			continue
 		}
-		h := a.find(u.Node)
+		h := a.find(m)
 		if h == nil || h.reported == (amount{}) {
 			continue
 		}
@@ -110,10 +110,10 @@
 	return out
 }
 
-// readEntry takes in what a node says it holds of one endpoint.
-func (l *Ledger) readEntry(now time.Time, a *account, node string, e Entry) {
+// read takes in what a node says it holds of one endpoint.
+func (a *account) read(now time.Time, m *holder, e Entry) {
 	a.see(now, e.Incarnation)
-	h := a.holding(node)
+	h := a.holding(m)
 	h.reported = amount{e.Incarnation, e.Held, e.Cold, e.Earlier}
 	h.demand = e.Demand
 	if e.Incarnation == a.incarnation.current {
