Keep cold endpoints at their cold limit until they are warm

The inventory said nothing about when an endpoint is warm. Change: warm_after (whole answers, default 8) for models and services; the limit stays cold until then and rises by one per four answers after that.

Streams now go through coord/stream, refusals elsewhere are counted against their bound, and a released lease is announced to the other candidates.

--- a/coord/budget/balance.go
+++ b/coord/budget/balance.go
@@ -21,7 +21,11 @@
 	for _, h := range a.holdings {
 		seen += h.completed
 	}
-	return l.opts.Warmup.Limit(a.ColdInFlight, a.MaxInFlight, max(a.reported, seen))
+	completed := max(a.reported, seen)
+	if !l.opts.Warmup.Off && completed < uint64(a.WarmAfter) {
+		return min(a.ColdInFlight, a.MaxInFlight)
+	}
+	return l.opts.Warmup.Limit(a.ColdInFlight, a.MaxInFlight, completed-min(completed, uint64(a.WarmAfter)))
 }
 
 func (l *Ledger) balanceAll(now time.Time) Effects {
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -49,6 +49,9 @@
 	// start and when warm.
 	ColdInFlight int
 	MaxInFlight  int
+	// WarmAfter is the number of completed requests before the limit first
+	// rises above ColdInFlight.
+	WarmAfter int
 	// Fresh says that this incarnation was created under the ledger's own
 	// term, so that no earlier ledger can have granted shares of it.
 	Fresh bool
@@ -191,7 +194,7 @@
 		l.order = append(l.order, a)
 		return l.balance(now, a)
 	}
-	a.ColdInFlight, a.MaxInFlight = e.ColdInFlight, e.MaxInFlight
+	a.ColdInFlight, a.MaxInFlight, a.WarmAfter = e.ColdInFlight, e.MaxInFlight, e.WarmAfter
 	if a.see(now, e.Incarnation) && e.Fresh {
 		a.replace()
 	}
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -77,6 +77,19 @@
 	assert.DeepEqual(t, s.limits(), []int{1, 1})
 }
 
+func TestLimitStaysColdUntilWarm(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1}, live("a", "b")...)
+	e := endpoint
+	e.WarmAfter = 8
+	s.deliver(s.ledger.SetEndpoint(start, e))
+	s.deliver(s.ledger.Observe(start, "e", "e.1", 7))
+	assert.DeepEqual(t, s.limits(), []int{1, 1})
+	s.deliver(s.ledger.Observe(start, "e", "e.1", 8+DefaultWarmup))
+	assert.DeepEqual(t, s.limits(), []int{2, 1})
+	s.deliver(s.ledger.Observe(start, "e", "e.2", 0))
+	assert.DeepEqual(t, s.limits(), []int{1, 1})
+}
+
 func TestGuestOnlyBesideSingleNode(t *testing.T) {
 	guest := Node{Name: "g", Live: true, Guest: true}
 	s := newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, append(live("a", "b"), guest)...)
--- a/coord/inventory/inventory.go
+++ b/coord/inventory/inventory.go
@@ -53,8 +53,16 @@
 	// bears, ColdInFlight that of a group right after a cold start.
 	MaxInFlight  int `toml:"max_in_flight" json:"max_in_flight"`
 	ColdInFlight int `toml:"cold_in_flight" json:"cold_in_flight"`
+	// WarmAfter is the number of whole answers after a cold start until
+	// which the group bears no more than ColdInFlight; 0 means
+	// DefaultWarmAfter.
+	WarmAfter int `toml:"warm_after,omitempty" json:"warm_after,omitempty"`
 }
 
+// DefaultWarmAfter is the number of whole answers that warm an endpoint
+// whose inventory says nothing else.
+const DefaultWarmAfter = 8
+
 // Route says whether calls to a path prefix of a service may be repeated.
 // Calls that match no route are treated as non-idempotent unless their
 // method is idempotent by RFC 9110.
@@ -73,6 +81,8 @@
 	Routes       []Route `toml:"routes,omitempty" json:"routes,omitempty"`
 	MaxInFlight  int     `toml:"max_in_flight" json:"max_in_flight"`
 	ColdInFlight int     `toml:"cold_in_flight" json:"cold_in_flight"`
+	// WarmAfter is as for models.
+	WarmAfter int `toml:"warm_after,omitempty" json:"warm_after,omitempty"`
 }
 
 // ClientAccount is a customer with its keys and limits.
--- a/coord/inventory/validate.go
+++ b/coord/inventory/validate.go
@@ -51,7 +51,10 @@
 	seen[name] = true
 }
 
-func (v *validator) inFlight(key string, maxInFlight, cold int) {
+func (v *validator) inFlight(key string, maxInFlight, cold, warmAfter int) {
+	if warmAfter < 0 {
+		v.add(key+".warm_after", "is negative", "set the number of whole answers that warm an endpoint, or leave it out")
+	}
 	if maxInFlight < 1 {
 		v.add(key+".max_in_flight", "is below 1", "set the number of concurrent requests a warm endpoint bears")
 	}
@@ -75,7 +78,7 @@
 	for i, s := range v.doc.Services {
 		key := fmt.Sprintf("services[%d]", i)
 		v.unique(seen, key, s.Name)
-		v.inFlight(key, s.MaxInFlight, s.ColdInFlight)
+		v.inFlight(key, s.MaxInFlight, s.ColdInFlight, s.WarmAfter)
 	}
 }
 
@@ -125,7 +128,7 @@
 	for i, m := range v.doc.Models {
 		key := fmt.Sprintf("models[%d]", i)
 		v.unique(seen, key, m.Name)
-		v.inFlight(key, m.MaxInFlight, m.ColdInFlight)
+		v.inFlight(key, m.MaxInFlight, m.ColdInFlight, m.WarmAfter)
 		for _, dc := range m.DataCentres {
 			if !v.hasDataCentre(dc) {
 				v.add(key+".data_centres", fmt.Sprintf("%q is not declared", dc), "add it under data_centres or correct the name")
--- a/coord/inventory/validate_test.go
+++ b/coord/inventory/validate_test.go
@@ -43,6 +43,7 @@
 		{"no fabric domain", func(d *Document) { d.VMs[0].Role = RoleModel }, "vms[0].fabric_domain"},
 		{"impossible group size", func(d *Document) { d.Models[0].GroupSize = 3 }, "models[0].group_size"},
 		{"cold above warm", func(d *Document) { d.Models[0].ColdInFlight = 9 }, "models[0].cold_in_flight"},
+		{"negative warm-up", func(d *Document) { d.Services[0].WarmAfter = -1 }, "services[0].warm_after"},
 		{"bad key hash", func(d *Document) { d.ClientAccounts[0].KeyHashes[0] = "secret" }, "client_accounts[0].key_hashes"},
 		{"host name address", func(d *Document) { d.VMs[1].Address = "engine:80" }, "vms[1].address"},
 	}
--- a/coord/stream/event.go
+++ b/coord/stream/event.go
@@ -98,6 +98,8 @@
 type Options struct {
 	// Stream is unique to the request; attempt ids are made from it.
 	Stream string
+	// After is the last event that the caller has had before this stream.
+	After uint64
 	// MaxResumes bounds the attempts after the first; negative allows none.
 	MaxResumes int
 	// PauseBytes is the number of delivered bytes that the caller has not
--- a/coord/stream/relay.go
+++ b/coord/stream/relay.go
@@ -29,7 +29,7 @@
 }
 
 // New returns a Relay.
-func New(opts Options) *Relay { return &Relay{opts: opts.withDefaults()} }
+func New(opts Options) *Relay { return &Relay{opts: opts.withDefaults(), last: opts.After} }
 
 // Delivered returns the id of the last delivered event.
 func (r *Relay) Delivered() uint64 { return r.last }
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -269,7 +269,7 @@
 func (n *Node) pick(now time.Time, need gateway.Need) (*attempt, *problem.Error) {
 	choice, p := n.routes.Pick(now, route.Request{
 		Target: targetOf(need), Prefix: need.Prefix, Priority: need.Account.Priority,
-		Tried: need.Exclude, LocalOnly: need.Forwarded,
+		Tried: need.Exclude, Refusals: need.Refusals, LocalOnly: need.Forwarded,
 	})
 	if p != nil {
 		return nil, p
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -84,6 +84,7 @@
 		if incarnation, whole := n.groupIncarnation(now, &p.Group); whole {
 			n.sendBudget(l, l.SetEndpoint(now, budget.Endpoint{
 				Name: id, Incarnation: incarnation, ColdInFlight: m.ColdInFlight, MaxInFlight: m.MaxInFlight,
+				WarmAfter: warmAfter(m.WarmAfter),
 			}))
 		}
 	}
@@ -93,6 +94,14 @@
 	n.sendBudget(l, l.Tick(now))
 }
 
+// warmAfter applies the default of an inventory's warm_after.
+func warmAfter(declared int) int {
+	if declared == 0 {
+		return inventory.DefaultWarmAfter
+	}
+	return declared
+}
+
 func (n *Node) setServiceEndpoint(now time.Time, vm *inventory.VM) {
 	s, ok := n.index.services[vm.Service]
 	if !ok || !n.fresh(now, vm.Name) {
@@ -101,6 +110,7 @@
 	r, _, _ := n.reports.Report(vm.Name)
 	n.sendBudget(n.ledger, n.ledger.SetEndpoint(now, budget.Endpoint{
 		Name: vm.Name, Incarnation: r.Incarnation, ColdInFlight: s.ColdInFlight, MaxInFlight: s.MaxInFlight,
+		WarmAfter: warmAfter(s.WarmAfter),
 	}))
 }
 
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -18,6 +18,7 @@
 const (
 	kindDigest   = "config.digest"   // config.Digest
 	kindPromise  = "lease.promise"   // promiseAsk, answered by lease.PromiseReply
+	kindReleased = "lease.released"  // name of the lease
 	kindAnnounce = "budget.announce" // budget.Announce, answered by budget.Usage
 	kindGrants   = "budget.grants"   // []budget.Grant, answered by budget.Usage
 	kindUsage    = "budget.usage"    // budget.Usage
@@ -84,6 +85,11 @@
 			reply := n.stepLease(now, n.officeOf(ask.Office), lease.PromiseAsked{Request: ask.Request})
 			return reply, reply != nil
 		})
+	case kindReleased:
+		return take(m, func(name string) (any, bool) {
+			n.stepLease(now, n.officeOf(name), lease.RowChanged{})
+			return nil, false
+		})
 	case kindAnnounce:
 		return take(m, func(a budget.Announce) (any, bool) { return n.takeAnnounce(from, a) })
 	case kindGrants:
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -67,6 +67,8 @@
 		n.spawn(func(ctx context.Context) { n.unregister(ctx, e) })
 	case lease.AskPromise:
 		n.askPromise(o, e)
+	case lease.Released:
+		n.announceRelease(now, o)
 	case lease.BecameHolder:
 		n.log.Info("lease won", "lease", o.name, "term", e.Grant.Term)
 		o.won(now, e.Grant)
@@ -188,6 +190,20 @@
 	}
 }
 
+// announceRelease tells the other candidates that the lease is free. mu is
+// held.
+func (n *Node) announceRelease(now time.Time, o *office) {
+	dataCentre := n.set.DataCentre
+	if o == n.accounts {
+		dataCentre = ""
+	}
+	for _, node := range n.gossip.Live(now, dataCentre) {
+		if node.VM != n.set.VM {
+			n.sendTo(node.VM, kindReleased, o.name, nil)
+		}
+	}
+}
+
 func (n *Node) askPromise(o *office, e lease.AskPromise) {
 	ask := promiseAsk{Office: o.name, Request: e.Request}
 	n.sendTo(e.Candidate, kindPromise, ask, func(now time.Time, body []byte) {
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -31,6 +31,8 @@
 	Forwarded bool
 	// Exclude lists endpoints that earlier attempts found wanting.
 	Exclude []string
+	// Refusals counts the attempts that were refused elsewhere.
+	Refusals int
 	// Retry marks every attempt but the first; it draws on the retry budget.
 	Retry bool
 }
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -50,6 +50,9 @@
 		last = ans.err
 		ans.finish(ans.outcome)
 		need.Exclude = append(need.Exclude, a.Target().Endpoint)
+		if ans.outcome == Refused {
+			need.Refusals++
+		}
 		if req.ctx().Err() != nil || !retryable(ans.outcome, idempotent) {
 			return outcome, last
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/coord/stream"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 )
 
@@ -23,24 +24,26 @@
 	maxEventBytes     = 256 << 10
 )
 
-// relay copies a stream to the caller. Events carry consecutive ids from 1,
-// by which a broken stream is continued without a gap or a repeat.
+// relay copies a stream to the caller. It writes each event before it reads
+// the next one, so that a slow caller holds up its engine and no memory.
 type relay struct {
 	server *Server
 	req    *request
-	last   uint64
+	state  *stream.Relay
+	number int // of the present attempt
 	ended  bool
-	// gone is set once the caller can't be written to any more.
-	gone bool
 }
 
 // stream delivers a completion as server-sent events.
 func (s *Server) stream(req *request, need Need, path string) error {
 	base := newCall(req.echo.Request(), path, path, req.body)
-	r := &relay{server: s, req: req, last: resumePoint(req)}
+	r := &relay{server: s, req: req, state: stream.New(stream.Options{
+		Stream: req.id(), After: resumePoint(req), MaxResumes: s.maxRetries,
+	})}
+	r.follow(r.state.Step(s.now(), stream.Begin{}))
 	next := func() call {
 		c := base
-		c.lastEventID = r.last
+		c.lastEventID = r.state.Delivered()
 		return c
 	}
 	_, p := s.try(req, need, next, true, r.copy)
@@ -68,23 +71,45 @@
 		return endpointFailed(fmt.Sprintf("the engine answered %d", ans.resp.StatusCode))
 	}
 	r.begin(ans)
+	number := r.number
+	attempt := stream.Attempt{ID: r.attemptID(), Incarnation: ans.resp.Header.Get(endpoint.HeaderIncarnation)}
+	r.follow(r.state.Step(r.server.now(), stream.Opened{Number: number, Incarnation: attempt.Incarnation}))
 	for event, err := range sse.Read(ans.resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			break
 		}
-		if p := r.deliver(event); p != nil {
+		if p := r.deliver(attempt, event); p != nil {
 			return p
 		}
 		if r.ended {
 			return nil
 		}
+		if r.number != number {
+			return endpointFailed("the stream left events out")
+		}
 	}
-	if r.gone || r.req.ctx().Err() != nil {
+	if r.req.ctx().Err() != nil {
 		return deadlinePassed()
 	}
+	r.follow(r.state.Step(r.server.now(), stream.Broken{Number: number}))
 	return problem.New(problem.StreamInterrupted, "the stream broke off", "retry").MayHaveRun().After(retryDelay)
 }
 
+// attemptID is the id that the relay gave to its present attempt.
+func (r *relay) attemptID() string { return r.req.id() + "/" + strconv.Itoa(r.number) }
+
+// follow notes which attempt the relay asks for.
+func (r *relay) follow(effects []stream.Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case stream.Open:
+			r.number = e.Number
+		case stream.End:
+			r.ended = e.Err == nil
+		}
+	}
+}
+
 func (r *relay) begin(ans *answer) {
 	resp := r.req.echo.Response()
 	if resp.Committed {
@@ -98,24 +123,42 @@
 	resp.Flush()
 }
 
-// deliver passes on the event that follows the last one and drops repeats.
-func (r *relay) deliver(event sse.Event) *problem.Error {
+// deliver passes on an event of the attempt. The last event of a completion
+// stream carries no id; it follows all others.
+func (r *relay) deliver(attempt stream.Attempt, event sse.Event) *problem.Error {
 	if event.Type == "error" {
 		return problem.New(problem.StreamInterrupted, "the endpoint gave the stream up", "retry").MayHaveRun().After(retryDelay)
 	}
-	if event.Data == streamEnd {
-		r.ended = true
-		return r.write("data: " + streamEnd + "\n\n")
+	received := stream.Received{Attempt: attempt, Data: []byte(event.Data), Last: event.Data == streamEnd}
+	if received.Last {
+		received.ID = r.state.Delivered() + 1
+	} else {
+		id, err := strconv.ParseUint(event.LastEventID, 10, 64)
+		if err != nil {
+			return endpointFailed("the engine sent an event without an id")
+		}
+		received.ID = id
 	}
-	id, err := strconv.ParseUint(event.LastEventID, 10, 64)
-	if err != nil || id > r.last+1 {
-		return endpointFailed("the stream left events out")
+	effects := r.state.Step(r.server.now(), received)
+	for _, effect := range effects {
+		d, ok := effect.(stream.Deliver)
+		if !ok {
+			continue
+		}
+		if p := r.write(eventText(d)); p != nil {
+			return p
+		}
+		r.state.Step(r.server.now(), stream.Consumed{ID: d.ID})
 	}
-	if id <= r.last {
-		return nil
+	r.follow(effects)
+	return nil
+}
+
+func eventText(d stream.Deliver) string {
+	if d.Last {
+		return "data: " + string(d.Data) + "\n\n"
 	}
-	r.last = id
-	return r.write("id: " + event.LastEventID + "\ndata: " + event.Data + "\n\n")
+	return "id: " + strconv.FormatUint(d.ID, 10) + "\ndata: " + string(d.Data) + "\n\n"
 }
 
 func (r *relay) write(text string) *problem.Error {
@@ -123,7 +166,7 @@
 	ctl := http.NewResponseController(resp)
 	_ = ctl.SetWriteDeadline(time.Now().Add(slowCallerTimeout))
 	if _, err := resp.Write([]byte(text)); err != nil {
-		r.gone = true
+		r.state.Step(r.server.now(), stream.CallerGone{})
 		return problem.New(problem.EndpointFailed, "the caller left", "none is needed").MayHaveRun()
 	}
 	resp.Flush()
