--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -72,9 +72,26 @@
 	if idle || f.paused > 0 {
 		return
 	}
+	if settled := m.settledAt(g.domain, now); f.dead > 0 && now.Before(settled) {
+		m.wakeGroup(g, settled)
+		return
+	}
 	m.repair(g, now)
 }
 
+// settledAt returns until when silent members of a domain that was dark are
+// waited for, because others of its VMs have just come back.
+func (m *Manager) settledAt(d *domain, now time.Time) time.Time {
+	settled := d.returnedAt.Add(m.opts.RepairGrace)
+	if !now.Before(settled) {
+		d.dark = false
+	}
+	if !d.dark {
+		return time.Time{}
+	}
+	return settled
+}
+
 func (m *Manager) faults(g *groupState, now time.Time) faults {
 	var f faults
 	m.visits += uint64(len(g.members))
--- a/coord/group/freshness.go
+++ b/coord/group/freshness.go
@@ -121,6 +121,9 @@
 	} else {
 		v.domain.present--
 	}
+	if 2*v.domain.present < v.domain.size {
+		v.domain.dark = true
+	}
 	m.markDomain(v.domain)
 }
 
--- a/coord/group/random_test.go
+++ b/coord/group/random_test.go
@@ -145,6 +145,9 @@
 		w.heal()
 		w.run(150 * time.Second)
 		assert.Assert(t, len(w.faults) == 0, "%v", w.faults)
+		row, err := DecodeRow(w.row)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, row.Groups, w.manager().Groups())
 		assert.Equal(t, w.serving(), 4, "%+v", w.manager().Status(w.now))
 	})
 }
--- a/coord/group/regroup.go
+++ b/coord/group/regroup.go
@@ -65,7 +65,7 @@
 // group of a model never does.
 func (m *Manager) dissolvable(g *groupState) bool {
 	return g.phase == phaseWhole && !g.Draining && !g.excluded &&
-		g.model.planned == nil && g.model.whole > 1 && g.model.counted() > 1
+		g.model.planned == nil && g.model.whole > 1
 }
 
 // net returns the value of the best groups that fit into the victim's VMs
--- a/coord/group/row.go
+++ b/coord/group/row.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// lostAnswerTimeouts is the number of order timeouts after which an answer
+// of the platform counts as lost.
+const lostAnswerTimeouts = 4
+
 // rowState is what the coordinator knows of the row in the platform's table.
 type rowState struct {
 	known    bool   // revision is that of the last read or write
@@ -30,9 +34,7 @@
 func (m *Manager) stepRow(now time.Time, tick bool) {
 	r := &m.row
 	if r.reading || r.writing {
-		if now.Sub(r.askedAt) >= m.opts.OrderTimeout {
-			m.setDown(true)
-		}
+		m.awaitAnswer(now)
 		return
 	}
 	if now.Before(r.retryAt) {
@@ -48,6 +50,19 @@
 	}
 }
 
+// awaitAnswer treats the platform as down while it is slow, and an answer
+// that does not come as lost.
+func (m *Manager) awaitAnswer(now time.Time) {
+	r := &m.row
+	waited := now.Sub(r.askedAt)
+	if waited >= m.opts.OrderTimeout {
+		m.setDown(true)
+	}
+	if waited >= lostAnswerTimeouts*m.opts.OrderTimeout {
+		r.reading, r.writing, r.known = false, false, false
+	}
+}
+
 func (m *Manager) writeRow(now time.Time) {
 	r := &m.row
 	m.writes++
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -90,7 +90,10 @@
 	departUntil time.Time
 	// returnedAt is when a silent VM last came back.
 	returnedAt time.Time
-	dirty      bool
+	// dark is set when fewer than half of the VMs were present, until the
+	// ones that come back have done so.
+	dark  bool
+	dirty bool
 }
 
 // modelState is one model and the state of its groups in the data centre.
