--- a/coord/budget/shares.go
+++ b/coord/budget/shares.go
@@ -15,6 +15,7 @@
 	sourceOrder []string
 	table       map[string]*share
 	watch       func(endpoint string)
+	stopped     bool
 }
 
 // source is what a node knows of one ledger.
@@ -215,6 +216,7 @@
 // Stop gives up every share and refuses later growth. Requests in flight
 // stay counted until they are released.
 func (s *Shares) Stop() {
+	s.stopped = true
 	for _, name := range s.sourceOrder {
 		src := s.sources[name]
 		src.stopped = true
@@ -265,7 +267,7 @@
 func (s *Shares) source(name string) *source {
 	src, ok := s.sources[name]
 	if !ok {
-		src = &source{}
+		src = &source{stopped: s.stopped}
 		s.sources[name] = src
 		s.sourceOrder = append(s.sourceOrder, name)
 	}
--- a/coord/budget/shares_test.go
+++ b/coord/budget/shares_test.go
@@ -84,6 +84,11 @@
 	ticket, _ := s.Acquire("e")
 	s.Stop()
 	assert.Equal(t, s.Free("e"), 0)
+	s.Grant(start, Grant{
+		Source: "other", Fence: member.Fence{Term: 1, Sequence: 1},
+		Node: "a", NodeIncarnation: "a.1", Endpoint: "f", Incarnation: "f.1", Limit: 8, Cold: 8,
+	})
+	assert.Equal(t, s.Free("f"), 0)
 	usage := s.Report("dc", true)
 	assert.Assert(t, usage.Stopping)
 	assert.Equal(t, usage.Entries[0].Held, 1, "the request in flight still counts")
