--- a/cmd/pimentoshore/process_test.go
+++ b/cmd/pimentoshore/process_test.go
@@ -28,6 +28,12 @@
 	accountKey = "process-test-key"
 	upTimeout  = 40 * time.Second
 	callLimit  = 20 * time.Second
+	// dataCentres is the number of data centres of a system.
+	dataCentres = 2
+	// processLease is the lease duration of the daemons.
+	processLease = 3 * time.Second
+	// processIntervals are settings that make failures show sooner.
+	processIntervals = "[intervals]\nlease = \"3s\"\nprobe = \"200ms\"\nexchange = \"200ms\"\n"
 )
 
 // system is a set of real processes on loopback.
@@ -37,18 +43,20 @@
 	platform string
 	engines  map[string]string // addresses by VM
 	shop     string
-	daemons  map[string]*entry // by data centre
+	daemons  map[string]*entry // by data centre, or VM of a further one
 }
 
 // entry is a running daemon.
 type entry struct {
+	vm, dataCentre              string
 	cmd                         *exec.Cmd
 	callers, peers, operatorsAt string
 }
 
 // startSystem starts a table service, four engines, a service and two
-// daemons in two data centres, and applies their inventory.
-func startSystem(t *testing.T) *system {
+// daemons in two data centres, besides those of further VMs, and applies
+// their inventory.
+func startSystem(t *testing.T, further ...entry) *system {
 	s := &system{t: t, bin: t.TempDir(), dir: t.TempDir(), engines: map[string]string{}, daemons: map[string]*entry{}}
 	buildCommands(t, s.bin)
 	s.platform = s.standin("platform")
@@ -57,7 +65,10 @@
 	}
 	s.shop = s.standin("service", "--vm", "brno-shop-1", "--max-in-flight", "8", "--cold-in-flight", "1")
 	for _, dc := range []string{"praha", "brno"} {
-		s.daemons[dc] = &entry{callers: freeAddress(t), peers: freeAddress(t), operatorsAt: freeAddress(t)}
+		s.addDaemon(dc, entry{vm: dc + "-entry-1", dataCentre: dc})
+	}
+	for _, d := range further {
+		s.addDaemon(d.vm, d)
 	}
 	s.write("inventory.toml", s.inventory())
 	code, text := s.run("apply", filepath.Join(s.dir, "inventory.toml"), "--platform", "http://"+s.platform)
@@ -68,6 +79,11 @@
 	return s
 }
 
+func (s *system) addDaemon(name string, d entry) {
+	d.callers, d.peers, d.operatorsAt = freeAddress(s.t), freeAddress(s.t), freeAddress(s.t)
+	s.daemons[name] = &d
+}
+
 func buildCommands(t *testing.T, bin string) {
 	t.Helper()
 	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", bin+"/", "../...").CombinedOutput()
@@ -126,8 +142,11 @@
 
 func (s *system) inventory() string {
 	var b strings.Builder
-	for dc, d := range s.daemons {
-		fmt.Fprintf(&b, "[[data_centres]]\nname = %q\n[[vms]]\nname = %q\ndata_centre = %q\nrole = \"entry\"\naddress = %q\n", dc, dc+"-entry-1", dc, d.peers)
+	for name, d := range s.daemons {
+		if name == d.dataCentre {
+			fmt.Fprintf(&b, "[[data_centres]]\nname = %q\n", name)
+		}
+		fmt.Fprintf(&b, "[[vms]]\nname = %q\ndata_centre = %q\nrole = \"entry\"\naddress = %q\n", d.vm, d.dataCentre, d.peers)
 	}
 	for vm, address := range s.engines {
 		dc, _, _ := strings.Cut(vm, "-")
@@ -147,17 +166,22 @@
 func (s *system) startDaemon(dc string) {
 	d := s.daemons[dc]
 	text := fmt.Sprintf("vm = %q\ndata_centre = %q\n[listen]\ncallers = %q\npeers = %q\noperators = %q\n[platform]\nurls = [%q]\n",
-		dc+"-entry-1", dc, d.callers, d.peers, d.operatorsAt, "http://"+s.platform)
-	for other, peer := range s.daemons {
-		if other != dc {
-			text += fmt.Sprintf("[[peers]]\nvm = %q\ndata_centre = %q\naddress = %q\n", other+"-entry-1", other, peer.peers)
+		d.vm, d.dataCentre, d.callers, d.peers, d.operatorsAt, "http://"+s.platform)
+	text += processIntervals
+	for _, peer := range s.daemons {
+		if peer.vm != d.vm {
+			text += fmt.Sprintf("[[peers]]\nvm = %q\ndata_centre = %q\naddress = %q\n", peer.vm, peer.dataCentre, peer.peers)
 		}
 	}
 	d.cmd, _ = s.start("pimentoshored", "--settings", s.write(dc+".toml", text))
 }
 
 func (s *system) operators() string {
-	return s.daemons["praha"].operatorsAt + "," + s.daemons["brno"].operatorsAt
+	var addresses []string
+	for _, d := range s.daemons {
+		addresses = append(addresses, d.operatorsAt)
+	}
+	return strings.Join(addresses, ",")
 }
 
 // awaitGroups waits until the command line shows a serving group in both
@@ -166,7 +190,7 @@
 	poll.WaitOn(s.t, func(poll.LogT) poll.Result {
 		code, out := s.run("status", "--output", "json", "--operators", s.operators())
 		var status operator.Status
-		if code != 0 || json.Unmarshal([]byte(out), &status) != nil || len(status.DataCentres) != len(s.daemons) {
+		if code != 0 || json.Unmarshal([]byte(out), &status) != nil || len(status.DataCentres) != dataCentres {
 			return poll.Continue("status: %s", out)
 		}
 		services := 0
@@ -270,6 +294,7 @@
 }
 
 func TestSeparateProcesses(t *testing.T) {
+	t.Parallel()
 	s := startSystem(t)
 	s.awaitGroups()
 
@@ -309,6 +334,7 @@
 }
 
 func TestDaemonRefusesWrongSettings(t *testing.T) {
+	t.Parallel()
 	s := &system{t: t, bin: t.TempDir(), dir: t.TempDir()}
 	buildCommands(t, s.bin)
 	path := s.write("daemon.toml", "vms = 1\n[intervals]\nprobe = 3\n")
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -7,8 +7,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strings"
 	"testing"
@@ -85,10 +85,13 @@
 }
 
 func (c *cluster) serve(h http.Handler) string {
-	srv := httptest.NewServer(h)
-	c.t.Cleanup(srv.CloseClientConnections)
-	c.t.Cleanup(srv.Close)
-	return strings.TrimPrefix(srv.URL, "http://")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(c.t, err)
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = srv.Serve(l) }()
+	// Close does not wait for handlers, which may hang by a fault switch.
+	c.t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
 }
 
 func (c *cluster) addEngine(dc, vm string) {
