--- a/coord/group/manager_test.go
+++ b/coord/group/manager_test.go
@@ -160,13 +160,67 @@
 
 func TestLeavingVMThatDiesIsNotWaitedFor(t *testing.T) {
 	w := formed(t, 1, 7, model("m", 3, 0))
-	w.stepAll(LeavingVMs{Names: []string{"d00-v000"}})
-	w.stepAll(StopRequested{Scope: ScopeVM, Name: "d00-v003"})
 	w.engines[0].dead = true
 	w.run(testOptions().ReportTTL + w.tick)
+	assert.Equal(t, w.manager().Status(w.now).Groups[0].State, StateBroken)
+	w.stepAll(LeavingVMs{Names: []string{"d00-v000"}})
 	assert.Equal(t, w.manager().Status(w.now).Groups[0].State, StateForming)
 }
 
+func TestPlannedStopsWithSparesComeFirst(t *testing.T) {
+	w := formed(t, 3, 7, model("m", 3, 0))
+	w.engines[6].dead = true // the spare of the first domain
+	w.run(5 * time.Second)
+	for _, name := range []string{"d01-v000", "d00-v000", "d02-v000"} {
+		w.stepAll(StopRequested{Scope: ScopeVM, Name: name})
+	}
+	for !w.byName["d00-v000"].domainDrains(w) {
+		w.advance()
+	}
+	assert.Assert(t, w.released["d01-v000"])
+	assert.Assert(t, w.released["d02-v000"])
+}
+
+// domainDrains reports whether a group of the VM's domain drains.
+func (e *engine) domainDrains(w *world) bool {
+	for _, g := range w.manager().Groups() {
+		if g.FabricDomain == e.vm.FabricDomain && g.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+func TestOldReportIsDropped(t *testing.T) {
+	w := formed(t, 1, 3, model("m", 3, 0))
+	old := member.Report{VM: "d00-v000", Incarnation: "0", State: member.Idle}
+	w.stepAll(Reported{Report: old, SentAt: w.now.Add(-2 * w.tick)})
+	assert.Equal(t, w.manager().Status(w.now).Groups[0].State, StateWhole)
+}
+
+func TestHopelessStrayLeavesAtOnce(t *testing.T) {
+	w := formed(t, 1, 8, model("m", 3, 0))
+	stray := &w.engines[7].report
+	stray.State, stray.Group, stray.Generation, stray.Model = member.Loading, "praha/m/9", 5, "m"
+	w.grant(w.nodes[1])
+	w.run(2 * time.Second)
+	assert.Equal(t, stray.State, member.Idle)
+	sound(t, w)
+}
+
+func TestOwnPauseIsNoPauseOfMembers(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	before := w.sent
+	for i := range 3 {
+		w.engines[0].paused, w.nodes[0].paused = i < 2, i == 2
+		w.run(3 * time.Second)
+		w.engines[0].paused, w.nodes[0].paused = false, false
+		w.run(10 * time.Second)
+	}
+	assert.Equal(t, w.sent, before)
+	sound(t, w)
+}
+
 func TestEveryModelLoadsItsFirstGroupFirst(t *testing.T) {
 	opts := testOptions()
 	opts.MaxLoads = 1
