--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -76,6 +76,10 @@
 		m.wakeGroup(g, settled)
 		return
 	}
+	if len(g.members) != g.model.GroupSize {
+		m.dissolve(g, now)
+		return
+	}
 	m.repair(g, now)
 }
 
--- a/coord/group/drain.go
+++ b/coord/group/drain.go
@@ -143,15 +143,19 @@
 }
 
 // beginPlanned drains a group for a change that can wait. Each model has one
-// such group at a time.
+// such group at a time, and none while another of its groups forms.
 func (m *Manager) beginPlanned(g *groupState, cause drainCause, then drainThen, now time.Time) {
 	s := g.model
 	if s.planned != nil {
 		return
 	}
-	if now.Before(s.plannedFrom) {
-		m.wakeGroup(g, s.plannedFrom)
-		m.balanceAt = s.plannedFrom
+	from := s.plannedFrom
+	if s.forming() {
+		from = later(from, now.Add(m.opts.DrainSettle))
+	}
+	if now.Before(from) {
+		m.wakeGroup(g, from)
+		m.balanceAt = from
 		return
 	}
 	s.planned = g
--- a/coord/group/groups.go
+++ b/coord/group/groups.go
@@ -53,6 +53,9 @@
 	d := g.domain
 	d.departing = append(d.departing, g.members...)
 	d.departUntil = now.Add(m.opts.RepairGrace)
+	if g.model.planned == g {
+		g.model.plannedFrom = later(g.model.plannedFrom, d.departUntil)
+	}
 	m.remove(g, now)
 	m.emit(Progress{Notice: NoticeDissolved, Group: g.ID, Generation: g.Generation})
 }
--- a/coord/group/manager_test.go
+++ b/coord/group/manager_test.go
@@ -236,6 +236,28 @@
 	assert.Equal(t, w.count("b"), 1)
 }
 
+func TestGroupSizeChangesOneGroupAtATime(t *testing.T) {
+	w := formed(t, 1, 8, model("m", 3, 0))
+	w.doc.Models[0].GroupSize = 4
+	w.configure()
+	assert.Equal(t, w.lowest(60*time.Second), 1)
+	assert.Equal(t, w.serving(), 2)
+	for _, g := range w.manager().Groups() {
+		assert.Equal(t, len(g.Members), 4)
+	}
+	sound(t, w)
+}
+
+func TestWithdrawnModelIsDrained(t *testing.T) {
+	w := formed(t, 1, 7, model("m", 3, 0))
+	w.doc.Models = nil
+	w.configure()
+	w.run(40 * time.Second)
+	assert.Equal(t, len(w.manager().Groups()), 0)
+	assert.Equal(t, w.why("d00-v000"), NoModel)
+	sound(t, w)
+}
+
 func TestColdMemberGetsNewGeneration(t *testing.T) {
 	w := formed(t, 1, 6, model("m", 3, 0))
 	before := w.manager().byID["praha/m/1"].Group
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -117,6 +117,16 @@
 	return len(s.groups) - s.excluded
 }
 
+// forming reports whether a group is being formed.
+func (s *modelState) forming() bool {
+	for _, g := range s.groups {
+		if g.phase == phaseForming {
+			return true
+		}
+	}
+	return false
+}
+
 // unmet reports whether one more group is wanted.
 func (s *modelState) unmet() bool {
 	return s.allowed && (s.Groups == 0 || s.counted() < s.Groups)
