--- a/coord/group/config.go
+++ b/coord/group/config.go
@@ -13,6 +13,7 @@
 	if ev.Number <= m.number && m.number != 0 {
 		return
 	}
+	first := m.number == 0
 	m.number = ev.Number
 	m.dcOut = false
 	for _, dc := range ev.Document.DataCentres {
@@ -22,6 +23,9 @@
 	}
 	m.configureModels(ev.Document)
 	m.configureVMs(now, ev.Document)
+	if first && m.stage == stageReconciling {
+		m.awaitReports(now)
+	}
 	m.markAll(now)
 }
 
--- a/coord/group/manager_test.go
+++ b/coord/group/manager_test.go
@@ -509,6 +509,19 @@
 	sound(t, w)
 }
 
+func TestReportsAreAwaitedFromTheFirstConfiguration(t *testing.T) {
+	now := time.Unix(1000, 0)
+	doc := inventoryOf(1, 3, model("m", 3, 0))
+	m := New(testOptions())
+	m.Step(now, LeaseGained{Term: 1, Fencer: &node{}})
+	m.Step(now, RowRead{})
+	now = now.Add(time.Minute)
+	m.Step(now, Configuration{Number: 1, Document: &doc})
+	assert.Assert(t, !m.Status(now).Coordinating)
+	m.Step(now.Add(testOptions().ReconcileGrace), Tick{})
+	assert.Assert(t, !m.Status(now).Coordinating, "after a pause of its own it waits again")
+}
+
 func TestStatusNamesReasons(t *testing.T) {
 	w := formed(t, 2, 7, model("m", 3, 0))
 	w.takeOut(w.engines[13], true)
