--- a/coord/group/event.go
+++ b/coord/group/event.go
@@ -10,7 +10,8 @@
 // Event is an input of Manager.Step.
 type Event interface{ event() }
 
-// Tick asks for what has become due. Send one at least every second.
+// Tick asks for what has become due. Send one at least every second: a manager
+// that gets no event for ReportTTL takes it for a pause of its own.
 type Tick struct{}
 
 // Configuration brings the accepted inventory. One with a lower number than
