budget: serve without the guests' part when they cannot be heard; route: slow steps

Cause: a data centre whose only entry VM restarted while it was cut off from its guests could grant nothing, since the guests might have held the rest. Change: guests together hold no more than the second home's part, and a ledger that has heard all own nodes keeps just that part back. Route counts an endpoint as a straggler by its reported time per token too.

--- a/coord/budget/balance.go
+++ b/coord/budget/balance.go
@@ -37,11 +37,11 @@
 func (l *Ledger) balance(now time.Time, a *account) Effects {
 	limit := l.limit(a)
 	parts := l.divide(now, a, limit)
-	free := l.room(now, a, limit)
+	free := l.rooms(now, a, limit)
 	var out Effects
 	for _, p := range parts {
 		h := a.holding(p.node)
-		limit, cold := free.take(h.bound(now, a), p.limit, p.cold)
+		limit, cold := free.take(p, h.bound(now, a))
 		if h.inForce(a.incarnation.current, limit, cold, p.scarce) {
 			continue
 		}
@@ -60,26 +60,45 @@
 	}
 }
 
-// room returns how much of the limits no node can hold.
-func (l *Ledger) room(now time.Time, a *account, limit int) room {
-	r := room{limit: limit, cold: a.ColdInFlight}
+// guestPart is the most of a limit that guests may hold together, so that a
+// data centre that is cut off from its guests can use the rest.
+func (l *Ledger) guestPart(limit int) int { return limit - split(limit, l.opts.Homes, 0) }
+
+// rooms returns how much of the limits no node can hold.
+func (l *Ledger) rooms(now time.Time, a *account, limit int) rooms {
+	r := rooms{
+		all:    newRoom(limit, a.ColdInFlight),
+		guests: newRoom(l.guestPart(limit), l.guestPart(a.ColdInFlight)),
+	}
 	for _, h := range a.holdings {
 		if l.without.releases {
-			r.use(bound{limit: h.last.Limit, cold: h.last.Cold})
+			r.use(h.node, bound{limit: h.last.Limit, cold: h.last.Cold})
 			continue
 		}
-		r.use(h.bound(now, a))
-	}
-	if l.unsynced == 0 || l.without.sync {
-		return r
-	}
-	switch a.origin {
-	case inherited:
-		return room{}
-	case witnessed:
-		return room{limit: r.limit - max(r.cold, 0)}
-	default:
-		return r
+		r.use(h.node, h.bound(now, a))
+	}
+	l.reserve(a, &r)
+	return r
+}
+
+// reserve takes from the room what nodes that have not reported to this
+// ledger may hold.
+func (l *Ledger) reserve(a *account, r *rooms) {
+	if l.without.sync || a.origin == fresh {
+		return
+	}
+	switch {
+	case l.unsynced > 0 && a.origin == inherited:
+		*r = rooms{}
+	case l.unsynced > 0:
+		r.all = room{limit: r.all.limit - max(r.all.cold, 0)}
+	case l.unsyncedGuests > 0:
+		unheard := r.guests
+		if a.origin == witnessed {
+			unheard.limit = unheard.cold
+		}
+		r.all.reserve(unheard)
+		r.guests = room{}
 	}
 }
 
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -37,7 +37,7 @@
 	// Live says that the node may be granted shares.
 	Live bool
 	// Guest marks a node of another data centre, which gets a share only
-	// where too few of the data centre's own are live.
+	// where too few of the data centre's own are live. It does not change.
 	Guest bool
 }
 
@@ -60,7 +60,9 @@
 	sequence uint64
 	members  []*holder // by name
 	byName   map[string]*holder
-	unsynced int
+	// unsynced and unsyncedGuests count nodes that have not reported yet, the
+	// data centre's own and others.
+	unsynced, unsyncedGuests int
 	// membership changes with the set of nodes that may be granted shares.
 	membership uint64
 	endpoints  map[string]*account
@@ -135,8 +137,9 @@
 	for _, m := range l.members {
 		n, ok := listed[m.Name]
 		if !ok {
-			n = Node{Name: m.Name, Guest: m.Guest}
+			n = Node{Name: m.Name}
 		}
+		n.Guest = m.Guest
 		if n != m.Node {
 			changed = true
 			m.Node = n
@@ -153,7 +156,7 @@
 // addNode adds a possible holder that has not reported yet.
 func (l *Ledger) addNode(n Node) Announce {
 	m := &holder{Node: n, index: len(l.members), nonce: 1, challenged: true}
-	l.unsynced++
+	l.countUnsynced(m, 1)
 	l.byName[n.Name] = m
 	at, _ := slices.BinarySearchFunc(l.members, n.Name, func(m *holder, name string) int {
 		return strings.Compare(m.Name, name)
@@ -311,4 +314,4 @@
 }
 
 // Synced reports whether every possible holder has reported to this ledger.
-func (l *Ledger) Synced() bool { return l.unsynced == 0 }
+func (l *Ledger) Synced() bool { return l.unsynced+l.unsyncedGuests == 0 }
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -88,6 +88,23 @@
 	assert.DeepEqual(t, s.limits(), []int{5, 5})
 }
 
+// TestCutOffSingleNodeServesItsPart restarts the only node of a data centre
+// without memory while its guest cannot be heard.
+func TestCutOffSingleNodeServesItsPart(t *testing.T) {
+	nodes := append(live("a"), Node{Name: "g", Live: true, Guest: true})
+	s := newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, nodes...)
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+	guest := s.nodes["g"]
+	delete(s.nodes, "g")
+
+	s.nodes["a"] = NewShares("a", "a.2")
+	s.ledger = NewLedger(LedgerOptions{Source: "dc", Term: 2, Warmup: Warmup{Off: true}})
+	s.deliver(s.ledger.SetNodes(start, nodes))
+	s.deliver(s.ledger.SetEndpoint(start, endpoint))
+	assert.Equal(t, s.nodes["a"].State("e").Limit, 5)
+	assert.Equal(t, guest.State("e").Limit, 5)
+}
+
 func TestSharesOutliveCoordinator(t *testing.T) {
 	s := newSite(LedgerOptions{Term: 1, Warmup: Warmup{Off: true}}, live("a", "b")...)
 	s.deliver(s.ledger.SetEndpoint(start, endpoint))
--- a/coord/budget/sync.go
+++ b/coord/budget/sync.go
@@ -57,7 +57,7 @@
 func (l *Ledger) synced(m *holder) {
 	if !m.synced {
 		m.synced = true
-		l.unsynced--
+		l.countUnsynced(m, -1)
 	}
 	if m.gone {
 		m.challenged = false
@@ -124,3 +124,11 @@
 		h.sent = h.sent[:0]
 	}
 }
+
+func (l *Ledger) countUnsynced(m *holder, n int) {
+	if m.Guest {
+		l.unsyncedGuests += n
+	} else {
+		l.unsynced += n
+	}
+}
--- a/coord/budget/walk_test.go
+++ b/coord/budget/walk_test.go
@@ -39,9 +39,9 @@
 }
 
 func TestSharesNeverExceedLimit(t *testing.T) {
-	for _, demand := range []bool{false, true} {
+	for _, s := range []setup{{}, {demand: true}, {guest: true}} {
 		for seed := range uint64(150) {
-			assert.NilError(t, walk(seededDraw(seed), setup{demand: demand}), "seed %d, by demand %v", seed, demand)
+			assert.NilError(t, walk(seededDraw(seed), s), "seed %d, %+v", seed, s)
 		}
 	}
 }
@@ -49,7 +49,8 @@
 func TestSharesNeverExceedLimitRapid(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		draw := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "choice") }
-		if err := walk(draw, setup{demand: rapid.Bool().Draw(rt, "by demand")}); err != nil {
+		s := rapid.SampledFrom([]setup{{}, {demand: true}, {guest: true}}).Draw(rt, "setup")
+		if err := walk(draw, s); err != nil {
 			rt.Fatal(err)
 		}
 	})
@@ -62,6 +63,7 @@
 	}{
 		{"growth without release", setup{without: mechanisms{releases: true}}},
 		{"new ledger without sync", setup{without: mechanisms{sync: true}}},
+		{"new ledger without sync, guest", setup{guest: true, without: mechanisms{sync: true}}},
 		{"no warm-up", setup{noWarmup: true}},
 		{"growth without release, by demand", setup{demand: true, without: mechanisms{releases: true}}},
 		{"new ledger without sync, by demand", setup{demand: true, without: mechanisms{sync: true}}},
--- a/coord/budget/world_test.go
+++ b/coord/budget/world_test.go
@@ -54,6 +54,7 @@
 	warmup    Warmup // what the endpoint bears
 	opts      LedgerOptions
 	cold      int
+	guest     bool
 	transit   []message
 	restarts  int
 	completed uint64
@@ -67,6 +68,8 @@
 	// demand divides one limit that never changes by demand, as that of a
 	// client account.
 	demand bool
+	// guest makes the last node one of another data centre.
+	guest bool
 }
 
 func newWorld(draw func(int) int, s setup) *world {
@@ -79,6 +82,7 @@
 		w.opts.Division = ByDemand
 		w.cold = worldWarm
 	}
+	w.guest = s.guest
 	w.opts.Warmup.Off = s.noWarmup
 	for _, name := range []string{"a", "b", "c"} {
 		p := &process{name: name}
@@ -116,7 +120,7 @@
 func (w *world) membership() {
 	var nodes []Node
 	for _, p := range w.nodes {
-		nodes = append(nodes, Node{Name: p.name, Live: p.alive})
+		nodes = append(nodes, Node{Name: p.name, Live: p.alive, Guest: w.guest && p.name == "c"})
 	}
 	w.send(w.ledger.SetNodes(w.now, nodes))
 }
--- a/coord/route/candidate.go
+++ b/coord/route/candidate.go
@@ -34,6 +34,7 @@
 	ramp   ramp
 
 	latency  latency
+	step     time.Duration // last reported time per token, 0 if unknown
 	failures int
 	avoided  bool
 	retryAt  time.Time
@@ -89,6 +90,7 @@
 	avoided int
 	free    int
 	peers   peerLatency
+	steps   peerLatency // of the time per token
 }
 
 // refresh moves the candidate in or out of its pool after a change.
--- a/coord/route/latency.go
+++ b/coord/route/latency.go
@@ -79,16 +79,23 @@
 	}
 }
 
-// slowness returns how much slower than its peers the candidate is, 1 for any
-// that is not a straggler.
+// slowness returns how much slower than its peers the candidate is, by its
+// latency or its reported time per token; 1 for any that is not a straggler.
 func (c *candidate) slowness(now time.Time) float64 {
 	median := c.target.peers.median
-	if median == 0 {
-		return 1
-	}
-	ratio := float64(c.latency.estimate(now, median)) / float64(median)
+	ratio := max(
+		relative(c.latency.estimate(now, median), median),
+		relative(c.step, c.target.steps.median),
+	)
 	if ratio < stragglerRatio {
 		return 1
 	}
 	return ratio
 }
+
+func relative(d, median time.Duration) float64 {
+	if median == 0 {
+		return 1
+	}
+	return float64(d) / float64(median)
+}
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -188,6 +188,7 @@
 		c.others = 0
 		c.bears = 0
 		c.latency = latency{}
+		c.step = 0
 		c.failures = 0
 		c.setAvoided(false)
 	}
@@ -206,6 +207,9 @@
 		return
 	}
 	c.bears = r.Limit
+	if c.step = r.StepLatency; c.step > 0 {
+		c.target.steps.sample(c.step)
+	}
 	c.report(r.InFlight, t.opts.IgnoreOwn)
 	c.refresh()
 }
--- a/coord/route/table_test.go
+++ b/coord/route/table_test.go
@@ -159,6 +159,36 @@
 	assert.Assert(t, part(Options{IgnoreLatency: true}) > 400/4/4)
 }
 
+// TestSlowStepsCount reports one endpoint's time per token as three times that
+// of its peers.
+func TestSlowStepsCount(t *testing.T) {
+	part := func(opts Options) int {
+		f := newFixture(opts)
+		for i := range 4 {
+			f.add(fmt.Sprint("g", i), 64)
+		}
+		for range 10 {
+			for i := range 4 {
+				r := LoadReported{Endpoint: fmt.Sprint("g", i), Incarnation: fmt.Sprintf("g%d.1", i), Limit: 64}
+				r.StepLatency = 20 * time.Millisecond
+				if i == 0 {
+					r.StepLatency *= 3
+				}
+				f.Step(start, r)
+			}
+		}
+		slow := 0
+		for range 100 {
+			if f.pick(t, start, Request{}).Endpoint == "g0" {
+				slow++
+			}
+		}
+		return slow
+	}
+	assert.Assert(t, part(Options{}) <= 100/4/2, "%d", part(Options{}))
+	assert.Assert(t, part(Options{IgnoreLatency: true}) > 100/4/2)
+}
+
 // TestPausedEndpointGetsLess checks that an idle endpoint that stops answering
 // is avoided before its outstanding requests make it look busy.
 func TestPausedEndpointGetsLess(t *testing.T) {
