route: avoid a node from its first broken link

Cause: a node that has died would have taken two more requests before it was avoided. Failures beyond a node are reported apart, so a broken link speaks of the node alone. Change: threshold 1 for nodes and data centres, 3 for endpoints.

--- a/coord/route/avoid.go
+++ b/coord/route/avoid.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// maxFailures is the number of failures in a row from which a candidate
-	// is avoided.
+	// maxFailures is the number of failures in a row from which an endpoint
+	// is avoided. A node is avoided from the first, since only a broken link
+	// to it counts as its failure.
 	maxFailures = 3
 	// avoidBase is how long a candidate is avoided first; it doubles with
 	// each further failure.
@@ -88,6 +89,13 @@
 	}
 }
 
+func (c *candidate) maxFailures() int {
+	if c.tier == local {
+		return maxFailures
+	}
+	return 1
+}
+
 // failureDelay returns how long to avoid a candidate after further failures.
 func failureDelay(further int) time.Duration {
 	delay := avoidBase
--- a/coord/route/outcome.go
+++ b/coord/route/outcome.go
@@ -76,8 +76,8 @@
 	case Broken:
 		c.failures++
 		c.ramp.restart(t.opts.NoRamp)
-		if c.failures >= maxFailures && !c.target.mostAvoided() {
-			t.avoid(c, now.Add(failureDelay(c.failures-maxFailures)))
+		if further := c.failures - c.maxFailures(); further >= 0 && !c.target.mostAvoided() {
+			t.avoid(c, now.Add(failureDelay(further)))
 		}
 		if c.tier == local && ev.Incarnation == "" {
 			t.shares.Doubt(c.name)
--- a/coord/route/table_test.go
+++ b/coord/route/table_test.go
@@ -303,6 +303,18 @@
 	f.pick(t, start.Add(avoidBase), Request{})
 }
 
+func TestBrokenLinkToNodeIsAvoidedAtOnce(t *testing.T) {
+	f := newFixture(Options{})
+	f.Step(start, PeerReported{Node: "b", Target: "m", Limit: 4})
+	c := f.pick(t, start, Request{})
+	f.Step(start, Failed{Choice: f.pick(t, start, Request{}), Reason: FailedBeyond})
+	assert.Equal(t, f.Free("m"), 3, "what lies beyond the node is not its fault")
+	f.Step(start, Failed{Choice: c, Reason: Broken})
+	assert.Equal(t, f.Free("m"), 0)
+	f.Step(start.Add(avoidBase), Tick{})
+	assert.Equal(t, f.Free("m"), 4)
+}
+
 // TestCommonFailuresKeepHalf lets every endpoint fail: avoiding all of them
 // would leave nothing.
 func TestCommonFailuresKeepHalf(t *testing.T) {
