--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -36,12 +36,26 @@
 	return t.take(now, c, &r, hit), nil
 }
 
+// allows reports whether the request may go to candidates of the tier.
+func (r *Request) allows(tr tier) bool {
+	stay := r.LocalOnly || r.Refusals >= MaxRefusals
+	switch tr {
+	case peer:
+		return !stay
+	case guest:
+		return !r.DataCentreOnly
+	case remote:
+		return !stay && !r.DataCentreOnly
+	default:
+		return true
+	}
+}
+
 // choose returns the best candidate of the nearest tier that has one.
 func (t *Table) choose(now time.Time, tg *target, r *Request) (c *candidate, hit bool) {
-	stay := r.LocalOnly || r.Refusals >= MaxRefusals
 	for tr := range tiers {
-		if tr == peer && stay || tr == remote && r.DataCentreOnly {
-			break
+		if !r.allows(tr) {
+			continue
 		}
 		if c, hit = t.chooseFrom(now, tg, tr, r); c != nil {
 			return c, hit
@@ -125,7 +139,7 @@
 func (t *Table) take(now time.Time, c *candidate, r *Request, hit bool) Choice {
 	choice := Choice{Target: c.target.name, PrefixHit: hit, candidate: c}
 	switch c.tier {
-	case local:
+	case local, guest:
 		choice.Action = Dispatch
 		choice.Endpoint = c.name
 		choice.Generation = c.generation
--- a/internal/peers/peerspb/peers.twirp.go
+++ b/internal/peers/peerspb/peers.twirp.go
@@ -35,19 +35,14 @@
 
 // Peers is served by every entry VM to the others.
 type Peers interface {
-	// Exchange pushes what changed at the sender and returns what changed at
-	// the receiver.
+	// Exchange returns what the caller does not know yet.
 	Exchange(context.Context, *ExchangeRequest) (*ExchangeResponse, error)
 
 	// FetchConfiguration returns the changes after a number, or a snapshot.
 	FetchConfiguration(context.Context, *FetchConfigurationRequest) (*FetchConfigurationResponse, error)
 
-	// AskPromise asks a candidate not to take the lease over for a while.
-	AskPromise(context.Context, *AskPromiseRequest) (*AskPromiseResponse, error)
-
-	// ReadOutcome asks the claimant of an idempotency key for its outcome and
-	// waits for it while the call runs.
-	ReadOutcome(context.Context, *ReadOutcomeRequest) (*ReadOutcomeResponse, error)
+	// Tell delivers a message of one of the coordination protocols.
+	Tell(context.Context, *TellRequest) (*TellResponse, error)
 }
 
 // =====================
@@ -56,7 +51,7 @@
 
 type peersProtobufClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -84,11 +79,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "pimentoshore.peers", "Peers")
-	urls := [4]string{
+	urls := [3]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchConfiguration",
-		serviceURL + "AskPromise",
-		serviceURL + "ReadOutcome",
+		serviceURL + "Tell",
 	}
 
 	return &peersProtobufClient{
@@ -191,26 +185,26 @@
 	return out, nil
 }
 
-func (c *peersProtobufClient) AskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
+func (c *peersProtobufClient) Tell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
 	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	caller := c.callAskPromise
+	ctx = ctxsetters.WithMethodName(ctx, "Tell")
+	caller := c.callTell
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
+		caller = func(ctx context.Context, req *TellRequest) (*TellResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
+					typedReq, ok := req.(*TellRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
 					}
-					return c.callAskPromise(ctx, typedReq)
+					return c.callTell(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
+				typedResp, ok := resp.(*TellResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TellResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -220,8 +214,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peersProtobufClient) callAskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	out := new(AskPromiseResponse)
+func (c *peersProtobufClient) callTell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
+	out := new(TellResponse)
 	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -237,59 +231,13 @@
 	return out, nil
 }
 
-func (c *peersProtobufClient) ReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	caller := c.callReadOutcome
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return c.callReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersProtobufClient) callReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	out := new(ReadOutcomeResponse)
-	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 // =================
 // Peers JSON Client
 // =================
 
 type peersJSONClient struct {
 	client      HTTPClient
-	urls        [4]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -317,11 +265,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "pimentoshore.peers", "Peers")
-	urls := [4]string{
+	urls := [3]string{
 		serviceURL + "Exchange",
 		serviceURL + "FetchConfiguration",
-		serviceURL + "AskPromise",
-		serviceURL + "ReadOutcome",
+		serviceURL + "Tell",
 	}
 
 	return &peersJSONClient{
@@ -424,26 +371,26 @@
 	return out, nil
 }
 
-func (c *peersJSONClient) AskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
+func (c *peersJSONClient) Tell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
 	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	caller := c.callAskPromise
+	ctx = ctxsetters.WithMethodName(ctx, "Tell")
+	caller := c.callTell
 	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
+		caller = func(ctx context.Context, req *TellRequest) (*TellResponse, error) {
 			resp, err := c.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
+					typedReq, ok := req.(*TellRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
 					}
-					return c.callAskPromise(ctx, typedReq)
+					return c.callTell(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
+				typedResp, ok := resp.(*TellResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TellResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -453,8 +400,8 @@
 	return caller(ctx, in)
 }
 
-func (c *peersJSONClient) callAskPromise(ctx context.Context, in *AskPromiseRequest) (*AskPromiseResponse, error) {
-	out := new(AskPromiseResponse)
+func (c *peersJSONClient) callTell(ctx context.Context, in *TellRequest) (*TellResponse, error) {
+	out := new(TellResponse)
 	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
 	if err != nil {
 		twerr, ok := err.(twirp.Error)
@@ -470,52 +417,6 @@
 	return out, nil
 }
 
-func (c *peersJSONClient) ReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	ctx = ctxsetters.WithPackageName(ctx, "pimentoshore.peers")
-	ctx = ctxsetters.WithServiceName(ctx, "Peers")
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
-	caller := c.callReadOutcome
-	if c.interceptor != nil {
-		caller = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-			resp, err := c.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
-					}
-					return c.callReadOutcome(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-	return caller(ctx, in)
-}
-
-func (c *peersJSONClient) callReadOutcome(ctx context.Context, in *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
-	out := new(ReadOutcomeResponse)
-	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[3], in, out)
-	if err != nil {
-		twerr, ok := err.(twirp.Error)
-		if !ok {
-			twerr = twirp.InternalErrorWith(err)
-		}
-		callClientError(ctx, c.opts.Hooks, twerr)
-		return nil, err
-	}
-
-	callClientResponseReceived(ctx, c.opts.Hooks)
-
-	return out, nil
-}
-
 // ====================
 // Peers Server Handler
 // ====================
@@ -619,11 +520,8 @@
 	case "FetchConfiguration":
 		s.serveFetchConfiguration(ctx, resp, req)
 		return
-	case "AskPromise":
-		s.serveAskPromise(ctx, resp, req)
-		return
-	case "ReadOutcome":
-		s.serveReadOutcome(ctx, resp, req)
+	case "Tell":
+		s.serveTell(ctx, resp, req)
 		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
@@ -992,187 +890,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peersServer) serveAskPromise(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	header := req.Header.Get("Content-Type")
-	i := strings.Index(header, ";")
-	if i == -1 {
-		i = len(header)
-	}
-	switch strings.TrimSpace(strings.ToLower(header[:i])) {
-	case "application/json":
-		s.serveAskPromiseJSON(ctx, resp, req)
-	case "application/protobuf":
-		s.serveAskPromiseProtobuf(ctx, resp, req)
-	default:
-		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
-		twerr := badRouteError(msg, req.Method, req.URL.Path)
-		s.writeError(ctx, resp, twerr)
-	}
-}
-
-func (s *peersServer) serveAskPromiseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	d := json.NewDecoder(req.Body)
-	rawReqBody := json.RawMessage{}
-	if err := d.Decode(&rawReqBody); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-	reqContent := new(AskPromiseRequest)
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
-		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
-		return
-	}
-
-	handler := s.Peers.AskPromise
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return s.Peers.AskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AskPromiseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AskPromiseResponse and nil error while calling AskPromise. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
-	respBytes, err := marshaler.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/json")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *peersServer) serveAskPromiseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
-	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "AskPromise")
-	ctx, err = callRequestRouted(ctx, s.hooks)
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-
-	buf, err := io.ReadAll(req.Body)
-	if err != nil {
-		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
-		return
-	}
-	reqContent := new(AskPromiseRequest)
-	if err = proto.Unmarshal(buf, reqContent); err != nil {
-		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
-		return
-	}
-
-	handler := s.Peers.AskPromise
-	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *AskPromiseRequest) (*AskPromiseResponse, error) {
-			resp, err := s.interceptor(
-				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*AskPromiseRequest)
-					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*AskPromiseRequest) when calling interceptor")
-					}
-					return s.Peers.AskPromise(ctx, typedReq)
-				},
-			)(ctx, req)
-			if resp != nil {
-				typedResp, ok := resp.(*AskPromiseResponse)
-				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*AskPromiseResponse) when calling interceptor")
-				}
-				return typedResp, err
-			}
-			return nil, err
-		}
-	}
-
-	// Call service method
-	var respContent *AskPromiseResponse
-	func() {
-		defer ensurePanicResponses(ctx, resp, s.hooks)
-		respContent, err = handler(ctx, reqContent)
-	}()
-
-	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
-	}
-	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *AskPromiseResponse and nil error while calling AskPromise. nil responses are not supported"))
-		return
-	}
-
-	ctx = callResponsePrepared(ctx, s.hooks)
-
-	respBytes, err := proto.Marshal(respContent)
-	if err != nil {
-		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
-		return
-	}
-
-	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
-	resp.Header().Set("Content-Type", "application/protobuf")
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
-	resp.WriteHeader(http.StatusOK)
-	if n, err := resp.Write(respBytes); err != nil {
-		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
-		twerr := twirp.NewError(twirp.Unknown, msg)
-		ctx = callError(ctx, s.hooks, twerr)
-	}
-	callResponseSent(ctx, s.hooks)
-}
-
-func (s *peersServer) serveReadOutcome(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveTell(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1180,9 +898,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveReadOutcomeJSON(ctx, resp, req)
+		s.serveTellJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveReadOutcomeProtobuf(ctx, resp, req)
+		s.serveTellProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1190,9 +908,9 @@
 	}
 }
 
-func (s *peersServer) serveReadOutcomeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveTellJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
+	ctx = ctxsetters.WithMethodName(ctx, "Tell")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1205,29 +923,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ReadOutcomeRequest)
+	reqContent := new(TellRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Peers.ReadOutcome
+	handler := s.Peers.Tell
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
+		handler = func(ctx context.Context, req *TellRequest) (*TellResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
+					typedReq, ok := req.(*TellRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
 					}
-					return s.Peers.ReadOutcome(ctx, typedReq)
+					return s.Peers.Tell(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
+				typedResp, ok := resp.(*TellResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TellResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1236,7 +954,7 @@
 	}
 
 	// Call service method
-	var respContent *ReadOutcomeResponse
+	var respContent *TellResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1247,7 +965,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadOutcomeResponse and nil error while calling ReadOutcome. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TellResponse and nil error while calling Tell. nil responses are not supported"))
 		return
 	}
 
@@ -1273,9 +991,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *peersServer) serveReadOutcomeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *peersServer) serveTellProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "ReadOutcome")
+	ctx = ctxsetters.WithMethodName(ctx, "Tell")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1287,28 +1005,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ReadOutcomeRequest)
+	reqContent := new(TellRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Peers.ReadOutcome
+	handler := s.Peers.Tell
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ReadOutcomeRequest) (*ReadOutcomeResponse, error) {
+		handler = func(ctx context.Context, req *TellRequest) (*TellResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ReadOutcomeRequest)
+					typedReq, ok := req.(*TellRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ReadOutcomeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*TellRequest) when calling interceptor")
 					}
-					return s.Peers.ReadOutcome(ctx, typedReq)
+					return s.Peers.Tell(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ReadOutcomeResponse)
+				typedResp, ok := resp.(*TellResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ReadOutcomeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*TellResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1317,7 +1035,7 @@
 	}
 
 	// Call service method
-	var respContent *ReadOutcomeResponse
+	var respContent *TellResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1328,7 +1046,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadOutcomeResponse and nil error while calling ReadOutcome. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *TellResponse and nil error while calling Tell. nil responses are not supported"))
 		return
 	}
 
@@ -1933,43 +1651,40 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 597 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0xdf, 0x6e, 0xd3, 0x3e,
-	0x14, 0x56, 0x9a, 0x66, 0xdd, 0x4e, 0xf7, 0xfb, 0x31, 0xcc, 0x2e, 0xb2, 0x48, 0x88, 0x2a, 0x0c,
-	0xa8, 0x90, 0x96, 0x6a, 0x9d, 0x90, 0x26, 0x10, 0x17, 0x30, 0x86, 0x34, 0x21, 0xc1, 0x64, 0xc4,
-	0x0d, 0x48, 0x20, 0x37, 0x75, 0xdb, 0xa8, 0x8d, 0x1d, 0x6c, 0xa7, 0xd0, 0xb7, 0xe0, 0xa1, 0x78,
-	0x1f, 0x5e, 0x01, 0xc5, 0x76, 0xda, 0x94, 0x06, 0xba, 0x9b, 0x36, 0xdf, 0xc9, 0x77, 0xfe, 0x7c,
-	0xe7, 0x8b, 0x0d, 0x61, 0xc2, 0x14, 0x15, 0x8c, 0xcc, 0x7a, 0x19, 0xa5, 0x42, 0x9a, 0xdf, 0x6c,
-	0x60, 0xfe, 0xa3, 0x4c, 0x70, 0xc5, 0x11, 0xca, 0x92, 0x94, 0x32, 0xc5, 0xe5, 0x84, 0x0b, 0x1a,
-	0xe9, 0x37, 0xe1, 0x2f, 0x07, 0xf6, 0xde, 0xf2, 0x21, 0x7d, 0xaf, 0x88, 0xa2, 0xe8, 0x7f, 0x68,
-	0xcc, 0x53, 0xdf, 0xe9, 0x38, 0xdd, 0x3d, 0xdc, 0x98, 0xa7, 0xa8, 0x03, 0xed, 0x84, 0xc5, 0x44,
-	0x30, 0xa2, 0x12, 0xce, 0xfc, 0x86, 0x7e, 0x51, 0x0d, 0xa1, 0x7b, 0xd0, 0x1e, 0x12, 0x45, 0xbe,
-	0xc4, 0x94, 0x29, 0x41, 0x7d, 0x57, 0x33, 0xa0, 0x08, 0x5d, 0xe8, 0x08, 0x3a, 0x86, 0xff, 0x62,
-	0xce, 0x46, 0xc9, 0x38, 0x17, 0xa6, 0x48, 0xb3, 0xe3, 0x74, 0x9b, 0x78, 0x3d, 0x88, 0x02, 0xd8,
-	0x95, 0x8a, 0x67, 0x59, 0xc2, 0xc6, 0xbe, 0xd7, 0x71, 0xba, 0xbb, 0x78, 0x89, 0xd1, 0x19, 0xb4,
-	0x8a, 0x52, 0x09, 0x95, 0xfe, 0x4e, 0xc7, 0xed, 0xb6, 0xfb, 0x47, 0xd1, 0xa6, 0x90, 0xe8, 0x92,
-	0x29, 0xb1, 0xc0, 0x25, 0x13, 0xf9, 0xd0, 0x9a, 0x53, 0x21, 0x8b, 0x86, 0x2d, 0xdd, 0xb0, 0x84,
-	0xe1, 0x15, 0x78, 0x9a, 0x8b, 0x0e, 0xc0, 0x9d, 0xd2, 0x85, 0x55, 0x5b, 0x3c, 0xa2, 0x43, 0xf0,
-	0xe6, 0x64, 0x96, 0x53, 0x2d, 0x74, 0x1f, 0x1b, 0x50, 0x2d, 0xe5, 0xae, 0x97, 0xfa, 0xe9, 0xc0,
-	0xad, 0xcb, 0xef, 0xf1, 0x84, 0xb0, 0x31, 0xc5, 0xf4, 0x6b, 0x4e, 0xa5, 0x42, 0xa7, 0xd0, 0x1c,
-	0x09, 0x6e, 0x96, 0xd8, 0xee, 0xdf, 0xad, 0x1b, 0x75, 0xb9, 0x6f, 0xac, 0xa9, 0xe8, 0x15, 0x78,
-	0x53, 0xc6, 0xbf, 0x15, 0xfb, 0x2d, 0xe4, 0x45, 0xb5, 0xf2, 0xd6, 0xdb, 0x44, 0x6f, 0x8a, 0x04,
-	0xa3, 0xd9, 0x24, 0x07, 0xe7, 0x00, 0xab, 0xe0, 0x36, 0x71, 0x4d, 0x2b, 0xee, 0x69, 0xe3, 0xdc,
-	0x09, 0xaf, 0xe0, 0x60, 0x55, 0x5e, 0x66, 0x9c, 0x49, 0x8a, 0x9e, 0xc0, 0x8e, 0x2c, 0x46, 0x94,
-	0xbe, 0xa3, 0x87, 0xda, 0x22, 0xc4, 0x92, 0xc3, 0x53, 0x38, 0x7a, 0x4d, 0x55, 0x3c, 0xb9, 0xa8,
-	0xba, 0x5b, 0xae, 0xe6, 0x10, 0x3c, 0x32, 0x52, 0x54, 0xe8, 0xa9, 0x9a, 0xd8, 0x80, 0x10, 0x43,
-	0x50, 0x97, 0x62, 0xe7, 0xf0, 0xa1, 0x65, 0x26, 0x33, 0x83, 0xec, 0xe3, 0x12, 0xea, 0x4f, 0x86,
-	0x91, 0x4c, 0x4e, 0xb8, 0xb2, 0x7e, 0x2d, 0x71, 0x78, 0x02, 0xb7, 0x5f, 0xc8, 0xe9, 0xb5, 0xe0,
-	0x69, 0x22, 0x97, 0xce, 0xf8, 0xd0, 0x12, 0xe6, 0x51, 0x0f, 0xb0, 0x8f, 0x4b, 0x18, 0x3e, 0x06,
-	0x54, 0xa5, 0xdb, 0xd6, 0x87, 0xe0, 0x09, 0x9a, 0xcd, 0x16, 0x96, 0x6d, 0x40, 0x38, 0x00, 0x84,
-	0x29, 0x19, 0xbe, 0xcb, 0x55, 0xcc, 0xd3, 0x6a, 0x6d, 0x12, 0xc7, 0x3c, 0x67, 0xca, 0xae, 0xbc,
-	0x84, 0xa5, 0x11, 0x8d, 0x95, 0x11, 0x7f, 0x1c, 0x2a, 0x77, 0xe3, 0x50, 0x85, 0x3d, 0xb8, 0xb3,
-	0xd6, 0x63, 0xb5, 0x0b, 0x6e, 0x42, 0xa5, 0x00, 0x0b, 0xfb, 0x3f, 0x5c, 0xf0, 0xae, 0x0b, 0x4b,
-	0xd0, 0x07, 0xd8, 0x2d, 0xbd, 0x44, 0xf7, 0x6f, 0xf0, 0x21, 0x05, 0xc7, 0xff, 0x26, 0xd9, 0xd6,
-	0x12, 0xd0, 0xa6, 0x49, 0xe8, 0xa4, 0x2e, 0xf7, 0xaf, 0xfe, 0x07, 0xd1, 0x4d, 0xe9, 0xb6, 0xe9,
-	0x27, 0x80, 0x95, 0x2d, 0xe8, 0x41, 0x5d, 0xf6, 0x86, 0xcb, 0xc1, 0xc3, 0x6d, 0x34, 0x5b, 0xfc,
-	0x33, 0xb4, 0x2b, 0x3b, 0x46, 0xb5, 0x69, 0x9b, 0x46, 0x07, 0x8f, 0xb6, 0xf2, 0x4c, 0xfd, 0x97,
-	0xcf, 0x3f, 0x3e, 0x1b, 0x27, 0x6a, 0x92, 0x0f, 0xa2, 0x98, 0xa7, 0xbd, 0x6a, 0xd2, 0x3a, 0xa8,
-	0xbf, 0xb7, 0x07, 0x3b, 0xfa, 0xca, 0x3e, 0xfb, 0x1d, 0x00, 0x00, 0xff, 0xff, 0xde, 0x4b, 0x64,
-	0xf2, 0xd8, 0x05, 0x00, 0x00,
+	// 551 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x54, 0xcf, 0x6e, 0xda, 0x4e,
+	0x10, 0x96, 0x8d, 0x1d, 0xc8, 0x40, 0x7e, 0xbf, 0x68, 0xc5, 0xc1, 0x41, 0xaa, 0x62, 0xb9, 0x39,
+	0x70, 0xa9, 0xa3, 0x26, 0x6a, 0x2f, 0x55, 0x2f, 0x8d, 0x52, 0x89, 0x4b, 0x55, 0x6d, 0xda, 0x4b,
+	0x2f, 0xd1, 0x62, 0x0f, 0x60, 0x01, 0xbb, 0xee, 0xee, 0x42, 0xcb, 0x23, 0xf4, 0x25, 0xfa, 0xac,
+	0xd5, 0xee, 0xda, 0x04, 0x8a, 0xa9, 0xaa, 0x5e, 0x60, 0xbf, 0x99, 0x6f, 0xfe, 0x7d, 0x33, 0x32,
+	0x24, 0x05, 0xd7, 0x28, 0x39, 0x5b, 0x5c, 0x97, 0x88, 0x52, 0xb9, 0xdf, 0x72, 0xec, 0xfe, 0xd3,
+	0x52, 0x0a, 0x2d, 0x08, 0x29, 0x8b, 0x25, 0x72, 0x2d, 0xd4, 0x4c, 0x48, 0x4c, 0xad, 0x27, 0xf9,
+	0xe1, 0xc3, 0xe9, 0x07, 0x91, 0xe3, 0x83, 0x66, 0x1a, 0xc9, 0x7f, 0xe0, 0xaf, 0x97, 0x91, 0x17,
+	0x7b, 0xc3, 0x53, 0xea, 0xaf, 0x97, 0x24, 0x86, 0x6e, 0xc1, 0x33, 0x26, 0x39, 0xd3, 0x85, 0xe0,
+	0x91, 0x6f, 0x1d, 0xbb, 0x26, 0x72, 0x09, 0xdd, 0x9c, 0x69, 0xf6, 0x98, 0x21, 0xd7, 0x12, 0xa3,
+	0x96, 0x65, 0x80, 0x31, 0xdd, 0x59, 0x0b, 0x89, 0xa0, 0xcd, 0xf2, 0x5c, 0xa2, 0x52, 0x51, 0x60,
+	0x9d, 0x35, 0x34, 0x9e, 0x35, 0x4a, 0x65, 0x12, 0x87, 0xb1, 0x37, 0x0c, 0x68, 0x0d, 0xc9, 0x15,
+	0x9c, 0x65, 0x82, 0x4f, 0x8a, 0xe9, 0x4a, 0xba, 0xc2, 0x27, 0xd6, 0xbf, 0x6f, 0x24, 0x03, 0xe8,
+	0x28, 0x2d, 0xca, 0xb2, 0xe0, 0xd3, 0xa8, 0x1d, 0x7b, 0xc3, 0x0e, 0xdd, 0x62, 0x72, 0x0b, 0x6d,
+	0x53, 0xbe, 0x40, 0x15, 0x75, 0xe2, 0xd6, 0xb0, 0x7b, 0x73, 0x91, 0x1e, 0x0e, 0x9f, 0xde, 0x73,
+	0x2d, 0x37, 0xb4, 0x66, 0x26, 0x8f, 0x10, 0x5a, 0x0b, 0x39, 0x87, 0xd6, 0x1c, 0x37, 0x95, 0x0e,
+	0xe6, 0x49, 0xfa, 0x10, 0xae, 0xd9, 0x62, 0x85, 0x56, 0x82, 0x1e, 0x75, 0x60, 0x77, 0x82, 0xd6,
+	0xfe, 0x04, 0x7d, 0x08, 0x55, 0x26, 0x4a, 0xb4, 0x33, 0x9f, 0x51, 0x07, 0x12, 0x0a, 0xc1, 0x03,
+	0x22, 0xff, 0x07, 0x99, 0x8f, 0x56, 0x4a, 0x24, 0xfc, 0x7f, 0xff, 0x3d, 0x9b, 0x31, 0x3e, 0x45,
+	0x8a, 0x5f, 0x57, 0xa8, 0xf4, 0x41, 0xfa, 0xdf, 0x76, 0xe4, 0x1f, 0xec, 0x28, 0x85, 0x70, 0xce,
+	0xc5, 0x37, 0x93, 0xdb, 0x68, 0x15, 0x35, 0x69, 0x65, 0x1a, 0xa7, 0x8e, 0x96, 0x8c, 0xe0, 0xfc,
+	0xa9, 0xa6, 0x2a, 0x05, 0x57, 0x48, 0x5e, 0xc1, 0x89, 0x32, 0x37, 0xa4, 0x22, 0xcf, 0x26, 0x79,
+	0xd6, 0x94, 0x64, 0x7b, 0x69, 0xb4, 0x22, 0x27, 0x2f, 0xe1, 0xe2, 0x3d, 0xea, 0x6c, 0x76, 0xb7,
+	0xbb, 0xda, 0x7a, 0x90, 0x3e, 0x84, 0x6c, 0xa2, 0x51, 0xda, 0x59, 0x02, 0xea, 0x40, 0x42, 0x61,
+	0xd0, 0x14, 0x52, 0xf5, 0x11, 0x41, 0xdb, 0x75, 0xe6, 0x1a, 0xe9, 0xd1, 0x1a, 0xda, 0x7b, 0xe1,
+	0xac, 0x54, 0x33, 0xa1, 0xab, 0x35, 0x6e, 0x71, 0x32, 0x82, 0xee, 0x27, 0x5c, 0x2c, 0xea, 0xc2,
+	0x04, 0x82, 0x89, 0x14, 0xb5, 0x86, 0xf6, 0x6d, 0x6c, 0xf3, 0x82, 0xe7, 0x95, 0x7c, 0xf6, 0x6d,
+	0x6c, 0x63, 0x91, 0x6f, 0xec, 0x4e, 0x7a, 0xd4, 0xbe, 0x93, 0xd7, 0xd0, 0x73, 0xa9, 0xaa, 0x86,
+	0xea, 0x38, 0xaf, 0x21, 0xce, 0x7f, 0x8a, 0xbb, 0xf9, 0xe9, 0x43, 0xf8, 0xd1, 0xa8, 0x44, 0x3e,
+	0x43, 0xa7, 0x96, 0x97, 0x3c, 0x6f, 0xbc, 0xdb, 0xfd, 0x85, 0x0f, 0xae, 0xfe, 0x4c, 0xaa, 0x1a,
+	0x51, 0x40, 0x0e, 0x75, 0x23, 0x2f, 0x9a, 0x62, 0x8f, 0xae, 0x64, 0x90, 0xfe, 0x2d, 0xbd, 0x2a,
+	0x3a, 0x82, 0xc0, 0xa8, 0x41, 0x2e, 0x9b, 0xe2, 0x76, 0x24, 0x1f, 0xc4, 0xc7, 0x09, 0x2e, 0xd5,
+	0xbb, 0xb7, 0x5f, 0xde, 0x4c, 0x0b, 0x3d, 0x5b, 0x8d, 0xd3, 0x4c, 0x2c, 0xaf, 0x77, 0xd9, 0xfb,
+	0xa0, 0xf9, 0x4b, 0x38, 0x3e, 0xb1, 0x1f, 0xc1, 0xdb, 0x5f, 0x01, 0x00, 0x00, 0xff, 0xff, 0x82,
+	0x30, 0x43, 0x29, 0x2a, 0x05, 0x00, 0x00,
 }
