budget: a node listed as live is not taken for gone

Cause: the platform's list of VMs lags. A new VM that was missing in it had its shares freed while it used them, so the sum could pass the limit; the lists of holders in the daemon also have to include nodes that are not live.

--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -169,14 +169,14 @@
 }
 
 // NodeGone takes in that the node's process has certainly ended, which frees
-// everything it held.
+// everything it held. It has no effect on a node that SetNodes lists as live:
+// a lagging list that lacks a new VM is no proof of its end.
 func (l *Ledger) NodeGone(now time.Time, name string) Effects {
 	m := l.byName[name]
-	if m == nil {
+	if m == nil || m.gone || m.Live {
 		return Effects{}
 	}
 	m.gone = true
-	m.Live = false
 	m.incarnation = ""
 	l.membership++
 	l.synced(m)
@@ -197,10 +197,16 @@
 		l.order = append(l.order, a)
 		return l.balance(now, a)
 	}
+	before := a.Endpoint
 	a.ColdInFlight, a.MaxInFlight, a.WarmAfter = e.ColdInFlight, e.MaxInFlight, e.WarmAfter
-	if a.see(now, e.Incarnation) && e.Fresh {
+	started := a.see(now, e.Incarnation)
+	if started && e.Fresh {
 		a.replace()
 	}
+	if !started && a.Endpoint == before {
+		l.watch(now, a)
+		return Effects{}
+	}
 	return l.balance(now, a)
 }
 
@@ -229,6 +235,7 @@
 		a.reported = max(a.reported, completed)
 	}
 	if !changed && l.limit(a) == before {
+		l.watch(now, a)
 		return Effects{}
 	}
 	return l.balance(now, a)
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -131,6 +131,9 @@
 	s.deliver(Effects{Announces: announces[:1]})
 	assert.DeepEqual(t, s.limits(), []int{5, 5})
 	s.deliver(next.NodeGone(start, "b"))
+	assert.DeepEqual(t, s.limits(), []int{5, 5})
+	s.deliver(next.SetNodes(start, live("a")))
+	s.deliver(next.NodeGone(start, "b"))
 	assert.Equal(t, s.nodes["a"].State("e").Limit, 10)
 }
 
--- a/coord/budget/world_test.go
+++ b/coord/budget/world_test.go
@@ -299,6 +299,7 @@
 // lose kills a node and tells the ledger that it is gone.
 func (w *world) lose(p *process) {
 	w.kill(p)
+	w.membership()
 	w.send(w.ledger.NodeGone(w.now, p.name))
 }
 
