--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -37,7 +37,7 @@
 	// Live says that the node may be granted shares.
 	Live bool
 	// Guest marks a node of another data centre, which gets a share only
-	// where too few of the data centre's own are live.
+	// where too few of the data centre's own are live. It does not change.
 	Guest bool
 }
 
@@ -63,7 +63,9 @@
 	sequence uint64
 	members  []*holder // by name
 	byName   map[string]*holder
-	unsynced int
+	// unsynced and unsyncedGuests count nodes that have not reported yet, the
+	// data centre's own and others.
+	unsynced, unsyncedGuests int
 	// membership changes with the set of nodes that may be granted shares.
 	membership uint64
 	endpoints  map[string]*account
@@ -138,8 +140,9 @@
 	for _, m := range l.members {
 		n, ok := listed[m.Name]
 		if !ok {
-			n = Node{Name: m.Name, Guest: m.Guest}
+			n = Node{Name: m.Name}
 		}
+		n.Guest = m.Guest
 		if n != m.Node {
 			changed = true
 			m.Node = n
@@ -156,7 +159,7 @@
 // addNode adds a possible holder that has not reported yet.
 func (l *Ledger) addNode(n Node) Announce {
 	m := &holder{Node: n, index: len(l.members), nonce: 1, challenged: true}
-	l.unsynced++
+	l.countUnsynced(m, 1)
 	l.byName[n.Name] = m
 	at, _ := slices.BinarySearchFunc(l.members, n.Name, func(m *holder, name string) int {
 		return strings.Compare(m.Name, name)
@@ -166,14 +169,14 @@
 }
 
 // NodeGone takes in that the node's process has certainly ended, which frees
-// everything it held.
+// everything it held. It has no effect on a node that SetNodes lists as live:
+// a lagging list that lacks a new VM is no proof of its end.
 func (l *Ledger) NodeGone(now time.Time, name string) Effects {
 	m := l.byName[name]
-	if m == nil {
+	if m == nil || m.gone || m.Live {
 		return Effects{}
 	}
 	m.gone = true
-	m.Live = false
 	m.incarnation = ""
 	l.membership++
 	l.synced(m)
@@ -194,10 +197,16 @@
 		l.order = append(l.order, a)
 		return l.balance(now, a)
 	}
+	before := a.Endpoint
 	a.ColdInFlight, a.MaxInFlight, a.WarmAfter = e.ColdInFlight, e.MaxInFlight, e.WarmAfter
-	if a.see(now, e.Incarnation) && e.Fresh {
+	started := a.see(now, e.Incarnation)
+	if started && e.Fresh {
 		a.replace()
 	}
+	if !started && a.Endpoint == before {
+		l.watch(now, a)
+		return Effects{}
+	}
 	return l.balance(now, a)
 }
 
@@ -226,6 +235,7 @@
 		a.reported = max(a.reported, completed)
 	}
 	if !changed && l.limit(a) == before {
+		l.watch(now, a)
 		return Effects{}
 	}
 	return l.balance(now, a)
@@ -314,4 +324,4 @@
 }
 
 // Synced reports whether every possible holder has reported to this ledger.
-func (l *Ledger) Synced() bool { return l.unsynced == 0 }
+func (l *Ledger) Synced() bool { return l.unsynced+l.unsyncedGuests == 0 }
--- a/coord/route/candidate.go
+++ b/coord/route/candidate.go
@@ -35,6 +35,7 @@
 	ramp   ramp
 
 	latency  latency
+	step     time.Duration // last reported time per token, 0 if unknown
 	failures int
 	avoided  bool
 	retryAt  time.Time
@@ -97,6 +98,7 @@
 	// bearing counts candidates that get requests now or once some have ended.
 	bearing int
 	peers   peerLatency
+	steps   peerLatency // of the time per token
 }
 
 // recountBearing keeps target.bearing after a change.
