coord/claim: stricter check of "not run" in the random runs

Also, a second pause of a VM could let its events overtake each other.

Change: the check is replaced by two: no call that was told "not run" ever runs, each by its own id, and no key runs all of whose calls were told so. Events of a paused VM keep their order over several pauses.

--- a/coord/claim/fakes_test.go
+++ b/coord/claim/fakes_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/coord/table"
 )
 
@@ -138,6 +139,9 @@
 	// tamperTxn alters a transaction on its way to the table.
 	tamperTxn func(table.Txn) table.Txn
 	calls     uint64
+	ran       map[uint64]bool // calls whose dispatch ran
+	toldNo    map[uint64]bool // calls that were told "not run"
+	lies      int             // calls in both
 }
 
 // vm is an entry VM with its present State.
@@ -158,6 +162,7 @@
 	c := &cluster{
 		sim: newSim(seed), opts: opts, up: true,
 		table: &fakeTable{rows: map[string]table.Row{}}, runs: map[Key]int{},
+		ran: map[uint64]bool{}, toldNo: map[uint64]bool{},
 		onRun: func(Key) {}, cutSite: -1, tick: tickInterval,
 		tamper:    func(_ *vm, ev Event) Event { return ev },
 		tamperTxn: func(txn table.Txn) table.Txn { return txn },
@@ -205,7 +210,7 @@
 	if !v.alive || v.incarnation != incarnation {
 		return
 	}
-	if v.pausedUntil.After(c.now) {
+	if v.pausedUntil.After(c.now) || len(v.backlog) > 0 {
 		if len(v.backlog) == 0 {
 			c.resume(v)
 		}
@@ -250,6 +255,8 @@
 			c.after(c.upTo(2*time.Millisecond), func() { reply(e.Reply) })
 		}
 	case Answer:
+		c.toldNo[e.Call] = e.Err != nil && e.Err.Ran == problem.RanNo
+		c.checkCall(e.Call)
 		if answer := v.callers[e.Call]; answer != nil {
 			delete(v.callers, e.Call)
 			c.after(c.upTo(2*time.Millisecond), func() { answer(e) })
@@ -316,6 +323,8 @@
 	lost := c.chance(c.faults.lostAnswer)
 	c.after(delay, func() {
 		c.runs[e.Key]++
+		c.ran[e.Call] = true
+		c.checkCall(e.Call)
 		c.total++
 		body := []byte(fmt.Sprint(c.total))
 		c.onRun(e.Key)
@@ -329,6 +338,13 @@
 	})
 }
 
+// checkCall counts a call that was told "not run" and ran, in either order.
+func (c *cluster) checkCall(call uint64) {
+	if c.ran[call] && c.toldNo[call] {
+		c.lies++
+	}
+}
+
 func (c *cluster) find(name string) *vm {
 	for _, v := range c.vms {
 		if v.name == name {
--- a/coord/claim/order_test.go
+++ b/coord/claim/order_test.go
@@ -200,16 +200,20 @@
 
 // ledger counts broken promises over a set of orders.
 type ledger struct {
-	orders []*order
-	owner  map[Key]*order
-	lies   int // told "not run" and ran
+	orders  []*order
+	owner   map[Key]*order
+	cluster *cluster
+	lies    int // told "not run" and ran
 }
 
-// watch checks each run and each answer of the orders.
+// watch checks each run and each answer of the orders. A run breaks a promise
+// if every call with the key was told "not run". A call that had no answer may
+// still run after a later one was refused; its caller knows that it is open.
 func (l *ledger) watch(c *cluster) {
+	l.cluster = c
 	l.owner = map[Key]*order{}
 	c.onRun = func(k Key) {
-		if l.owner[k].toldNo {
+		if o := l.owner[k]; o.toldNo && o.clean {
 			l.lies++
 		}
 	}
@@ -235,7 +239,7 @@
 
 // count sums up the orders: lost are those served without a run.
 func (l *ledger) count() totals {
-	t := totals{lies: l.lies}
+	t := totals{lies: l.lies + l.cluster.lies}
 	for _, o := range l.orders {
 		runs := o.runCount()
 		if runs > 1 {
--- a/coord/claim/state_test.go
+++ b/coord/claim/state_test.go
@@ -90,7 +90,7 @@
 			c.after(c.upTo(time.Second), func() { c.boot(v) })
 		})
 		w := c.vms[c.rng.IntN(len(c.vms))]
-		c.after(c.upTo(d), func() { w.pausedUntil = c.now.Add(c.upTo(2 * time.Second)) })
+		c.after(c.upTo(d), func() { w.pausedUntil = latest(w.pausedUntil, c.now.Add(c.upTo(2*time.Second))) })
 	}
 }
 
