coord/claim: independent runs in parallel

Purpose: the package's tests took 50 s under the race detector; the scenarios and the courses do not depend on each other.

--- a/coord/claim/outage_test.go
+++ b/coord/claim/outage_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -165,26 +166,31 @@
 		{"both, a kill every 45 s", tableDown10 | siteLeaves, killOften},
 		{"a data centre cut off for 5 minutes, a kill every 45 s", siteCut, killOften},
 	}
-	var lines []string
-	for _, course := range courses {
-		for _, w := range ways {
-			var sum totals
-			orders := 0
-			for seed := range uint64(outageSeeds) {
-				p := newPlan(seed, course)
-				orders += len(p.arrivals)
-				sum.add(p.play(w))
-			}
-			assert.Equal(t, sum.served+sum.refused+sum.unsure, orders)
-			assert.Equal(t, sum.doubled+sum.lies+sum.lost, 0, "%s, %s: %+v", course.name, w.name, sum)
-			lines = append(lines, fmt.Sprintf("| %s | %s | %d | %d | %d | %d | %d |",
-				course.name, w.name, orders, sum.served, sum.refused, sum.unsure, sum.doubled))
-		}
+	lines := make([]string, len(courses)*len(ways))
+	var group sync.WaitGroup
+	for i := range lines {
+		group.Go(func() { lines[i] = compare(t, courses[i/len(ways)], ways[i%len(ways)]) })
 	}
+	group.Wait()
 	t.Logf("\n| course | way | orders | served | refused, not run | unknown | doubled |\n|---|---|---|---|---|---|---|\n%s",
 		strings.Join(lines, "\n"))
 }
 
+// compare plays a course under a way and returns its line of the table.
+func compare(t *testing.T, course course, w way) string {
+	var sum totals
+	orders := 0
+	for seed := range uint64(outageSeeds) {
+		p := newPlan(seed, course)
+		orders += len(p.arrivals)
+		sum.add(p.play(w))
+	}
+	assert.Check(t, sum.served+sum.refused+sum.unsure == orders)
+	assert.Check(t, sum.doubled+sum.lies+sum.lost == 0, "%s, %s: %+v", course.name, w.name, sum)
+	return fmt.Sprintf("| %s | %s | %d | %d | %d | %d | %d |",
+		course.name, w.name, orders, sum.served, sum.refused, sum.unsure, sum.doubled)
+}
+
 func (t *totals) add(u totals) {
 	t.served += u.served
 	t.refused += u.refused
--- a/coord/claim/state_test.go
+++ b/coord/claim/state_test.go
@@ -99,18 +99,23 @@
 		{}, {outage: true}, {cut: true}, {unsent: true}, {switches: true, outage: true},
 		{tickets: true}, {tickets: true, outage: true}, {tickets: true, cut: true},
 	} {
-		var sum totals
-		rapid.Check(t, func(t *rapid.T) {
-			got := sc.run(t)
-			assert.Equal(t, got.doubled, 0)
-			assert.Equal(t, got.lies, 0, "told not run, but ran")
-			assert.Equal(t, got.lost, 0, "served without a run")
-			sum.served += got.served
-			sum.refused += got.refused
-			sum.unsure += got.unsure
+		t.Run(sc.name(), func(t *testing.T) {
+			t.Parallel()
+			sc.check(t)
 		})
-		t.Logf("%s: served %d, refused %d, unsure %d",
-			sc.name(), sum.served, sum.refused, sum.unsure)
-		assert.Assert(t, sc.unsent || sum.served > sum.refused+sum.unsure, "too little is served to show anything")
 	}
 }
+
+// check runs a scenario many times.
+func (sc scenario) check(t *testing.T) {
+	var sum totals
+	rapid.Check(t, func(t *rapid.T) {
+		got := sc.run(t)
+		assert.Equal(t, got.doubled, 0)
+		assert.Equal(t, got.lies, 0, "told not run, but ran")
+		assert.Equal(t, got.lost, 0, "served without a run")
+		sum.add(got)
+	})
+	t.Logf("served %d, refused %d, unsure %d", sum.served, sum.refused, sum.unsure)
+	assert.Assert(t, sc.unsent || sum.served > sum.refused+sum.unsure, "too little is served to show anything")
+}
