Explain VMs and requests, and take planned stops on any node

Purpose: operators ask one node why a VM is in no group, what became of a request, and for planned stops that no change of the coordinator loses.

Weighed for planned stops: the coordinator's memory (lost with it), a row of its own, the out flags of the configuration. The flags are taken: any node can write them and they are in the history; no stop can begin while the platform is out.

Nodes of other data centres kept a group for ever once the coordinator had dissolved its last one, since no entry told them a term; the published term ends that. A coordinator that has not reconciled yet no longer drops the groups of its predecessor from its view.

--- a/coord/problem/problem.go
+++ b/coord/problem/problem.go
@@ -33,6 +33,7 @@
 	Stopping          Kind = "stopping"
 	StaleLease        Kind = "stale-lease"
 	StreamInterrupted Kind = "stream-interrupted"
+	NotFound          Kind = "not-found"
 	Internal          Kind = "internal"
 )
 
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/url"
@@ -35,8 +36,7 @@
 		Example: "  pimentoshore explain request 0f6c1b4e",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var e operator.RequestExplanation
-			return a.explain(cmd, operator.ExplainRequestPath+url.PathEscape(args[0]), &e, func(w io.Writer) { writeRequest(w, e) })
+			return a.explainRequest(cmd.Context(), args[0])
 		},
 	}
 	for _, c := range []*cobra.Command{vm, request} {
@@ -63,6 +63,20 @@
 	return a.print(dst, table)
 }
 
+// explainRequest asks every node that it can reach, since a request is
+// remembered only by the nodes that it passed.
+func (a *app) explainRequest(ctx context.Context, id string) error {
+	client, err := newOperatorClient(a.access)
+	if err != nil {
+		return err
+	}
+	e, err := client.findRequest(ctx, operator.ExplainRequestPath+url.PathEscape(id))
+	if err != nil {
+		return err
+	}
+	return a.print(e, func(w io.Writer) { writeRequest(w, e) })
+}
+
 func writeVM(w io.Writer, e operator.VMExplanation) {
 	fmt.Fprintf(w, "%s: %s VM of %s, fabric domain %s, group %s\n", e.VM, e.Role, e.DataCentre, orDash(e.FabricDomain), orDash(e.Group))
 	if e.ReportAge < 0 {
--- a/internal/cli/gather.go
+++ b/internal/cli/gather.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/operator"
 )
 
@@ -30,24 +31,53 @@
 	if err != nil {
 		return view{}, err
 	}
+	statuses := append([]operator.Status{first}, askAll[operator.Status](ctx, c, c.others(first), operator.StatusPath)...)
+	return merge(statuses), nil
+}
+
+// askAll reads a path from many addresses and returns the answers there are.
+func askAll[T any](ctx context.Context, c *operatorClient, addresses []string, path string) []T {
 	var mu sync.Mutex
-	statuses := []operator.Status{first}
+	var answers []T
 	var calls errgroup.Group
 	calls.SetLimit(maxCalls)
-	for _, address := range c.others(first) {
+	for _, address := range addresses {
 		calls.Go(func() error {
-			var s operator.Status
-			if _, err := c.call(ctx, http.MethodGet, address, operator.StatusPath, &s); err != nil {
+			var v T
+			if _, err := c.call(ctx, http.MethodGet, address, path, &v); err != nil {
 				return nil
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			statuses = append(statuses, s)
+			answers = append(answers, v)
 			return nil
 		})
 	}
 	_ = calls.Wait()
-	return merge(statuses), nil
+	return answers
+}
+
+// findRequest returns the account of the node that a request came to, or
+// else of one that it was forwarded to.
+func (c *operatorClient) findRequest(ctx context.Context, path string) (operator.RequestExplanation, error) {
+	var first operator.RequestExplanation
+	err := c.get(ctx, path, &first)
+	if err == nil && !first.Forwarded || err != nil && !problem.Is(err, problem.NotFound) {
+		return first, err
+	}
+	status, statusErr := c.status(ctx)
+	if statusErr != nil {
+		return first, err
+	}
+	for _, e := range askAll[operator.RequestExplanation](ctx, c, c.others(status), path) {
+		if !e.Forwarded {
+			return e, nil
+		}
+		if err != nil {
+			first, err = e, nil
+		}
+	}
+	return first, err
 }
 
 // others are the addresses beside the one that has answered.
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -120,14 +120,20 @@
 	})
 }
 
-// publishGroups spreads this coordinator's groups. mu is held.
+// publishGroups spreads this coordinator's groups once it has reconciled them;
+// until then those that its predecessor spread stay known. mu is held.
 func (n *Node) publishGroups(now time.Time) {
 	g, held := n.lease.Held(now)
 	if !held {
 		return
 	}
+	groups := n.manager.Groups()
+	if groups == nil {
+		return
+	}
+	n.publishTerm(g.Term)
 	current := map[string]bool{}
-	for _, grp := range n.manager.Groups() {
+	for _, grp := range groups {
 		p := published{Term: g.Term, Group: grp}
 		current[grp.ID] = true
 		n.groups.put(p)
@@ -147,6 +153,7 @@
 // withdrawGroups stops spreading groups that another coordinator decides now.
 // mu is held.
 func (n *Node) withdrawGroups() {
+	n.gossip.Withdraw(coordinatorEntry)
 	self, _ := n.gossip.Get(n.set.VM)
 	for _, e := range self.Entries {
 		if strings.HasPrefix(e.Key, groupEntry) {
@@ -158,7 +165,7 @@
 // learnGroups takes in the groups that a node spreads. mu is held.
 func (n *Node) learnGroups(now time.Time, node gossip.Node) {
 	known := map[string]bool{}
-	var term uint64
+	term := publishedTerm(&node)
 	for _, e := range node.Entries {
 		if !strings.HasPrefix(e.Key, groupEntry) || len(e.Value) == 0 {
 			continue
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -62,6 +62,9 @@
 	probes      *transport.Client // reports and orders
 	prober      *endpoint.Client
 	peers       *peers.Client
+	requests    *requestRing
+	stopAsked   chan struct{} // closed once an operator asks for a shutdown
+	askStop     func()
 
 	ctx context.Context
 	wg  sync.WaitGroup
@@ -139,6 +142,7 @@
 		keyed:   map[uint64]*keyedCall{},
 		asks:    map[uint64]chan claim.Reply{},
 	}
+	n.initOperate()
 	n.lease = n.newOffice(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
 	n.accounts = n.newOffice(accountsOffice, seed)
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -1,8 +1,7 @@
 package daemon
 
 import (
-	"encoding/json"
-	"net/http"
+	"fmt"
 	"slices"
 	"time"
 
@@ -10,28 +9,8 @@
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/internal/operator"
-	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
-// operatorHandler serves the operators' interface.
-func (n *Node) operatorHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+operator.StatusPath, n.serveStatus)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		telemetry.WriteMetrics(w, n.registry)
-	})
-	return mux
-}
-
-func (n *Node) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	var s operator.Status
-	n.locked(func(now time.Time) { s = n.status(now) })
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s); err != nil {
-		n.log.Debug("a status was not read whole", "error", err)
-	}
-}
-
 // status collects what this node knows. mu is held.
 func (n *Node) status(now time.Time) operator.Status {
 	s := operator.Status{
@@ -60,20 +39,14 @@
 		age = n.config.Digest(now).ReadAge
 	}
 	return operator.Node{
-		VM: node.VM, DataCentre: node.DataCentre, Configuration: node.Configuration,
+		VM: node.VM, DataCentre: node.DataCentre, Operators: string(node.Entry(operatorsEntry)), Configuration: node.Configuration,
 		ConfigurationAge: age, Stopping: node.Stopping, LastHeard: n.gossip.Silence(now, node.VM),
 	}
 }
 
 func (n *Node) dataCentreStatus(now time.Time, dc *inventory.DataCentre) operator.DataCentre {
-	s := operator.DataCentre{Name: dc.Name, Out: dc.Out}
-	if seen, ok := n.ledgers[dc.Name]; ok {
-		s.Coordinator, s.Term = seen.vm, seen.term
-	}
-	if dc.Name == n.set.DataCentre {
-		holder, term := n.lease.Holder()
-		s.Coordinator, s.Term = holder.VM, term
-	}
+	s := operator.DataCentre{Name: dc.Name, Out: dc.Out, Degraded: n.degraded(now, dc.Name)}
+	s.Coordinator, s.Term = n.coordinatorOf(now, dc.Name)
 	grouped := map[string]bool{}
 	ids := n.groups.of(dc.Name)
 	slices.Sort(ids)
@@ -103,6 +76,19 @@
 	return s
 }
 
+// degraded says why the coordinator of a data centre is held back, as far as
+// this node knows. mu is held.
+func (n *Node) degraded(now time.Time, dataCentre string) string {
+	vm, _ := n.coordinatorOf(now, dataCentre)
+	switch {
+	case vm == "":
+		return "this node knows of no coordinator; check that an entry VM of the data centre is up"
+	case n.coordinates(now, dataCentre) && n.manager.Status(now).PlatformDown:
+		return "the platform does not take the groups row; no group is formed or repaired until it does"
+	}
+	return ""
+}
+
 // strandedReasons says why VMs are in no group, as far as this node decides.
 func (n *Node) strandedReasons(now time.Time) map[string]string {
 	why := map[string]string{}
@@ -119,8 +105,11 @@
 	}
 	share := n.shares.State(g.ID)
 	s.InFlight, s.Limit = share.InFlight, share.Limit
-	if !n.mayServe(now, g.ID, dataCentre) {
+	if !n.observes(now, g.ID, dataCentre) {
 		s.Reason = "as spread by the coordinator; this node does not probe it"
+		if g.Draining {
+			s.State = operator.GroupDraining
+		}
 		return s
 	}
 	why := n.reports.Why(g, now)
@@ -142,13 +131,24 @@
 
 // reasonText prints a reason with its remedy.
 func reasonText(r group.Reason) string {
+	return causeText(r) + "; " + r.Remedy()
+}
+
+// causeText prints a reason's code with the VM at fault and what is missing.
+func causeText(r group.Reason) string {
 	text := string(r.Code)
 	if r.VM != "" {
 		text += " " + r.VM
 	}
-	return text + "; " + r.Remedy()
+	if r.Need > 0 {
+		text += fmt.Sprintf(", VMs missing: %d", r.Need)
+	}
+	return text
 }
 
+// noShare is the reason of an endpoint to which this node sends nothing.
+const noShare = "this node holds no share of it"
+
 func (n *Node) serviceStatus(vm *inventory.VM) operator.ServiceEndpoint {
 	share := n.shares.State(vm.Name)
 	s := operator.ServiceEndpoint{
@@ -156,7 +156,7 @@
 		Serving: share.Limit > 0 && !n.index.out(vm.Name),
 	}
 	if !s.Serving {
-		s.Reason = "this node holds no share of it"
+		s.Reason = noShare
 	}
 	return s
 }
--- /dev/null
+++ b/internal/daemon/operate_test.go
@@ -0,0 +1,246 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/cli"
+	"github.com/pimentoshore/pimentoshore/internal/gateway"
+	"github.com/pimentoshore/pimentoshore/internal/operator"
+	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
+)
+
+func TestRequestRingIsBounded(t *testing.T) {
+	const size = 4
+	r := newRequestRing(size)
+	for i := range 3 * size {
+		r.Put(gateway.Record{ID: fmt.Sprint(i), Running: true})
+		r.Put(gateway.Record{ID: fmt.Sprint(i), Target: testModel})
+	}
+	assert.Equal(t, len(r.slots), size)
+	for i := range 3 * size {
+		rec, ok := r.get(fmt.Sprint(i))
+		assert.Equal(t, ok, i >= 2*size)
+		assert.Equal(t, rec.Running, false)
+	}
+}
+
+func TestRequestOutcome(t *testing.T) {
+	no := problem.New(problem.Overloaded, "", "")
+	tests := []struct {
+		rec  gateway.Record
+		want string
+	}{
+		{gateway.Record{Running: true}, "running"},
+		{gateway.Record{}, "answered"},
+		{gateway.Record{Problem: no}, "refused"},
+		{gateway.Record{Problem: no.MayHaveRun()}, "failed"},
+	}
+	for _, tc := range tests {
+		assert.Equal(t, requestOutcome(tc.rec), tc.want)
+	}
+}
+
+// operators is the address of a node's operators' interface.
+func (c *cluster) operators(vm string) string { return c.nodes[vm].set.Listen.Operators }
+
+// command runs the command line against a node.
+func (c *cluster) command(vm string, args ...string) (code int, out string) {
+	var b bytes.Buffer
+	args = append(args, "--operators", c.operators(vm))
+	code = cli.Run(context.Background(), args, cli.Options{In: strings.NewReader(""), Out: &b, Err: &b, PollInterval: 50 * time.Millisecond})
+	return code, b.String()
+}
+
+func (c *cluster) explains(vm, about, cause string) bool {
+	_, out := c.command(vm, "explain", "vm", about)
+	return strings.Contains(out, cause)
+}
+
+// coordinator is the entry VM that coordinates a data centre, or empty.
+func (c *cluster) coordinator(dc string) string {
+	for vm, node := range c.nodes {
+		held := false
+		node.locked(func(now time.Time) { held = node.coordinates(now, dc) })
+		if held {
+			return vm
+		}
+	}
+	return ""
+}
+
+// vmsOf lists the model VMs of a data centre that are in a group, and those in
+// none.
+func (c *cluster) vmsOf(dc string) (grouped, spare []string) {
+	for vm := range c.engines {
+		switch {
+		case !strings.HasPrefix(vm, dc):
+		case c.memberOf(vm):
+			grouped = append(grouped, vm)
+		default:
+			spare = append(spare, vm)
+		}
+	}
+	return grouped, spare
+}
+
+// startOperated starts two data centres, each with a VM too many.
+func startOperated(t *testing.T) *cluster {
+	t.Helper()
+	c := newCluster(t, "praha", "brno")
+	c.addNode("praha", "praha-e0")
+	c.addNode("praha", "praha-e1")
+	c.addNode("brno", "brno-e0")
+	c.startAll()
+	c.apply()
+	eventually(t, "a completion through every node", func() bool {
+		return c.serves("praha-e0") && c.serves("praha-e1") && c.serves("brno-e0")
+	})
+	return c
+}
+
+func TestExplainEndToEnd(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	_, spares := c.vmsOf("praha")
+	spare := spares[0]
+	t.Run("a VM too many, through every node", func(t *testing.T) {
+		for vm := range c.nodes {
+			eventually(t, "the reason through "+vm, func() bool {
+				return c.explains(vm, spare, "too-few-in-domain, VMs missing: 1; add VMs to the fabric domain")
+			})
+		}
+	})
+	t.Run("a VM that does not answer", func(t *testing.T) {
+		c.engines[spare].SetFaults(engine.Faults{PauseMS: 4000})
+		eventually(t, "the reason", func() bool { return c.explains("brno-e0", spare, "not-reporting "+spare) })
+	})
+	t.Run("an unknown VM", func(t *testing.T) {
+		code, out := c.command("brno-e0", "explain", "vm", "nope")
+		assert.Equal(t, code, cli.ExitFailed)
+		assert.Assert(t, strings.Contains(out, "not-found"), out)
+	})
+	t.Run("requests, through a node that they did not pass", func(t *testing.T) {
+		c.call("praha-e0", http.MethodPost, "/v1/completions", `{"model":"gloves","prompt":"secret prompt"}`, "X-Request-Id", "r/1")
+		c.call("praha-e0", http.MethodPost, "/v1/completions", `{"model":"nope"}`, "X-Request-Id", "r-2")
+		for vm := range c.nodes {
+			code, out := c.command(vm, "explain", "request", "r/1")
+			assert.Equal(t, code, cli.ExitOK, out)
+			assert.Assert(t, strings.Contains(out, "gloves of account"), out)
+			assert.Assert(t, strings.Contains(out, "was answered\nhops: praha-e0 > "), out)
+			assert.Assert(t, !strings.Contains(out, "secret") && !strings.Contains(out, testKey), out)
+			_, out = c.command(vm, "explain", "request", "r-2")
+			assert.Assert(t, strings.Contains(out, "was refused\nproblem unknown-model, ran: no\n"), out)
+		}
+		code, _ := c.command("praha-e0", "explain", "request", "r-3")
+		assert.Equal(t, code, cli.ExitFailed)
+	})
+	t.Run("status in one call", func(t *testing.T) {
+		eventually(t, "a status without silent nodes", func() bool {
+			code, out := c.command("brno-e0", "status")
+			return code == cli.ExitOK && !strings.Contains(out, "no status of its own") &&
+				strings.Contains(out, "praha: in, coordinator "+c.coordinator("praha")) && strings.Contains(out, "1 of 1 groups serve")
+		})
+	})
+}
+
+// post asks a node for a planned stop.
+func (c *cluster) post(vm, path string) (int, operator.Stop) {
+	c.t.Helper()
+	resp, err := http.Post("http://"+c.operators(vm)+path, "", nil)
+	assert.NilError(c.t, err)
+	defer resp.Body.Close()
+	var stop operator.Stop
+	if path != operator.StopPath && resp.StatusCode == http.StatusAccepted {
+		assert.NilError(c.t, json.NewDecoder(resp.Body).Decode(&stop))
+	}
+	return resp.StatusCode, stop
+}
+
+// memberOf reports whether any node still knows the VM as a group's member.
+func (c *cluster) memberOf(vm string) bool {
+	for _, node := range c.nodes {
+		grouped := false
+		node.locked(func(time.Time) { _, grouped = node.groups.holding(vm) })
+		if grouped {
+			return true
+		}
+	}
+	return false
+}
+
+// TestStopOutlastsCoordinator asks a node that does not coordinate for a
+// planned stop and takes the coordinator away while it is in progress.
+func TestStopOutlastsCoordinator(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	first := c.coordinator("praha")
+	other := map[string]string{"praha-e0": "praha-e1", "praha-e1": "praha-e0"}[first]
+	grouped, spares := c.vmsOf("praha")
+	for _, vm := range grouped {
+		c.engines[vm].SetFaults(engine.Faults{SlowTokenMS: 100})
+	}
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := c.call(other, http.MethodPost, "/v1/completions", `{"model":"gloves","prompt":"cotton","max_tokens":40}`)
+		answered <- status
+	}()
+	eventually(t, "the request in flight", func() bool { return c.inFlight(other) > 0 })
+	status, stop := c.post(other, operator.StopVMPath+grouped[0])
+	assert.Equal(t, status, http.StatusAccepted)
+	assert.DeepEqual(t, stop.VMs, grouped[:1])
+	status, _ = c.post(first, operator.StopPath)
+	assert.Equal(t, status, http.StatusAccepted)
+	<-c.nodes[first].done
+	delete(c.nodes, first)
+	assert.Assert(t, c.memberOf(grouped[0]), "the stop was over before its coordinator left")
+	eventually(t, "another coordinator", func() bool { return c.coordinator("praha") == other })
+	eventually(t, "the VM in no group and the spare in its place", func() bool {
+		return !c.memberOf(grouped[0]) && c.memberOf(spares[0])
+	})
+	assert.Equal(t, <-answered, http.StatusOK)
+	eventually(t, "the reason", func() bool { return c.explains("brno-e0", grouped[0], "vm-out "+grouped[0]+"; undrain the VM") })
+}
+
+// inFlight counts the requests that a node has in flight at groups.
+func (c *cluster) inFlight(vm string) int {
+	total := 0
+	node := c.nodes[vm]
+	node.locked(func(now time.Time) {
+		for _, dc := range node.status(now).DataCentres {
+			for _, g := range dc.Groups {
+				total += g.InFlight
+			}
+		}
+	})
+	return total
+}
+
+func TestPlannedStops(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	id := ""
+	c.nodes["brno-e0"].locked(func(time.Time) { id = c.nodes["brno-e0"].groups.of("brno")[0] })
+	status, stop := c.post("praha-e0", operator.StopGroupPath+id)
+	assert.Equal(t, status, http.StatusAccepted)
+	assert.Equal(t, len(stop.VMs), 2)
+	eventually(t, "no member in a group", func() bool { return !c.memberOf(stop.VMs[0]) && !c.memberOf(stop.VMs[1]) })
+	status, _ = c.post("praha-e0", operator.StopVMPath+"praha-e1")
+	assert.Equal(t, status, http.StatusUnprocessableEntity)
+	status, _ = c.post("praha-e0", operator.StopVMPath+"nope")
+	assert.Equal(t, status, http.StatusNotFound)
+	status, _ = c.post("praha-e0", operator.StopGroupPath+"praha/nope/1")
+	assert.Equal(t, status, http.StatusNotFound)
+	status, _ = c.post("praha-e0", operator.StopDataCentrePath+"praha")
+	assert.Equal(t, status, http.StatusAccepted)
+	eventually(t, "the data centre out", func() bool { return c.explains("brno-e0", "praha-m0", "data-centre-out") })
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -77,7 +77,10 @@
 		})
 	}
 	n.start(work)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.stopAsked:
+	}
 	n.shutdown(servers)
 	endWork()
 	n.wg.Wait()
@@ -89,7 +92,7 @@
 		VM: n.set.VM, Backend: n, Endpoints: n.endpoints, Peers: n.forwards,
 		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
 		MaxBody:    n.set.Limits.MaxBodyBytes,
-		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries,
+		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries, Recorder: n.requests,
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
 	mux := http.NewServeMux()
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -19,6 +19,7 @@
 	}
 	defer cancel()
 	head, p := parseCompletion(req.body)
+	s.setTarget(c, head.Model)
 	if p == nil {
 		p = s.checkModel(head.Model)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,8 @@
 // Keys of values that handlers keep in echo's context.
 const (
 	forwardedKey = "forwarded_account" // marks a forwarded request
-	outcomeKey   = "outcome"           // kind of the problem that ended it
+	outcomeKey   = "outcome"           // *problem.Error that ended it
+	recordKey    = "record"            // *Record of an authenticated request
 )
 
 // Options configures a Server.
@@ -42,6 +43,7 @@
 	MaxBody    int64         // bytes of a request's body
 	MaxTimeout time.Duration // longest time a request may take
 	MaxRetries int           // attempts after the first
+	Recorder   Recorder      // nil keeps nothing
 }
 
 // Server answers callers.
@@ -56,6 +58,7 @@
 	maxBody    int64
 	maxTimeout time.Duration
 	maxRetries int
+	recorder   Recorder
 	now        func() time.Time
 }
 
@@ -64,7 +67,7 @@
 	return &Server{
 		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
 		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody,
-		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, now: time.Now,
+		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, recorder: o.Recorder, now: time.Now,
 	}
 }
 
@@ -142,9 +145,11 @@
 func (s *Server) record(c echo.Context, id string, took time.Duration) {
 	status := c.Response().Status
 	outcome := "ok"
-	if kind, ok := c.Get(outcomeKey).(string); ok {
-		outcome = kind
+	p, failed := c.Get(outcomeKey).(*problem.Error)
+	if failed {
+		outcome = string(p.Kind)
 	}
+	s.conclude(c, p)
 	telemetry.Counter(s.registry, "requests_total", "outcome", outcome).Inc(1)
 	telemetry.Timer(s.registry, "request_seconds").Update(took)
 	s.log.Info("request", "request_id", id, "method", c.Request().Method, "route", c.Path(),
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -35,6 +35,9 @@
 	problem.EndpointFailed:   http.StatusBadGateway,
 	problem.KeyReused:        http.StatusUnprocessableEntity,
 	problem.OutcomeUnknown:   http.StatusConflict,
+	problem.ConfigConflict:   http.StatusConflict,
+	problem.ConfigInvalid:    http.StatusUnprocessableEntity,
+	problem.NotFound:         http.StatusNotFound,
 }
 
 // document is a problem document (RFC 9457). The error member repeats the
@@ -81,12 +84,22 @@
 	}
 }
 
+// ServeProblem answers a request outside the gateway with the error's problem
+// document.
+func ServeProblem(w http.ResponseWriter, e *problem.Error) error {
+	doc := newDocument(e, "")
+	w.Header().Set(headerProblem, string(e.Kind))
+	w.Header().Set("Content-Type", problemContentType)
+	w.WriteHeader(doc.Status)
+	return json.NewEncoder(w).Encode(doc)
+}
+
 // writeProblem answers the request with the error's problem document.
 func writeProblem(c echo.Context, e *problem.Error) error {
 	doc := newDocument(e, c.Response().Header().Get(headerRequestID))
 	h := c.Response().Header()
 	h.Set(headerProblem, string(e.Kind))
-	c.Set(outcomeKey, string(e.Kind))
+	c.Set(outcomeKey, e)
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -127,6 +127,7 @@
 	} else if req.account, p = s.authenticate(r); p != nil {
 		return nil, nil, p
 	}
+	s.begin(c, req)
 	timeout, p := s.timeout(r)
 	if p != nil {
 		return nil, nil, p
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -21,6 +21,7 @@
 		return writeProblem(c, p)
 	}
 	defer cancel()
+	s.setTarget(c, c.Param("service"))
 	service, ok := s.backend.Service(c.Param("service"))
 	if !ok {
 		return writeProblem(c, problem.New(problem.UnknownService, "the service does not exist", "check the path /services/{service}/"))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,7 +132,7 @@
 
 // fail ends a stream that has begun with an explicit error event.
 func (r *relay) fail(p *problem.Error) error {
-	r.req.echo.Set(outcomeKey, string(p.Kind))
+	r.req.echo.Set(outcomeKey, p)
 	data, err := json.Marshal(newDocument(p, r.req.id()))
 	if err != nil {
 		return err
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,8 +13,29 @@
 	// StopPath is a POST without a body that begins the graceful shutdown of
 	// the daemon that receives it and answers 202.
 	StopPath = "/operator/stop"
+	// The paths of planned stops are POSTs, + name, that take a VM, the
+	// members of a group or a data centre out and answer Stop with 202. Any
+	// node takes them; the status tells the progress.
+	StopVMPath         = "/operator/stop/vm/"
+	StopGroupPath      = "/operator/stop/group/"
+	StopDataCentrePath = "/operator/stop/data-centre/"
 )
 
+// HeaderPassed marks a request that another node has passed on, which is not
+// passed on again.
+const HeaderPassed = "Pimentoshore-Passed"
+
+// Stop is an accepted planned stop. It holds until the VMs or the data centre
+// are brought back, over changes of the coordinator as well.
+type Stop struct {
+	Scope string `json:"scope"` // "vm", "group" or "data-centre"
+	Name  string `json:"name"`
+	// VMs are taken out; none are listed for a data centre.
+	VMs []string `json:"vms,omitempty"`
+	// Configuration is the number of the change.
+	Configuration uint64 `json:"configuration"`
+}
+
 // Status is what one node knows of the whole system.
 type Status struct {
 	// Node answers; it is one of Nodes.
@@ -112,7 +133,9 @@
 
 // VMExplanation says what a VM does and why.
 type VMExplanation struct {
-	VM           string `json:"vm"`
+	VM string `json:"vm"`
+	// Node answers.
+	Node         string `json:"node,omitempty"`
 	Role         string `json:"role"`
 	DataCentre   string `json:"data_centre"`
 	FabricDomain string `json:"fabric_domain,omitempty"`
@@ -137,6 +160,10 @@
 // RequestExplanation says what became of a recent request.
 type RequestExplanation struct {
 	Request string `json:"request"`
+	// Node answers. Forwarded says that it had the request from another
+	// node, which knows the whole way.
+	Node      string `json:"node,omitempty"`
+	Forwarded bool   `json:"forwarded,omitempty"`
 	// Account, Target (a model or service) and Outcome are as logged. The
 	// outcome is "answered", "refused", "failed" or "running".
 	Account string `json:"account"`
