Mutual TLS between entry VMs and from operators

Purpose: the files of [tls] were checked and not used.

Weighed: certificates read once at the start (a renewal needs a restart), watching the files (another mechanism to fail), comparing their contents at handshakes.

Change: internal/tlsconf holds the newest pair and authority that could be read; broken files keep the old ones and are logged once. Listeners require a client certificate, clients verify authority and IP address. The command line uses the same package.

Open connections keep their certificate until they close.

--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +14,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/operator"
+	"github.com/pimentoshore/pimentoshore/internal/tlsconf"
 )
 
 const (
@@ -52,31 +51,16 @@
 	if access.ca == "" {
 		return c, nil
 	}
-	config, err := clientTLS(access)
+	files := tlsconf.Files{CA: access.ca, Cert: access.cert, Key: access.key}
+	store, err := tlsconf.Load(files, slog.New(slog.DiscardHandler))
 	if err != nil {
-		return nil, err
+		return nil, &usageError{message: fmt.Sprintf("--ca, --cert and --key: %v", err)}
 	}
 	c.scheme = "https"
-	c.http.Transport = &http.Transport{TLSClientConfig: config}
+	c.http.Transport = &http.Transport{TLSClientConfig: store.Client()}
 	return c, nil
 }
 
-func clientTLS(access operatorAccess) (*tls.Config, error) {
-	pem, err := os.ReadFile(access.ca)
-	if err != nil {
-		return nil, errors.Annotate(err, "--ca")
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return nil, &usageError{message: fmt.Sprintf("--ca %s holds no certificate; name a PEM file", access.ca)}
-	}
-	cert, err := tls.LoadX509KeyPair(access.cert, access.key)
-	if err != nil {
-		return nil, errors.Annotate(err, "--cert and --key")
-	}
-	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, Certificates: []tls.Certificate{cert}}, nil
-}
-
 // status reads the status from the first address that answers.
 func (c *operatorClient) status(ctx context.Context) (operator.Status, error) {
 	var s operator.Status
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -26,6 +26,7 @@
 	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
 	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
 	"github.com/pimentoshore/pimentoshore/internal/standin/service"
+	"github.com/pimentoshore/pimentoshore/internal/tlsconf"
 )
 
 const (
@@ -46,6 +47,7 @@
 	services map[string]*service.Service
 	nodes    map[string]*runningNode
 	starts   []func()
+	tls      *tlsconf.Store // nil means plain TCP
 }
 
 type runningNode struct {
@@ -141,7 +143,7 @@
 	}
 	n := New(Options{
 		Settings: set, Logger: slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("vm", set.VM),
-		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: c.table,
+		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: c.table, TLS: c.tls,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningNode{Node: n, callers: set.Listen.Callers, stop: stop, done: make(chan struct{})}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"time"
 
 	"github.com/juju/errors"
@@ -11,6 +12,7 @@
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
+	"github.com/pimentoshore/pimentoshore/internal/tlsconf"
 )
 
 // flushTimeout bounds the export of the last spans.
@@ -30,6 +32,10 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	store, err := loadTLS(set.TLS, log)
+	if err != nil {
+		return errors.Trace(err)
+	}
 	tracer, flush, err := telemetry.NewTracer(ctx, telemetry.TraceOptions{
 		OTLPEndpoint: set.Trace.OTLPEndpoint, File: set.Trace.File, VM: set.VM, DataCentre: set.DataCentre,
 	})
@@ -45,8 +51,16 @@
 	}()
 	log.Info("serving", "callers", set.Listen.Callers, "peers", set.Listen.Peers, "operators", set.Listen.Operators)
 	n := New(Options{
-		Settings: set, Logger: log, Registry: metrics.NewRegistry(), Tracer: tracer,
+		Settings: set, Logger: log, Registry: metrics.NewRegistry(), Tracer: tracer, TLS: store,
 		Platform: platform.NewClient(platform.ClientOptions{URLs: set.Platform.URLs, Timeout: set.Platform.Timeout}),
 	})
 	return n.Run(ctx, l)
 }
+
+// loadTLS reads the files of the settings; nil if none are set.
+func loadTLS(set settings.TLS, log *slog.Logger) (*tlsconf.Store, error) {
+	if !set.Enabled() {
+		return nil, nil
+	}
+	return tlsconf.Load(tlsconf.Files{CA: set.CA, Cert: set.Cert, Key: set.Key}, log)
+}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -26,6 +26,7 @@
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
+	"github.com/pimentoshore/pimentoshore/internal/tlsconf"
 	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
 
@@ -46,6 +47,8 @@
 	Registry metrics.Registry
 	Tracer   trace.Tracer
 	Platform platform.Table
+	// TLS secures the peers' and operators' interfaces; nil means plain TCP.
+	TLS *tlsconf.Store
 }
 
 // Node is one entry VM's process.
@@ -62,6 +65,7 @@
 	probes      *transport.Client // reports and orders
 	prober      *endpoint.Client
 	peers       *peers.Client
+	tls         *tlsconf.Store // nil means plain TCP
 	requests    *requestRing
 	stopAsked   chan struct{} // closed once an operator asks for a shutdown
 	askStop     func()
@@ -113,13 +117,14 @@
 	set := o.Settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	seed := rand.Uint64()
-	control := transport.New(nil)
+	control := newPeerTransport(o.TLS)
 	probes := transport.New(nil)
 	n := &Node{
 		set: set, incarnation: incarnation,
 		log: o.Logger, registry: o.Registry, tracer: o.Tracer, platform: o.Platform,
 		endpoints: endpoint.NewClient(transport.New(nil)),
-		forwards:  endpoint.NewClient(transport.New(nil)),
+		forwards:  endpoint.NewClient(newPeerTransport(o.TLS)),
+		tls:       o.TLS,
 		control:   control,
 		probes:    probes,
 		prober:    endpoint.NewClient(probes),
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -65,7 +65,7 @@
 func (n *Node) Run(ctx context.Context, l Listeners) error {
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWork()
-	servers := n.servers(l)
+	servers := n.servers(n.secure(l))
 	var g errgroup.Group
 	for ln, srv := range servers {
 		g.Go(func() error {
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	dialTimeout    = 500 * time.Millisecond
-	idleTimeout    = 60 * time.Second
-	maxIdlePerHost = 64
+	dialTimeout = 500 * time.Millisecond
+	// handshakeTimeout bounds the handshake of a TLS connection.
+	handshakeTimeout = 1 * time.Second
+	idleTimeout      = 60 * time.Second
+	maxIdlePerHost   = 64
 )
 
 // Client is an HTTP client whose connections count their bytes. It follows no
@@ -30,29 +32,66 @@
 // New returns a client that keeps connections open between calls. A nil TLS
 // configuration means plain TCP.
 func New(config *tls.Config) *Client {
-	c := &Client{scheme: "http"}
-	if config != nil {
-		c.scheme = "https"
+	if config == nil {
+		return newClient("http", nil)
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.Transport = &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			c.conns.Add(1)
-			return &countingConn{Conn: conn, bytes: &c.bytes}, nil
-		},
-		TLSClientConfig:     config,
+	return NewReloading(func() *tls.Config { return config })
+}
+
+// NewReloading returns a client that asks for the TLS configuration of each
+// new connection and verifies the server's certificate by the host that it
+// calls.
+func NewReloading(config func() *tls.Config) *Client { return newClient("https", config) }
+
+func newClient(scheme string, config func() *tls.Config) *Client {
+	c := &Client{scheme: scheme}
+	t := &http.Transport{
+		DialContext:         c.dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
+	if config != nil {
+		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.dialTLS(ctx, network, address, config())
+		}
+	}
+	c.Transport = t
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
 }
 
+func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	c.conns.Add(1)
+	return &countingConn{Conn: conn, bytes: &c.bytes}, nil
+}
+
+func (c *Client) dialTLS(ctx context.Context, network, address string, config *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := c.dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	config = config.Clone()
+	config.ServerName = host
+	secured := tls.Client(conn, config)
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 // URL returns the base URL of an address that this client calls.
 func (c *Client) URL(address string) string { return c.scheme + "://" + address }
 
