--- a/coord/budget/shares.go
+++ b/coord/budget/shares.go
@@ -15,6 +15,7 @@
 	sourceOrder []string
 	table       map[string]*share
 	watch       func(endpoint string)
+	stopped     bool
 }
 
 // source is what a node knows of one ledger.
@@ -45,6 +46,7 @@
 	doubted         bool
 	scarce          bool
 	changed         bool
+	reported        Entry
 }
 
 // Ticket is one unit of a share, taken by Acquire and given back by Release.
@@ -214,6 +216,7 @@
 // Stop gives up every share and refuses later growth. Requests in flight
 // stay counted until they are released.
 func (s *Shares) Stop() {
+	s.stopped = true
 	for _, name := range s.sourceOrder {
 		src := s.sources[name]
 		src.stopped = true
@@ -224,8 +227,9 @@
 	}
 }
 
-// Report returns what changed since the last report to the source, or
-// everything held from it.
+// Report returns what a ledger has to know of what changed since the last
+// report to the source, or everything held from it. A usage without entries
+// that is not full need not be sent.
 func (s *Shares) Report(sourceName string, full bool) Usage {
 	src := s.source(sourceName)
 	src.sequence++
@@ -239,7 +243,11 @@
 		listed = src.shares
 	}
 	for _, sh := range listed {
-		u.Entries = append(u.Entries, sh.entry())
+		e := sh.entry()
+		if full || e.news(sh.reported) {
+			u.Entries = append(u.Entries, e)
+			sh.reported = e
+		}
 	}
 	for _, sh := range src.changed {
 		sh.changed = false
@@ -259,7 +267,7 @@
 func (s *Shares) source(name string) *source {
 	src, ok := s.sources[name]
 	if !ok {
-		src = &source{}
+		src = &source{stopped: s.stopped}
 		s.sources[name] = src
 		s.sourceOrder = append(s.sourceOrder, name)
 	}
--- a/coord/budget/shares_test.go
+++ b/coord/budget/shares_test.go
@@ -84,6 +84,11 @@
 	ticket, _ := s.Acquire("e")
 	s.Stop()
 	assert.Equal(t, s.Free("e"), 0)
+	s.Grant(start, Grant{
+		Source: "other", Fence: member.Fence{Term: 1, Sequence: 1},
+		Node: "a", NodeIncarnation: "a.1", Endpoint: "f", Incarnation: "f.1", Limit: 8, Cold: 8,
+	})
+	assert.Equal(t, s.Free("f"), 0)
 	usage := s.Report("dc", true)
 	assert.Assert(t, usage.Stopping)
 	assert.Equal(t, usage.Entries[0].Held, 1, "the request in flight still counts")
@@ -98,3 +103,29 @@
 	assert.Equal(t, len(s.Report("dc", false).Entries), 0)
 	assert.Equal(t, len(s.Report("dc", true).Entries), 1)
 }
+
+// TestReportsDoNotGrowWithRequests counts the entries that steady work within
+// a share causes.
+func TestReportsDoNotGrowWithRequests(t *testing.T) {
+	s := NewShares("a", "a.1")
+	assert.Assert(t, grantTo(s, 1, 64, 2))
+	entries := 0
+	work := func(requests int) int {
+		entries = 0
+		for range requests {
+			first, _ := s.Acquire("e")
+			second, _ := s.Acquire("e")
+			entries += len(s.Report("dc", false).Entries)
+			s.Release(first, true)
+			entries += len(s.Report("dc", false).Entries)
+			s.Release(second, true)
+		}
+		return entries
+	}
+	acquireAll(s)
+	for range 32 {
+		s.Release(Ticket{"e", "e.1"}, true)
+	}
+	assert.Assert(t, work(1000) <= 25, "%d entries", entries)
+	assert.Assert(t, work(10000) <= 25, "%d entries", entries)
+}
--- a/coord/route/candidate.go
+++ b/coord/route/candidate.go
@@ -91,8 +91,9 @@
 	name  string
 	pools [tiers]pool
 	// known counts candidates, pooled or not.
-	known int
-	free  int
+	known   int
+	avoided int
+	free    int
 	// bearing counts candidates that get requests now or once some have ended.
 	bearing int
 	peers   peerLatency
