Operations pages, a glossary, and metrics of groups and leases

Purpose: pages for those on call, kept whole by tests.

Change: pages on status and explain, drains and stops, platform outages, security, metrics and errors; docs/GLOSSARY.md. Tests fail if a metric, a kind of problem with its status, or a reason of coord/group is missing from its page, or if a metric's name ends in no unit. New metrics: whole and broken groups, group down seconds, stranded accelerators, held leases, live nodes, age of the platform's last answer and of the configuration.

Weighed: gauges of a data centre on every node (sums count double) or on the coordinator only; the latter, 0 elsewhere.

--- a/internal/cli/docs_test.go
+++ b/internal/cli/docs_test.go
@@ -1,15 +1,25 @@
 package cli
 
 import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"reflect"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/spf13/cobra"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/gateway"
 	"github.com/pimentoshore/pimentoshore/internal/load"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
@@ -59,6 +69,83 @@
 	}
 }
 
+// registered matches the registration of a metric, and its name if that is
+// written out.
+var registered = regexp.MustCompile(`telemetry\.(?:Counter|Gauge|Timer)\([^,]+, (?:"([a-z_]+)")?`)
+
+// metricUnits end the names of metrics.
+var metricUnits = []string{"_total", "_seconds", "_bytes", "_number", "_nodes", "_leases", "_groups", "_accelerators"}
+
+func TestMetricsReferenceIsComplete(t *testing.T) {
+	page := readPage(t, "metrics.md")
+	names := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		raw, err := os.ReadFile(path)
+		for _, match := range registered.FindAllStringSubmatch(string(raw), -1) {
+			assert.Assert(t, match[1] != "", "%s: write the name of the metric out: %s", path, match[0])
+			names[match[1]] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, len(names) > 0)
+	for name := range names {
+		assert.Assert(t, slices.ContainsFunc(metricUnits, func(unit string) bool { return strings.HasSuffix(name, unit) }), "%s ends in no unit", name)
+		assert.Assert(t, strings.Contains(page, "| `pimentoshore_"+name+"` |"), "metrics.md lacks %s", name)
+	}
+	rows := regexp.MustCompile("(?m)^\\| `pimentoshore_([a-z_]+)` \\|").FindAllStringSubmatch(page, -1)
+	for _, row := range rows {
+		assert.Assert(t, names[row[1]], "metrics.md names %s, which the code does not have", row[1])
+	}
+}
+
+// problemKinds reads the constants of type Kind from the source.
+func problemKinds(t *testing.T) []problem.Kind {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), "../../coord/problem/problem.go", nil, 0)
+	assert.NilError(t, err)
+	var kinds []problem.Kind
+	ast.Inspect(file, func(node ast.Node) bool {
+		spec, ok := node.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		if of, ok := spec.Type.(*ast.Ident); ok && of.Name == "Kind" {
+			value, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+			assert.NilError(t, err)
+			kinds = append(kinds, problem.Kind(value))
+		}
+		return true
+	})
+	return kinds
+}
+
+func TestErrorReferenceIsComplete(t *testing.T) {
+	page := readPage(t, "errors.md")
+	kinds := problemKinds(t)
+	assert.Assert(t, slices.Contains(kinds, problem.Internal))
+	for _, kind := range kinds {
+		row := fmt.Sprintf("| `%s` | %d |", kind, gateway.StatusOf(kind))
+		assert.Assert(t, strings.Contains(page, row), "errors.md lacks %s", row)
+	}
+	rows := regexp.MustCompile("(?m)^\\| `").FindAllString(page, -1)
+	assert.Equal(t, len(rows), len(kinds), "errors.md names a kind that the code does not have")
+}
+
+func TestReasonsReferenceIsComplete(t *testing.T) {
+	page := readPage(t, "status-and-explain.md")
+	source, err := os.ReadFile("../../coord/group/reason.go")
+	assert.NilError(t, err)
+	codes := regexp.MustCompile(`Code += "([a-z-]+)"`).FindAllStringSubmatch(string(source), -1)
+	assert.Assert(t, len(codes) > 0)
+	for _, code := range codes {
+		assert.Assert(t, strings.Contains(page, "| `"+code[1]+"` |"), "status-and-explain.md lacks %s", code[1])
+	}
+}
+
 // keysOf lists the TOML keys of a struct's values.
 func keysOf(t reflect.Type, prefix string) []string {
 	var keys []string
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -201,6 +201,7 @@
 	n.every(n.set.Intervals.Exchange, n.exchange)
 	n.every(n.set.Intervals.Probe, func(context.Context) { n.locked(n.probe) })
 	n.every(vmListInterval, n.readVMList)
+	n.every(metricsInterval, func(context.Context) { n.locked(n.recordState) })
 }
 
 // tick runs the timers of every state machine.
--- a/internal/daemon/operate.go
+++ b/internal/daemon/operate.go
@@ -84,7 +84,7 @@
 	case vm == "":
 		return "this node knows of no coordinator; check that an entry VM of the data centre is up"
 	case n.coordinates(now, dataCentre) && n.manager.Status(now).PlatformDown:
-		return "the platform does not take the groups row; no group is formed or repaired until it does"
+		return "the platform does not take the groups row; decisions are kept in memory, so keep this node up until it does"
 	}
 	return ""
 }
--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -144,6 +145,13 @@
 		code, _ := c.command("praha-e0", "explain", "request", "r-3")
 		assert.Equal(t, code, cli.ExitFailed)
 	})
+	t.Run("metrics of the coordinator", func(t *testing.T) {
+		eventually(t, "a whole group and a spare VM of two accelerators", func() bool {
+			page := c.metrics(c.coordinator("brno"))
+			return strings.Contains(page, "pimentoshore_whole_groups 1\n") && strings.Contains(page, "pimentoshore_broken_groups 0\n") &&
+				strings.Contains(page, "pimentoshore_stranded_accelerators 2\n") && strings.Contains(page, "pimentoshore_held_leases 1\n")
+		})
+	})
 	t.Run("status in one call", func(t *testing.T) {
 		eventually(t, "a status without silent nodes", func() bool {
 			code, out := c.command("brno-e0", "status")
@@ -153,6 +161,17 @@
 	})
 }
 
+// metrics reads a node's metrics from its operators' interface.
+func (c *cluster) metrics(vm string) string {
+	c.t.Helper()
+	resp, err := http.Get("http://" + c.operators(vm) + "/metrics")
+	assert.NilError(c.t, err)
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(c.t, err)
+	return string(raw)
+}
+
 // post asks a node for a planned stop.
 func (c *cluster) post(vm, path string) (int, operator.Stop) {
 	c.t.Helper()
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -61,15 +61,19 @@
 	Ran     problem.Ran `json:"ran"`
 }
 
-func newDocument(e *problem.Error, requestID string) document {
-	status, ok := statusOf[e.Kind]
-	if !ok {
-		status = http.StatusInternalServerError
+// StatusOf returns the HTTP status of a kind of problem.
+func StatusOf(k problem.Kind) int {
+	if status, ok := statusOf[k]; ok {
+		return status
 	}
+	return http.StatusInternalServerError
+}
+
+func newDocument(e *problem.Error, requestID string) document {
 	return document{
 		Type:       problemTypePrefix + string(e.Kind),
 		Title:      string(e.Kind),
-		Status:     status,
+		Status:     StatusOf(e.Kind),
 		Detail:     e.Message,
 		Remedy:     e.Remedy,
 		Ran:        e.Ran,
