Test planned stops with the command line, and what keeps them

Purpose: the choice of the configuration for planned stops was shown from one side only.

Change: a stop that only the coordinator's memory holds is lost with it; `stop vm` and `stop entry` wait against real daemons; a stop asked for while the platform is out changes nothing; groups are dropped by the published term only. Faults of TLS handshakes go to the node's log. Of several groups that name a VM, the newest is explained.

Ruled out: a slow request sent once.

--- a/internal/daemon/operate_test.go
+++ b/internal/daemon/operate_test.go
@@ -6,18 +6,27 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/cli"
+	"github.com/pimentoshore/pimentoshore/internal/configstore"
 	"github.com/pimentoshore/pimentoshore/internal/gateway"
 	"github.com/pimentoshore/pimentoshore/internal/operator"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
+	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
+	"github.com/pimentoshore/pimentoshore/internal/standin/table"
 )
 
 func TestRequestRingIsBounded(t *testing.T) {
@@ -79,12 +88,11 @@
 	return ""
 }
 
-// vmsOf lists the model VMs of a data centre that are in a group, and those in
-// none.
-func (c *cluster) vmsOf(dc string) (grouped, spare []string) {
+// modelVMs lists praha's model VMs that are in a group, and those in none.
+func (c *cluster) modelVMs() (grouped, spare []string) {
 	for vm := range c.engines {
 		switch {
-		case !strings.HasPrefix(vm, dc):
+		case !strings.HasPrefix(vm, "praha"):
 		case c.memberOf(vm):
 			grouped = append(grouped, vm)
 		default:
@@ -112,7 +120,7 @@
 func TestExplainEndToEnd(t *testing.T) {
 	t.Parallel()
 	c := startOperated(t)
-	_, spares := c.vmsOf("praha")
+	_, spares := c.modelVMs()
 	spare := spares[0]
 	t.Run("a VM too many, through every node", func(t *testing.T) {
 		for vm := range c.nodes {
@@ -197,51 +205,173 @@
 	return false
 }
 
+// stopMidway plans the stop of a member of praha's group while a request runs
+// there, shuts the coordinator down before the stop is over, and returns the
+// member, a spare and the node that is left.
+func (c *cluster) stopMidway(plan func(coordinator, other, vm string)) (vm, spare, other string) {
+	c.t.Helper()
+	first := c.coordinator("praha")
+	other = map[string]string{"praha-e0": "praha-e1", "praha-e1": "praha-e0"}[first]
+	grouped, spares := c.modelVMs()
+	vm = grouped[0]
+	answered := c.slowRequest(other, grouped)
+	plan(first, other, vm)
+	status, _ := c.post(first, operator.StopPath)
+	assert.Equal(c.t, status, http.StatusAccepted)
+	<-c.nodes[first].done
+	delete(c.nodes, first)
+	assert.Assert(c.t, c.memberOf(vm), "the stop was over before its coordinator left")
+	eventually(c.t, "another coordinator", func() bool { return c.coordinator("praha") == other })
+	assert.Equal(c.t, <-answered, http.StatusOK)
+	return vm, spares[0], other
+}
+
+// slowRequest has a request of about 4 s run at the group of praha's engines
+// out of the node's own share, and returns its status to come. Requests that
+// another node dispatches don't count.
+func (c *cluster) slowRequest(through string, engines []string) <-chan int {
+	c.t.Helper()
+	for _, vm := range engines {
+		c.engines[vm].SetFaults(engine.Faults{SlowTokenMS: 100})
+	}
+	eventually(c.t, "a share of the group", func() bool { _, limit := c.share(through, "praha"); return limit > 0 })
+	for range maxSlowRequests {
+		answered := make(chan int, 1)
+		go func() {
+			status, _, _ := c.call(through, http.MethodPost, "/v1/completions", `{"model":"gloves","prompt":"cotton","max_tokens":40}`)
+			answered <- status
+		}()
+		for range 20 {
+			if inFlight, _ := c.share(through, "praha"); inFlight > 0 {
+				return answered
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	c.t.Fatal("no request is dispatched by " + through)
+	return nil
+}
+
+// maxSlowRequests bounds the requests sent until the node dispatches one.
+const maxSlowRequests = 8
+
 // TestStopOutlastsCoordinator asks a node that does not coordinate for a
 // planned stop and takes the coordinator away while it is in progress.
 func TestStopOutlastsCoordinator(t *testing.T) {
 	t.Parallel()
 	c := startOperated(t)
-	first := c.coordinator("praha")
-	other := map[string]string{"praha-e0": "praha-e1", "praha-e1": "praha-e0"}[first]
-	grouped, spares := c.vmsOf("praha")
-	for _, vm := range grouped {
-		c.engines[vm].SetFaults(engine.Faults{SlowTokenMS: 100})
-	}
-	answered := make(chan int, 1)
-	go func() {
-		status, _, _ := c.call(other, http.MethodPost, "/v1/completions", `{"model":"gloves","prompt":"cotton","max_tokens":40}`)
-		answered <- status
-	}()
-	eventually(t, "the request in flight", func() bool { return c.inFlight(other) > 0 })
-	status, stop := c.post(other, operator.StopVMPath+grouped[0])
-	assert.Equal(t, status, http.StatusAccepted)
-	assert.DeepEqual(t, stop.VMs, grouped[:1])
-	status, _ = c.post(first, operator.StopPath)
-	assert.Equal(t, status, http.StatusAccepted)
-	<-c.nodes[first].done
-	delete(c.nodes, first)
-	assert.Assert(t, c.memberOf(grouped[0]), "the stop was over before its coordinator left")
-	eventually(t, "another coordinator", func() bool { return c.coordinator("praha") == other })
-	eventually(t, "the VM in no group and the spare in its place", func() bool {
-		return !c.memberOf(grouped[0]) && c.memberOf(spares[0])
+	vm, spare, _ := c.stopMidway(func(_, other, vm string) {
+		status, stop := c.post(other, operator.StopVMPath+vm)
+		assert.Equal(t, status, http.StatusAccepted)
+		assert.DeepEqual(t, stop.VMs, []string{vm})
+	})
+	eventually(t, "the VM in no group and the spare in its place", func() bool { return !c.memberOf(vm) && c.memberOf(spare) })
+	eventually(t, "the reason", func() bool { return c.explains("brno-e0", vm, "vm-out "+vm+"; undrain the VM") })
+}
+
+// TestStopInMemoryIsLost shows what the configuration is for: a stop that only
+// the coordinator knows of ends with it.
+func TestStopInMemoryIsLost(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	vm, _, other := c.stopMidway(func(coordinator, _, vm string) {
+		node := c.nodes[coordinator]
+		node.locked(func(now time.Time) { node.stepManager(now, group.StopRequested{Scope: group.ScopeVM, Name: vm}) })
+	})
+	eventually(t, "the group whole again with its old member", func() bool {
+		node := c.nodes[other]
+		whole := false
+		node.locked(func(now time.Time) {
+			for _, g := range node.manager.Status(now).Groups {
+				whole = whole || g.State == group.StateWhole && slices.Contains(g.Group.Members, vm)
+			}
+		})
+		return whole
 	})
-	assert.Equal(t, <-answered, http.StatusOK)
-	eventually(t, "the reason", func() bool { return c.explains("brno-e0", grouped[0], "vm-out "+grouped[0]+"; undrain the VM") })
 }
 
-// inFlight counts the requests that a node has in flight at groups.
-func (c *cluster) inFlight(vm string) int {
-	total := 0
+// TestStopCommandsWait runs the command line against the daemons.
+func TestStopCommandsWait(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	table := "http://" + c.serve(table.New(table.Options{Table: c.table}))
+	grouped, _ := c.modelVMs()
+	answered := c.slowRequest("praha-e0", grouped)
+	code, out := c.command("brno-e0", "stop", "vm", grouped[1], "--platform", table, "--timeout", "25s")
+	assert.Equal(t, code, cli.ExitOK, out)
+	assert.Assert(t, strings.Contains(out, "requests in flight"), out)
+	coordinator := c.nodes[c.coordinator("praha")]
+	coordinator.locked(func(time.Time) {
+		_, member := coordinator.groups.holding(grouped[1])
+		assert.Assert(t, !member, out)
+	})
+	select {
+	case status := <-answered:
+		assert.Equal(t, status, http.StatusOK)
+	case <-time.After(time.Second):
+		t.Fatal("the command ended before the request")
+	}
+	eventually(t, "the news on all nodes", func() bool { return !c.memberOf(grouped[1]) })
+	code, out = c.command("praha-e0", "stop", "entry", "praha-e1", "--timeout", "25s")
+	assert.Equal(t, code, cli.ExitOK, out)
+	<-c.nodes["praha-e1"].done
+	code, out = c.command("praha-e0", "stop", "entry", "praha-e0")
+	assert.Equal(t, code, cli.ExitFailed)
+	assert.Assert(t, strings.Contains(out, "the last entry VM of praha"), out)
+}
+
+// TestStopIsRefusedWithoutPlatform checks that a refused stop changes nothing.
+func TestStopIsRefusedWithoutPlatform(t *testing.T) {
+	t.Parallel()
+	c := startOperated(t)
+	grouped, _ := c.modelVMs()
+	c.table.SetFaults(memtable.Faults{Down: true})
+	status, _ := c.post("brno-e0", operator.StopVMPath+grouped[0])
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	c.table.SetFaults(memtable.Faults{})
+	snapshot, err := configstore.New(c.table).Read(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, snapshot.Number, uint64(1))
+}
+
+func TestWithdrawnGroupsAreDropped(t *testing.T) {
+	known := published{Term: 3, Group: group.Group{ID: "brno/gloves/1", Members: []string{"brno-m0"}}}
+	tests := []struct {
+		name    string
+		entries []gossip.Entry
+		kept    bool
+	}{
+		{"a coordinator without groups", []gossip.Entry{{Key: coordinatorEntry, Value: []byte("3")}}, false},
+		{"one of a later term", []gossip.Entry{{Key: coordinatorEntry, Value: []byte("4")}}, false},
+		{"one of an earlier term", []gossip.Entry{{Key: coordinatorEntry, Value: []byte("2")}}, true},
+		{"a node that has stopped coordinating", []gossip.Entry{{Key: coordinatorEntry, Value: []byte{}}}, true},
+		{"a node that never did", nil, true},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			n := New(Options{Settings: settings.Default(), Logger: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry()})
+			n.groups.put(known)
+			n.learnGroups(time.Unix(0, 0), gossip.Node{VM: "brno-e0", DataCentre: "brno", Entries: tc.entries})
+			_, kept := n.groups.byID["brno/gloves/1"]
+			assert.Equal(t, kept, tc.kept)
+		})
+	}
+}
+
+// share sums the requests that a node has in flight at the groups of a data
+// centre and the limits of its shares.
+func (c *cluster) share(vm, dataCentre string) (inFlight, limit int) {
 	node := c.nodes[vm]
 	node.locked(func(now time.Time) {
 		for _, dc := range node.status(now).DataCentres {
 			for _, g := range dc.Groups {
-				total += g.InFlight
+				if dc.Name == dataCentre {
+					inFlight, limit = inFlight+g.InFlight, limit+g.Limit
+				}
 			}
 		}
 	})
-	return total
+	return inFlight, limit
 }
 
 func TestPlannedStops(t *testing.T) {
--- a/internal/daemon/operate_vm.go
+++ b/internal/daemon/operate_vm.go
@@ -42,14 +42,17 @@
 	return e, nil
 }
 
-// holding finds the group that a VM is a member of.
+// holding finds the group that a VM is a member of. A group that is not known
+// to be dissolved yet may name the VM too; the newest counts.
 func (v *groupView) holding(vm string) (group.Group, bool) {
+	var newest published
 	for _, p := range v.byID {
-		if slices.Contains(p.Group.Members, vm) {
-			return p.Group, true
+		newer := p.Term > newest.Term || p.Term == newest.Term && p.Group.Generation > newest.Group.Generation
+		if newer && slices.Contains(p.Group.Members, vm) {
+			newest = p
 		}
 	}
-	return group.Group{}, false
+	return newest.Group, newest.Term > 0
 }
 
 func operatorReason(r group.Reason) operator.Reason {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -111,6 +112,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    n.set.Limits.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 }
 
