--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -26,6 +26,7 @@
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
+	"github.com/pimentoshore/pimentoshore/internal/tlsconf"
 	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
 
@@ -46,6 +47,8 @@
 	Registry metrics.Registry
 	Tracer   trace.Tracer
 	Platform platform.Table
+	// TLS secures the peers' and operators' interfaces; nil means plain TCP.
+	TLS *tlsconf.Store
 }
 
 // Node is one entry VM's process.
@@ -62,6 +65,10 @@
 	probes      *transport.Client // reports and orders
 	prober      *endpoint.Client
 	peers       *peers.Client
+	tls         *tlsconf.Store // nil means plain TCP
+	requests    *requestRing
+	stopAsked   chan struct{} // closed once an operator asks for a shutdown
+	askStop     func()
 
 	ctx context.Context
 	wg  sync.WaitGroup
@@ -110,13 +117,14 @@
 	set := o.Settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	seed := rand.Uint64()
-	control := transport.New(nil)
+	control := newPeerTransport(o.TLS)
 	probes := transport.New(nil)
 	n := &Node{
 		set: set, incarnation: incarnation,
 		log: o.Logger, registry: o.Registry, tracer: o.Tracer, platform: o.Platform,
 		endpoints: endpoint.NewClient(transport.New(nil)),
-		forwards:  endpoint.NewClient(transport.New(nil)),
+		forwards:  endpoint.NewClient(newPeerTransport(o.TLS)),
+		tls:       o.TLS,
 		control:   control,
 		probes:    probes,
 		prober:    endpoint.NewClient(probes),
@@ -139,6 +147,7 @@
 		keyed:   map[uint64]*keyedCall{},
 		asks:    map[uint64]chan claim.Reply{},
 	}
+	n.initOperate()
 	n.lease = n.newOffice(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
 	n.accounts = n.newOffice(accountsOffice, seed)
@@ -192,6 +201,7 @@
 	n.every(n.set.Intervals.Exchange, n.exchange)
 	n.every(n.set.Intervals.Probe, func(context.Context) { n.locked(n.probe) })
 	n.every(vmListInterval, n.readVMList)
+	n.every(metricsInterval, func(context.Context) { n.locked(n.recordState) })
 }
 
 // tick runs the timers of every state machine.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -65,7 +66,7 @@
 func (n *Node) Run(ctx context.Context, l Listeners) error {
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWork()
-	servers := n.servers(l)
+	servers := n.servers(n.secure(l))
 	var g errgroup.Group
 	for ln, srv := range servers {
 		g.Go(func() error {
@@ -77,7 +78,10 @@
 		})
 	}
 	n.start(work)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-n.stopAsked:
+	}
 	n.shutdown(servers)
 	endWork()
 	n.wg.Wait()
@@ -89,7 +93,7 @@
 		VM: n.set.VM, Backend: n, Endpoints: n.endpoints, Peers: n.forwards,
 		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
 		MaxBody:    n.set.Limits.MaxBodyBytes,
-		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries,
+		MaxTimeout: n.set.Limits.RequestTimeout, MaxRetries: maxRetries, Recorder: n.requests,
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
 	mux := http.NewServeMux()
@@ -108,6 +112,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    n.set.Limits.MaxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -35,6 +35,9 @@
 	problem.EndpointFailed:   http.StatusBadGateway,
 	problem.KeyReused:        http.StatusUnprocessableEntity,
 	problem.OutcomeUnknown:   http.StatusConflict,
+	problem.ConfigConflict:   http.StatusConflict,
+	problem.ConfigInvalid:    http.StatusUnprocessableEntity,
+	problem.NotFound:         http.StatusNotFound,
 }
 
 // document is a problem document (RFC 9457). The error member repeats the
@@ -58,15 +61,19 @@
 	Ran     problem.Ran `json:"ran"`
 }
 
-func newDocument(e *problem.Error, requestID string) document {
-	status, ok := statusOf[e.Kind]
-	if !ok {
-		status = http.StatusInternalServerError
+// StatusOf returns the HTTP status of a kind of problem.
+func StatusOf(k problem.Kind) int {
+	if status, ok := statusOf[k]; ok {
+		return status
 	}
+	return http.StatusInternalServerError
+}
+
+func newDocument(e *problem.Error, requestID string) document {
 	return document{
 		Type:       problemTypePrefix + string(e.Kind),
 		Title:      string(e.Kind),
-		Status:     status,
+		Status:     StatusOf(e.Kind),
 		Detail:     e.Message,
 		Remedy:     e.Remedy,
 		Ran:        e.Ran,
@@ -81,12 +88,22 @@
 	}
 }
 
+// ServeProblem answers a request outside the gateway with the error's problem
+// document.
+func ServeProblem(w http.ResponseWriter, e *problem.Error) error {
+	doc := newDocument(e, "")
+	w.Header().Set(headerProblem, string(e.Kind))
+	w.Header().Set("Content-Type", problemContentType)
+	w.WriteHeader(doc.Status)
+	return json.NewEncoder(w).Encode(doc)
+}
+
 // writeProblem answers the request with the error's problem document.
 func writeProblem(c echo.Context, e *problem.Error) error {
 	doc := newDocument(e, c.Response().Header().Get(headerRequestID))
 	h := c.Response().Header()
 	h.Set(headerProblem, string(e.Kind))
-	c.Set(outcomeKey, string(e.Kind))
+	c.Set(outcomeKey, e)
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
