Count every possible holder of shares; refuse what waits in vain

Cause: the ledgers were given live nodes only, so that a holder that was cut off was unknown to a new ledger, and any live foreign node as the guest; both break the proof that shares never pass the limit. A platform list that lags freed shares in use. A restarted node answered 429 'limit in use' while it had no share at all (TestKilledEntryVM). Change: all entry VMs of the inventory are listed, live or not, with one fixed guest; usage is reported at once when a request waits for a share; a node without a share says so (503, not run, when to come back); requests that wait for a target that nothing serves are refused by coord/admit at once, also those already waiting. Failures behind a forward are not blamed on the node that was asked. TestNothingServes and TestNodeWithoutShare are new.

--- a/coord/admit/admit_test.go
+++ b/coord/admit/admit_test.go
@@ -17,9 +17,13 @@
 const service = time.Second
 
 // slots is a number of places at endpoints.
-type slots struct{ free int }
+type slots struct {
+	free int
+	gone bool
+}
 
-func (s *slots) Free(string) int { return s.free }
+func (s *slots) Free(string) int     { return s.free }
+func (s *slots) Serving(string) bool { return !s.gone }
 
 // desk is a controller whose admitted requests take a place each.
 type desk struct {
--- a/coord/admit/expire.go
+++ b/coord/admit/expire.go
@@ -6,8 +6,8 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
-// expired returns why a request at the position of its lane cannot be
-// answered in time, or nil.
+// expired returns why a request at the position of its lane waits in vain,
+// or nil: nothing serves its target, or it cannot be answered in time.
 func (c *Controller) expired(now time.Time, t *target, l *lane, w *waiting, position int) *problem.Error {
 	if c.opts.HoldToDeadline {
 		if w.late(now, 0) {
@@ -15,6 +15,9 @@
 		}
 		return nil
 	}
+	if !c.capacity.Serving(t.name) {
+		return noEndpoint(t.name)
+	}
 	if p := c.accountFull(now, t, l.account, w, position); p != nil {
 		return p
 	}
--- a/coord/admit/offer.go
+++ b/coord/admit/offer.go
@@ -74,7 +74,10 @@
 		return nil
 	}
 	start := now.Add(a.wait(now, ahead))
-	if s.Limit == 0 || w.late(start, t.pace.serviceTime(w.Cost)) {
+	if s.Limit == 0 {
+		return noShare(a)
+	}
+	if w.late(start, t.pace.serviceTime(w.Cost)) {
 		return c.accountLimit(now, a)
 	}
 	return nil
--- a/coord/admit/refusal.go
+++ b/coord/admit/refusal.go
@@ -10,6 +10,10 @@
 const (
 	minRetryAfter = 500 * time.Millisecond
 	maxRetryAfter = 30 * time.Second
+	// noEndpointDelay and noShareDelay are when a caller may find an endpoint
+	// where there is none, and a share where the node holds none.
+	noEndpointDelay = 5 * time.Second
+	noShareDelay    = time.Second
 )
 
 func refuse(p *problem.Error) Decision { return Decision{Verdict: Refuse, Problem: p} }
@@ -46,6 +50,20 @@
 	).After(c.hint(now, &a.pace, a.waiting))
 }
 
+func noEndpoint(target string) *problem.Error {
+	return problem.New(problem.NoEndpoint,
+		fmt.Sprintf("nothing serves %s at present", target),
+		"retry after the given time; operators: see pimentoshore status",
+	).After(noEndpointDelay)
+}
+
+func noShare(a *account) *problem.Error {
+	return problem.New(problem.NotReady,
+		fmt.Sprintf("this node has no part of the limit of client account %q yet", a.Name),
+		"retry after the given time, or use another entry VM",
+	).After(noShareDelay)
+}
+
 func unknownAccount(name string) *problem.Error {
 	return problem.New(problem.Unauthorized,
 		fmt.Sprintf("client account %q is not in the configuration", name),
--- a/coord/admit/request.go
+++ b/coord/admit/request.go
@@ -57,6 +57,9 @@
 // route.Table implements it.
 type Capacity interface {
 	Free(target string) int
+	// Serving reports whether requests for the target can be placed now or
+	// once some of those in flight have ended.
+	Serving(target string) bool
 }
 
 // Account is a client account's standing in the queue.
--- /dev/null
+++ b/coord/admit/serving_test.go
@@ -0,0 +1,36 @@
+package admit
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+)
+
+// TestNothingServes refuses at once what would wait for an endpoint that is
+// not there, without a deadline of its own.
+func TestNothingServes(t *testing.T) {
+	d := newDesk(Options{}, 1)
+	d.grant("c", 10, 10, false)
+	assert.Equal(t, d.offer(start, "c", 0, 0).Verdict, Admit)
+	assert.Equal(t, d.offer(start, "c", 0, 0).Verdict, Queue)
+	waiting := d.next
+	d.slots.gone = true
+	refused := d.offer(start, "c", 0, 0)
+	assert.Equal(t, refused.Verdict, Refuse)
+	assert.Equal(t, refused.Problem.Kind, problem.NoEndpoint)
+	assert.Equal(t, refused.Problem.Ran, problem.RanNo)
+	d.apply(d.Tick(start))
+	assert.Assert(t, d.refused[waiting] != nil, "a waiting request was not refused")
+	assert.Assert(t, d.refused[waiting].RetryAfter > 0)
+}
+
+// TestNodeWithoutShare is not told that its account's limit is in use.
+func TestNodeWithoutShare(t *testing.T) {
+	d := newDesk(Options{}, 1)
+	d.SetAccount(Account{Name: "c", Weight: 1, MaxInFlight: 4})
+	assert.Equal(t, d.offer(start, "c", 0, 0).Verdict, Queue)
+	d.apply(d.Tick(start.Add(DefaultShareWait + 1)))
+	assert.Equal(t, d.refused[d.next].Kind, problem.NotReady)
+}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -17,9 +17,6 @@
 // retryLater is when a caller may find this node able to serve.
 const retryLater = 2 * time.Second
 
-// noEndpointDelay is when an endpoint may be found where there is none now.
-const noEndpointDelay = 5 * time.Second
-
 var _ gateway.Backend = (*Node)(nil)
 
 // ClientAccount implements gateway.Backend.
@@ -141,11 +138,6 @@
 	now := time.Now()
 	n.nextID++
 	w := &waiter{id: n.nextID, need: need, decided: make(chan struct{})}
-	if !n.routes.Serving(targetOf(need)) {
-		n.decide(w, problem.New(problem.NoEndpoint, "nothing serves "+need.Name+" at present",
-			"retry later; operators: see pimentoshore status").After(noEndpointDelay))
-		return w
-	}
 	n.waiting[w.id] = w
 	d := n.admission.Offer(now, admit.Request{
 		ID: w.id, Account: need.Account.Name, Target: targetOf(need),
@@ -157,6 +149,7 @@
 	case admit.Refuse:
 		n.decide(w, d.Problem)
 	case admit.Queue:
+		n.reportUsage(false) // asks at once for a larger share
 	}
 	n.settle(now, d.Displaced)
 	return w
@@ -363,6 +356,8 @@
 		return route.Refused
 	case gateway.Cancelled:
 		return route.Cancelled
+	case gateway.FailedBeyond:
+		return route.FailedBeyond
 	}
 	return route.Broken
 }
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -45,6 +45,9 @@
 // unanswered grants. mu is held.
 func (n *Node) tickLedgers(now time.Time) {
 	timeout := messageTimeout
+	if n.index.doc == nil {
+		return
+	}
 	if n.ledger != nil && n.lease.MayOrder(now, timeout) {
 		n.tickEndpoints(now)
 	}
@@ -54,15 +57,8 @@
 }
 
 func (n *Node) tickAccounts(now time.Time) {
-	if n.index.doc == nil {
-		return
-	}
-	var nodes []budget.Node
-	for _, node := range n.gossip.Live(now, "") {
-		nodes = append(nodes, budget.Node{Name: node.VM, Live: !node.Stopping})
-	}
 	l := n.accountLedger
-	n.sendBudget(l, l.SetNodes(now, nodes))
+	n.sendBudget(l, l.SetNodes(now, n.accountNodes(now)))
 	for i := range n.index.doc.ClientAccounts {
 		a := &n.index.doc.ClientAccounts[i]
 		n.sendBudget(l, l.SetEndpoint(now, budget.Endpoint{
@@ -114,35 +110,65 @@
 	}))
 }
 
-// budgetNodes lists the nodes that may hold shares of this data centre's
-// endpoints: its own, and one of another where it has just one. mu is held.
+// budgetNodes lists every node that may hold shares of this data centre's
+// endpoints: its own entry VMs, and one of another data centre as a guest.
+// Nodes that are cut off are listed too, since they keep what they hold. mu is
+// held.
 func (n *Node) budgetNodes(now time.Time) []budget.Node {
 	var nodes []budget.Node
-	for _, node := range n.gossip.Live(now, n.set.DataCentre) {
-		nodes = append(nodes, budget.Node{Name: node.VM, Live: !node.Stopping})
+	var foreign []string
+	for i := range n.index.doc.VMs {
+		vm := &n.index.doc.VMs[i]
+		switch {
+		case vm.Role != inventory.RoleEntry:
+		case vm.DataCentre == n.set.DataCentre:
+			nodes = append(nodes, n.holder(now, vm.Name))
+		default:
+			foreign = append(foreign, vm.Name)
+		}
 	}
-	if len(nodes) > 1 {
-		return nodes
+	for _, name := range budget.Homes(n.set.DataCentre, foreign, 1) {
+		guest := n.holder(now, name)
+		guest.Guest = true
+		nodes = append(nodes, guest)
 	}
-	for _, node := range n.gossip.Live(now, "") {
-		if node.DataCentre != n.set.DataCentre && !node.Stopping {
-			return append(nodes, budget.Node{Name: node.VM, Live: true, Guest: true})
+	return nodes
+}
+
+// accountNodes lists every node that may hold shares of accounts' limits. mu
+// is held.
+func (n *Node) accountNodes(now time.Time) []budget.Node {
+	var nodes []budget.Node
+	for i := range n.index.doc.VMs {
+		if vm := &n.index.doc.VMs[i]; vm.Role == inventory.RoleEntry {
+			nodes = append(nodes, n.holder(now, vm.Name))
 		}
 	}
 	return nodes
 }
 
+// holder describes an entry VM to a ledger and remembers that it may hold
+// shares. mu is held.
+func (n *Node) holder(now time.Time, vm string) budget.Node {
+	n.holders[vm] = true
+	node, _ := n.gossip.Get(vm)
+	live := vm == n.set.VM || n.gossip.IsLive(now, vm)
+	return budget.Node{Name: vm, Live: live && !node.Stopping && !n.leaving[vm]}
+}
+
 // releaseGone frees what entry VMs held that the platform no longer lists.
 // mu is held.
 func (n *Node) releaseGone(now time.Time, listed map[string]bool) {
-	if n.ledger == nil || n.index.doc == nil || len(listed) == 0 {
+	if len(listed) == 0 {
 		return
 	}
-	for _, vm := range n.index.doc.VMs {
-		if vm.Role == inventory.RoleEntry && !listed[vm.Name] {
-			n.sendBudget(n.ledger, n.ledger.NodeGone(now, vm.Name))
-			if n.accountLedger != nil {
-				n.sendBudget(n.accountLedger, n.accountLedger.NodeGone(now, vm.Name))
+	for vm := range n.holders {
+		if listed[vm] {
+			continue
+		}
+		for _, l := range []*budget.Ledger{n.ledger, n.accountLedger} {
+			if l != nil {
+				n.sendBudget(l, l.NodeGone(now, vm))
 			}
 		}
 	}
@@ -239,9 +265,7 @@
 
 // reportUsage tells each ledger what changed in this node's shares. mu is
 // held.
-func (n *Node) reportUsage() {
-	n.usageRounds++
-	full := n.usageRounds%fullUsageEvery == 0
+func (n *Node) reportUsage(full bool) {
 	for source, seen := range n.ledgers {
 		u := n.shares.Report(source, full)
 		if len(u.Entries) > 0 || u.Stopping {
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -25,7 +25,8 @@
 	kindAsk      = "claim.ask"       // claimAsk, answered by claim.Reply
 )
 
-// messageTimeout bounds a message between entry VMs.
+// messageTimeout bounds a message between entry VMs and, with its answer,
+// the age at which it is still taken in.
 const messageTimeout = time.Second
 
 // sendTo tells another node something. A node's messages to itself are taken
@@ -148,7 +149,8 @@
 			known := n.gossip.Known()
 			n.spawn(func(ctx context.Context) { n.pull(ctx, target, known) })
 		}
-		n.reportUsage()
+		n.usageRounds++
+		n.reportUsage(n.usageRounds%fullUsageEvery == 0)
 		n.stepConfig(now, n.peersChanged(now))
 	})
 }
--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -211,11 +211,15 @@
 	return ids
 }
 
-// readVMList reads the platform's list of VMs on the coordinator.
+// readVMList reads the platform's list of VMs on a node that holds a lease.
 func (n *Node) readVMList(ctx context.Context) {
-	coordinating := false
-	n.locked(func(now time.Time) { _, coordinating = n.lease.Held(now) })
-	if !coordinating {
+	wanted := false
+	n.locked(func(now time.Time) {
+		_, coordinating := n.lease.Held(now)
+		_, dividing := n.accounts.Held(now)
+		wanted = coordinating || dividing
+	})
+	if !wanted {
 		return
 	}
 	vms, err := n.platform.VMs(ctx)
@@ -223,16 +227,19 @@
 		n.log.Debug("reading the VM list failed", "error", err)
 		return
 	}
-	var leaving []string
+	var names []string
 	listed := map[string]bool{}
+	leaving := map[string]bool{}
 	for _, vm := range vms {
 		listed[vm.Name] = true
 		if vm.Leaving {
-			leaving = append(leaving, vm.Name)
+			leaving[vm.Name] = true
+			names = append(names, vm.Name)
 		}
 	}
 	n.locked(func(now time.Time) {
-		n.stepManager(now, group.LeavingVMs{Names: leaving})
+		n.leaving = leaving
+		n.stepManager(now, group.LeavingVMs{Names: names})
 		n.releaseGone(now, listed)
 	})
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -89,12 +89,16 @@
 	// ledgers holds the newest ledger heard of by source.
 	ledgers     map[string]ledgerSeen
 	usageRounds int
-	routes      *route.Table
-	admission   *admit.Controller
-	retries     *admit.RetryBudget
-	waiting     map[admit.ID]*waiter
-	nextID      admit.ID
-	claims      *claim.State
+	// holders names every node that may hold shares of a ledger of this node.
+	holders map[string]bool
+	// leaving names the VMs that the platform is about to take away.
+	leaving   map[string]bool
+	routes    *route.Table
+	admission *admit.Controller
+	retries   *admit.RetryBudget
+	waiting   map[admit.ID]*waiter
+	nextID    admit.ID
+	claims    *claim.State
 	// keyed holds the calls with a key that wait for their next step, asks
 	// the peers that wait for an outcome.
 	keyed        map[uint64]*keyedCall
@@ -142,6 +146,8 @@
 		probing: map[string]bool{},
 		digests: map[string]config.Digest{},
 		ledgers: map[string]ledgerSeen{},
+		holders: map[string]bool{},
+		leaving: map[string]bool{},
 		waiting: map[admit.ID]*waiter{},
 		claims:  claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
 		keyed:   map[uint64]*keyedCall{},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -200,10 +200,7 @@
 	switch {
 	case t.Peer && h.Get(headerProblem) != "":
 		a.err = readProblem(a.resp)
-		a.outcome = Failed
-		if a.err.Ran == problem.RanNo {
-			a.outcome = Refused
-		}
+		a.outcome = outcomeOf(a.err, true)
 	case t.Group != "" && h.Get(endpoint.HeaderAttempt) != a.attempt.ID():
 		a.fail(Failed, endpointFailed("the endpoint sent the answer of another request"))
 	case t.Group != "" && a.resp.StatusCode == http.StatusConflict:
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -57,7 +57,9 @@
 	NotSent   Outcome = "not_sent" // certainly did not run
 	Refused   Outcome = "refused"  // the endpoint refused before running it
 	Failed    Outcome = "failed"   // may have run
-	Cancelled Outcome = "cancelled"
+	// FailedBeyond is Failed behind the entry VM that it was forwarded to.
+	FailedBeyond Outcome = "failed_beyond"
+	Cancelled    Outcome = "cancelled"
 )
 
 // Attempt is one dispatch that holds a place in its endpoint's budget.
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -14,7 +14,7 @@
 	switch outcome {
 	case NotSent, Refused:
 		return true
-	case Failed:
+	case Failed, FailedBeyond:
 		return idempotent
 	}
 	return false
@@ -44,7 +44,7 @@
 				ans.finish(Succeeded)
 				return Succeeded, nil
 			}
-			ans.outcome = outcomeOf(ans.err)
+			ans.outcome = outcomeOf(ans.err, a.Target().Peer && ans.err.Kind != problem.StreamInterrupted)
 		}
 		outcome = worse(outcome, ans.outcome)
 		last = ans.err
@@ -62,16 +62,25 @@
 
 // worse keeps the outcome that says more may have run.
 func worse(a, b Outcome) Outcome {
-	if a == Failed || a == Cancelled {
+	if a.mayHaveRun() {
 		return a
 	}
 	return b
 }
 
+// mayHaveRun reports whether an attempt that ended this way may have run.
+func (o Outcome) mayHaveRun() bool {
+	return o == Failed || o == FailedBeyond || o == Cancelled
+}
+
 // outcomeOf is how an attempt ended whose answer could not be delivered.
-func outcomeOf(err *problem.Error) Outcome {
-	if err.Ran == problem.RanNo {
+// beyond says that another entry VM answered with the error.
+func outcomeOf(err *problem.Error, beyond bool) Outcome {
+	switch {
+	case err.Ran == problem.RanNo:
 		return Refused
+	case beyond:
+		return FailedBeyond
 	}
 	return Failed
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -114,7 +114,7 @@
 	}
 	var outcome Outcome
 	outcome, res.err = s.try(req, need, func() call { return c }, sc.idempotent(), deliver)
-	if res.err != nil && outcome != Failed && outcome != Cancelled {
+	if res.err != nil && !outcome.mayHaveRun() {
 		res.err = notRun(res.err)
 	}
 	return outcome, res
