Divide probing and gossip so that control traffic follows the data centre

Purpose: every node pulled with the names of all nodes, heartbeats of all nodes travelled everywhere, and the coordinator probed every VM of its data centre beside the home nodes, so a node's control traffic grew with the system.

Weighed: probing by everyone, by the coordinator alone, by home nodes; pushing or pulling what was seen; a full mesh or anti-entropy with views. Pushing was ruled out because an age counted from the receipt of a message can look fresher than it is.

Change: coord/probe divides each VM's probing between its endpoint's two home nodes and passes on changes, with one age for all that is unchanged. Gossip exchanges all nodes within a data centre, and between data centres only those with global entries; a representative lists the live nodes of each. Processes that both sides know are named by a hash, and a counter that alone advanced by its advance. Loads are protobuf and spread when they change by a sixteenth of the limit. Calls between entry VMs share HTTP/2 connections with compressed headers.

Conclusion: the tests of the daemon, of the gossip and of the follower pass under the race detector; in the follower's lossy traces no report is dated later than its probe, and with ages counted from the receipt some are.

--- a/coord/gossip/gossip.go
+++ b/coord/gossip/gossip.go
@@ -2,12 +2,15 @@
 // anti-entropy. Each node publishes entries under a counter of its own; a
 // pull names the counters already seen and gets only newer entries. A node
 // counts as live while its counter is seen to advance.
+//
+// A pull covers one View. Within a data centre every node is exchanged; of
+// other data centres only the nodes that publish global entries are. One node
+// of each data centre, its representative, lists the live ones there.
 package gossip
 
 import (
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"time"
 )
 
@@ -40,6 +43,12 @@
 	Configuration uint64
 	Stopping      bool
 	Entries       []Entry // sorted by key
+	// Quiet is set in a delta on a node of which nothing but the counter is
+	// new. Its other fields may be left out but for VM and Incarnation.
+	Quiet bool
+	// moved is the version at which this node learned of the newest values of
+	// Configuration and Stopping.
+	moved uint64
 }
 
 // Entry returns the node's value of a key, or nil.
@@ -74,9 +83,13 @@
 	// each tick. Remote is the number of nodes elsewhere.
 	Fanout int
 	Remote int
-	// Expiry is how long a node stays live after its counter was last seen
-	// to advance.
+	// Expiry is how long a node of a small data centre stays live after its
+	// counter was last seen to advance. It is stretched with the time between
+	// pulls.
 	Expiry time.Duration
+	// EveryNode exchanges all nodes in every view at every tick. It exists
+	// for comparison.
+	EveryNode bool
 }
 
 // Table holds what this node knows of all nodes. It is not safe for
@@ -87,6 +100,10 @@
 	self  *Node
 	peers map[string]*peer
 	names []string // sorted names of peers
+	ticks uint64
+	now   time.Time // of the last tick
+	// every holds the number of ticks between two pulls of each view.
+	every [views]int
 }
 
 type peer struct {
@@ -100,19 +117,14 @@
 // maxPast bounds the replaced incarnations remembered of a node.
 const maxPast = 8
 
-// Seen is the newest counter known of a node's process.
-type Seen struct {
-	Incarnation string
-	Version     uint64
-}
-
 // New returns a table that knows only this node.
 func New(o Options) *Table {
 	return &Table{
 		opts:  o,
 		rand:  rand.New(rand.NewPCG(o.Seed, 0)),
-		self:  &Node{VM: o.VM, DataCentre: o.DataCentre, Address: o.Address, Incarnation: o.Incarnation, Version: 1},
+		self:  &Node{VM: o.VM, DataCentre: o.DataCentre, Address: o.Address, Incarnation: o.Incarnation, Version: 1, moved: 1},
 		peers: map[string]*peer{},
+		every: [views]int{1, 1},
 	}
 }
 
@@ -140,7 +152,7 @@
 // Publish sets this node's value of a key. An unchanged value costs nothing.
 func (t *Table) Publish(key string, scope Scope, value []byte) {
 	i, ok := slices.BinarySearchFunc(t.self.Entries, key, func(e Entry, k string) int { return compareStrings(e.Key, k) })
-	if ok && slices.Equal(t.self.Entries[i].Value, value) {
+	if ok && t.self.Entries[i].Scope == scope && slices.Equal(t.self.Entries[i].Value, value) {
 		return
 	}
 	t.self.Version++
@@ -159,79 +171,17 @@
 	}
 }
 
-// Tick advances this node's counter and returns the nodes to pull from.
-func (t *Table) Tick(configuration uint64, stopping bool) []Node {
-	t.self.Version++
-	t.self.Configuration = configuration
-	t.self.Stopping = stopping
-	var local, remote []string
-	for _, vm := range t.names {
-		if t.peers[vm].node.DataCentre == t.opts.DataCentre {
-			local = append(local, vm)
-		} else {
-			remote = append(remote, vm)
-		}
-	}
-	chosen := append(t.sample(local, t.opts.Fanout), t.sample(remote, t.opts.Remote)...)
-	nodes := make([]Node, len(chosen))
-	for i, vm := range chosen {
-		nodes[i] = t.peers[vm].node
-	}
-	return nodes
-}
-
-func (t *Table) sample(names []string, n int) []string {
-	n = min(n, len(names))
-	for i := range n {
-		j := i + t.rand.IntN(len(names)-i)
-		names[i], names[j] = names[j], names[i]
-	}
-	return names[:n]
-}
-
-// Known returns the newest counter seen of each node, this one's included.
-func (t *Table) Known() map[string]Seen {
-	known := make(map[string]Seen, len(t.peers)+1)
-	for _, n := range t.all() {
-		known[n.VM] = Seen{Incarnation: n.Incarnation, Version: n.Version}
-	}
-	return known
-}
-
-// Delta returns what a node of the data centre lacks, sorted by VM. Entries
-// of scope Local stay within their own data centre.
-func (t *Table) Delta(dataCentre string, known map[string]Seen) []Node {
-	var delta []Node
-	for _, n := range t.all() {
-		seen := known[n.VM]
-		if seen.Incarnation != n.Incarnation {
-			seen.Version = 0
-		}
-		if n.Version > seen.Version {
-			delta = append(delta, newer(n, dataCentre, seen.Version))
-		}
-	}
-	return delta
-}
-
-func newer(n *Node, dataCentre string, version uint64) Node {
-	c := *n
-	c.Entries = nil
-	for _, e := range n.Entries {
-		if e.Version > version && (e.Scope == Global || n.DataCentre == dataCentre) {
-			c.Entries = append(c.Entries, e)
-		}
-	}
-	return c
-}
-
+// all returns every node, this one included, by VM.
 func (t *Table) all() []*Node {
 	nodes := make([]*Node, 0, len(t.names)+1)
+	i, _ := slices.BinarySearch(t.names, t.self.VM)
+	for _, vm := range t.names[:i] {
+		nodes = append(nodes, &t.peers[vm].node)
+	}
 	nodes = append(nodes, t.self)
-	for _, vm := range t.names {
+	for _, vm := range t.names[i:] {
 		nodes = append(nodes, &t.peers[vm].node)
 	}
-	sort.Slice(nodes, func(i, j int) bool { return nodes[i].VM < nodes[j].VM })
 	return nodes
 }
 
@@ -253,13 +203,22 @@
 		p = t.add(Node{VM: n.VM})
 	}
 	if n.Incarnation != p.node.Incarnation {
+		if n.Quiet || n.DataCentre == "" {
+			return false // abridged for a process that was replaced meanwhile
+		}
 		return t.replace(now, from, p, n)
 	}
 	old := p.node
 	if n.Version <= old.Version {
 		return false
 	}
-	changed := len(n.Entries) > 0 || n.Stopping != old.Stopping || n.Configuration != old.Configuration
+	n = abridged(n, old)
+	moved := n.Stopping != old.Stopping || n.Configuration != old.Configuration
+	changed := len(n.Entries) > 0 || moved
+	n.moved = old.moved
+	if moved {
+		n.moved = n.Version
+	}
 	n.Entries = mergeEntries(old.Entries, n.Entries)
 	p.node = n
 	p.heard = now
@@ -271,18 +230,28 @@
 // known incarnation is silent, and never for one that was replaced.
 func (t *Table) replace(now time.Time, from string, p *peer, n Node) bool {
 	direct := from == n.VM
-	if !direct && (t.isLive(now, n.VM) || slices.Contains(p.past, n.Incarnation)) {
+	if !direct && (t.heardOf(now, n.VM) || slices.Contains(p.past, n.Incarnation)) {
 		return false
 	}
 	if p.node.Incarnation != "" {
 		p.past = append(p.past, p.node.Incarnation)
 		p.past = p.past[max(0, len(p.past)-maxPast):]
 	}
+	n.moved = n.Version
 	p.node = n
 	p.heard = now
 	return true
 }
 
+// abridged fills in what a delta leaves out of a process known already.
+func abridged(n, old Node) Node {
+	n.DataCentre, n.Address = old.DataCentre, old.Address
+	if n.Quiet {
+		n.Configuration, n.Stopping, n.Quiet = old.Configuration, old.Stopping, false
+	}
+	return n
+}
+
 func mergeEntries(old, newer []Entry) []Entry {
 	merged := slices.Clone(old)
 	for _, e := range newer {
@@ -296,32 +265,6 @@
 	return merged
 }
 
-// Live returns the live nodes of a data centre, this one included, by name.
-// An empty data centre means all of them.
-func (t *Table) Live(now time.Time, dataCentre string) []Node {
-	var live []Node
-	for _, n := range t.all() {
-		if dataCentre != "" && n.DataCentre != dataCentre {
-			continue
-		}
-		if n == t.self || t.isLive(now, n.VM) {
-			live = append(live, *n)
-		}
-	}
-	return live
-}
-
-func (t *Table) isLive(now time.Time, vm string) bool {
-	p := t.peers[vm]
-	return !p.heard.IsZero() && now.Sub(p.heard) <= t.opts.Expiry
-}
-
-// IsLive reports whether another node's counter was lately seen to advance.
-func (t *Table) IsLive(now time.Time, vm string) bool {
-	_, known := t.peers[vm]
-	return known && t.isLive(now, vm)
-}
-
 // Get returns what is known of a node.
 func (t *Table) Get(vm string) (Node, bool) {
 	if vm == t.opts.VM {
--- a/coord/gossip/gossip_test.go
+++ b/coord/gossip/gossip_test.go
@@ -16,7 +16,15 @@
 
 // pull has one table learn all that another one can tell it.
 func pull(now time.Time, to, from *Table) []string {
-	return to.Merge(now, from.opts.VM, from.Delta(to.opts.DataCentre, to.Known()))
+	view := OwnDataCentre
+	if to.opts.DataCentre != from.opts.DataCentre {
+		view = OtherDataCentres
+	}
+	return pullView(now, to, from, view)
+}
+
+func pullView(now time.Time, to, from *Table, view View) []string {
+	return to.Merge(now, from.opts.VM, from.Delta(to.opts.DataCentre, view, CountersOf(to.Known(view))))
 }
 
 func TestPullGetsOnlyNewerEntries(t *testing.T) {
@@ -25,8 +33,8 @@
 	a.Publish("load", Local, []byte("1"))
 	assert.DeepEqual(t, pull(now, b, a), []string{"a"})
 	assert.Equal(t, len(pull(now, b, a)), 0)
-	a.Tick(0, false)
-	delta := a.Delta("praha", b.Known())
+	a.Tick(now, 0, false)
+	delta := a.Delta("praha", OwnDataCentre, CountersOf(b.Known(OwnDataCentre)))
 	assert.Equal(t, len(delta), 1)
 	assert.Equal(t, len(delta[0].Entries), 0)
 }
@@ -45,7 +53,7 @@
 	now := time.Unix(0, 0)
 	old, b, c := newTable("a", "praha", "x"), newTable("b", "praha", "1"), newTable("c", "praha", "1")
 	for range 10 {
-		old.Tick(0, false)
+		old.Tick(now, 0, false)
 	}
 	old.Publish("load", Local, []byte("old"))
 	pull(now, b, old)
@@ -90,7 +98,7 @@
 	now = now.Add(expiry + time.Nanosecond)
 	pull(now, b, a)
 	assert.Equal(t, len(b.Live(now, "praha")), 1)
-	a.Tick(0, false)
+	a.Tick(now, 0, false)
 	pull(now, b, a)
 	assert.Equal(t, len(b.Live(now, "praha")), 2)
 }
@@ -117,7 +125,7 @@
 		assert.Assert(t, round <= maxRounds)
 		have := 0
 		for _, name := range names {
-			for _, n := range tables[name].Tick(0, false) {
+			for _, n := range tables[name].Tick(now, 0, false) {
 				pull(now, tables[name], tables[n.VM])
 			}
 			n, _ := tables[name].Get("e00")
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -126,10 +126,10 @@
 }
 
 // Exchange implements peers.Handler.
-func (n *Node) Exchange(_, dataCentre string, known map[string]gossip.Seen) []gossip.Node {
+func (n *Node) Exchange(dataCentre string, view gossip.View, known gossip.Counters) []gossip.Node {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.gossip.Delta(dataCentre, known)
+	return n.gossip.Delta(dataCentre, view, known)
 }
 
 // exchange pulls news from a few nodes and reports usage.
@@ -137,18 +137,17 @@
 	n.locked(func(now time.Time) {
 		n.publishGroups(now)
 		n.publishLoad(now)
-		targets := n.gossip.Tick(n.config.Number(), n.stopping)
-		for _, target := range targets {
-			known := n.gossip.Known()
-			n.spawn(func(ctx context.Context) { n.pull(ctx, target, known) })
+		for _, p := range n.gossip.Tick(now, n.config.Number(), n.stopping) {
+			known := n.gossip.Known(p.View)
+			n.spawn(func(ctx context.Context) { n.pull(ctx, p, known) })
 		}
 		n.reportUsage()
 		n.stepConfig(now, n.peersChanged(now))
 	})
 }
 
-func (n *Node) pull(ctx context.Context, target gossip.Node, known map[string]gossip.Seen) {
-	delta, err := n.peers.Exchange(ctx, target.Address, known)
+func (n *Node) pull(ctx context.Context, target gossip.Pull, known []gossip.Seen) {
+	delta, err := n.peers.Exchange(ctx, target.Address, target.View, known)
 	if err != nil {
 		n.log.Debug("an exchange failed", "with", target.VM, "error", err)
 		return
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -20,6 +20,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/probe"
 	"github.com/pimentoshore/pimentoshore/coord/route"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 	"github.com/pimentoshore/pimentoshore/internal/peers"
@@ -100,6 +101,9 @@
 	knownEndpoints []string
 	stopping       bool
 	probing        map[string]bool // VMs with a probe under way
+	seen           *probe.Table    // what this node's own probes have seen
+	followed       map[string]*probe.Follower
+	pulling        map[string]bool // probers with a pull under way
 	// platformSeen is when the platform last answered.
 	platformSeen time.Time
 	digests      map[string]config.Digest
@@ -110,7 +114,7 @@
 	set := o.Settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	seed := rand.Uint64()
-	control := transport.New(nil)
+	control := transport.NewHTTP2(nil)
 	probes := transport.New(nil)
 	n := &Node{
 		set: set, incarnation: incarnation,
@@ -132,12 +136,17 @@
 		}),
 		shares:  budget.NewShares(set.VM, incarnation),
 		probing: map[string]bool{},
-		digests: map[string]config.Digest{},
-		ledgers: map[string]ledgerSeen{},
-		waiting: map[admit.ID]*waiter{},
-		claims:  claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
-		keyed:   map[uint64]*keyedCall{},
-		asks:    map[uint64]chan claim.Reply{},
+		seen: probe.NewTable(probe.Options{
+			Incarnation: incarnation, SilentAfter: set.Intervals.ReportTTL / 2,
+		}),
+		followed: map[string]*probe.Follower{},
+		pulling:  map[string]bool{},
+		digests:  map[string]config.Digest{},
+		ledgers:  map[string]ledgerSeen{},
+		waiting:  map[admit.ID]*waiter{},
+		claims:   claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
+		keyed:    map[uint64]*keyedCall{},
+		asks:     map[uint64]chan claim.Reply{},
 	}
 	n.lease = n.newOffice(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -11,46 +11,100 @@
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/coord/probe"
 )
 
-// probe asks the VMs in this node's care for their reports. mu is held.
+// rounds says what this node probes itself and whom it asks for the rest.
+type rounds struct {
+	vms     []*inventory.VM
+	probers map[string]bool
+}
+
+// probe asks the VMs in this node's care for their reports, and other nodes
+// for what they have seen of those that concern it. mu is held.
 func (n *Node) probe(now time.Time) {
-	for _, vm := range n.probed(now) {
-		if n.probing[vm.Name] {
-			continue
+	if n.index.doc == nil {
+		return
+	}
+	r := n.divide(now)
+	kept := map[string]bool{}
+	for _, vm := range r.vms {
+		kept[vm.Name] = true
+		if !n.probing[vm.Name] {
+			n.probing[vm.Name] = true
+			n.spawn(func(ctx context.Context) { n.probeOne(ctx, vm.Name, vm.Address) })
+		}
+	}
+	for _, vm := range n.seen.VMs() {
+		if !kept[vm] {
+			n.seen.Forget(vm)
 		}
-		n.probing[vm.Name] = true
-		n.spawn(func(ctx context.Context) { n.probeOne(ctx, vm.Name, vm.Address) })
 	}
+	n.pullReports(r.probers)
 }
 
-// probed lists the VMs that this node probes: the coordinator all of its data
-// centre, a home node those of its endpoints. mu is held.
-func (n *Node) probed(now time.Time) []*inventory.VM {
-	if n.index.doc == nil {
-		return nil
-	}
+// divide goes through the VMs that concern this node: on the coordinator all
+// of its data centre, elsewhere those of the endpoints that it may serve. mu
+// is held.
+func (n *Node) divide(now time.Time) rounds {
+	r := rounds{probers: map[string]bool{}}
 	_, coordinating := n.lease.Held(now)
-	wanted := map[string]bool{}
+	live := n.liveLocal(now)
+	grouped := map[string]bool{}
 	for id, p := range n.groups.byID {
-		if n.mayServe(now, id, n.vmDataCentre(p.Group.Members)) {
-			for _, vm := range p.Group.Members {
-				wanted[vm] = true
+		own := n.vmDataCentre(p.Group.Members) == n.set.DataCentre
+		homes := budget.Homes(id, live, budget.DefaultHomes)
+		needed := own && (coordinating || slices.Contains(homes, n.set.VM)) || n.shares.State(id).Limit > 0
+		for i, vm := range p.Group.Members {
+			grouped[vm] = grouped[vm] || own
+			if needed {
+				n.assign(now, &r, vm, own, probe.Order(homes, i))
 			}
 		}
 	}
-	var vms []*inventory.VM
 	for i := range n.index.doc.VMs {
 		vm := &n.index.doc.VMs[i]
-		switch {
-		case vm.Role == inventory.RoleEntry:
-		case coordinating && vm.DataCentre == n.set.DataCentre, wanted[vm.Name]:
-			vms = append(vms, vm)
-		case vm.Role == inventory.RoleService && n.mayServe(now, vm.Name, vm.DataCentre):
-			vms = append(vms, vm)
+		if vm.Role == inventory.RoleEntry || grouped[vm.Name] {
+			continue
+		}
+		own := vm.DataCentre == n.set.DataCentre
+		if own || vm.Role == inventory.RoleService && n.shares.State(vm.Name).Limit > 0 {
+			n.assignAlone(now, &r, vm, own, coordinating, live)
 		}
 	}
-	return vms
+	return r
+}
+
+// assignAlone divides a VM that is in no group. mu is held.
+func (n *Node) assignAlone(now time.Time, r *rounds, vm *inventory.VM, own, coordinating bool, live []string) {
+	probers := probe.Probers(vm.Name, 0, live)
+	if coordinating || slices.Contains(probers, n.set.VM) || n.shares.State(vm.Name).Limit > 0 {
+		n.assign(now, r, vm.Name, own, probers)
+	}
+}
+
+// assign has a VM that concerns this node probed by it or by others. This
+// node probes it too while the others bring no fresh reports of it, and always
+// if it's in another data centre. mu is held.
+func (n *Node) assign(now time.Time, r *rounds, vmName string, own bool, probers []string) {
+	vm, ok := n.index.vms[vmName]
+	if !ok {
+		return
+	}
+	first := len(probers) > 0 && probers[0] == n.set.VM
+	if !own || first || len(probers) == 0 {
+		r.vms = append(r.vms, vm)
+		return
+	}
+	for _, p := range probers {
+		if p != n.set.VM {
+			r.probers[p] = true
+		}
+	}
+	_, sent, known := n.reports.Report(vmName)
+	if !known || now.Sub(sent) > n.set.Intervals.ReportTTL/2 {
+		r.vms = append(r.vms, vm)
+	}
 }
 
 // mayServe reports whether this node holds or may soon hold a share of an
@@ -82,10 +136,11 @@
 		delete(n.probing, vm)
 		switch {
 		case err == nil && report.VM == vm:
+			n.seen.Observe(sent, report)
 			n.observe(now, sent, report)
 		case errors.Is(err, syscall.ECONNREFUSED):
-			n.reports.Refused(sent, vm)
-			n.stepManager(now, group.ProbeRefused{VM: vm, SentAt: sent})
+			n.seen.Refused(sent, vm)
+			n.refused(now, sent, vm)
 		}
 	})
 }
@@ -97,6 +152,12 @@
 	n.stepManager(now, group.Reported{Report: r, SentAt: sent})
 }
 
+// refused takes in that a VM refused a probe's connection. mu is held.
+func (n *Node) refused(now, sent time.Time, vm string) {
+	n.reports.Refused(sent, vm)
+	n.stepManager(now, group.ProbeRefused{VM: vm, SentAt: sent})
+}
+
 // fresh reports whether a VM's last report is recent. mu is held.
 func (n *Node) fresh(now time.Time, vm string) bool {
 	_, sent, ok := n.reports.Report(vm)
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"encoding/json"
 	"sort"
 	"time"
 
@@ -15,17 +14,6 @@
 	summaryEntry = "summary" // loads of a data centre, spread by its coordinator
 )
 
-// load is what a node or a data centre holds of one target.
-type load struct {
-	Limit    int `json:"limit"`
-	InFlight int `json:"in_flight"`
-	// Node is the entry VM to which other data centres send requests.
-	Node string `json:"node,omitempty"`
-}
-
-// loads holds the load of each target by name.
-type loads map[string]load
-
 // refreshEndpoints tells the routing table which endpoints may get work from
 // this node now. mu is held.
 func (n *Node) refreshEndpoints(now time.Time) {
@@ -152,11 +140,14 @@
 	n.readLoads(now)
 }
 
+// publish spreads loads unless they are nearly those spread last.
 func (n *Node) publish(key string, scope gossip.Scope, value loads) {
-	raw, err := json.Marshal(value)
-	if err == nil {
-		n.gossip.Publish(key, scope, raw)
+	self, _ := n.gossip.Get(n.set.VM)
+	last := self.Entry(key)
+	if len(last) > 0 && !decodeLoads(last).differ(value) {
+		return
 	}
+	n.gossip.Publish(key, scope, value.encode())
 }
 
 // summary sums the loads of the data centre's live nodes. Requests from other
@@ -179,14 +170,6 @@
 	return sums
 }
 
-func decodeLoads(raw []byte) loads {
-	var l loads
-	if json.Unmarshal(raw, &l) != nil {
-		return nil
-	}
-	return l
-}
-
 // readLoads passes what other nodes spread on to the routing table. mu is
 // held.
 func (n *Node) readLoads(now time.Time) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -103,7 +103,11 @@
 }
 
 func (n *Node) server(h http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
+		Protocols:         protocols,
 		Handler:           h,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
--- /dev/null
+++ b/internal/peers/exchange.go
@@ -0,0 +1,102 @@
+package peers
+
+import (
+	"fmt"
+
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
+)
+
+func encodeSeen(vm, dataCentre string, view gossip.View, known []gossip.Seen) *peerspb.ExchangeRequest {
+	req := &peerspb.ExchangeRequest{Vm: vm, DataCentre: dataCentre, View: uint32(view)}
+	for _, s := range known {
+		req.Processes = append(req.Processes, s.Process())
+		req.Versions = append(req.Versions, s.Version)
+	}
+	return req
+}
+
+func decodeCounters(req *peerspb.ExchangeRequest) (gossip.Counters, error) {
+	if len(req.Processes) != len(req.Versions) {
+		return nil, fmt.Errorf("%d versions of %d processes; send one for each", len(req.Versions), len(req.Processes))
+	}
+	known := make(gossip.Counters, len(req.Processes))
+	for i, process := range req.Processes {
+		known[process] = req.Versions[i]
+	}
+	return known, nil
+}
+
+// encodeDelta writes nodes that the request names by their position there. Of
+// those whose counter alone has advanced only the advance is written.
+func encodeDelta(req *peerspb.ExchangeRequest, delta []gossip.Node) *peerspb.ExchangeResponse {
+	position := make(map[uint64]int, len(req.Processes))
+	for i, process := range req.Processes {
+		position[process] = i
+	}
+	resp := &peerspb.ExchangeResponse{}
+	advanced := make([]uint64, len(req.Processes))
+	last := 0
+	for _, n := range delta {
+		i, known := position[gossip.Seen{VM: n.VM, Incarnation: n.Incarnation}.Process()]
+		if !known {
+			resp.States = append(resp.States, encodeNode(n))
+			continue
+		}
+		if n.Quiet {
+			advanced[i] = n.Version - req.Versions[i]
+			last = max(last, i+1)
+			continue
+		}
+		s := encodeNode(n)
+		s.Vm, s.Incarnation, s.DataCentre, s.Address = "", "", "", ""
+		s.Known = uint32(i + 1)
+		resp.States = append(resp.States, s)
+	}
+	resp.Advanced = advanced[:last]
+	return resp
+}
+
+func encodeNode(n gossip.Node) *peerspb.NodeState {
+	s := &peerspb.NodeState{
+		Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, Address: n.Address,
+		Version: n.Version, Configuration: n.Configuration, Stopping: n.Stopping,
+	}
+	for _, e := range n.Entries {
+		s.Entries = append(s.Entries, &peerspb.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: uint32(e.Scope)})
+	}
+	return s
+}
+
+// decodeDelta reads the answer to a request that named the known processes.
+func decodeDelta(known []gossip.Seen, resp *peerspb.ExchangeResponse) []gossip.Node {
+	var delta []gossip.Node
+	for i, advance := range resp.Advanced {
+		if advance > 0 && i < len(known) {
+			s := known[i]
+			delta = append(delta, gossip.Node{VM: s.VM, Incarnation: s.Incarnation, Version: s.Version + advance, Quiet: true})
+		}
+	}
+	for _, s := range resp.States {
+		n := decodeNode(s)
+		if s.Known > 0 {
+			if int(s.Known) > len(known) {
+				continue
+			}
+			n.VM, n.Incarnation = known[s.Known-1].VM, known[s.Known-1].Incarnation
+		}
+		delta = append(delta, n)
+	}
+	return delta
+}
+
+func decodeNode(s *peerspb.NodeState) gossip.Node {
+	n := gossip.Node{
+		VM: s.Vm, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
+		Version: s.Version, Configuration: s.Configuration, Stopping: s.Stopping,
+	}
+	for _, e := range s.Entries {
+		n.Entries = append(n.Entries, gossip.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: gossip.Scope(e.Scope)})
+	}
+	return n
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
 
 	"github.com/pimentoshore/pimentoshore/coord/config"
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/probe"
 	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
 	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
@@ -26,8 +28,11 @@
 
 // Handler answers other entry VMs.
 type Handler interface {
-	// Exchange returns what the node of the data centre doesn't know yet.
-	Exchange(vm, dataCentre string, known map[string]gossip.Seen) []gossip.Node
+	// Exchange returns what a node of the data centre doesn't know yet of a
+	// view.
+	Exchange(dataCentre string, view gossip.View, known gossip.Counters) []gossip.Node
+	// Reports returns what this node's probes have seen.
+	Reports(req probe.Request) probe.Answer
 	// Since returns the changes after a number, or a snapshot if they don't
 	// reach back that far.
 	Since(after uint64) ([]config.Change, *config.Snapshot)
@@ -48,15 +53,16 @@
 
 // Exchange implements peerspb.Peers.
 func (s *Server) Exchange(_ context.Context, req *peerspb.ExchangeRequest) (*peerspb.ExchangeResponse, error) {
-	known := make(map[string]gossip.Seen, len(req.Known))
-	for _, k := range req.Known {
-		known[k.Vm] = gossip.Seen{Incarnation: k.Incarnation, Version: k.Version}
-	}
-	resp := &peerspb.ExchangeResponse{}
-	for _, n := range s.handler.Exchange(req.Vm, req.DataCentre, known) {
-		resp.States = append(resp.States, encodeNode(n))
+	known, err := decodeCounters(req)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("versions", err.Error())
 	}
-	return resp, nil
+	return encodeDelta(req, s.handler.Exchange(req.DataCentre, gossip.View(req.View), known)), nil
+}
+
+// Reports implements peerspb.Peers.
+func (s *Server) Reports(_ context.Context, req *peerspb.ReportsRequest) (*peerspb.ReportsResponse, error) {
+	return encodeReports(s.handler.Reports(probe.Request{Incarnation: req.ProberIncarnation, Version: req.Version})), nil
 }
 
 // FetchConfiguration implements peerspb.Peers.
@@ -87,28 +93,6 @@
 	return &peerspb.TellResponse{Kind: answer.Kind, Body: answer.Body}, nil
 }
 
-func encodeNode(n gossip.Node) *peerspb.NodeState {
-	s := &peerspb.NodeState{
-		Vm: n.VM, Incarnation: n.Incarnation, DataCentre: n.DataCentre, Address: n.Address,
-		Version: n.Version, Configuration: n.Configuration, Stopping: n.Stopping,
-	}
-	for _, e := range n.Entries {
-		s.Entries = append(s.Entries, &peerspb.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: uint32(e.Scope)})
-	}
-	return s
-}
-
-func decodeNode(s *peerspb.NodeState) gossip.Node {
-	n := gossip.Node{
-		VM: s.Vm, Incarnation: s.Incarnation, DataCentre: s.DataCentre, Address: s.Address,
-		Version: s.Version, Configuration: s.Configuration, Stopping: s.Stopping,
-	}
-	for _, e := range s.Entries {
-		n.Entries = append(n.Entries, gossip.Entry{Key: e.Key, Value: e.Value, Version: e.Version, Scope: gossip.Scope(e.Scope)})
-	}
-	return n
-}
-
 // Client calls other entry VMs. It is safe for concurrent use.
 type Client struct {
 	vm         string
@@ -135,23 +119,28 @@
 	return t
 }
 
-// Exchange pulls what the node at the address knows beyond known.
-func (c *Client) Exchange(ctx context.Context, address string, known map[string]gossip.Seen) ([]gossip.Node, error) {
+// Exchange pulls what the node at the address knows of a view beyond known.
+func (c *Client) Exchange(ctx context.Context, address string, view gossip.View, known []gossip.Seen) ([]gossip.Node, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	req := &peerspb.ExchangeRequest{Vm: c.vm, DataCentre: c.dataCentre}
-	for vm, seen := range known {
-		req.Known = append(req.Known, &peerspb.Seen{Vm: vm, Incarnation: seen.Incarnation, Version: seen.Version})
-	}
-	resp, err := c.at(address).Exchange(ctx, req)
+	resp, err := c.at(address).Exchange(ctx, encodeSeen(c.vm, c.dataCentre, view, known))
 	if err != nil {
 		return nil, errors.Annotatef(err, "exchange with %s", address)
 	}
-	nodes := make([]gossip.Node, 0, len(resp.States))
-	for _, s := range resp.States {
-		nodes = append(nodes, decodeNode(s))
+	return decodeDelta(known, resp), nil
+}
+
+// Reports pulls what the probes of the node at the address have seen.
+func (c *Client) Reports(ctx context.Context, address string, req probe.Request) (probe.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resp, err := c.at(address).Reports(ctx, &peerspb.ReportsRequest{
+		ProberIncarnation: req.Incarnation, Version: req.Version,
+	})
+	if err != nil {
+		return probe.Answer{}, errors.Annotatef(err, "reports from %s", address)
 	}
-	return nodes, nil
+	return decodeReports(resp), nil
 }
 
 // FetchConfiguration returns what follows a number of the configuration.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -16,6 +16,10 @@
 	dialTimeout    = 500 * time.Millisecond
 	idleTimeout    = 60 * time.Second
 	maxIdlePerHost = 64
+	// An HTTP/2 connection that brought nothing for pingAfter is checked, and
+	// closed if it does not answer within pingTimeout.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
 )
 
 // Client is an HTTP client whose connections count their bytes. It follows no
@@ -30,12 +34,28 @@
 // New returns a client that keeps connections open between calls. A nil TLS
 // configuration means plain TCP.
 func New(config *tls.Config) *Client {
+	c, _ := newClient(config)
+	return c
+}
+
+// NewHTTP2 returns a client that calls over HTTP/2 only. Calls to one address
+// share a connection, whose headers are compressed.
+func NewHTTP2(config *tls.Config) *Client {
+	c, t := newClient(config)
+	t.Protocols = &http.Protocols{}
+	t.Protocols.SetHTTP2(true)
+	t.Protocols.SetUnencryptedHTTP2(config == nil)
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	return c
+}
+
+func newClient(config *tls.Config) (*Client, *http.Transport) {
 	c := &Client{scheme: "http"}
 	if config != nil {
 		c.scheme = "https"
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	c.Transport = &http.Transport{
+	t := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -49,8 +69,9 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
+	c.Transport = t
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return c
+	return c, t
 }
 
 // URL returns the base URL of an address that this client calls.
