Measure the slopes of the roles and work out the capacity page

Purpose: the design size needs, for each role, its state, messages, processor time and memory beside the budgets of control.

Weighed: starting many daemons, or driving the state machines with the real encodings. The latter shows 920 nodes on one machine and gives the same counts in each run; the headers of a call come from a real connection.

Change: internal/capacity measures and prints, make capacity writes the figures into docs/CAPACITY.md, and a test bounds what entry VMs exchange at 4, 32 and 920 nodes. Processes that two nodes both know are named by one hash of their list; a node's load is spread again after a change of an eighth.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: all demo test lint fmt generate generate-check tools build model-check model-check-mutants
+.PHONY: all demo test lint fmt generate generate-check tools build capacity model-check model-check-mutants
 
 all: lint test
 
@@ -21,6 +21,9 @@
 	go vet $(MODULES)
 	go test -race -timeout 20m $(MODULES)
 
+capacity: ## measures the slopes and writes the figures of docs/CAPACITY.md
+	go test -count=1 -timeout 5m -benchtime 200ms -run '^TestMeasure$$' -v ./internal/capacity -args -page $(CURDIR)/docs/CAPACITY.md
+
 lint: tools ## checks formatting and lints both modules
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GOBIN)/golangci-lint run ./...
--- a/coord/gossip/view.go
+++ b/coord/gossip/view.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -30,7 +31,7 @@
 	withdrawnTicks    = 120
 	// settleTicks is the number of ticks in which a new process hears of its
 	// neighbours before it may represent them.
-	settleTicks = 6
+	settleTicks = 12
 )
 
 // Seen is the newest counter known of a node's process.
@@ -52,6 +53,19 @@
 	return d.Sum64()
 }
 
+// ListOf returns a hash of the processes, whatever their counters. Two nodes
+// with the same list can name its processes by position.
+func ListOf(seen []Seen) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, s := range seen {
+		var id [8]byte
+		binary.LittleEndian.PutUint64(id[:], s.Process())
+		_, _ = d.Write(id[:])
+	}
+	return d.Sum64()
+}
+
 // Counters holds the newest counter known of each process.
 type Counters map[uint64]uint64
 
@@ -187,10 +201,13 @@
 
 // Known returns the newest counter seen of each node of a view, by VM. The
 // view of the own data centre includes this node.
-func (t *Table) Known(view View) []Seen {
+func (t *Table) Known(view View) []Seen { return t.KnownFrom(t.opts.DataCentre, view) }
+
+// KnownFrom returns the same of a view from another data centre.
+func (t *Table) KnownFrom(dataCentre string, view View) []Seen {
 	var known []Seen
 	for _, n := range t.all() {
-		if n.Incarnation != "" && t.covers(view, t.opts.DataCentre, n, 0) {
+		if n.Incarnation != "" && t.covers(view, dataCentre, n, 0) {
 			known = append(known, Seen{VM: n.VM, Incarnation: n.Incarnation, Version: n.Version})
 		}
 	}
--- /dev/null
+++ b/internal/capacity/fleet_test.go
@@ -0,0 +1,285 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pimentoshore/pimentoshore/coord/config"
+	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/coord/probe"
+	"github.com/pimentoshore/pimentoshore/internal/peers"
+	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
+	"github.com/pimentoshore/pimentoshore/internal/transport"
+)
+
+const (
+	interval  = 500 * time.Millisecond // between exchanges and between probes
+	reportTTL = 2 * time.Second
+	groupSize = 32
+	loadEntry = "load"
+	summary   = "summary"
+	// Kinds of traffic.
+	gossipWithin  = "gossip within a data centre"
+	gossipBetween = "gossip between data centres"
+	// summaryFactor is how much more seldom a data centre's load changes by
+	// the step that is spread than a node's.
+	summaryFactor = 4
+)
+
+// node drives one entry VM's state machines of control.
+type node struct {
+	vm, dataCentre string
+	gossip         *gossip.Table
+	seen           *probe.Table
+	followed       map[string]*probe.Follower
+	client         *peers.Client
+	server         http.Handler
+	probed         []string
+	probers        map[string]bool
+	coordinator    bool
+	// bytes counts what the node sent and received, by kind, and calls how
+	// often it was a party to one.
+	bytes map[string]int
+	calls map[string]int
+	fleet *fleet
+}
+
+// Exchange implements peers.Handler.
+func (n *node) Exchange(dataCentre string, view gossip.View, known gossip.Counters) []gossip.Node {
+	return n.gossip.Delta(dataCentre, view, known)
+}
+
+// Seen implements peers.Handler.
+func (n *node) Seen(dataCentre string, view gossip.View) []gossip.Seen {
+	return n.gossip.KnownFrom(dataCentre, view)
+}
+
+// Reports implements peers.Handler.
+func (n *node) Reports(req probe.Request) probe.Answer { return n.seen.Answer(n.fleet.now, req) }
+
+// Since implements peers.Handler.
+func (n *node) Since(uint64) ([]config.Change, *config.Snapshot) { return nil, nil }
+
+// Tell implements peers.Handler.
+func (n *node) Tell(context.Context, string, peers.Message) (peers.Message, error) {
+	return peers.Message{}, nil
+}
+
+// fleet is a system whose nodes exchange their real messages without a
+// network. Each call counts header bytes beside its bodies.
+type fleet struct {
+	now    time.Time
+	rounds int
+	nodes  []*node
+	byName map[string]*node
+	header int
+	from   *node
+}
+
+// RoundTrip implements http.RoundTripper: it hands the call to its target.
+func (f *fleet) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(req.Body)
+	if err != nil {
+		return nil, err
+	}
+	to := f.byName[req.URL.Host]
+	rec := httptest.NewRecorder()
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	to.server.ServeHTTP(rec, req)
+	kind := kindOf(req.URL.Path, body)
+	for _, n := range []*node{f.from, to} {
+		n.bytes[kind] += f.header + len(body) + rec.Body.Len()
+		n.calls[kind]++
+	}
+	return rec.Result(), nil
+}
+
+func kindOf(path string, body []byte) string {
+	if !strings.HasSuffix(path, "/Exchange") {
+		return "reports"
+	}
+	var req peerspb.ExchangeRequest
+	if proto.Unmarshal(body, &req) == nil && gossip.View(req.View) == gossip.OtherDataCentres {
+		return gossipBetween
+	}
+	return gossipWithin
+}
+
+// newFleet returns a system whose data centres have the numbers of entry VMs,
+// each with the endpoint VMs in groups and some spare.
+func newFleet(header, vms int, entries ...int) *fleet {
+	f := &fleet{now: time.Unix(1000, 0), byName: map[string]*node{}, header: header}
+	for d, count := range entries {
+		for i := range count {
+			f.add(fmt.Sprintf("d%02d-e%02d", d, i), fmt.Sprintf("d%02d", d), i == count-1)
+		}
+	}
+	for _, n := range f.nodes {
+		for i, other := range f.nodes {
+			if other.dataCentre == n.dataCentre || i%16 < 2 {
+				n.gossip.Seed(other.vm, other.dataCentre, other.vm)
+			}
+		}
+	}
+	for d, count := range entries {
+		f.divide(fmt.Sprintf("d%02d", d), count, vms)
+	}
+	return f
+}
+
+func (f *fleet) add(vm, dataCentre string, coordinator bool) {
+	t := transport.New(nil)
+	t.Transport = f
+	n := &node{
+		vm: vm, dataCentre: dataCentre, coordinator: coordinator, fleet: f,
+		gossip: gossip.New(gossip.Options{
+			VM: vm, DataCentre: dataCentre, Address: vm, Incarnation: vm + "-incarnation", Seed: uint64(len(f.nodes)),
+			Fanout: 2, Remote: 1, Expiry: 6 * interval,
+		}),
+		seen:     probe.NewTable(probe.Options{Incarnation: vm, SilentAfter: reportTTL / 2}),
+		followed: map[string]*probe.Follower{}, probers: map[string]bool{},
+		client: peers.NewClient(vm, dataCentre, t),
+		bytes:  map[string]int{}, calls: map[string]int{},
+	}
+	n.server = peerspb.NewPeersServer(peers.NewServer(n))
+	f.nodes = append(f.nodes, n)
+	f.byName[vm] = n
+}
+
+// divide assigns the probing of a data centre's VMs as the daemon does.
+func (f *fleet) divide(dataCentre string, entries, vms int) {
+	var live []string
+	for i := range entries {
+		live = append(live, fmt.Sprintf("%s-e%02d", dataCentre, i))
+	}
+	for v := range vms {
+		endpoint, index := fmt.Sprintf("%s-m%03d", dataCentre, v), 0
+		if v < vms/groupSize*groupSize {
+			endpoint, index = fmt.Sprintf("%s/g%02d", dataCentre, v/groupSize), v%groupSize
+		}
+		probers := probe.Probers(endpoint, index, live)
+		f.byName[probers[0]].probed = append(f.byName[probers[0]].probed, fmt.Sprintf("%s-m%03d", dataCentre, v))
+		for _, vm := range live {
+			n := f.byName[vm]
+			if vm != probers[0] && (n.coordinator || len(probers) > 1 && vm == probers[1]) {
+				n.probers[probers[0]] = true
+			}
+		}
+	}
+}
+
+// run lets rounds pass in which every node exchanges, probes and pulls.
+// Of changing nodes one has another load in each round.
+func (f *fleet) run(rounds, changing int) {
+	for range rounds {
+		f.now = f.now.Add(interval)
+		f.rounds++
+		for i, n := range f.nodes {
+			f.from = n
+			n.round(i, changing)
+		}
+	}
+}
+
+func (n *node) round(i, changing int) {
+	now := n.fleet.now
+	if (i+n.fleet.rounds)%changing == 0 {
+		n.gossip.Publish(loadEntry, gossip.Local, loadOf(n.fleet.rounds, ""))
+	}
+	if n.coordinator && (i+n.fleet.rounds)%(changing*summaryFactor) == 0 {
+		n.gossip.Publish(summary, gossip.Global, loadOf(n.fleet.rounds, n.vm))
+	}
+	for _, p := range n.gossip.Tick(now, 1, false) {
+		known := n.gossip.Known(p.View)
+		if delta, err := n.client.Exchange(context.Background(), p.Address, p.View, known); err == nil {
+			n.gossip.Merge(now, p.VM, delta)
+		}
+	}
+	for _, vm := range n.probed {
+		n.seen.Observe(now, reportOf(vm))
+	}
+	for vm := range n.probers {
+		f, ok := n.followed[vm]
+		if !ok {
+			f = probe.NewFollower()
+			n.followed[vm] = f
+		}
+		req := f.Request()
+		if answer, err := n.client.Reports(context.Background(), vm, req); err == nil {
+			f.Merge(now, now, req, answer)
+		}
+	}
+}
+
+func loadOf(round int, vm string) []byte {
+	raw, err := proto.Marshal(&peerspb.Loads{Loads: []*peerspb.Load{
+		{Target: "conversation-large", Limit: 256, InFlight: uint32(round % 256), Node: vm},
+	}})
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func reportOf(vm string) member.Report {
+	return member.Report{
+		VM: vm, Incarnation: "1234567890abc", State: member.Ready, Group: vm[:3] + "/g01", Generation: 7,
+		Model: "conversation-large", Rank: 3, Fence: member.Fence{Term: 12, Sequence: 345}, InFlight: 9, Completed: 123456,
+		StepLatency: 40 * time.Millisecond,
+	}
+}
+
+// reset starts the counting anew.
+func (f *fleet) reset() {
+	for _, n := range f.nodes {
+		n.bytes, n.calls = map[string]int{}, map[string]int{}
+	}
+}
+
+// traffic is what a number of nodes sent and received for each second.
+type traffic struct {
+	mean, most float64 // bytes for each node
+	byKind     map[string]float64
+}
+
+func (f *fleet) traffic(rounds int, where func(*node) bool) traffic {
+	t := traffic{byKind: map[string]float64{}}
+	seconds := float64(rounds) * interval.Seconds()
+	count := 0.0
+	for _, n := range f.nodes {
+		if !where(n) {
+			continue
+		}
+		count++
+		sum := 0.0
+		for kind, b := range n.bytes {
+			sum += float64(b) / seconds
+			t.byKind[kind] += float64(b) / seconds
+		}
+		t.mean += sum
+		t.most = max(t.most, sum)
+	}
+	t.mean /= count
+	for kind := range t.byKind {
+		t.byKind[kind] /= count
+	}
+	return t
+}
+
+// designEntries returns the entry VMs of each data centre at the design size.
+func designEntries() []int {
+	entries := make([]int, Design.DataCentres)
+	for i := range Design.Nodes {
+		entries[i%len(entries)]++
+	}
+	return entries
+}
--- /dev/null
+++ b/internal/capacity/traffic_test.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/member"
+	"github.com/pimentoshore/pimentoshore/coord/probe"
+	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/peers"
+	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
+	"github.com/pimentoshore/pimentoshore/internal/standin/engine"
+	"github.com/pimentoshore/pimentoshore/internal/transport"
+)
+
+const (
+	callsPerMeasure = 200
+	// loadRounds is the number of rounds in which a node's load changes by
+	// the step that is spread.
+	loadRounds = 4
+	// settleRounds is the number of rounds after which a system has settled.
+	settleRounds = 40
+)
+
+// headerBytes measures the bytes of a call between entry VMs beside its
+// bodies, on a real connection.
+func headerBytes(t testing.TB) int {
+	t.Helper()
+	n := &node{fleet: &fleet{}, seen: probe.NewTable(probe.Options{Incarnation: "abc"})}
+	srv := httptest.NewUnstartedServer(peerspb.NewPeersServer(peers.NewServer(n)))
+	srv.Config.Protocols = &http.Protocols{}
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	srv.Start()
+	defer srv.Close()
+	tr := transport.NewHTTP2(nil)
+	c := peers.NewClient("e1", "praha", tr)
+	call := func() {
+		_, err := c.Reports(context.Background(), strings.TrimPrefix(srv.URL, "http://"), probe.Request{})
+		assert.NilError(t, err)
+	}
+	call()
+	before := tr.Bytes()
+	for range callsPerMeasure {
+		call()
+	}
+	assert.Equal(t, tr.Conns(), int64(1))
+	const bodies = len("\x0a\x03abc\x18\x01") // the answer; the request is empty
+	return int(tr.Bytes()-before)/callsPerMeasure - bodies
+}
+
+// probeBytes measures the bytes of one probe of an engine in a group.
+func probeBytes(t testing.TB) int {
+	t.Helper()
+	e := engine.New(engine.Options{VM: "d00-m001"})
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	tr := transport.New(nil)
+	c := endpoint.NewClient(tr)
+	address := strings.TrimPrefix(srv.URL, "http://")
+	order := reportOf("d00-m001")
+	_, err := c.Order(context.Background(), address, memberOrder(order))
+	assert.NilError(t, err)
+	before := tr.Bytes()
+	for range callsPerMeasure {
+		_, err := c.Report(context.Background(), address)
+		assert.NilError(t, err)
+	}
+	return int(tr.Bytes()-before) / callsPerMeasure
+}
+
+// measured runs a system until it has settled and counts its traffic.
+func measured(header, vms, settle, rounds int, entries ...int) *fleet {
+	f := newFleet(header, vms, entries...)
+	f.run(settle, loadRounds)
+	f.reset()
+	f.run(rounds, loadRounds)
+	return f
+}
+
+func ordinary(n *node) bool    { return !n.coordinator }
+func coordinates(n *node) bool { return n.coordinator }
+func everyNode(*node) bool     { return true }
+
+// TestTrafficBetweenEntryVMsFitsTheBudget bounds the bytes a second that the
+// gossip and the relayed reports cost a node, but for the coordinator's pulls
+// of reports, at several sizes. Probes of endpoints are not among them.
+func TestTrafficBetweenEntryVMsFitsTheBudget(t *testing.T) {
+	header := headerBytes(t)
+	_, vms, _ := Design.PerDataCentre()
+	for _, c := range []struct {
+		name    string
+		vms     int
+		entries []int
+	}{
+		{"4 nodes", 50, []int{2, 2}},
+		{"32 nodes", vms, []int{32}},
+		{"920 nodes", vms, designEntries()},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			const rounds = 12
+			f := measured(header, c.vms, settleRounds, rounds, c.entries...)
+			all, rest := f.traffic(rounds, everyNode), f.traffic(rounds, ordinary)
+			sum := rest.byKind["reports"] + all.byKind[gossipWithin] + all.byKind[gossipBetween]
+			t.Logf("%.0f B/s for each node", sum)
+			assert.Assert(t, sum <= ByteBudget)
+		})
+	}
+}
+
+func memberOrder(r member.Report) member.Order {
+	return member.Order{
+		VM: r.VM, Action: member.Join, Fence: r.Fence, Group: r.Group, Generation: r.Generation,
+		Model: r.Model, Rank: r.Rank, Members: []string{r.VM},
+	}
+}
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -132,6 +132,13 @@
 	return n.gossip.Delta(dataCentre, view, known)
 }
 
+// Seen implements peers.Handler.
+func (n *Node) Seen(dataCentre string, view gossip.View) []gossip.Seen {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.gossip.KnownFrom(dataCentre, view)
+}
+
 // exchange pulls news from a few nodes and reports usage.
 func (n *Node) exchange(context.Context) {
 	n.locked(func(now time.Time) {
--- a/internal/daemon/loads.go
+++ b/internal/daemon/loads.go
@@ -11,7 +11,7 @@
 
 // loadStep is the part of a limit by which the requests in flight must change
 // to be spread again.
-const loadStep = 16
+const loadStep = 8
 
 // load is what a node or a data centre holds of one target.
 type load struct {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -7,15 +7,38 @@
 	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
 )
 
+// encodeSeen writes what a node knows without naming the processes.
 func encodeSeen(vm, dataCentre string, view gossip.View, known []gossip.Seen) *peerspb.ExchangeRequest {
-	req := &peerspb.ExchangeRequest{Vm: vm, DataCentre: dataCentre, View: uint32(view)}
+	req := &peerspb.ExchangeRequest{Vm: vm, DataCentre: dataCentre, View: uint32(view), List: gossip.ListOf(known)}
 	for _, s := range known {
-		req.Processes = append(req.Processes, s.Process())
 		req.Versions = append(req.Versions, s.Version)
 	}
 	return req
 }
 
+// name adds the processes to a request whose list the receiver does not know.
+func name(req *peerspb.ExchangeRequest, known []gossip.Seen) {
+	req.List = 0
+	for _, s := range known {
+		req.Processes = append(req.Processes, s.Process())
+	}
+}
+
+// resolve fills in the processes of a request that only lists them from the
+// receiver's own view. It reports false if that has other ones.
+func resolve(req *peerspb.ExchangeRequest, own []gossip.Seen) bool {
+	if len(req.Processes) > 0 || len(req.Versions) == 0 {
+		return true
+	}
+	if req.List != gossip.ListOf(own) || len(own) != len(req.Versions) {
+		return false
+	}
+	for _, s := range own {
+		req.Processes = append(req.Processes, s.Process())
+	}
+	return true
+}
+
 func decodeCounters(req *peerspb.ExchangeRequest) (gossip.Counters, error) {
 	if len(req.Processes) != len(req.Versions) {
 		return nil, fmt.Errorf("%d versions of %d processes; send one for each", len(req.Versions), len(req.Processes))
--- a/internal/peers/exchange_test.go
+++ b/internal/peers/exchange_test.go
@@ -18,6 +18,9 @@
 	t.Helper()
 	known := to.Known(gossip.OwnDataCentre)
 	req := encodeSeen("b", "praha", gossip.OwnDataCentre, known)
+	if !resolve(req, from.KnownFrom(req.DataCentre, gossip.OwnDataCentre)) {
+		name(req, known)
+	}
 	counters, err := decodeCounters(req)
 	assert.NilError(t, err)
 	resp := encodeDelta(req, from.Delta(req.DataCentre, gossip.View(req.View), counters))
@@ -57,7 +60,7 @@
 
 func TestUnevenCountersAreRefused(t *testing.T) {
 	req := encodeSeen("b", "praha", gossip.OwnDataCentre, []gossip.Seen{{VM: "a", Version: 1}})
-	req.Versions = nil
+	name(req, []gossip.Seen{{VM: "a"}, {VM: "b"}})
 	_, err := decodeCounters(req)
 	assert.ErrorContains(t, err, "send one for each")
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -31,6 +31,8 @@
 	// Exchange returns what a node of the data centre doesn't know yet of a
 	// view.
 	Exchange(dataCentre string, view gossip.View, known gossip.Counters) []gossip.Node
+	// Seen returns the counters that this node knows of such a view.
+	Seen(dataCentre string, view gossip.View) []gossip.Seen
 	// Reports returns what this node's probes have seen.
 	Reports(req probe.Request) probe.Answer
 	// Since returns the changes after a number, or a snapshot if they don't
@@ -53,6 +55,9 @@
 
 // Exchange implements peerspb.Peers.
 func (s *Server) Exchange(_ context.Context, req *peerspb.ExchangeRequest) (*peerspb.ExchangeResponse, error) {
+	if !resolve(req, s.handler.Seen(req.DataCentre, gossip.View(req.View))) {
+		return &peerspb.ExchangeResponse{Unlisted: true}, nil
+	}
 	known, err := decodeCounters(req)
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("versions", err.Error())
@@ -123,7 +128,12 @@
 func (c *Client) Exchange(ctx context.Context, address string, view gossip.View, known []gossip.Seen) ([]gossip.Node, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resp, err := c.at(address).Exchange(ctx, encodeSeen(c.vm, c.dataCentre, view, known))
+	req := encodeSeen(c.vm, c.dataCentre, view, known)
+	resp, err := c.at(address).Exchange(ctx, req)
+	if err == nil && resp.Unlisted {
+		name(req, known)
+		resp, err = c.at(address).Exchange(ctx, req)
+	}
 	if err != nil {
 		return nil, errors.Annotatef(err, "exchange with %s", address)
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,7 +18,7 @@
 	maxIdlePerHost = 64
 	// An HTTP/2 connection that brought nothing for pingAfter is checked, and
 	// closed if it does not answer within pingTimeout.
-	pingAfter   = 2 * time.Second
+	pingAfter   = 15 * time.Second
 	pingTimeout = 2 * time.Second
 )
 
