--- a/coord/gossip/view.go
+++ b/coord/gossip/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -186,16 +185,22 @@
 	case n.DataCentre == dataCentre:
 		return false
 	}
-	withdrawn := t.withdrawalSpreads(n.VM)
-	return slices.ContainsFunc(n.Entries, func(e Entry) bool {
-		return e.Scope == Global && (len(e.Value) > 0 || withdrawn && e.Version > seen && e.Version+withdrawnTicks > n.Version)
-	})
+	for i := range n.Entries {
+		e := &n.Entries[i]
+		if e.Scope == Global && (len(e.Value) > 0 || t.withdrawalSpreads(n, e, seen)) {
+			return true
+		}
+	}
+	return false
 }
 
-// withdrawalSpreads reports whether a node was heard of lately enough for its
-// withdrawals to be news to others.
-func (t *Table) withdrawalSpreads(vm string) bool {
-	p, ok := t.peers[vm]
+// withdrawalSpreads reports whether an entry was withdrawn after a version was
+// seen, and lately enough to be news to others.
+func (t *Table) withdrawalSpreads(n *Node, e *Entry, seen uint64) bool {
+	if e.Version <= seen || e.Version+withdrawnTicks <= n.Version {
+		return false
+	}
+	p, ok := t.peers[n.VM]
 	return !ok || t.now.Sub(p.heard) <= withdrawnExpiries*t.opts.Expiry
 }
 
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -49,50 +49,60 @@
 func (n *Node) divide(now time.Time) rounds {
 	r := rounds{probers: map[string]bool{}}
 	_, coordinating := n.lease.Held(now)
-	live := n.liveLocal(now)
-	grouped := map[string]bool{}
-	for id, p := range n.groups.byID {
-		own := n.vmDataCentre(p.Group.Members) == n.set.DataCentre
-		homes := budget.Homes(id, live, budget.DefaultHomes)
-		needed := own && (coordinating || slices.Contains(homes, n.set.VM)) || n.shares.State(id).Limit > 0
-		for i, vm := range p.Group.Members {
-			grouped[vm] = grouped[vm] || own
-			if needed {
-				n.assign(now, &r, vm, own, probe.Order(homes, i))
+	own, guests := n.probedEndpoints()
+	division := probe.Divide(own, n.liveLocal(now))
+	for _, e := range own {
+		served := n.shares.State(e.Name).Limit > 0
+		for _, vm := range e.VMs {
+			probers := division[vm]
+			if coordinating || served || slices.Contains(probers, n.set.VM) {
+				n.assign(now, &r, vm, probers)
 			}
 		}
 	}
-	for i := range n.index.doc.VMs {
-		vm := &n.index.doc.VMs[i]
-		if vm.Role == inventory.RoleEntry || grouped[vm.Name] {
-			continue
-		}
-		own := vm.DataCentre == n.set.DataCentre
-		if own || vm.Role == inventory.RoleService && n.shares.State(vm.Name).Limit > 0 {
-			n.assignAlone(now, &r, vm, own, coordinating, live)
+	for _, e := range guests {
+		for _, vm := range e.VMs {
+			n.assign(now, &r, vm, nil)
 		}
 	}
 	return r
 }
 
-// assignAlone divides a VM that is in no group. mu is held.
-func (n *Node) assignAlone(now time.Time, r *rounds, vm *inventory.VM, own, coordinating bool, live []string) {
-	probers := probe.Probers(vm.Name, 0, live)
-	if coordinating || slices.Contains(probers, n.set.VM) || n.shares.State(vm.Name).Limit > 0 {
-		n.assign(now, r, vm.Name, own, probers)
+// probedEndpoints returns the endpoints of this data centre, single VMs among
+// them, and those elsewhere in which this node holds a guest share. mu is held.
+func (n *Node) probedEndpoints() (own, guests []probe.Endpoint) {
+	grouped := map[string]bool{}
+	add := func(name, dataCentre string, vms []string) {
+		switch {
+		case dataCentre == n.set.DataCentre:
+			own = append(own, probe.Endpoint{Name: name, VMs: vms})
+		case n.shares.State(name).Limit > 0:
+			guests = append(guests, probe.Endpoint{Name: name, VMs: vms})
+		}
+	}
+	for id, p := range n.groups.byID {
+		add(id, n.vmDataCentre(p.Group.Members), p.Group.Members)
+		for _, vm := range p.Group.Members {
+			grouped[vm] = true
+		}
+	}
+	for i := range n.index.doc.VMs {
+		vm := &n.index.doc.VMs[i]
+		if vm.Role != inventory.RoleEntry && !grouped[vm.Name] {
+			add(vm.Name, vm.DataCentre, []string{vm.Name})
+		}
 	}
+	return own, guests
 }
 
-// assign has a VM that concerns this node probed by it or by others. This
-// node probes it too while the others bring no fresh reports of it, and always
-// if it's in another data centre. mu is held.
-func (n *Node) assign(now time.Time, r *rounds, vmName string, own bool, probers []string) {
+// assign has a VM probed by this node or asks its probers for it. This node
+// probes it too while the others bring no fresh reports of it. mu is held.
+func (n *Node) assign(now time.Time, r *rounds, vmName string, probers []string) {
 	vm, ok := n.index.vms[vmName]
 	if !ok {
 		return
 	}
-	first := len(probers) > 0 && probers[0] == n.set.VM
-	if !own || first || len(probers) == 0 {
+	if len(probers) == 0 || probers[0] == n.set.VM {
 		r.vms = append(r.vms, vm)
 		return
 	}
