--- a/coord/route/pick.go
+++ b/coord/route/pick.go
@@ -38,13 +38,14 @@
 
 // allows reports whether the request may go to candidates of the tier.
 func (r *Request) allows(tr tier) bool {
+	stay := r.LocalOnly || r.Refusals >= MaxRefusals
 	switch tr {
 	case peer:
-		return !r.LocalOnly
+		return !stay
 	case guest:
 		return !r.DataCentreOnly
 	case remote:
-		return !r.LocalOnly && !r.DataCentreOnly
+		return !stay && !r.DataCentreOnly
 	default:
 		return true
 	}
