--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export GOFLAGS = -buildvcs=false
 
-.PHONY: all demo test lint fmt generate generate-check tools build capacity model-check model-check-mutants
+.PHONY: all build bench capacity demo fmt generate generate-check lint model-check model-check-mutants test tools
 
 all: lint test
 
@@ -24,6 +24,10 @@
 capacity: ## measures the slopes and writes the figures of docs/CAPACITY.md
 	go test -count=1 -timeout 5m -benchtime 200ms -run '^TestMeasure$$' -v ./internal/capacity -args -page $(CURDIR)/docs/CAPACITY.md
 
+bench: ## compares calls through an entry VM with direct ones, and times the state machines
+	go test -run '^$$' -bench Completion -benchtime 2s -cpu 1 ./internal/daemon
+	go test -run '^$$' -bench . -benchtime 200ms ./coord/...
+
 lint: tools ## checks formatting and lints both modules
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GOBIN)/golangci-lint run ./...
--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -44,6 +44,10 @@
 	}
 }
 
+// SetRate changes Options.CommitsPerSecond, as when the number of nodes that
+// share the platform's writes has changed.
+func (s *State) SetRate(commitsPerSecond float64) { s.opts.CommitsPerSecond = commitsPerSecond }
+
 // Down reports whether the node takes the table to be unreachable.
 func (s *State) Down() bool { return s.down }
 
--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -40,14 +40,16 @@
 // cluster is a small system in one process: a table, engines, services and
 // entry VMs in several data centres.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	table    *memtable.Table
 	doc      inventory.Document
 	engines  map[string]*engine.Engine
 	services map[string]*service.Service
 	nodes    map[string]*runningNode
 	starts   []func()
-	tls      *tlsconf.Store // nil means plain TCP
+	// tokenTime is the engines' time per token.
+	tokenTime time.Duration
+	tls       *tlsconf.Store // nil means plain TCP
 }
 
 type runningNode struct {
@@ -57,10 +59,10 @@
 	done    chan struct{}
 }
 
-func newCluster(t *testing.T, dataCentres ...string) *cluster {
+func newCluster(t testing.TB, dataCentres ...string) *cluster {
 	t.Helper()
 	c := &cluster{
-		t: t, table: memtable.New(memtable.Options{}),
+		t: t, table: memtable.New(memtable.Options{}), tokenTime: time.Millisecond,
 		engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}, nodes: map[string]*runningNode{},
 	}
 	hash := sha256.Sum256([]byte(testKey))
@@ -97,7 +99,7 @@
 }
 
 func (c *cluster) addEngine(dc, vm string) {
-	e := engine.New(engine.Options{VM: vm, ChecksFencing: true, LoadTime: 50 * time.Millisecond, TokenTime: time.Millisecond})
+	e := engine.New(engine.Options{VM: vm, ChecksFencing: true, LoadTime: 50 * time.Millisecond, TokenTime: c.tokenTime})
 	c.engines[vm] = e
 	c.doc.VMs = append(c.doc.VMs, inventory.VM{
 		Name: vm, DataCentre: dc, FabricDomain: "f1", Role: inventory.RoleModel,
@@ -185,7 +187,7 @@
 }
 
 // eventually polls until the condition holds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(settleTimeout)
 	for !condition() {
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -106,6 +106,7 @@
 	doc := e.Document
 	n.index = newIndex(e.Number, &doc)
 	n.admitAccounts(&doc)
+	n.shareClaimWrites()
 	for i := range doc.VMs {
 		vm := &doc.VMs[i]
 		if vm.Role == inventory.RoleEntry {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -100,6 +100,7 @@
 	waiting   map[admit.ID]*waiter
 	nextID    admit.ID
 	claims    *claim.State
+	sweeper   *claim.Sweeper
 	// keyed holds the calls with a key that wait for their next step, asks
 	// the peers that wait for an outcome.
 	keyed        map[uint64]*keyedCall
@@ -159,6 +160,7 @@
 		leaving:  map[string]bool{},
 		waiting:  map[admit.ID]*waiter{},
 		claims:   claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
+		sweeper:  claim.NewSweeper(claim.SweepOptions{}),
 		keyed:    map[uint64]*keyedCall{},
 		asks:     map[uint64]chan claim.Reply{},
 	}
@@ -216,6 +218,7 @@
 	n.every(n.set.Intervals.Exchange, n.exchange)
 	n.every(n.set.Intervals.Probe, func(context.Context) { n.locked(n.probe) })
 	n.every(vmListInterval, n.readVMList)
+	n.every(sweepInterval, n.sweep)
 	n.every(metricsInterval, func(context.Context) { n.locked(n.recordState) })
 }
 
