Let restarted nodes find the ledgers; send messages once over HTTP/2

Causes, each found by tests of processes or of several copies at once: - A node that restarts was announced to no ledger unless it happened to send a usage, so it had no share for good (TestKilledEntryVM: not ready after 30 s). Holders now spread which ledgers they run, and a node reports to a new one. - An idle node held nothing of an account's limit while another held all, so it could serve no one while the divider was being replaced (TestPausedCoordinator; TestNodeThatComesLaterHoldsAPart failed before with 8 and 0). Idle nodes keep a quarter of an even share. - net/http resent a message's body over HTTP/2 while the first try was still writing it, a data race (2 of 6 copies). Bodies can no longer be rewound. - The stand-ins counted a request as in flight after its caller had its end, so the next one overloaded a cold engine: they now end it before the last bytes.

--- a/cmd/pimentoshore/process_test.go
+++ b/cmd/pimentoshore/process_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -133,11 +134,21 @@
 	return path
 }
 
+// hosts counts the loopback addresses handed out.
+var hosts atomic.Uint32
+
+// freeAddress returns an address on a loopback host that nothing else uses.
+// A free port of 127.0.0.1 might be taken by an outgoing connection before a
+// daemon listens on it.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	t.Helper()
+	host := hosts.Add(1)
+	pid := uint32(os.Getpid())
+	address := fmt.Sprintf("127.%d.%d.%d:7000", 1+pid%250, 1+pid/250%250, host)
+	l, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func (s *system) inventory() string {
--- a/coord/budget/demand.go
+++ b/coord/budget/demand.go
@@ -23,7 +23,7 @@
 	if total > limit {
 		levelDown(parts, limit)
 	} else {
-		addHeadroom(parts, limit-total)
+		addHeadroom(parts, limit, limit-total)
 		l.keepUnneeded(now, a, parts, limit)
 	}
 	for i := range parts {
@@ -69,10 +69,14 @@
 	return low
 }
 
+// idlePart is the part of an even share that an idle node keeps.
+const idlePart = 4
+
 // addHeadroom divides what is left. When some node asks for something, each
-// idle node gets one unit if there is enough for all of them, and the active
-// nodes share the rest evenly. When none does, all share evenly.
-func addHeadroom(parts []part, left int) {
+// idle node gets a part of an even share, at least one unit, if there is
+// enough for all of them, and the active nodes share the rest evenly. When
+// none does, all share evenly.
+func addHeadroom(parts []part, limit, left int) {
 	var idle, active []*part
 	for i := range parts {
 		switch p := &parts[i]; {
@@ -87,9 +91,13 @@
 		spread(idle, left)
 		return
 	}
-	if left >= len(idle) {
-		spread(idle, len(idle))
-		left -= len(idle)
+	reserve := max(1, limit/(idlePart*len(parts)))
+	if left < reserve*len(idle) {
+		reserve = 1
+	}
+	if left >= reserve*len(idle) {
+		spread(idle, reserve*len(idle))
+		left -= reserve * len(idle)
 	}
 	spread(active, left)
 }
@@ -102,15 +110,21 @@
 }
 
 // keepUnneeded leaves a node's share where it is unless another node lacks
-// what it asks for, so that shares do not move back and forth.
+// what it asks for, so that shares do not move back and forth. A node that
+// holds nothing gets its part all the same: it has to serve callers also while
+// no ledger can grant anything.
 func (l *Ledger) keepUnneeded(now time.Time, a *account, parts []part, limit int) {
 	sum := 0
 	for _, p := range parts {
 		h := a.find(p.node)
-		if h == nil || h.bound(now, a).limit < h.demand || !p.node.eligible() {
+		if h == nil || !p.node.eligible() {
+			return
+		}
+		held := h.bound(now, a).limit
+		if held < h.demand || held == 0 && limit >= len(parts) {
 			return
 		}
-		sum += h.bound(now, a).limit
+		sum += held
 	}
 	if sum > limit {
 		return
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -258,3 +258,19 @@
 		assert.Equal(rt, sum, total)
 	})
 }
+
+// TestNodeThatComesLaterHoldsAPart lets a second node appear while the first
+// one holds the whole limit. It gets a part without asking, with which it
+// serves while no ledger can grant anything.
+func TestNodeThatComesLaterHoldsAPart(t *testing.T) {
+	nodes := live("a", "b")
+	nodes[1].Live = false
+	s := newSite(LedgerOptions{Term: 1, Division: ByDemand, Warmup: Warmup{Off: true}}, nodes...)
+	e := endpoint
+	e.ColdInFlight, e.MaxInFlight = 16, 16
+	s.deliver(s.ledger.SetEndpoint(start, e))
+	assert.DeepEqual(t, s.limits(), []int{16, 0})
+	s.deliver(s.ledger.SetNodes(start, live("a", "b")))
+	s.deliver(s.ledger.Tick(start))
+	assert.DeepEqual(t, s.limits(), []int{8, 8})
+}
--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
@@ -11,6 +12,9 @@
 // lets others tell a coordinator without groups from a node that decides none.
 const coordinatorEntry = "coordinator"
 
+// ledgerEntry prefixes the gossip entries of ledgers, which hold their terms.
+const ledgerEntry = "ledger/"
+
 // publishTerm says that this node coordinates its data centre. mu is held.
 func (n *Node) publishTerm(term uint64) {
 	n.gossip.Publish(coordinatorEntry, gossip.Global, strconv.AppendUint(nil, term, 10))
@@ -25,6 +29,44 @@
 	return term
 }
 
+// publishLedgers says which ledgers this node runs, so that a node that has
+// started anew finds them. mu is held.
+func (n *Node) publishLedgers(now time.Time) {
+	offices := []*office{n.lease, n.accounts}
+	for _, o := range offices {
+		key := ledgerEntry + o.name
+		if g, held := o.Held(now); held {
+			n.gossip.Publish(key, gossip.Global, strconv.AppendUint(nil, g.Term, 10))
+			continue
+		}
+		n.gossip.Withdraw(key)
+	}
+}
+
+// learnLedgers takes in which ledgers a node runs, and tells one that is news
+// what this node holds of it. mu is held.
+func (n *Node) learnLedgers(node gossip.Node) {
+	for _, e := range node.Entries {
+		source, isLedger := strings.CutPrefix(e.Key, ledgerEntry)
+		term, err := strconv.ParseUint(string(e.Value), 10, 64)
+		if !isLedger || err != nil || !n.concerns(source) {
+			continue
+		}
+		if seen := n.ledgers[source]; term > seen.term {
+			n.sawLedger(source, node.VM, term)
+			n.sendTo(node.VM, kindUsage, n.shares.Report(source, true), nil)
+		}
+	}
+}
+
+// concerns reports whether this node may hold shares of a ledger.
+func (n *Node) concerns(source string) bool {
+	if _, known := n.ledgers[source]; known {
+		return true
+	}
+	return source == accountsOffice || source == n.set.DataCentre
+}
+
 // coordinatorOf returns the holder of a data centre's lease and its term as
 // this node knows them. mu is held.
 func (n *Node) coordinatorOf(now time.Time, dataCentre string) (vm string, term uint64) {
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -149,6 +149,7 @@
 // exchange pulls news from a few nodes and reports usage.
 func (n *Node) exchange(context.Context) {
 	n.locked(func(now time.Time) {
+		n.publishLedgers(now)
 		n.publishGroups(now)
 		n.publishLoad(now)
 		for _, p := range n.gossip.Tick(now, n.config.Number(), n.stopping) {
@@ -170,6 +171,7 @@
 	n.locked(func(now time.Time) {
 		for _, vm := range n.gossip.Merge(now, target.VM, delta) {
 			if node, ok := n.gossip.Get(vm); ok {
+				n.learnLedgers(node)
 				n.learnGroups(now, node)
 			}
 		}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,6 +38,9 @@
 	faults  Faults
 	tokens  []string
 	id      string
+	// finished ends the request's use of the engine. It's called before the
+	// client can see the end of its answer.
+	finished func()
 }
 
 func (e *Engine) chat(c echo.Context) error       { return e.generate(c, chatKind) }
@@ -75,9 +79,10 @@
 
 // run counts a request against what the engine bears and generates.
 func (e *Engine) run(c echo.Context, k kind, request Request, faults Faults) error {
-	completed := false
 	bearable := e.meter.Begin()
-	defer func() { e.meter.End(completed) }()
+	var once sync.Once
+	end := func(completed bool) { once.Do(func() { e.meter.End(completed) }) }
+	defer end(false)
 	if !bearable {
 		e.switches.collapse(e.opts.CollapseTime)
 		return refuse(c, http.StatusServiceUnavailable, "the engine is overloaded")
@@ -88,6 +93,7 @@
 	g := &generation{
 		engine: e, echo: c, ctx: ctx, kind: k, request: request, faults: faults,
 		tokens: request.tokens(), id: uuid.NewString(),
+		finished: func() { end(true) },
 	}
 	g.cross()
 	if err := g.answer(); err != nil {
@@ -96,7 +102,6 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	completed = true
 	return nil
 }
 
@@ -138,6 +143,7 @@
 	if g.faults.CutAfterEvents > 0 {
 		return errCut
 	}
+	g.finished()
 	return g.echo.JSON(http.StatusOK, g.wholeAnswer())
 }
 
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -32,6 +32,7 @@
 			return errCut
 		}
 	}
+	g.finished()
 	return g.write("data: [DONE]\n\n")
 }
 
--- a/internal/standin/service/orders.go
+++ b/internal/standin/service/orders.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -23,9 +24,10 @@
 	if faults.Refuse {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service takes no orders")
 	}
-	completed := false
 	bearable := s.meter.Begin()
-	defer func() { s.meter.End(completed) }()
+	var once sync.Once
+	end := func(completed bool) { once.Do(func() { s.meter.End(completed) }) }
+	defer end(false)
 	if !bearable {
 		return echo.NewHTTPError(http.StatusServiceUnavailable, "the service is overloaded")
 	}
@@ -35,11 +37,12 @@
 		panic(http.ErrAbortHandler)
 	}
 	receipt := s.run(order, c.Request().Header)
-	completed = true
 	if faults.DieAfterRunning {
+		end(true)
 		panic(http.ErrAbortHandler)
 	}
 	wait(ctx, s.opts.RunTime+time.Duration(faults.AnswerLateMS)*time.Millisecond)
+	end(true)
 	return c.JSON(http.StatusOK, receipt)
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -65,9 +65,22 @@
 	t.Protocols.SetHTTP2(true)
 	t.Protocols.SetUnencryptedHTTP2(config == nil)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout}
+	c.Transport = oneTry{t}
 	return c
 }
 
+// oneTry keeps net/http from sending a request's body a second time on
+// another connection, which under HTTP/2 races with the first one. A message
+// that was lost is an error to its sender.
+type oneTry struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t oneTry) RoundTrip(req *http.Request) (*http.Response, error) {
+	once := req.WithContext(req.Context())
+	once.GetBody = nil
+	return t.RoundTripper.RoundTrip(once)
+}
+
 func newClient(config Config) *Client {
 	c := &Client{scheme: "http"}
 	c.transport = &http.Transport{
