--- a/Makefile
+++ b/Makefile
@@ -17,9 +17,13 @@
 demo: ## starts everything on loopback, serves two requests, stays up
 	go run ./cmd/pimentoshore demo
 
+# Packages whose tests run whole systems, which share the machine with nothing.
+SYSTEMS = ./cmd/... ./internal/daemon ./internal/demo
+
 test: ## runs all tests under the race detector
 	go vet $(MODULES)
-	go test -race -timeout 20m $(MODULES)
+	go test -race -timeout 20m $$(go list $(MODULES) | grep -vxF "$$(go list $(SYSTEMS))")
+	go test -race -timeout 20m -p 1 $(SYSTEMS)
 
 capacity: ## measures the slopes and writes the figures of docs/CAPACITY.md
 	go test -count=1 -timeout 5m -benchtime 200ms -run '^TestMeasure$$' -v ./internal/capacity -args -page $(CURDIR)/docs/CAPACITY.md
