--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -106,7 +106,7 @@
 	fmt.Fprintf(&b, "| reads/s without claims | %.0f of %d | %.0f | none served; %.0f tried |\n", reads, ReadBudget, reads/c.lostFactor(), float64(size.Nodes)*retryRate)
 	fmt.Fprintf(&b, "| writes/s without claims | %.1f of %d | %.1f | none served |\n", writes, WriteBudget, writes/c.lostFactor())
 	fmt.Fprintf(&b, "| transactions/s left for claims | %.0f | %.0f | none |\n", WriteBudget-writes, WriteBudget-writes/c.lostFactor())
-	fmt.Fprintf(&b, "| transactions/s that claims may use by default | %d | %d | none |\n", commitRate*size.Nodes, commitRate*size.Nodes)
+	fmt.Fprintf(&b, "| transactions/s that claims of all nodes may use | %d | %d | none |\n", claimRate, claimRate)
 	return b.String()
 }
 
--- a/internal/capacity/rates.go
+++ b/internal/capacity/rates.go
@@ -4,7 +4,8 @@
 
 // Rates of the daemon's periodic work at its default settings, a second.
 const (
-	exchangeRate = 2.0  // exchanges, also of budget.Usage
+	exchangeRate = 2.0  // exchanges
+	usageRate    = 0.5  // budget.Usage to one ledger, at every fourth exchange
 	probeRate    = 2.0  // probes of a VM, pulls of a prober
 	tickRate     = 10.0 // ticks of the state machines
 	digestRate   = 1.0  // config.Digest
@@ -19,7 +20,7 @@
 	configReaders = 2    // of a data centre
 	retained      = 256  // changes kept by a follower
 	maxClaims     = 8192 // claim.DefaultMaxEntries
-	commitRate    = 50   // claim.DefaultCommitsPerSecond
+	claimRate     = 250  // claim transactions of all nodes together
 	// hops is the number of entry VMs that a request passes: the one that the
 	// balancer chose and a home node.
 	hops = 2
@@ -58,7 +59,7 @@
 }
 
 // usageBytes are those of a node's usage messages to one ledger.
-func (c scale) usageBytes() float64 { return exchangeRate * c.tell(c.s.Bytes.Usage) }
+func (c scale) usageBytes() float64 { return usageRate * c.tell(c.s.Bytes.Usage) }
 
 // changes is the number of configuration changes a second.
 func (c scale) changes() float64 { return perDay(c.ChangesPerDay) }
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -115,7 +115,7 @@
 func (c scale) holder() Role {
 	return same(Role{
 		Name: "holder of shares", Mechanism: "coord/budget.Shares", Holders: "each",
-		State: "its shares of endpoints and accounts", Messages: 2 * exchangeRate, Slopes: "Bytes.Usage, with a change in every exchange",
+		State: "its shares of endpoints and accounts", Messages: 2 * usageRate, Slopes: "Bytes.Usage, with a change in every report",
 	}, Load{Bytes: 2 * c.usageBytes()})
 }
 
@@ -128,11 +128,11 @@
 		Name: "coordinator", Mechanism: "coord/group.Manager, coord/budget.Ledger, coord/probe.Follower", Holders: "1",
 		State:    "the VMs, groups and shares of its data centre",
 		Memory:   c.vms*float64(c.s.Memory.GroupVM+c.s.Memory.Report) + c.groups*float64(c.s.Memory.LedgerRow),
-		Messages: pulls + holders*exchangeRate + formed,
+		Messages: pulls + holders*usageRate + formed,
 		Slopes:   "Traffic.Coordinator, CPU.GroupReport, GroupTick, ReportsPull, BudgetUsage; Bytes.Usage, Order, Promise; Memory.GroupVM, Report, LedgerRow",
 	}, Load{
 		CPU: cpu(pulls, c.s.CPU.ReportsPull) + cpu(reports, c.s.CPU.GroupReport) +
-			cpu(tickRate, c.s.CPU.GroupTick) + cpu(holders*exchangeRate, c.s.CPU.BudgetUsage),
+			cpu(tickRate, c.s.CPU.GroupTick) + cpu(holders*usageRate, c.s.CPU.BudgetUsage),
 		Bytes: c.traffic.Coordinator + holders*c.usageBytes() + formed*float64(c.s.Bytes.Order),
 	})
 	r.Outage.Bytes += (c.nodes - 1) * askRate * c.tell(c.s.Bytes.Promise)
@@ -180,10 +180,10 @@
 }
 
 func (c scale) divider() Role {
-	usages := float64(c.Nodes) * exchangeRate
+	usages := float64(c.Nodes) * usageRate
 	r := same(Role{
 		Name: "accounts' divider", Mechanism: "coord/budget.Ledger", Holders: "1 of all",
-		State: "each account's limit with its holders", Messages: usages, Slopes: "Bytes.Usage, CPU.BudgetUsage, with a change in every exchange",
+		State: "each account's limit with its holders", Messages: usages, Slopes: "Bytes.Usage, CPU.BudgetUsage, with a change in every report",
 	}, Load{CPU: cpu(usages, c.s.CPU.BudgetUsage), Bytes: float64(c.Nodes) * c.usageBytes()})
 	r.Lost.CPU /= c.lostFactor()
 	r.Lost.Bytes /= c.lostFactor()
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -19,9 +19,15 @@
 // limits are divided over all entry VMs.
 const accountsOffice = "accounts"
 
-// fullUsageEvery is the number of exchanges after which a node reports all
-// that it holds, to make up for lost messages.
-const fullUsageEvery = 20
+const (
+	// usageEvery is the number of exchanges between a node's reports of what
+	// changed in its shares. A request that waits for a share, a grant and a
+	// shutdown are reported at once.
+	usageEvery = 4
+	// fullUsageEvery is the number of exchanges after which a node reports
+	// all that it holds, to make up for lost messages.
+	fullUsageEvery = 20
+)
 
 // ledgerSeen is the newest ledger heard of from one source.
 type ledgerSeen struct {
@@ -78,18 +84,26 @@
 			continue
 		}
 		if incarnation, whole := n.groupIncarnation(now, &p.Group); whole {
-			n.sendBudget(l, l.SetEndpoint(now, budget.Endpoint{
+			n.setEndpoint(now, budget.Endpoint{
 				Name: id, Incarnation: incarnation, ColdInFlight: m.ColdInFlight, MaxInFlight: m.MaxInFlight,
 				WarmAfter: warmAfter(m.WarmAfter),
-			}))
+			})
 		}
 	}
-	for _, vm := range n.index.serviceVMs(n.set.DataCentre) {
-		n.setServiceEndpoint(now, vm)
+	for _, vm := range n.index.serviceVMs {
+		if vm.DataCentre == n.set.DataCentre {
+			n.setServiceEndpoint(now, vm)
+		}
 	}
 	n.sendBudget(l, l.Tick(now))
 }
 
+// setEndpoint tells the ledger about an endpoint. mu is held.
+func (n *Node) setEndpoint(now time.Time, e budget.Endpoint) {
+	n.known[e.Name] = true
+	n.sendBudget(n.ledger, n.ledger.SetEndpoint(now, e))
+}
+
 // warmAfter applies the default of an inventory's warm_after.
 func warmAfter(declared int) int {
 	if declared == 0 {
@@ -104,10 +118,10 @@
 		return
 	}
 	r, _, _ := n.reports.Report(vm.Name)
-	n.sendBudget(n.ledger, n.ledger.SetEndpoint(now, budget.Endpoint{
+	n.setEndpoint(now, budget.Endpoint{
 		Name: vm.Name, Incarnation: r.Incarnation, ColdInFlight: s.ColdInFlight, MaxInFlight: s.MaxInFlight,
 		WarmAfter: warmAfter(s.WarmAfter),
-	}))
+	})
 }
 
 // budgetNodes lists every node that may hold shares of this data centre's
@@ -117,13 +131,10 @@
 func (n *Node) budgetNodes(now time.Time) []budget.Node {
 	var nodes []budget.Node
 	var foreign []string
-	for i := range n.index.doc.VMs {
-		vm := &n.index.doc.VMs[i]
-		switch {
-		case vm.Role != inventory.RoleEntry:
-		case vm.DataCentre == n.set.DataCentre:
+	for _, vm := range n.index.entries {
+		if vm.DataCentre == n.set.DataCentre {
 			nodes = append(nodes, n.holder(now, vm.Name))
-		default:
+		} else {
 			foreign = append(foreign, vm.Name)
 		}
 	}
@@ -139,10 +150,8 @@
 // is held.
 func (n *Node) accountNodes(now time.Time) []budget.Node {
 	var nodes []budget.Node
-	for i := range n.index.doc.VMs {
-		if vm := &n.index.doc.VMs[i]; vm.Role == inventory.RoleEntry {
-			nodes = append(nodes, n.holder(now, vm.Name))
-		}
+	for _, vm := range n.index.entries {
+		nodes = append(nodes, n.holder(now, vm.Name))
 	}
 	return nodes
 }
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -7,7 +7,6 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/config"
 	"github.com/pimentoshore/pimentoshore/coord/group"
-	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
@@ -104,14 +103,11 @@
 func (n *Node) adopt(now time.Time, e config.Adopted) {
 	n.log.Info("configuration in force", "number", e.Number)
 	doc := e.Document
-	n.index = newIndex(e.Number, &doc)
+	n.index = newIndex(e.Number, &doc, n.set.DataCentre)
 	n.admitAccounts(&doc)
 	n.shareClaimWrites()
-	for i := range doc.VMs {
-		vm := &doc.VMs[i]
-		if vm.Role == inventory.RoleEntry {
-			n.gossip.Seed(vm.Name, vm.DataCentre, vm.Address)
-		}
+	for _, vm := range n.index.entries {
+		n.gossip.Seed(vm.Name, vm.DataCentre, vm.Address)
 	}
 	n.stepManager(now, group.Configuration{Number: e.Number, Document: &doc})
 	n.updateMembers(now)
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -157,7 +157,9 @@
 			n.spawn(func(ctx context.Context) { n.pull(ctx, p, known) })
 		}
 		n.usageRounds++
-		n.reportUsage(n.usageRounds%fullUsageEvery == 0)
+		if n.usageRounds%usageEvery == 0 {
+			n.reportUsage(n.usageRounds%fullUsageEvery == 0)
+		}
 		n.stepConfig(now, n.peersChanged(now))
 	})
 }
--- a/internal/daemon/index.go
+++ b/internal/daemon/index.go
@@ -13,9 +13,16 @@
 	services    map[string]*inventory.Service
 	dataCentres map[string]*inventory.DataCentre
 	accounts    map[string]*inventory.ClientAccount // by key hash
+	// entries, endpoints and services list VMs in the order of the document:
+	// all entry VMs, the endpoint VMs of the node's own data centre, and the
+	// service VMs of all data centres.
+	entries    []*inventory.VM
+	endpoints  []*inventory.VM
+	serviceVMs []*inventory.VM
 }
 
-func newIndex(number uint64, doc *inventory.Document) index {
+// newIndex indexes a configuration for a node of the data centre.
+func newIndex(number uint64, doc *inventory.Document, dataCentre string) index {
 	x := index{
 		number: number, doc: doc,
 		vms:         map[string]*inventory.VM{},
@@ -25,7 +32,7 @@
 		accounts:    map[string]*inventory.ClientAccount{},
 	}
 	for i := range doc.VMs {
-		x.vms[doc.VMs[i].Name] = &doc.VMs[i]
+		x.addVM(&doc.VMs[i], dataCentre)
 	}
 	for i := range doc.Models {
 		x.models[doc.Models[i].Name] = &doc.Models[i]
@@ -54,17 +61,16 @@
 	return !ok || dc.Out
 }
 
-// serviceVMs lists the VMs that run a service in a data centre.
-func (x *index) serviceVMs(dataCentre string) []*inventory.VM {
-	var vms []*inventory.VM
-	if x.doc == nil {
-		return nil
+func (x *index) addVM(vm *inventory.VM, dataCentre string) {
+	x.vms[vm.Name] = vm
+	if vm.Role == inventory.RoleEntry {
+		x.entries = append(x.entries, vm)
+		return
 	}
-	for i := range x.doc.VMs {
-		vm := &x.doc.VMs[i]
-		if vm.Role == inventory.RoleService && vm.DataCentre == dataCentre {
-			vms = append(vms, vm)
-		}
+	if vm.DataCentre == dataCentre {
+		x.endpoints = append(x.endpoints, vm)
+	}
+	if vm.Role == inventory.RoleService {
+		x.serviceVMs = append(x.serviceVMs, vm)
 	}
-	return vms
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -109,13 +109,14 @@
 	claimsClosed bool
 	index        index
 	groups       groupView
-	// knownEndpoints lists the endpoints last told to the routing table.
-	knownEndpoints []string
-	stopping       bool
-	probing        map[string]bool // VMs with a probe under way
-	seen           *probe.Table    // what this node's own probes have seen
-	followed       map[string]*probe.Follower
-	pulling        map[string]bool // probers with a pull under way
+	// known names the endpoints that the routing table or the ledger has been
+	// told of.
+	known    map[string]bool
+	stopping bool
+	probing  map[string]bool // VMs with a probe under way
+	seen     *probe.Table    // what this node's own probes have seen
+	followed map[string]*probe.Follower
+	pulling  map[string]bool // probers with a pull under way
 	// platformSeen is when the platform last answered.
 	platformSeen time.Time
 	digests      map[string]config.Digest
@@ -157,6 +158,7 @@
 		digests:  map[string]config.Digest{},
 		ledgers:  map[string]ledgerSeen{},
 		holders:  map[string]bool{},
+		known:    map[string]bool{},
 		leaving:  map[string]bool{},
 		waiting:  map[admit.ID]*waiter{},
 		claims:   claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -86,9 +86,13 @@
 			grouped[vm] = true
 		}
 	}
-	for i := range n.index.doc.VMs {
-		vm := &n.index.doc.VMs[i]
-		if vm.Role != inventory.RoleEntry && !grouped[vm.Name] {
+	for _, vm := range n.index.endpoints {
+		if !grouped[vm.Name] {
+			add(vm.Name, vm.DataCentre, []string{vm.Name})
+		}
+	}
+	for _, vm := range n.index.serviceVMs {
+		if vm.DataCentre != n.set.DataCentre {
 			add(vm.Name, vm.DataCentre, []string{vm.Name})
 		}
 	}
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"sort"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
@@ -23,19 +22,19 @@
 			continue
 		}
 		incarnation, whole := n.groupIncarnation(now, &p.Group)
-		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
+		n.updateRoute(now, route.Endpoint{
 			Name: id, Incarnation: incarnation, Target: p.Group.Model, Generation: p.Group.Generation,
 			Guest:   dataCentre != n.set.DataCentre,
 			Serving: whole && !p.Group.Draining && !n.anyOut(p.Group.Members),
-		}})
+		})
 	}
 	for _, vm := range n.servedServices(now) {
 		r, _, _ := n.reports.Report(vm.name)
-		n.routes.Step(now, route.EndpointUpdated{Endpoint: route.Endpoint{
+		n.updateRoute(now, route.Endpoint{
 			Name: vm.name, Incarnation: r.Incarnation, Target: serviceTarget(vm.service),
 			Guest:   n.index.vms[vm.name].DataCentre != n.set.DataCentre,
 			Serving: n.fresh(now, vm.name) && !n.index.out(vm.name),
-		}})
+		})
 	}
 }
 
@@ -47,12 +46,8 @@
 // servedServices lists the service VMs that this node may dispatch to.
 func (n *Node) servedServices(now time.Time) []servedVM {
 	var vms []servedVM
-	if n.index.doc == nil {
-		return nil
-	}
-	for i := range n.index.doc.VMs {
-		vm := &n.index.doc.VMs[i]
-		if vm.Service != "" && n.mayServe(now, vm.Name, vm.DataCentre) {
+	for _, vm := range n.index.serviceVMs {
+		if n.mayServe(now, vm.Name, vm.DataCentre) {
 			vms = append(vms, servedVM{vm.Name, vm.Service})
 		}
 	}
@@ -68,28 +63,27 @@
 	return false
 }
 
+// updateRoute tells the routing table about an endpoint. mu is held.
+func (n *Node) updateRoute(now time.Time, e route.Endpoint) {
+	n.known[e.Name] = true
+	n.routes.Step(now, route.EndpointUpdated{Endpoint: e})
+}
+
 // updateMembers drops what this node knows of endpoints that are no more. mu
 // is held.
 func (n *Node) updateMembers(now time.Time) {
-	for _, name := range n.knownEndpoints {
+	for name := range n.known {
 		_, isGroup := n.groups.byID[name]
 		_, isVM := n.index.vms[name]
 		if isGroup || isVM {
 			continue
 		}
+		delete(n.known, name)
 		n.routes.Step(now, route.EndpointRemoved{Name: name})
 		if n.ledger != nil {
 			n.ledger.RemoveEndpoint(name)
 		}
 	}
-	n.knownEndpoints = n.knownEndpoints[:0]
-	for id := range n.groups.byID {
-		n.knownEndpoints = append(n.knownEndpoints, id)
-	}
-	for name := range n.index.vms {
-		n.knownEndpoints = append(n.knownEndpoints, name)
-	}
-	sort.Strings(n.knownEndpoints)
 }
 
 // ownLoads sums this node's shares by target. mu is held.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -127,6 +127,7 @@
 	n.locked(func(now time.Time) {
 		n.stopping = true
 		n.shares.Stop()
+		n.reportUsage(false)
 		n.stepLease(now, n.lease, lease.Stop{})
 		n.stepLease(now, n.accounts, lease.Stop{})
 		n.stepClaims(now, claim.Stop{})
--- a/internal/daemon/sweep.go
+++ b/internal/daemon/sweep.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/claim"
-	"github.com/pimentoshore/pimentoshore/coord/inventory"
 )
 
 const (
@@ -19,13 +18,7 @@
 // shareClaimWrites divides the platform's writes over the entry VMs of the
 // configuration in force. mu is held.
 func (n *Node) shareClaimWrites() {
-	entries := 0
-	for i := range n.index.doc.VMs {
-		if n.index.doc.VMs[i].Role == inventory.RoleEntry {
-			entries++
-		}
-	}
-	n.claims.SetRate(claimWrites / float64(max(entries, 1)))
+	n.claims.SetRate(claimWrites / float64(max(len(n.index.entries), 1)))
 }
 
 // sweep lets the node that divides the accounts' limits remove old claims.
