--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/gateway"
@@ -132,6 +134,8 @@
 	n.spawn(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, askTimeout)
 		defer cancel()
+		ctx, span := n.tracer.Start(ctx, "ask claimant "+e.To.VM, trace.WithSpanKind(trace.SpanKindClient))
+		defer span.End()
 		reply := claim.Reply{Kind: claim.ReplyUnreachable}
 		body, err := json.Marshal(claimAsk{Key: e.Key, Incarnation: e.To.Incarnation})
 		if err == nil && node.Address != "" {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -97,7 +97,7 @@
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
 	mux := http.NewServeMux()
-	mux.Handle(twirp.PathPrefix(), twirp)
+	mux.Handle(twirp.PathPrefix(), peers.Traced(twirp, n.tracer))
 	mux.Handle(gateway.ForwardPrefix+"/", gw.Forwarded())
 	return map[net.Listener]*http.Server{
 		l.Callers:   n.server(gw.Callers()),
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -179,7 +179,7 @@
 
 // Tell delivers a message and returns its answer.
 func (c *Client) Tell(ctx context.Context, address string, m Message) (Message, error) {
-	resp, err := c.at(address).Tell(ctx, &peerspb.TellRequest{From: c.vm, Kind: m.Kind, Body: m.Body})
+	resp, err := c.at(address).Tell(withTrace(ctx), &peerspb.TellRequest{From: c.vm, Kind: m.Kind, Body: m.Body})
 	if err != nil {
 		return Message{}, errors.Annotatef(err, "%s to %s", m.Kind, address)
 	}
