Check the lease's durations at start; name candidacies; one way of defaults

lease.Options.Validate was never called by the daemon, and refuses what the in-process tests ran with: an order's timeout of a third of a 3 s lease leaves no room for its margin. The timeout is now a quarter.

--- a/coord/claim/options.go
+++ b/coord/claim/options.go
@@ -1,6 +1,9 @@
 package claim
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options configures a State. Zero fields take the defaults.
 type Options struct {
@@ -55,22 +58,16 @@
 const maxRereads = 3
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxBatch, DefaultMaxBatch)
-	setDefault(&o.CommitsPerSecond, DefaultCommitsPerSecond)
-	setDefault(&o.CommitBurst, DefaultCommitBurst)
-	setDefault(&o.MaxQueue, DefaultMaxQueue)
-	setDefault(&o.MaxEntries, DefaultMaxEntries)
-	setDefault(&o.MaxWaiters, DefaultMaxWaiters)
-	setDefault(&o.MaxBody, DefaultMaxBody)
-	setDefault(&o.CommitPatience, DefaultCommitPatience)
-	setDefault(&o.ProbeInterval, DefaultProbeInterval)
-	setDefault(&o.TicketLife, DefaultTicketLife)
-	setDefault(&o.RetryAfter, DefaultRetryAfter)
+	o.MaxBatch = cmp.Or(o.MaxBatch, DefaultMaxBatch)
+	o.CommitsPerSecond = cmp.Or(o.CommitsPerSecond, DefaultCommitsPerSecond)
+	o.CommitBurst = cmp.Or(o.CommitBurst, DefaultCommitBurst)
+	o.MaxQueue = cmp.Or(o.MaxQueue, DefaultMaxQueue)
+	o.MaxEntries = cmp.Or(o.MaxEntries, DefaultMaxEntries)
+	o.MaxWaiters = cmp.Or(o.MaxWaiters, DefaultMaxWaiters)
+	o.MaxBody = cmp.Or(o.MaxBody, DefaultMaxBody)
+	o.CommitPatience = cmp.Or(o.CommitPatience, DefaultCommitPatience)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, DefaultProbeInterval)
+	o.TicketLife = cmp.Or(o.TicketLife, DefaultTicketLife)
+	o.RetryAfter = cmp.Or(o.RetryAfter, DefaultRetryAfter)
 	return o
 }
-
-func setDefault[T int | float64 | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/coord/claim/sweep.go
+++ b/coord/claim/sweep.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"encoding/json"
 	"time"
 
@@ -95,9 +96,9 @@
 
 // NewSweeper returns a Sweeper. One or a few nodes should run one.
 func NewSweeper(opts SweepOptions) *Sweeper {
-	setDefault(&opts.EpochLength, DefaultEpochLength)
-	setDefault(&opts.PageLimit, DefaultPageLimit)
-	setDefault(&opts.PageInterval, DefaultPageInterval)
+	opts.EpochLength = cmp.Or(opts.EpochLength, DefaultEpochLength)
+	opts.PageLimit = cmp.Or(opts.PageLimit, DefaultPageLimit)
+	opts.PageInterval = cmp.Or(opts.PageInterval, DefaultPageInterval)
 	if opts.RetainedEpochs == 0 {
 		opts.RetainedEpochs = DefaultRetainedEpochs
 	}
--- a/coord/config/options.go
+++ b/coord/config/options.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options configures a State. Zero fields take the defaults.
 type Options struct {
@@ -52,20 +55,14 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Readers, DefaultReaders)
-	setDefault(&o.PollInterval, DefaultPollInterval)
-	setDefault(&o.ReadTimeout, DefaultReadTimeout)
-	setDefault(&o.StaleAfter, DefaultStaleAfter)
-	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&o.DigestInterval, DefaultDigestInterval)
-	setDefault(&o.Fanout, DefaultFanout)
-	setDefault(&o.FetchTimeout, DefaultFetchTimeout)
-	setDefault(&o.Retained, DefaultRetained)
+	o.Readers = cmp.Or(o.Readers, DefaultReaders)
+	o.PollInterval = cmp.Or(o.PollInterval, DefaultPollInterval)
+	o.ReadTimeout = cmp.Or(o.ReadTimeout, DefaultReadTimeout)
+	o.StaleAfter = cmp.Or(o.StaleAfter, DefaultStaleAfter)
+	o.MaxBackoff = cmp.Or(o.MaxBackoff, DefaultMaxBackoff)
+	o.DigestInterval = cmp.Or(o.DigestInterval, DefaultDigestInterval)
+	o.Fanout = cmp.Or(o.Fanout, DefaultFanout)
+	o.FetchTimeout = cmp.Or(o.FetchTimeout, DefaultFetchTimeout)
+	o.Retained = cmp.Or(o.Retained, DefaultRetained)
 	return o
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/coord/group/options.go
+++ b/coord/group/options.go
@@ -1,6 +1,9 @@
 package group
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Default values of Options.
 const (
@@ -113,19 +116,19 @@
 
 // withDefaults fills in the zero values.
 func (o Options) withDefaults() Options {
-	orDuration(&o.ReportTTL, DefaultReportTTL)
-	orDuration(&o.ReconcileGrace, DefaultReconcileGrace)
-	orDuration(&o.RepairGrace, DefaultRepairGrace)
-	orDuration(&o.RegroupAfter, DefaultRegroupAfter)
-	orDuration(&o.OrderTimeout, DefaultOrderTimeout)
-	orDuration(&o.OrderMaxDelay, DefaultOrderMaxDelay)
-	orDuration(&o.LoadTimeout, DefaultLoadTimeout)
-	orDuration(&o.LoadBackoff, DefaultLoadBackoff)
-	orDuration(&o.DrainSettle, DefaultDrainSettle)
-	orDuration(&o.DrainGrace, DefaultDrainGrace)
-	orDuration(&o.RowRetry, DefaultRowRetry)
-	orDuration(&o.PauseWindow, DefaultPauseWindow)
-	orDuration(&o.StragglerAfter, DefaultStragglerAfter)
+	o.ReportTTL = cmp.Or(o.ReportTTL, DefaultReportTTL)
+	o.ReconcileGrace = cmp.Or(o.ReconcileGrace, DefaultReconcileGrace)
+	o.RepairGrace = cmp.Or(o.RepairGrace, DefaultRepairGrace)
+	o.RegroupAfter = cmp.Or(o.RegroupAfter, DefaultRegroupAfter)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, DefaultOrderTimeout)
+	o.OrderMaxDelay = cmp.Or(o.OrderMaxDelay, DefaultOrderMaxDelay)
+	o.LoadTimeout = cmp.Or(o.LoadTimeout, DefaultLoadTimeout)
+	o.LoadBackoff = cmp.Or(o.LoadBackoff, DefaultLoadBackoff)
+	o.DrainSettle = cmp.Or(o.DrainSettle, DefaultDrainSettle)
+	o.DrainGrace = cmp.Or(o.DrainGrace, DefaultDrainGrace)
+	o.RowRetry = cmp.Or(o.RowRetry, DefaultRowRetry)
+	o.PauseWindow = cmp.Or(o.PauseWindow, DefaultPauseWindow)
+	o.StragglerAfter = cmp.Or(o.StragglerAfter, DefaultStragglerAfter)
 	if o.StragglerRatio == 0 {
 		o.StragglerRatio = DefaultStragglerRatio
 	}
@@ -137,9 +140,3 @@
 	}
 	return o
 }
-
-func orDuration(d *time.Duration, def time.Duration) {
-	if *d == 0 {
-		*d = def
-	}
-}
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -66,22 +67,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	set := func(d *time.Duration, def time.Duration) {
-		if *d == 0 {
-			*d = def
-		}
-	}
-	set(&o.Duration, DefaultDuration)
-	set(&o.Promise, DefaultPromise)
-	set(&o.RenewEvery, DefaultRenewEvery)
-	set(&o.PollEvery, DefaultPollEvery)
-	set(&o.AskEvery, DefaultAskEvery)
-	set(&o.RetryEvery, DefaultRetryEvery)
-	set(&o.OrderTimeout, DefaultOrderTimeout)
-	set(&o.Margin, DefaultMargin)
-	set(&o.PauseBound, DefaultPauseBound)
-	set(&o.VMListLag, DefaultVMListLag)
-	set(&o.VMsEvery, DefaultVMsEvery)
+	o.Duration = cmp.Or(o.Duration, DefaultDuration)
+	o.Promise = cmp.Or(o.Promise, DefaultPromise)
+	o.RenewEvery = cmp.Or(o.RenewEvery, DefaultRenewEvery)
+	o.PollEvery = cmp.Or(o.PollEvery, DefaultPollEvery)
+	o.AskEvery = cmp.Or(o.AskEvery, DefaultAskEvery)
+	o.RetryEvery = cmp.Or(o.RetryEvery, DefaultRetryEvery)
+	o.OrderTimeout = cmp.Or(o.OrderTimeout, DefaultOrderTimeout)
+	o.Margin = cmp.Or(o.Margin, DefaultMargin)
+	o.PauseBound = cmp.Or(o.PauseBound, DefaultPauseBound)
+	o.VMListLag = cmp.Or(o.VMListLag, DefaultVMListLag)
+	o.VMsEvery = cmp.Or(o.VMsEvery, DefaultVMsEvery)
 	if o.DriftPPM == 0 {
 		o.DriftPPM = DefaultDriftPPM
 	}
--- a/coord/stream/event.go
+++ b/coord/stream/event.go
@@ -1,6 +1,7 @@
 package stream
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
@@ -120,15 +121,9 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.MaxResumes, DefaultMaxResumes)
-	setDefault(&o.PauseBytes, DefaultPauseBytes)
-	setDefault(&o.MaxBytes, DefaultMaxBytes)
-	setDefault(&o.SlowTimeout, DefaultSlowTimeout)
+	o.MaxResumes = cmp.Or(o.MaxResumes, DefaultMaxResumes)
+	o.PauseBytes = cmp.Or(o.PauseBytes, DefaultPauseBytes)
+	o.MaxBytes = cmp.Or(o.MaxBytes, DefaultMaxBytes)
+	o.SlowTimeout = cmp.Or(o.SlowTimeout, DefaultSlowTimeout)
 	return o
 }
-
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -78,7 +78,7 @@
 		return problem.New(problem.NotReady, "this node has no configuration yet",
 			"check that it reaches the platform or another entry VM").After(retryLater)
 	}
-	if _, ok := n.ledgers[accountsOffice]; !ok {
+	if _, ok := n.ledgers[accountsLease]; !ok {
 		return problem.New(problem.NotReady, "this node has not heard yet who divides the client accounts' limits",
 			"check with pimentoshore status that some data centre has a coordinator").After(retryLater)
 	}
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -15,9 +15,9 @@
 	"github.com/pimentoshore/pimentoshore/coord/member"
 )
 
-// accountsOffice names the lease and the ledger by which the client accounts'
+// accountsLease names the lease and the ledger by which the client accounts'
 // limits are divided over all entry VMs.
-const accountsOffice = "accounts"
+const accountsLease = "accounts"
 
 const (
 	// usageEvery is the number of exchanges between a node's reports of what
@@ -41,7 +41,7 @@
 
 // divideAccounts starts the work of the accounts' lease holder. mu is held.
 func (n *Node) divideAccounts(_ time.Time, g lease.Grant) {
-	n.accountLedger = n.newLedger(accountsOffice, g.Term, budget.ByDemand)
+	n.accountLedger = n.newLedger(accountsLease, g.Term, budget.ByDemand)
 }
 
 // stopDividingAccounts ends it. mu is held.
@@ -68,7 +68,7 @@
 	for i := range n.index.doc.ClientAccounts {
 		a := &n.index.doc.ClientAccounts[i]
 		n.sendBudget(l, l.SetEndpoint(now, budget.Endpoint{
-			Name: admit.ShareName(a.Name), Incarnation: accountsOffice,
+			Name: admit.ShareName(a.Name), Incarnation: accountsLease,
 			ColdInFlight: a.MaxInFlight, MaxInFlight: a.MaxInFlight,
 		}))
 	}
@@ -236,7 +236,7 @@
 // ledgerOf returns this node's ledger of a source, or nil. mu is held.
 func (n *Node) ledgerOf(source string) *budget.Ledger {
 	switch source {
-	case accountsOffice:
+	case accountsLease:
 		return n.accountLedger
 	case n.set.DataCentre:
 		return n.ledger
--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -32,8 +32,8 @@
 // publishLedgers says which ledgers this node runs, so that a node that has
 // started anew finds them. mu is held.
 func (n *Node) publishLedgers(now time.Time) {
-	offices := []*office{n.lease, n.accounts}
-	for _, o := range offices {
+	candidacies := []*candidacy{n.lease, n.accounts}
+	for _, o := range candidacies {
 		key := ledgerEntry + o.name
 		if g, held := o.Held(now); held {
 			n.gossip.Publish(key, gossip.Global, strconv.AppendUint(nil, g.Term, 10))
@@ -64,7 +64,7 @@
 	if _, known := n.ledgers[source]; known {
 		return true
 	}
-	return source == accountsOffice || source == n.set.DataCentre
+	return source == accountsLease || source == n.set.DataCentre
 }
 
 // coordinatorOf returns the holder of a data centre's lease and its term as
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,9 @@
 // Serve runs an entry daemon with the settings until the context ends. Logs
 // go to w.
 func Serve(ctx context.Context, set settings.Settings, w io.Writer) error {
+	if err := leaseOptions(set).Validate(); err != nil {
+		return errors.Annotate(err, "intervals.lease")
+	}
 	l, err := Listen(set.Listen.Callers, set.Listen.Peers, set.Listen.Operators)
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -83,12 +83,12 @@
 		})
 	case kindPromise:
 		return take(m, func(ask promiseAsk) (any, bool) {
-			reply := n.stepLease(now, n.officeOf(ask.Office), lease.PromiseAsked{Request: ask.Request})
+			reply := n.stepLease(now, n.candidacyOf(ask.Lease), lease.PromiseAsked{Request: ask.Request})
 			return reply, reply != nil
 		})
 	case kindReleased:
 		return take(m, func(name string) (any, bool) {
-			n.stepLease(now, n.officeOf(name), lease.RowChanged{})
+			n.stepLease(now, n.candidacyOf(name), lease.RowChanged{})
 			return nil, false
 		})
 	case kindAnnounce:
@@ -104,8 +104,8 @@
 	return peers.Message{}, errors.NotSupportedf("message kind %q", m.Kind)
 }
 
-func (n *Node) officeOf(name string) *office {
-	if name == accountsOffice {
+func (n *Node) candidacyOf(name string) *candidacy {
+	if name == accountsLease {
 		return n.accounts
 	}
 	return n.lease
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -11,14 +11,15 @@
 	"github.com/pimentoshore/pimentoshore/coord/member"
 	"github.com/pimentoshore/pimentoshore/coord/table"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
 
 // maxCandidates bounds the registrations read of one data centre.
 const maxCandidates = 256
 
-// office is a lease that this node is a candidate of, with the work of its
+// candidacy is a lease that this node is a candidate of, with the work of its
 // holder.
-type office struct {
+type candidacy struct {
 	*lease.Machine
 	name string
 	// won and lost run with mu held.
@@ -26,25 +27,31 @@
 	lost func(now time.Time)
 }
 
-// promiseAsk is a request for a promise about one office.
+// promiseAsk is a request for a promise about one lease.
 type promiseAsk struct {
-	Office  string               `json:"office"`
+	Lease   string               `json:"lease"`
 	Request lease.PromiseRequest `json:"request"`
 }
 
-// newOffice returns the candidacy for the lease of a name.
-func (n *Node) newOffice(name string, seed uint64) *office {
-	interval := n.set.Intervals.Lease / 3
-	return &office{name: name, Machine: lease.New(lease.Options{
-		DataCentre: name, VM: n.set.VM, Incarnation: n.incarnation, Seed: seed,
-		Duration: n.set.Intervals.Lease, Promise: n.set.Intervals.Lease,
+// newCandidacy returns the candidacy for the lease of a name.
+func (n *Node) newCandidacy(name string, seed uint64) *candidacy {
+	opts := leaseOptions(n.set)
+	opts.DataCentre, opts.VM, opts.Incarnation, opts.Seed = name, n.set.VM, n.incarnation, seed
+	return &candidacy{name: name, Machine: lease.New(opts)}
+}
+
+// leaseOptions derives the durations of a lease from the settings.
+func leaseOptions(set settings.Settings) lease.Options {
+	interval := set.Intervals.Lease / 3
+	return lease.Options{
+		Duration: set.Intervals.Lease, Promise: set.Intervals.Lease,
 		RenewEvery: interval, PollEvery: interval, AskEvery: interval, RetryEvery: interval / 3,
-		OrderTimeout: orderTimeout(n.set),
-	})}
+		OrderTimeout: orderTimeout(set),
+	}
 }
 
 // stepLease feeds a lease. mu is held.
-func (n *Node) stepLease(now time.Time, o *office, ev lease.Event) (reply *lease.PromiseReply) {
+func (n *Node) stepLease(now time.Time, o *candidacy, ev lease.Event) (reply *lease.PromiseReply) {
 	for _, effect := range o.Step(now, ev) {
 		if e, ok := effect.(lease.AnswerPromise); ok {
 			reply = &e.Reply
@@ -55,7 +62,7 @@
 	return reply
 }
 
-func (n *Node) runLease(now time.Time, o *office, effect lease.Effect) {
+func (n *Node) runLease(now time.Time, o *candidacy, effect lease.Effect) {
 	switch e := effect.(type) {
 	case lease.ReadRows:
 		n.spawn(func(ctx context.Context) { n.readLease(ctx, o, e) })
@@ -80,7 +87,7 @@
 
 // readLease reads the registrations' keys first and then all rows in one
 // snapshot. A registration made in between is read the next time.
-func (n *Node) readLease(ctx context.Context, o *office, e lease.ReadRows) {
+func (n *Node) readLease(ctx context.Context, o *candidacy, e lease.ReadRows) {
 	ev, err := n.leaseRows(ctx, e)
 	n.locked(func(now time.Time) {
 		if err != nil {
@@ -143,7 +150,7 @@
 	return ev, nil
 }
 
-func (n *Node) writeLease(ctx context.Context, o *office, e lease.WriteRow) {
+func (n *Node) writeLease(ctx context.Context, o *candidacy, e lease.WriteRow) {
 	revision, err := n.commit(ctx, e.Key, e.Revision, e.Row)
 	n.locked(func(now time.Time) {
 		n.stepLease(now, o, lease.WriteAnswered{Token: e.Row.Token, Outcome: leaseOutcome(err), Revision: revision})
@@ -192,7 +199,7 @@
 
 // announceRelease tells the other candidates that the lease is free. mu is
 // held.
-func (n *Node) announceRelease(now time.Time, o *office) {
+func (n *Node) announceRelease(now time.Time, o *candidacy) {
 	dataCentre := n.set.DataCentre
 	if o == n.accounts {
 		dataCentre = ""
@@ -204,8 +211,8 @@
 	}
 }
 
-func (n *Node) askPromise(o *office, e lease.AskPromise) {
-	ask := promiseAsk{Office: o.name, Request: e.Request}
+func (n *Node) askPromise(o *candidacy, e lease.AskPromise) {
+	ask := promiseAsk{Lease: o.name, Request: e.Request}
 	n.sendTo(e.Candidate, kindPromise, ask, func(now time.Time, body []byte) {
 		var reply lease.PromiseReply
 		if json.Unmarshal(body, &reply) == nil {
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -78,8 +78,8 @@
 	mu       sync.Mutex
 	config   *config.State
 	gossip   *gossip.Table
-	lease    *office // coordinates the data centre
-	accounts *office // divides the client accounts' limits
+	lease    *candidacy // coordinates the data centre
+	accounts *candidacy // divides the client accounts' limits
 	reports  *group.Reports
 	manager  *group.Manager
 	shares   *budget.Shares
@@ -167,12 +167,12 @@
 		asks:     map[uint64]chan claim.Reply{},
 	}
 	n.initOperate()
-	n.lease = n.newOffice(set.DataCentre, seed)
+	n.lease = n.newCandidacy(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
-	n.accounts = n.newOffice(accountsOffice, seed)
+	n.accounts = n.newCandidacy(accountsLease, seed)
 	n.accounts.won, n.accounts.lost = n.divideAccounts, n.stopDividingAccounts
 	n.routes = route.NewTable(route.Options{Seed: seed}, n.shares)
-	n.admission = admit.New(admit.Options{Seed: seed, Source: accountsOffice}, n.routes, n.shares)
+	n.admission = admit.New(admit.Options{Seed: seed, Source: accountsLease}, n.routes, n.shares)
 	n.retries = admit.NewRetryBudget(admit.DefaultRetryRatio, admit.DefaultRetryReserve)
 	for _, p := range set.Peers {
 		n.gossip.Seed(p.VM, p.DataCentre, p.Address)
@@ -182,7 +182,7 @@
 
 // orderTimeout bounds an order to an endpoint.
 func orderTimeout(set settings.Settings) time.Duration {
-	return set.Intervals.Lease / 3
+	return set.Intervals.Lease / 4
 }
 
 // spawn runs I/O apart from the state machines until the node stops.
