Never say 'not run' after an attempt that may have run

Found by reading: when an idempotent call's first attempt broke and a later one could not be sent, the error was the later one's, with ran: no. The case 'broken, then not sent' failed before. The error now agrees with the outcome of all attempts. Promises are only answered for leases that a node is a candidate of, and a question for an outcome that is given up leaves nothing behind.

--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -154,15 +154,18 @@
 // answerAsk waits for the outcome that another node asks for.
 func (n *Node) answerAsk(ctx context.Context, ask claimAsk) (claim.Reply, bool) {
 	ch := make(chan claim.Reply, 1)
+	var id uint64
 	n.locked(func(now time.Time) {
 		n.nextCall++
-		n.asks[n.nextCall] = ch
-		n.stepClaims(now, claim.PeerAsked{Ask: n.nextCall, Key: ask.Key, Incarnation: ask.Incarnation})
+		id = n.nextCall
+		n.asks[id] = ch
+		n.stepClaims(now, claim.PeerAsked{Ask: id, Key: ask.Key, Incarnation: ask.Incarnation})
 	})
 	select {
 	case reply := <-ch:
 		return reply, true
 	case <-ctx.Done():
+		n.locked(func(time.Time) { delete(n.asks, id) })
 		return claim.Reply{}, false
 	}
 }
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -83,12 +83,18 @@
 		})
 	case kindPromise:
 		return take(m, func(ask promiseAsk) (any, bool) {
-			reply := n.stepLease(now, n.candidacyOf(ask.Lease), lease.PromiseAsked{Request: ask.Request})
+			c, ok := n.candidacyOf(ask.Lease)
+			if !ok {
+				return nil, false
+			}
+			reply := n.stepLease(now, c, lease.PromiseAsked{Request: ask.Request})
 			return reply, reply != nil
 		})
 	case kindReleased:
 		return take(m, func(name string) (any, bool) {
-			n.stepLease(now, n.candidacyOf(name), lease.RowChanged{})
+			if c, ok := n.candidacyOf(name); ok {
+				n.stepLease(now, c, lease.RowChanged{})
+			}
 			return nil, false
 		})
 	case kindAnnounce:
@@ -104,11 +110,15 @@
 	return peers.Message{}, errors.NotSupportedf("message kind %q", m.Kind)
 }
 
-func (n *Node) candidacyOf(name string) *candidacy {
-	if name == accountsLease {
-		return n.accounts
+// candidacyOf finds this node's candidacy for a lease by name.
+func (n *Node) candidacyOf(name string) (*candidacy, bool) {
+	switch name {
+	case accountsLease:
+		return n.accounts, true
+	case n.set.DataCentre:
+		return n.lease, true
 	}
-	return n.lease
+	return nil, false
 }
 
 // take decodes a message, hands it on and encodes what answers it.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -156,6 +156,7 @@
 		{"broken", http.MethodPost, "/orders", []Target{breaking(t), good}, http.StatusBadGateway, "unknown", []Outcome{Failed}},
 		{"broken but idempotent", http.MethodPost, "/orders/quote", []Target{breaking(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
 		{"broken read", http.MethodGet, "/orders/1", []Target{breaking(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
+		{"broken, then not sent", http.MethodGet, "/orders/1", []Target{breaking(t), dead(), dead()}, http.StatusServiceUnavailable, "unknown", []Outcome{Failed, NotSent, NotSent}},
 		{"never sent", http.MethodPost, "/orders", []Target{dead(), dead(), dead(), good}, http.StatusServiceUnavailable, "no", []Outcome{NotSent, NotSent, NotSent}},
 		{"nowhere", http.MethodPost, "/orders", nil, http.StatusServiceUnavailable, "no", nil},
 	}
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -21,7 +21,8 @@
 }
 
 // try dispatches attempts until one is delivered, none is left or the error
-// is final. The outcome is that of the last attempt.
+// is final. The outcome is the one of all attempts that says most may have
+// run, and the error agrees with it.
 func (s *Server) try(req *request, need Need, next func() call, idempotent bool, deliver attemptFunc) (Outcome, *problem.Error) {
 	outcome := NotSent
 	var last *problem.Error
@@ -33,33 +34,48 @@
 			if last == nil {
 				last = problem.As(err)
 			}
-			return outcome, last
+			break
 		}
 		c := next()
 		c.exclude = need.Exclude
-		ans := s.send(req, a, c)
+		ans := s.attempt(req, a, c, deliver)
 		if ans.err == nil {
-			ans.err = deliver(ans)
-			if ans.err == nil {
-				ans.finish(Succeeded)
-				return Succeeded, nil
-			}
-			ans.outcome = outcomeOf(ans.err, a.Target().Peer && ans.err.Kind != problem.StreamInterrupted)
+			return Succeeded, nil
 		}
-		outcome = worse(outcome, ans.outcome)
 		last = ans.err
-		ans.finish(ans.outcome)
-		need.Exclude = append(need.Exclude, a.Target().Endpoint)
-		if ans.outcome == Refused {
-			need.Refusals++
-		}
+		outcome = worse(outcome, ans.outcome)
+		need.failedAt(a.Target(), ans.outcome)
 		if req.ctx().Err() != nil || !retryable(ans.outcome, idempotent) {
-			return outcome, last
+			break
 		}
 	}
+	if outcome.mayHaveRun() && last.Ran == problem.RanNo {
+		last = last.MayHaveRun()
+	}
 	return outcome, last
 }
 
+// attempt makes one attempt and ends it.
+func (s *Server) attempt(req *request, a Attempt, c call, deliver attemptFunc) *answer {
+	ans := s.send(req, a, c)
+	if ans.err == nil {
+		ans.err = deliver(ans)
+		if ans.err != nil {
+			ans.outcome = outcomeOf(ans.err, a.Target().Peer && ans.err.Kind != problem.StreamInterrupted)
+		}
+	}
+	ans.finish(ans.outcome)
+	return ans
+}
+
+// failedAt notes for the next attempt where one has failed.
+func (n *Need) failedAt(t Target, outcome Outcome) {
+	n.Exclude = append(n.Exclude, t.Endpoint)
+	if outcome == Refused {
+		n.Refusals++
+	}
+}
+
 // worse keeps the outcome that says more may have run.
 func worse(a, b Outcome) Outcome {
 	if a.mayHaveRun() {
