--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/pimentoshore/pimentoshore/coord/admit"
+	"github.com/pimentoshore/pimentoshore/coord/budget"
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/coord/route"
@@ -93,6 +94,30 @@
 	}
 }
 
+// admissions is the part of a node that admits requests and chooses where they
+// go.
+type admissions struct {
+	routes    *route.Table
+	admission *admit.Controller
+	retries   *admit.RetryBudget
+	waiting   map[admit.ID]*waiter
+	nextID    admit.ID
+	// known names the endpoints that the routing table or the ledger has been
+	// told of.
+	known map[string]bool
+}
+
+func newAdmissions(shares *budget.Shares, seed uint64) admissions {
+	routes := route.NewTable(route.Options{Seed: seed}, shares)
+	return admissions{
+		routes:    routes,
+		admission: admit.New(admit.Options{Seed: seed, Source: accountsLease}, routes, shares),
+		retries:   admit.NewRetryBudget(admit.DefaultRetryRatio, admit.DefaultRetryReserve),
+		waiting:   map[admit.ID]*waiter{},
+		known:     map[string]bool{},
+	}
+}
+
 // waiter is a request that waits for its admission.
 type waiter struct {
 	id      admit.ID
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -23,6 +23,27 @@
 	keyedSteps = 4
 )
 
+// keyedCalls is the part of a node that runs calls with an idempotency key.
+type keyedCalls struct {
+	claims  *claim.State
+	sweeper *claim.Sweeper
+	// keyed holds the calls that wait for their next step, asks the peers
+	// that wait for an outcome.
+	keyed        map[uint64]*keyedCall
+	asks         map[uint64]chan claim.Reply
+	nextCall     uint64
+	claimsClosed bool
+}
+
+func newKeyedCalls(vm, incarnation string) keyedCalls {
+	return keyedCalls{
+		claims:  claim.New(claim.Options{Self: claim.Node{VM: vm, Incarnation: incarnation}}),
+		sweeper: claim.NewSweeper(claim.SweepOptions{}),
+		keyed:   map[uint64]*keyedCall{},
+		asks:    map[uint64]chan claim.Reply{},
+	}
+}
+
 // claimAsk asks a claimant for the outcome of a key.
 type claimAsk struct {
 	Key         claim.Key `json:"key"`
--- a/internal/daemon/coordinator.go
+++ b/internal/daemon/coordinator.go
@@ -5,9 +5,43 @@
 	"strings"
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/budget"
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/group"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
 
+// coordination is the part of a node that holds leases or follows those of
+// others.
+type coordination struct {
+	lease    *candidacy // coordinates the data centre
+	accounts *candidacy // divides the client accounts' limits
+	manager  *group.Manager
+	// ledger is nil unless this node coordinates, accountLedger unless it
+	// divides the accounts' limits.
+	ledger            *budget.Ledger
+	accountLedger     *budget.Ledger
+	accountsCandidate bool
+	// ledgers holds the newest ledger heard of by source.
+	ledgers     map[string]ledgerSeen
+	usageRounds int
+	// holders names every node that may hold shares of a ledger of this node.
+	holders map[string]bool
+	// leaving names the VMs that the platform is about to take away.
+	leaving map[string]bool
+}
+
+func newCoordination(set settings.Settings) coordination {
+	return coordination{
+		manager: group.New(group.Options{
+			DataCentre: set.DataCentre, ReportTTL: set.Intervals.ReportTTL, OrderTimeout: orderTimeout(set),
+		}),
+		ledgers: map[string]ledgerSeen{},
+		holders: map[string]bool{},
+		leaving: map[string]bool{},
+	}
+}
+
 // coordinatorEntry is the gossip entry of a coordinator with its term. It
 // lets others tell a coordinator without groups from a node that decides none.
 const coordinatorEntry = "coordinator"
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -13,14 +13,12 @@
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace"
 
-	"github.com/pimentoshore/pimentoshore/coord/admit"
 	"github.com/pimentoshore/pimentoshore/coord/budget"
 	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/config"
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
-	"github.com/pimentoshore/pimentoshore/coord/probe"
 	"github.com/pimentoshore/pimentoshore/coord/route"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 	"github.com/pimentoshore/pimentoshore/internal/peers"
@@ -75,48 +73,17 @@
 	wg  sync.WaitGroup
 
 	// mu guards everything below. It is never held during I/O.
-	mu       sync.Mutex
-	config   *config.State
-	gossip   *gossip.Table
-	lease    *candidacy // coordinates the data centre
-	accounts *candidacy // divides the client accounts' limits
-	reports  *group.Reports
-	manager  *group.Manager
-	shares   *budget.Shares
-	ledger   *budget.Ledger // nil unless this node coordinates
-	// accountLedger is nil unless this node divides the accounts' limits.
-	accountLedger     *budget.Ledger
-	accountsCandidate bool
-	// ledgers holds the newest ledger heard of by source.
-	ledgers     map[string]ledgerSeen
-	usageRounds int
-	// holders names every node that may hold shares of a ledger of this node.
-	holders map[string]bool
-	// leaving names the VMs that the platform is about to take away.
-	leaving   map[string]bool
-	routes    *route.Table
-	admission *admit.Controller
-	retries   *admit.RetryBudget
-	waiting   map[admit.ID]*waiter
-	nextID    admit.ID
-	claims    *claim.State
-	sweeper   *claim.Sweeper
-	// keyed holds the calls with a key that wait for their next step, asks
-	// the peers that wait for an outcome.
-	keyed        map[uint64]*keyedCall
-	asks         map[uint64]chan claim.Reply
-	nextCall     uint64
-	claimsClosed bool
-	index        index
-	groups       groupView
-	// known names the endpoints that the routing table or the ledger has been
-	// told of.
-	known    map[string]bool
+	mu     sync.Mutex
+	config *config.State
+	index  index
+	gossip *gossip.Table
+	groups groupView
+	shares *budget.Shares
+	coordination
+	sightings
+	admissions
+	keyedCalls
 	stopping bool
-	probing  map[string]bool // VMs with a probe under way
-	seen     *probe.Table    // what this node's own probes have seen
-	followed map[string]*probe.Follower
-	pulling  map[string]bool // probers with a pull under way
 	// platformSeen is when the platform last answered.
 	platformSeen time.Time
 	digests      map[string]config.Digest
@@ -144,36 +111,18 @@
 			VM: set.VM, DataCentre: set.DataCentre, Address: set.Listen.Peers, Incarnation: incarnation,
 			Seed: seed, Fanout: fanout, Remote: remoteFanout, Expiry: expiryIntervals * set.Intervals.Exchange,
 		}),
-		reports: group.NewReports(group.Options{ReportTTL: set.Intervals.ReportTTL}),
-		manager: group.New(group.Options{
-			DataCentre: set.DataCentre, ReportTTL: set.Intervals.ReportTTL, OrderTimeout: orderTimeout(set),
-		}),
-		shares:  budget.NewShares(set.VM, incarnation),
-		probing: map[string]bool{},
-		seen: probe.NewTable(probe.Options{
-			Incarnation: incarnation, SilentAfter: set.Intervals.ReportTTL / 2,
-		}),
-		followed: map[string]*probe.Follower{},
-		pulling:  map[string]bool{},
-		digests:  map[string]config.Digest{},
-		ledgers:  map[string]ledgerSeen{},
-		holders:  map[string]bool{},
-		known:    map[string]bool{},
-		leaving:  map[string]bool{},
-		waiting:  map[admit.ID]*waiter{},
-		claims:   claim.New(claim.Options{Self: claim.Node{VM: set.VM, Incarnation: incarnation}}),
-		sweeper:  claim.NewSweeper(claim.SweepOptions{}),
-		keyed:    map[uint64]*keyedCall{},
-		asks:     map[uint64]chan claim.Reply{},
+		shares:       budget.NewShares(set.VM, incarnation),
+		coordination: newCoordination(set),
+		sightings:    newSightings(set, incarnation),
+		keyedCalls:   newKeyedCalls(set.VM, incarnation),
+		digests:      map[string]config.Digest{},
 	}
 	n.initOperate()
 	n.lease = n.newCandidacy(set.DataCentre, seed)
 	n.lease.won, n.lease.lost = n.becomeCoordinator, n.stopCoordinating
 	n.accounts = n.newCandidacy(accountsLease, seed)
 	n.accounts.won, n.accounts.lost = n.divideAccounts, n.stopDividingAccounts
-	n.routes = route.NewTable(route.Options{Seed: seed}, n.shares)
-	n.admission = admit.New(admit.Options{Seed: seed, Source: accountsLease}, n.routes, n.shares)
-	n.retries = admit.NewRetryBudget(admit.DefaultRetryRatio, admit.DefaultRetryReserve)
+	n.admissions = newAdmissions(n.shares, seed)
 	for _, p := range set.Peers {
 		n.gossip.Seed(p.VM, p.DataCentre, p.Address)
 	}
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -12,8 +12,30 @@
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/member"
 	"github.com/pimentoshore/pimentoshore/coord/probe"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
 
+// sightings is what a node's probes and those of others have seen.
+type sightings struct {
+	reports  *group.Reports
+	seen     *probe.Table    // what this node's own probes have seen
+	probing  map[string]bool // VMs with a probe under way
+	followed map[string]*probe.Follower
+	pulling  map[string]bool // probers with a pull under way
+}
+
+func newSightings(set settings.Settings, incarnation string) sightings {
+	return sightings{
+		reports: group.NewReports(group.Options{ReportTTL: set.Intervals.ReportTTL}),
+		seen: probe.NewTable(probe.Options{
+			Incarnation: incarnation, SilentAfter: set.Intervals.ReportTTL / 2,
+		}),
+		probing:  map[string]bool{},
+		followed: map[string]*probe.Follower{},
+		pulling:  map[string]bool{},
+	}
+}
+
 // rounds says what this node probes itself and whom it asks for the rest.
 type rounds struct {
 	vms     []*inventory.VM
