Cut a data centre off from the others and the platform in a test

TestDataCentreCutOff: both sides serve for three lease durations, keep a coordinator each and run their orders once; a change made meanwhile is in force on the cut-off side within 5 s of the end. It passed at the first run, so it guards and mends nothing.

--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,7 +50,10 @@
 	starts   []func()
 	// tokenTime is the engines' time per token.
 	tokenTime time.Duration
-	tls       *tlsconf.Store // nil means plain TCP
+	// isolated names a data centre that is cut off from the others and from
+	// the platform.
+	isolated atomic.Value
+	tls      *tlsconf.Store // nil means plain TCP
 }
 
 type runningNode struct {
@@ -148,7 +152,8 @@
 	}
 	n := New(Options{
 		Settings: set, Logger: slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: slog.LevelDebug})).With("vm", set.VM),
-		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: c.table, TLS: c.tls,
+		Registry: metrics.NewRegistry(), Tracer: noop.NewTracerProvider().Tracer(""), Platform: cutTable{c.table, c, set.DataCentre},
+		wrap: func(rt http.RoundTripper) http.RoundTripper { return cutTransport{rt, c, set.DataCentre} }, TLS: c.tls,
 	})
 	ctx, stop := context.WithCancel(context.Background())
 	r := &runningNode{Node: n, callers: set.Listen.Callers, stop: stop, done: make(chan struct{})}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -48,6 +49,17 @@
 	Platform platform.Table
 	// TLS secures the peers' and operators' interfaces; nil means plain TCP.
 	TLS *tlsconf.Store
+
+	// wrap, if set, stands between the node and its connections.
+	wrap func(http.RoundTripper) http.RoundTripper
+}
+
+// transport applies wrap to a client.
+func (o *Options) transport(c *transport.Client) *transport.Client {
+	if o.wrap != nil {
+		c.Transport = o.wrap(c.Transport)
+	}
+	return c
 }
 
 // Node is one entry VM's process.
@@ -94,13 +106,13 @@
 	set := o.Settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	seed := rand.Uint64()
-	control := newControlTransport(o.TLS)
-	probes := transport.New(nil)
+	control := o.transport(newControlTransport(o.TLS))
+	probes := o.transport(transport.New(nil))
 	n := &Node{
 		set: set, incarnation: incarnation,
 		log: o.Logger, registry: o.Registry, tracer: o.Tracer, platform: o.Platform,
-		endpoints: endpoint.NewClient(transport.New(nil)),
-		forwards:  endpoint.NewClient(newPeerTransport(o.TLS)),
+		endpoints: endpoint.NewClient(o.transport(transport.New(nil))),
+		forwards:  endpoint.NewClient(o.transport(newPeerTransport(o.TLS))),
 		tls:       o.TLS,
 		control:   control,
 		probes:    probes,
