Let a node that starts probe only its part

Cause: until it had heard of the others, a node took itself for the only one and probed its whole data centre; a trial of 32 nodes before 414 engines that started together ran out of 20,000 open files. For the first expiry period the VMs are now divided among all declared entry VMs; where one of them is dead, its VMs are probed by others as before. TestStartedNodeProbesItsPart failed before with 64 of 64 VMs.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -95,6 +95,7 @@
 	sightings
 	admissions
 	keyedCalls
+	started  time.Time
 	stopping bool
 	// platformSeen is when the platform last answered.
 	platformSeen time.Time
@@ -127,6 +128,7 @@
 		coordination: newCoordination(set),
 		sightings:    newSightings(set, incarnation),
 		keyedCalls:   newKeyedCalls(set.VM, incarnation),
+		started:      time.Now(),
 		digests:      map[string]config.Digest{},
 	}
 	n.initOperate()
@@ -141,6 +143,9 @@
 	return n
 }
 
+// expiry is how long a node stays live without news of it.
+func (n *Node) expiry() time.Duration { return expiryIntervals * n.set.Intervals.Exchange }
+
 // orderTimeout bounds an order to an endpoint.
 func orderTimeout(set settings.Settings) time.Duration {
 	return set.Intervals.Lease / 4
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -72,7 +72,7 @@
 	r := rounds{probers: map[string]bool{}}
 	_, coordinating := n.lease.Held(now)
 	own, guests := n.probedEndpoints()
-	division := probe.Divide(own, n.liveLocal(now))
+	division := probe.Divide(own, n.probers(now))
 	for _, e := range own {
 		served := n.shares.State(e.Name).Limit > 0
 		for _, vm := range e.VMs {
@@ -90,6 +90,26 @@
 	return r
 }
 
+// probers names the nodes among which the data centre's VMs are divided: the
+// live ones or, on a node that has just started and can't have heard of them,
+// all that are declared. Where one of those is dead, assign steps in. mu is
+// held.
+func (n *Node) probers(now time.Time) []string {
+	if now.Sub(n.started) >= n.expiry() {
+		return n.liveLocal(now)
+	}
+	names := []string{}
+	for _, vm := range n.index.entries {
+		if vm.DataCentre == n.set.DataCentre {
+			names = append(names, vm.Name)
+		}
+	}
+	if !slices.Contains(names, n.set.VM) {
+		return n.liveLocal(now)
+	}
+	return names
+}
+
 // probedEndpoints returns the endpoints of this data centre, single VMs among
 // them, and those elsewhere in which this node holds a guest share. mu is held.
 func (n *Node) probedEndpoints() (own, guests []probe.Endpoint) {
--- a/internal/daemon/probe_test.go
+++ b/internal/daemon/probe_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
 
 // probeRounds returns by how many of a number of nodes each VM is probed at
@@ -72,3 +77,26 @@
 		assert.Assert(t, c.serves(vm), vm)
 	}
 }
+
+// TestStartedNodeProbesItsPart lets a node of many start while it has heard of
+// no other one. It must not probe the whole data centre.
+func TestStartedNodeProbesItsPart(t *testing.T) {
+	const entries, engines = 16, 64
+	c := newCluster(t)
+	c.doc.DataCentres = []inventory.DataCentre{{Name: "praha"}}
+	for i := range engines {
+		c.doc.VMs = append(c.doc.VMs, inventory.VM{
+			Name: fmt.Sprintf("m%d", i), DataCentre: "praha", FabricDomain: "f", Role: inventory.RoleModel,
+		})
+	}
+	for i := range entries {
+		c.doc.VMs = append(c.doc.VMs, inventory.VM{Name: fmt.Sprintf("e%d", i), DataCentre: "praha", Role: inventory.RoleEntry})
+	}
+	set := settings.Default()
+	set.VM, set.DataCentre = "e0", "praha"
+	n := New(Options{Settings: set, Logger: slog.New(slog.DiscardHandler), Registry: metrics.NewRegistry()})
+	n.index = newIndex(1, &c.doc, "praha")
+	const homes = 2
+	probed := len(n.divide(time.Now()).vms)
+	assert.Assert(t, probed > 0 && probed <= 2*homes*engines/entries, "%d of %d", probed, engines)
+}
