Send spans to the collector that the settings name

The settings take a URL and check it, but the exporter took it for host:port, so OTLP never worked; no test exported anything.

--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/url"
 	"os"
+	"strings"
 
 	"github.com/juju/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -17,7 +19,7 @@
 // TraceOptions selects where spans go. With neither field set, spans are
 // made, so that the context is passed on, but not exported.
 type TraceOptions struct {
-	OTLPEndpoint string // host:port of an OTLP/HTTP collector
+	OTLPEndpoint string // URL of an OTLP/HTTP collector; without a path, the default one
 	File         string // file that spans are appended to as JSON
 	VM           string
 	DataCentre   string
@@ -36,7 +38,7 @@
 	closeFile := func() error { return nil }
 	switch {
 	case o.OTLPEndpoint != "":
-		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(o.OTLPEndpoint), otlptracehttp.WithInsecure())
+		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(collectorURL(o.OTLPEndpoint)))
 		if err != nil {
 			return nil, nil, errors.Annotatef(err, "OTLP exporter for %s", o.OTLPEndpoint)
 		}
@@ -62,3 +64,15 @@
 	}
 	return provider.Tracer("github.com/pimentoshore/pimentoshore"), shutdown, nil
 }
+
+// tracesPath is where collectors take spans by OTLP over HTTP.
+const tracesPath = "/v1/traces"
+
+// collectorURL adds the usual path to a URL that has none.
+func collectorURL(endpoint string) string {
+	u, err := url.Parse(endpoint)
+	if err != nil || strings.Trim(u.Path, "/") != "" {
+		return endpoint
+	}
+	return u.JoinPath(tracesPath).String()
+}
