Leave a node that is not heard of its share of an account's limit

Cause: a node of another data centre counts as live through a representative. Ruled out: that the node had no share before; every node holds one after about a second (TestIdleNodesHoldAccountShares). Change: a node that is not heard of keeps what it holds, and is counted with it, until it is known to be gone. TestNodeNotHeardOfKeepsItsShare failed before with 16 and 0.

--- a/coord/budget/demand.go
+++ b/coord/budget/demand.go
@@ -5,27 +5,38 @@
 // divideByDemand gives each node what it asks for, with some headroom where
 // the limit allows it. Under scarcity every node gets an equal part of the
 // limit or what it asks for, whichever is less. While all demand is met
-// nothing moves.
+// nothing moves. A node that is not heard of keeps what it holds: taking it
+// back would free nothing if the node is cut off, and leave it without any if
+// it is not.
 func (l *Ledger) divideByDemand(now time.Time, a *account, limit int) []part {
-	var parts []part
+	var parts, kept []part
 	total := 0
 	for _, m := range l.members {
 		if !m.grantable() || !m.eligible() && a.find(m) == nil {
 			continue
 		}
 		p := part{node: m}
-		if h := a.find(m); h != nil && m.eligible() {
+		h := a.find(m)
+		switch {
+		case h != nil && m.eligible():
 			p.limit = h.demand
 			total += h.demand
+		case h != nil && !m.stopping:
+			kept = append(kept, part{node: m, limit: h.bound(now, a).limit})
+			continue
 		}
 		parts = append(parts, p)
 	}
+	for _, p := range kept {
+		limit = max(0, limit-p.limit)
+	}
 	if total > limit {
 		levelDown(parts, limit)
-	} else {
+	} else if len(parts) > 0 {
 		addHeadroom(parts, limit, limit-total)
 		l.keepUnneeded(now, a, parts, limit)
 	}
+	parts = append(parts, kept...)
 	for i := range parts {
 		parts[i].cold = parts[i].limit
 	}
--- a/coord/budget/ledger_test.go
+++ b/coord/budget/ledger_test.go
@@ -274,3 +274,23 @@
 	s.deliver(s.ledger.Tick(start))
 	assert.DeepEqual(t, s.limits(), []int{8, 8})
 }
+
+// TestNodeNotHeardOfKeepsItsShare lets a ledger lose sight of a node that it
+// can still reach. The node must not be left without a share.
+func TestNodeNotHeardOfKeepsItsShare(t *testing.T) {
+	s := newSite(LedgerOptions{Term: 1, Division: ByDemand, Warmup: Warmup{Off: true}}, live("a", "b")...)
+	e := endpoint
+	e.ColdInFlight, e.MaxInFlight = 16, 16
+	s.deliver(s.ledger.SetEndpoint(start, e))
+	assert.DeepEqual(t, s.limits(), []int{8, 8})
+	nodes := live("a", "b")
+	nodes[1].Live = false
+	s.deliver(s.ledger.SetNodes(start, nodes))
+	s.deliver(s.ledger.Tick(start))
+	assert.DeepEqual(t, s.limits(), []int{8, 8})
+	// Once it is known to be gone, its share goes to who asks for it.
+	s.deliver(s.ledger.NodeGone(start, "b"))
+	s.nodes["a"].Wait("e", 12)
+	s.report("a", true)
+	assert.Equal(t, s.limits()[0], 16)
+}
