Simplify what a second reading found

- coord/gossip compared strings by hand and wrote one binary search three times: strings.Compare and findEntry.
- inventory.Model.Allows is slices.Contains; the default of warm_after is cmp.Or, as for other defaults; servedVM copied fields of inventory.VM.
- At each tick the live entry VMs were collected once for every endpoint, each time over all known nodes; they are now collected once.
- Two functions of the gateway were called outcomeOf.
Behaviour and tests are unchanged.

--- a/coord/gossip/gossip.go
+++ b/coord/gossip/gossip.go
@@ -11,6 +11,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -53,23 +54,16 @@
 
 // Entry returns the node's value of a key, or nil.
 func (n *Node) Entry(key string) []byte {
-	i, ok := slices.BinarySearchFunc(n.Entries, key, func(e Entry, k string) int {
-		return compareStrings(e.Key, k)
-	})
+	i, ok := findEntry(n.Entries, key)
 	if !ok {
 		return nil
 	}
 	return n.Entries[i].Value
 }
 
-func compareStrings(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+// findEntry returns where a key is, or belongs, among sorted entries.
+func findEntry(entries []Entry, key string) (at int, found bool) {
+	return slices.BinarySearchFunc(entries, key, func(e Entry, k string) int { return strings.Compare(e.Key, k) })
 }
 
 // Options configures a Table.
@@ -151,7 +145,7 @@
 
 // Publish sets this node's value of a key. An unchanged value costs nothing.
 func (t *Table) Publish(key string, scope Scope, value []byte) {
-	i, ok := slices.BinarySearchFunc(t.self.Entries, key, func(e Entry, k string) int { return compareStrings(e.Key, k) })
+	i, ok := findEntry(t.self.Entries, key)
 	if ok && t.self.Entries[i].Scope == scope && slices.Equal(t.self.Entries[i].Value, value) {
 		return
 	}
@@ -255,7 +249,7 @@
 func mergeEntries(old, newer []Entry) []Entry {
 	merged := slices.Clone(old)
 	for _, e := range newer {
-		i, ok := slices.BinarySearchFunc(merged, e.Key, func(m Entry, k string) int { return compareStrings(m.Key, k) })
+		i, ok := findEntry(merged, e.Key)
 		if !ok {
 			merged = slices.Insert(merged, i, e)
 		} else if e.Version > merged[i].Version {
--- a/coord/inventory/inventory.go
+++ b/coord/inventory/inventory.go
@@ -3,6 +3,8 @@
 // and validation, so that every other package can depend on it.
 package inventory
 
+import "slices"
+
 // Role is what a VM runs.
 type Role string
 
@@ -109,13 +111,5 @@
 
 // Allows reports whether the model may run in the data centre.
 func (m Model) Allows(dataCentre string) bool {
-	if len(m.DataCentres) == 0 {
-		return true
-	}
-	for _, dc := range m.DataCentres {
-		if dc == dataCentre {
-			return true
-		}
-	}
-	return false
+	return len(m.DataCentres) == 0 || slices.Contains(m.DataCentres, dataCentre)
 }
--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"encoding/json"
 	"strconv"
 	"time"
@@ -86,7 +87,7 @@
 		if incarnation, whole := n.groupIncarnation(now, &p.Group); whole {
 			n.setEndpoint(now, budget.Endpoint{
 				Name: id, Incarnation: incarnation, ColdInFlight: m.ColdInFlight, MaxInFlight: m.MaxInFlight,
-				WarmAfter: warmAfter(m.WarmAfter),
+				WarmAfter: cmp.Or(m.WarmAfter, inventory.DefaultWarmAfter),
 			})
 		}
 	}
@@ -104,14 +105,6 @@
 	n.sendBudget(n.ledger, n.ledger.SetEndpoint(now, e))
 }
 
-// warmAfter applies the default of an inventory's warm_after.
-func warmAfter(declared int) int {
-	if declared == 0 {
-		return inventory.DefaultWarmAfter
-	}
-	return declared
-}
-
 func (n *Node) setServiceEndpoint(now time.Time, vm *inventory.VM) {
 	s, ok := n.index.services[vm.Service]
 	if !ok || !n.fresh(now, vm.Name) {
@@ -120,7 +113,7 @@
 	r, _, _ := n.reports.Report(vm.Name)
 	n.setEndpoint(now, budget.Endpoint{
 		Name: vm.Name, Incarnation: r.Incarnation, ColdInFlight: s.ColdInFlight, MaxInFlight: s.MaxInFlight,
-		WarmAfter: warmAfter(s.WarmAfter),
+		WarmAfter: cmp.Or(s.WarmAfter, inventory.DefaultWarmAfter),
 	})
 }
 
--- a/internal/daemon/probe.go
+++ b/internal/daemon/probe.go
@@ -166,13 +166,19 @@
 // mayServe reports whether this node holds or may soon hold a share of an
 // endpoint. mu is held.
 func (n *Node) mayServe(now time.Time, endpointName, dataCentre string) bool {
+	return n.mayServeAmong(n.liveLocal(now), endpointName, dataCentre)
+}
+
+// mayServeAmong is mayServe for the live entry VMs of this data centre. mu is
+// held.
+func (n *Node) mayServeAmong(live []string, endpointName, dataCentre string) bool {
 	if n.shares.State(endpointName).Limit > 0 {
 		return true
 	}
 	if dataCentre != n.set.DataCentre {
 		return false
 	}
-	return slices.Contains(budget.Homes(endpointName, n.liveLocal(now), budget.DefaultHomes), n.set.VM)
+	return slices.Contains(budget.Homes(endpointName, live, budget.DefaultHomes), n.set.VM)
 }
 
 func (n *Node) liveLocal(now time.Time) []string {
--- a/internal/daemon/routes.go
+++ b/internal/daemon/routes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/gossip"
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/route"
 )
 
@@ -16,9 +17,10 @@
 // refreshEndpoints tells the routing table which endpoints may get work from
 // this node now. mu is held.
 func (n *Node) refreshEndpoints(now time.Time) {
+	live := n.liveLocal(now)
 	for id, p := range n.groups.byID {
 		dataCentre := n.vmDataCentre(p.Group.Members)
-		if !n.mayServe(now, id, dataCentre) {
+		if !n.mayServeAmong(live, id, dataCentre) {
 			continue
 		}
 		incarnation, whole := n.groupIncarnation(now, &p.Group)
@@ -28,12 +30,12 @@
 			Serving: whole && !p.Group.Draining && !n.anyOut(p.Group.Members),
 		})
 	}
-	for _, vm := range n.servedServices(now) {
-		r, _, _ := n.reports.Report(vm.name)
+	for _, vm := range n.servedServices(live) {
+		r, _, _ := n.reports.Report(vm.Name)
 		n.updateRoute(now, route.Endpoint{
-			Name: vm.name, Incarnation: r.Incarnation, Target: serviceTarget(vm.service),
-			Guest:   n.index.vms[vm.name].DataCentre != n.set.DataCentre,
-			Serving: n.fresh(now, vm.name) && !n.index.out(vm.name),
+			Name: vm.Name, Incarnation: r.Incarnation, Target: serviceTarget(vm.Service),
+			Guest:   vm.DataCentre != n.set.DataCentre,
+			Serving: n.fresh(now, vm.Name) && !n.index.out(vm.Name),
 		})
 	}
 }
@@ -41,14 +43,13 @@
 // serviceTarget names a service among the routing table's targets.
 func serviceTarget(service string) string { return "service/" + service }
 
-type servedVM struct{ name, service string }
-
-// servedServices lists the service VMs that this node may dispatch to.
-func (n *Node) servedServices(now time.Time) []servedVM {
-	var vms []servedVM
+// servedServices lists the service VMs that this node may dispatch to, given
+// the live entry VMs of its data centre.
+func (n *Node) servedServices(live []string) []*inventory.VM {
+	var vms []*inventory.VM
 	for _, vm := range n.index.serviceVMs {
-		if n.mayServe(now, vm.Name, vm.DataCentre) {
-			vms = append(vms, servedVM{vm.Name, vm.Service})
+		if n.mayServeAmong(live, vm.Name, vm.DataCentre) {
+			vms = append(vms, vm)
 		}
 	}
 	return vms
@@ -108,9 +109,9 @@
 			add(p.Group.Model, id)
 		}
 	}
-	for _, vm := range n.servedServices(now) {
-		if n.fresh(now, vm.name) && !n.index.out(vm.name) {
-			add(serviceTarget(vm.service), vm.name)
+	for _, vm := range n.servedServices(n.liveLocal(now)) {
+		if n.fresh(now, vm.Name) && !n.index.out(vm.Name) {
+			add(serviceTarget(vm.Service), vm.Name)
 		}
 	}
 	return sums
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -149,7 +149,7 @@
 
 // classify turns a transport error into an outcome.
 func (s *Server) classify(ans *answer, ctx context.Context, err error) {
-	outcome := s.outcomeOf(ctx, err)
+	outcome := s.transportOutcome(ctx, err)
 	switch {
 	case outcome == NotSent:
 		ans.fail(outcome, problem.New(problem.NoEndpoint, "the endpoint could not be reached", "retry later").After(retryDelay))
@@ -162,8 +162,8 @@
 	}
 }
 
-// outcomeOf says what a transport error tells about the request.
-func (s *Server) outcomeOf(ctx context.Context, err error) Outcome {
+// transportOutcome says what a transport error tells about the request.
+func (s *Server) transportOutcome(ctx context.Context, err error) Outcome {
 	var notSent *endpoint.NotSentError
 	switch {
 	case errors.As(err, &notSent):
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -86,7 +86,7 @@
 	hr.Header.Set(headerFirst, req.echo.Request().Header.Get(headerFirst))
 	resp, err := s.peers.Do(hr, c.body)
 	if err != nil {
-		return s.outcomeOf(ctx, err), result{}
+		return s.transportOutcome(ctx, err), result{}
 	}
 	defer resp.Body.Close()
 	if resp.Header.Get(headerProblem) != "" {
