--- /dev/null
+++ b/cmd/pimentoshored/entry.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/spf13/cobra"
+
+	"github.com/pimentoshore/pimentoshore/internal/node"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
+	"github.com/pimentoshore/pimentoshore/platform"
+)
+
+// entryCommand serves callers on the users' platform.
+func entryCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:     "entry",
+		Short:   "Serves callers on an entry VM of the users' platform",
+		Example: "  pimentoshored entry --settings /etc/pimentoshore/settings.toml",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := settings.LoadEntry(file)
+			if err != nil {
+				return err
+			}
+			return serveEntry(cmd.Context(), set)
+		},
+	}
+	cmd.Flags().StringVar(&file, "settings", "/etc/pimentoshore/settings.toml", "settings file (TOML)")
+	return cmd
+}
+
+func serveEntry(ctx context.Context, set settings.Entry) error {
+	log, err := telemetry.NewLogger(os.Stdout, string(set.Log.Format), set.Log.Level, set.VM, set.DataCentre)
+	if err != nil {
+		return err
+	}
+	client := upstream.New(nil)
+	store := platform.NewStore(set.Store, func(table, key string, err error) {
+		log.Warn("row skipped", "table", table, "key", key, "error", err)
+	})
+	engines := platform.NewEngines(client)
+	n, err := node.New(set, log, metrics.NewRegistry(), client, node.Backends{
+		Table: store, Source: store.Published(), Engines: engines, Orders: engines,
+		Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
+	})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- a/cmd/pimentoshored/main.go
+++ b/cmd/pimentoshored/main.go
@@ -55,5 +55,6 @@
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "pimentoshored.toml", "settings file (TOML)")
+	cmd.AddCommand(entryCommand())
 	return cmd
 }
--- /dev/null
+++ b/coord/dispatch/pick.go
@@ -0,0 +1,156 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+const (
+	// queueShare is how far above its slots a target's predicted load may
+	// go: a place comes free several times within an objective.
+	queueShare = 0.15
+	// remotePenalty is what a request to another data centre costs, as a
+	// part of a target's slots.
+	remotePenalty = 0.06
+	// failurePenalty weighs the share of failed requests.
+	failurePenalty = 2.0
+	// jitter spreads requests over targets that are about as good.
+	jitter = 0.04
+	// retryAfterFull is when a place is likely to be free again.
+	retryAfterFull = 500 * time.Millisecond
+	// retryAfterNone is when a lost group may be serving again.
+	retryAfterNone = time.Second
+)
+
+// Query describes the request to place.
+type Query struct {
+	Service string
+	Model   string // empty for a plain service
+	// Exclude holds targets that have failed the request.
+	Exclude []string
+	// Draw is a number drawn for the request.
+	Draw uint64
+}
+
+// Refusal says why no target is chosen and when to come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Reason says why a request can't be placed.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	NoTarget Reason = "no endpoint"
+	AllFull  Reason = "all endpoints full"
+	AllCold  Reason = "endpoints warm up"
+)
+
+// Pick chooses a target for a request and counts it there until Done.
+func (t *Table) Pick(now time.Time, q Query) (*Ticket, *Refusal) {
+	pool := t.pools[poolKey{q.Service, q.Model}]
+	var best *Target
+	bestScore := 0.0
+	reason := NoTarget
+	for i, target := range pool {
+		if slices.Contains(q.Exclude, target.ID) || now.Before(target.health.avoidUntil) {
+			continue
+		}
+		if full(target) {
+			reason = AllFull
+			continue
+		}
+		if !t.coldRoom(now, target) {
+			reason = AllCold
+			continue
+		}
+		score := t.score(target) + jitter*spread(q.Draw, i)
+		if best == nil || score < bestScore {
+			best, bestScore = target, score
+		}
+	}
+	if best == nil {
+		return nil, refusal(reason, q.Draw)
+	}
+	best.cold.take(now)
+	ticket := &Ticket{Target: best, ProgressAt: now, sentAt: now}
+	best.tickets[ticket] = struct{}{}
+	return ticket, nil
+}
+
+func refusal(reason Reason, draw uint64) *Refusal {
+	after := retryAfterFull
+	if reason == NoTarget {
+		after = retryAfterNone
+	}
+	return &Refusal{Reason: reason, RetryAfter: after + time.Duration(float64(after)*spread(draw, 0))}
+}
+
+func full(t *Target) bool {
+	return float64(t.load()) >= float64(t.Slots)*(1+queueShare)
+}
+
+func (t *Table) score(target *Target) float64 {
+	score := float64(target.load()+1) / float64(max(1, target.Slots)) * target.pace
+	if target.DataCentre != t.opts.DataCentre {
+		score += remotePenalty
+	}
+	return score + failurePenalty*target.health.failures
+}
+
+// coldRoom reports whether a target that may be cold bears one more request
+// of this node in this second.
+func (t *Table) coldRoom(now time.Time, target *Target) bool {
+	svc := t.cats.Service(target.Service)
+	vm := t.vms.Get(target.ID)
+	if svc == nil || svc.ColdPerSecond <= 0 || vm == nil || !isCold(now, vm) {
+		return true
+	}
+	all := svc.ColdPerSecond*t.opts.ColdOverage + t.opts.ColdSlack
+	share := max(1, int(all*coldPart)/(t.nodes+1))
+	return target.cold.within(now, share)
+}
+
+// coldPart keeps some of a cold target's rate for nodes that are not counted
+// yet.
+const coldPart = 0.9
+
+func isCold(now time.Time, vm *fleet.VM) bool { return now.Before(vm.ColdUntil) }
+
+// spread maps a draw and an index to 0 up to 1.
+func spread(draw uint64, i int) float64 {
+	x := (draw + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
+	x ^= x >> 31
+	return float64(x%1024) / 1024
+}
+
+// Outcome is how a request ended at a target.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	Succeeded Outcome = iota + 1
+	// Failed means that the target gave no answer or a wrong one.
+	Failed
+	// Rejected means that the target did not run the request.
+	Rejected
+	// Neutral tells nothing of the target.
+	Neutral
+)
+
+// Done ends a request at its target.
+func (t *Table) Done(now time.Time, ticket *Ticket, outcome Outcome) {
+	delete(ticket.Target.tickets, ticket)
+	switch outcome {
+	case Succeeded:
+		ticket.Target.health.succeeded()
+	case Failed:
+		ticket.Target.health.failed(now)
+	case Rejected:
+		ticket.Target.others++
+	}
+}
--- /dev/null
+++ b/coord/dispatch/table.go
@@ -0,0 +1,231 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// Options set up a Table.
+type Options struct {
+	// DataCentre is the node's own.
+	DataCentre string
+	// ColdOverage and ColdSlack bound the requests to a cold endpoint in one
+	// second, summed over all nodes: its rate times the overage, plus the
+	// slack.
+	ColdOverage, ColdSlack float64
+	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats to a
+	// service, summed over all nodes: in each window, the ratio of its
+	// requests plus the slack.
+	RepeatRatio, RepeatSlack float64
+	RepeatWindow             time.Duration
+}
+
+// Table holds the targets of one node.
+type Table struct {
+	opts    Options
+	nodes   int // live nodes, this one included
+	targets map[string]*Target
+	pools   map[poolKey][]*Target
+	cats    *catalog.Catalog
+	vms     *fleet.Table
+	budgets map[string]*repeats
+}
+
+// poolKey names the endpoints among which a request may choose.
+type poolKey struct{ service, model string }
+
+// New returns an empty table.
+func New(opts Options) *Table {
+	return &Table{
+		opts: opts, nodes: 1,
+		targets: make(map[string]*Target),
+		pools:   make(map[poolKey][]*Target),
+		budgets: make(map[string]*repeats),
+	}
+}
+
+// SetNodes says how many nodes share the bounds.
+func (t *Table) SetNodes(n int) { t.nodes = max(1, n) }
+
+// Update follows the VMs, the catalog and the evacuated data centres. It
+// returns the tickets whose targets are lost.
+func (t *Table) Update(now time.Time, vms *fleet.Table, cat *catalog.Catalog, evacuated map[string]bool) []*Ticket {
+	t.vms, t.cats = vms, cat
+	groups := membersByGroup(vms)
+	clear(t.pools)
+	var lost []*Ticket
+	for _, vm := range vms.All() {
+		target := t.follow(vm)
+		target.observe(vm)
+		whole := t.describe(vm, target, groups)
+		gone := vm.Engine && !whole || dead(now, vm)
+		if gone {
+			lost = target.drop(lost)
+		}
+		target.usable = !gone && vm.Listed && !vm.Draining && !evacuated[vm.DataCentre]
+		if target.usable {
+			key := poolKey{vm.Service, target.Model}
+			t.pools[key] = append(t.pools[key], target)
+		}
+	}
+	for id := range t.targets {
+		if vms.Get(id) == nil {
+			lost = t.targets[id].drop(lost)
+			delete(t.targets, id)
+		}
+	}
+	return lost
+}
+
+// follow returns the target of a VM. A VM that has started again or serves as
+// another group's head is another target.
+func (t *Table) follow(vm *fleet.VM) *Target {
+	target := t.targets[vm.ID]
+	if target == nil {
+		target = &Target{ID: vm.ID, tickets: make(map[*Ticket]struct{}), pace: 1}
+		t.targets[vm.ID] = target
+	}
+	if target.Born != vm.Born || target.Address != vm.Address {
+		target.Born, target.Address = vm.Born, vm.Address
+		target.health, target.others = health{}, 0
+	}
+	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, vm.Slots
+	return target
+}
+
+// describe fills in a target's group and reports whether it is whole.
+func (t *Table) describe(vm *fleet.VM, target *Target, groups map[groupKey][]*fleet.VM) bool {
+	if !vm.Engine {
+		return true
+	}
+	if vm.Stage != fleet.Open || vm.Rank != 0 {
+		target.Group, target.Model = "", ""
+		return false
+	}
+	if target.Group != vm.Group || target.Epoch != vm.Epoch {
+		target.Group, target.Epoch = vm.Group, vm.Epoch
+		target.health = health{}
+	}
+	target.Model = vm.Model
+	members := groups[groupKey{vm.Group, vm.Epoch}]
+	target.Members = target.Members[:0]
+	for _, m := range members {
+		target.Members = append(target.Members, m.ID)
+	}
+	return t.whole(vm, members)
+}
+
+// whole reports whether nothing speaks against a group: no member is known to
+// be silent or to have left it.
+func (t *Table) whole(head *fleet.VM, members []*fleet.VM) bool {
+	svc := t.cats.Service(head.Service)
+	if svc == nil || svc.Engine == nil {
+		return false
+	}
+	model := svc.Engine.Model(head.Model)
+	if model == nil || len(members) < model.GroupSize {
+		return false
+	}
+	for _, m := range members {
+		if m.FailedProbes >= deadProbes {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	// deadProbes and deadFor are what a VM's silence must last to end the
+	// requests at it.
+	deadProbes = 2
+	deadFor    = 300 * time.Millisecond
+)
+
+func dead(now time.Time, vm *fleet.VM) bool {
+	return vm.FailedProbes >= deadProbes && now.Sub(vm.FailedSince) >= deadFor
+}
+
+// drop appends the target's tickets to lost.
+func (t *Target) drop(lost []*Ticket) []*Ticket {
+	for ticket := range t.tickets {
+		lost = append(lost, ticket)
+	}
+	return lost
+}
+
+type groupKey struct {
+	name  string
+	epoch uint64
+}
+
+func membersByGroup(vms *fleet.Table) map[groupKey][]*fleet.VM {
+	groups := make(map[groupKey][]*fleet.VM)
+	for _, vm := range vms.All() {
+		if vm.Group != "" {
+			key := groupKey{vm.Group, vm.Epoch}
+			groups[key] = append(groups[key], vm)
+		}
+	}
+	return groups
+}
+
+// Heads returns the IDs of the VMs that requests may go to, to be probed.
+func (t *Table) Heads() []string {
+	var out []string
+	for _, pool := range t.pools {
+		for _, target := range pool {
+			if target.Group != "" {
+				out = append(out, target.ID)
+			}
+		}
+	}
+	slices.SortFunc(out, strings.Compare)
+	return out
+}
+
+// Stalled returns the targets none of whose requests has made progress for d.
+func (t *Table) Stalled(now time.Time, d time.Duration) []*Target {
+	var out []*Target
+	for _, target := range t.targets {
+		if target.Group != "" && target.stalled(now, d) {
+			out = append(out, target)
+		}
+	}
+	return out
+}
+
+func (t *Target) stalled(now time.Time, d time.Duration) bool {
+	waiting := 0
+	for ticket := range t.tickets {
+		if now.Sub(ticket.ProgressAt) < d {
+			return false
+		}
+		waiting++
+	}
+	return waiting > 0
+}
+
+// Silent returns the tickets of groups that alone make no progress while
+// others at their target do: for d, or for first if they never made any.
+func (t *Table) Silent(now time.Time, d, first time.Duration) []*Ticket {
+	var out []*Ticket
+	for _, target := range t.targets {
+		if target.Group == "" {
+			continue
+		}
+		for ticket := range target.tickets {
+			limit := first
+			if ticket.Begun {
+				limit = d
+			}
+			if now.Sub(ticket.ProgressAt) >= limit {
+				out = append(out, ticket)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/coord/fleet/table.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// reportPreferred is how long a report's state goes before that of a row,
+// which may have been written earlier than it arrived.
+const reportPreferred = 1500 * time.Millisecond
+
+// unlistedKept is how long a VM is kept that the platform no longer lists.
+const unlistedKept = 60 * time.Second
+
+// Table holds the VMs that one node knows.
+type Table struct {
+	vms  map[string]*VM
+	list []*VM // by ID
+	// Changes grows with each change of a VM's state, place or listing.
+	Changes uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{vms: make(map[string]*VM)} }
+
+// Get returns the VM of that ID, or nil.
+func (t *Table) Get(id string) *VM { return t.vms[id] }
+
+// All returns the VMs by ID. The caller must not change the slice.
+func (t *Table) All() []*VM { return t.list }
+
+// ApplyRow takes in a row of the platform's list. It reports whether the VM
+// is new or has started again.
+func (t *Table) ApplyRow(now time.Time, row Row) bool {
+	vm := t.vms[row.ID]
+	if vm == nil {
+		vm = &VM{ID: row.ID}
+		t.vms[row.ID] = vm
+		at, _ := slices.BinarySearchFunc(t.list, row.ID, func(v *VM, id string) int { return strings.Compare(v.ID, id) })
+		t.list = slices.Insert(t.list, at, vm)
+	}
+	if row.Born < vm.Born {
+		return false
+	}
+	restarted := row.Born > vm.Born
+	if restarted {
+		vm.restart()
+	}
+	changed := restarted || !vm.Listed || vm.Draining != row.Draining || vm.Address != row.Address
+	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
+	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
+	if row.ColdLeft > 0 {
+		vm.ColdUntil = now.Add(row.ColdLeft)
+	}
+	if now.Sub(vm.HeardAt) > reportPreferred && row.Orders >= vm.Orders {
+		changed = vm.setState(row.State) || changed
+	}
+	if changed {
+		t.Changes++
+	}
+	return restarted
+}
+
+// restart forgets what was known of an earlier start.
+func (vm *VM) restart() {
+	vm.State = State{Domain: vm.Domain}
+	vm.Load = Load{}
+	vm.HeardAt = time.Time{}
+	vm.FailedProbes = 0
+}
+
+func (vm *VM) setState(s State) bool {
+	changed := vm.Membership != s.Membership || vm.Born != s.Born || vm.Model != s.Model ||
+		!slices.Equal(vm.Staged, s.Staged)
+	if s.Domain == "" {
+		s.Domain = vm.Domain
+	}
+	vm.State = s
+	return changed
+}
+
+// Unlist notes that the platform no longer lists a VM.
+func (t *Table) Unlist(now time.Time, id string) {
+	vm := t.vms[id]
+	if vm == nil || !vm.Listed {
+		return
+	}
+	vm.Listed = false
+	vm.ListedAt = now
+	t.Changes++
+}
+
+// ApplyReport takes in the answer to a probe that was sent at a time to a
+// start of a VM.
+func (t *Table) ApplyReport(sent time.Time, id string, r Report) {
+	vm := t.vms[id]
+	if vm == nil || sent.Before(vm.HeardAt) || r.Born < vm.Born {
+		return
+	}
+	if r.Born > vm.Born {
+		vm.restart()
+	}
+	vm.HeardAt = sent
+	vm.FailedProbes = 0
+	vm.Load = r.Load
+	if vm.setState(r.State) {
+		t.Changes++
+	}
+}
+
+// ProbeFailed notes a probe without an answer.
+func (t *Table) ProbeFailed(sent time.Time, id string) {
+	vm := t.vms[id]
+	if vm == nil || sent.Before(vm.HeardAt) {
+		return
+	}
+	if vm.FailedProbes == 0 {
+		vm.FailedSince = sent
+	}
+	vm.FailedProbes++
+	t.Changes++
+}
+
+// Sweep drops VMs that have been unlisted and silent for long.
+func (t *Table) Sweep(now time.Time) {
+	t.list = slices.DeleteFunc(t.list, func(vm *VM) bool {
+		drop := !vm.Listed && now.Sub(vm.ListedAt) > unlistedKept && now.Sub(vm.HeardAt) > unlistedKept
+		if drop {
+			delete(t.vms, vm.ID)
+		}
+		return drop
+	})
+}
--- /dev/null
+++ b/coord/fleet/vm.go
@@ -0,0 +1,104 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// Stage is how far a VM is in its group.
+type Stage string
+
+// Stages of a VM in a group.
+const (
+	NoGroup Stage = ""
+	Joining Stage = "joining" // loads the model's weights
+	Ready   Stage = "ready"
+	Open    Stage = "open"    // serves as the group's head
+	Closing Stage = "closing" // finishes its work as the group's head
+	Broken  Stage = "broken"  // a head that stood still for too long
+)
+
+// Membership is a VM's own account of the group it is in.
+type Membership struct {
+	Group string
+	// Epoch orders the formations of groups.
+	Epoch uint64
+	// Rank is the VM's place in the list of members; 0 is the head.
+	Rank  int
+	Stage Stage
+}
+
+// Load is the work at a VM as of its last report.
+type Load struct {
+	Running, Waiting int
+	// KVUsed is the part of its memory for tokens that is in use, 0 to 1.
+	KVUsed float64
+	// Pace is over 1 while the VM is slow.
+	Pace float64
+}
+
+// State is what a VM says of itself, in its row or in a report.
+type State struct {
+	// Born tells the VM's starts apart: the time of the newest one, in Unix
+	// milliseconds. It is 0 if the VM did not say.
+	Born int64
+	// Orders is the number of orders that this start has accepted.
+	Orders uint64
+	// Busy is whether an order is being carried out.
+	Busy bool
+	// Model is the one whose weights the VM holds in its accelerators.
+	Model  string
+	Staged []string // models whose weights are on the host
+	Domain string   // of the fabric
+	Membership
+}
+
+// HasStaged reports whether the model's weights are on the VM's host.
+func (s *State) HasStaged(model string) bool { return slices.Contains(s.Staged, model) }
+
+// Row is a VM as the platform lists it.
+type Row struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	// ColdLeft is how much longer the VM bears little load.
+	ColdLeft time.Duration
+	// Engine is whether State is filled in.
+	Engine bool
+	State
+}
+
+// VM is what is known of an endpoint VM.
+type VM struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Engine     bool
+	// Listed is whether the platform lists the VM now.
+	Listed   bool
+	Draining bool
+	// ColdUntil is when the VM bears its full load.
+	ColdUntil time.Time
+	// ListedAt is when the newest row arrived.
+	ListedAt time.Time
+
+	State
+	Load
+	// HeardAt is when the newest answered probe was sent.
+	HeardAt time.Time
+	// FailedProbes counts probes without an answer since HeardAt.
+	FailedProbes int
+	// FailedSince is when the first of them was sent.
+	FailedSince time.Time
+}
+
+// Report is a VM's answer to a probe.
+type Report struct {
+	State
+	Load
+}
--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -38,6 +38,10 @@
 	Duration time.Duration
 	// Promise is how long a candidate's promise binds it.
 	Promise time.Duration
+	// WithoutPromises lets the lease run out in an outage: no promises are
+	// asked for, so that candidates need not be listed in the row and need
+	// not wait for promises to run out.
+	WithoutPromises bool
 	// RenewEvery is the interval between renewals by the holder.
 	RenewEvery time.Duration
 	// PollEvery is the interval between reads by other candidates.
@@ -68,7 +72,9 @@
 
 func (o Options) withDefaults() Options {
 	o.Duration = cmp.Or(o.Duration, DefaultDuration)
-	o.Promise = cmp.Or(o.Promise, DefaultPromise)
+	if !o.WithoutPromises {
+		o.Promise = cmp.Or(o.Promise, DefaultPromise)
+	}
 	o.RenewEvery = cmp.Or(o.RenewEvery, DefaultRenewEvery)
 	o.PollEvery = cmp.Or(o.PollEvery, DefaultPollEvery)
 	o.AskEvery = cmp.Or(o.AskEvery, DefaultAskEvery)
@@ -94,10 +100,13 @@
 		consequence string
 	}{
 		{"RenewEvery", o.RenewEvery, o.Duration / 2, "half of Duration, or one slow write costs the lease"},
-		{"AskEvery", o.AskEvery, o.Promise, "Promise, or promises run out before the next round"},
-		{"OrderTimeout plus Margin", o.OrderTimeout + o.Margin, min(o.Duration, o.Promise) / 2, "half of Duration and of Promise, or orders rarely fit into the lease"},
+		{"AskEvery", o.AskEvery, o.promise(), "Promise, or promises run out before the next round"},
+		{"OrderTimeout plus Margin", o.OrderTimeout + o.Margin, min(o.Duration, o.promise()) / 2, "half of Duration and of Promise, or orders rarely fit into the lease"},
 	}
 	for _, l := range limits {
+		if o.WithoutPromises && l.name == "AskEvery" {
+			continue
+		}
 		if l.value >= l.below {
 			message := fmt.Sprintf("%s of %v is too long", l.name, l.value)
 			return problem.New(problem.ConfigInvalid, message, "set it below "+l.consequence)
@@ -112,3 +121,12 @@
 	drift := time.Duration(o.DriftPPM)
 	return d + (d/partsPerMillion+1)*drift
 }
+
+// promise returns the length of promises, or the lease's own where none are
+// asked for.
+func (o Options) promise() time.Duration {
+	if o.WithoutPromises {
+		return o.Duration
+	}
+	return o.Promise
+}
--- a/coord/lease/promise.go
+++ b/coord/lease/promise.go
@@ -142,7 +142,7 @@
 // askPromises sends requests to the candidates that could take over, once
 // half of the lease's duration has passed without a renewal.
 func (m *Machine) askPromises(now time.Time) {
-	if !m.hold.active || m.off.promises || m.hold.rowUntil.Sub(now) >= m.opts.Duration/2 {
+	if !m.hold.active || m.off.promises || m.opts.WithoutPromises || m.hold.rowUntil.Sub(now) >= m.opts.Duration/2 {
 		return
 	}
 	m.promises.forget(now.Add(-m.opts.Promise))
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -27,8 +27,12 @@
 }
 
 // newcomer reports whether this VM is not listed in the row, so that its
-// holder does not ask it for promises.
+// holder does not ask it for promises. A holder whose row names no promises
+// asks nobody.
 func (m *Machine) newcomer() bool {
+	if m.seen.row.Promise == 0 {
+		return false
+	}
 	return m.seen.revision > 0 && !m.seen.row.Released && !m.seen.row.lists(m.opts.VM) && !m.off.listed
 }
 
--- /dev/null
+++ b/coord/replica/adopt.go
@@ -0,0 +1,94 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// adopt takes over the groups of earlier planners from what VMs report, and
+// takes VMs out of what is left of broken ones.
+func (p *Planner) adopt(now time.Time) {
+	unknown := make(map[string][]*member)
+	for _, vm := range p.table.All() {
+		m := p.members[vm.ID]
+		if m == nil || m.group != nil || m.Group == "" || p.released[m.Group] {
+			continue
+		}
+		unknown[m.Group] = append(unknown[m.Group], m)
+	}
+	for name := range p.strays {
+		if unknown[name] == nil {
+			delete(p.strays, name)
+		}
+	}
+	for name, members := range unknown {
+		if p.adoptGroup(now, members) {
+			continue
+		}
+		since, seen := p.strays[name]
+		if !seen {
+			p.strays[name] = now
+			continue
+		}
+		if now.Sub(since) >= adoptGrace && now.Sub(p.started) >= adoptGrace {
+			p.expel(now, members)
+		}
+	}
+}
+
+// adoptGroup takes a group over if all its members report it.
+func (p *Planner) adoptGroup(now time.Time, members []*member) bool {
+	model := p.engine.Model(members[0].Model)
+	if model == nil || len(members) != model.GroupSize {
+		return false
+	}
+	byRank := make([]*member, model.GroupSize)
+	for _, m := range members {
+		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Epoch != members[0].Epoch || m.Model != model.Name {
+			return false
+		}
+		byRank[m.Rank] = m
+	}
+	g := &Group{Name: members[0].Group, Epoch: members[0].Epoch, Model: model.Name}
+	joining := false
+	for _, m := range byRank {
+		g.Members = append(g.Members, m.ID)
+		g.born = append(g.born, m.VM.Born)
+		m.group = g
+		joining = joining || m.Stage == fleet.Joining
+	}
+	p.groups[g.Name] = g
+	switch head := byRank[0]; {
+	case head.Stage == fleet.Open:
+		g.enter(now, Serving)
+	case head.Stage == fleet.Closing:
+		g.giveUp(now, "closing", "", true)
+	case joining:
+		g.enter(now, Forming)
+	default:
+		g.enter(now, Opening)
+	}
+	return true
+}
+
+// expel tells the VMs of an incomplete group to leave it. Those whose head
+// can't be asked are held until it has given up.
+func (p *Planner) expel(now time.Time, members []*member) {
+	headHere := false
+	for _, m := range members {
+		headHere = headHere || m.Rank == 0
+	}
+	for _, m := range members {
+		if m.silent(now, silentFor) || now.Sub(m.settleAt) < settleFor {
+			continue
+		}
+		if m.Rank > 0 && headHere {
+			continue // its head goes first
+		}
+		if m.Rank > 0 {
+			m.heldUntil = now.Add(p.opts.Stall + stallMargin)
+		}
+		p.send(now, m, Order{Action: Leave, Group: m.Group, Epoch: m.Epoch})
+	}
+}
--- /dev/null
+++ b/coord/replica/assemble.go
@@ -0,0 +1,181 @@
+package replica
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+)
+
+// Costs of a VM's join, from what it holds of the model.
+const (
+	joinHeld   = iota // the model was that of its last group
+	joinStaged        // the weights are on its host
+	joinLoad          // the weights have to be loaded
+)
+
+// domain is a fabric domain with its VMs that are free.
+type domain struct {
+	name       string
+	dataCentre string
+	free       []*member
+	groups     map[string]int // by model
+}
+
+// free reports whether a VM may join a group now.
+func (p *Planner) free(now time.Time, m *member) bool {
+	return m.group == nil && m.idle(now) && m.loading == "" &&
+		m.Listed && !m.Draining && !p.evacuated[m.DataCentre] &&
+		m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor && !m.HeardAt.Before(m.settleAt) &&
+		!now.Before(m.heldUntil) && (m.Group == "" || p.released[m.Group]) && !m.Busy
+}
+
+// domains returns the fabric domains by name.
+func (p *Planner) domains(now time.Time) []*domain {
+	byName := make(map[string]*domain)
+	var out []*domain
+	for _, vm := range p.table.All() {
+		m := p.members[vm.ID]
+		if m == nil {
+			continue
+		}
+		d := byName[m.Domain]
+		if d == nil {
+			d = &domain{name: m.Domain, dataCentre: m.DataCentre, groups: make(map[string]int)}
+			byName[m.Domain] = d
+			out = append(out, d)
+		}
+		switch {
+		case m.group != nil:
+			if m.group.Members[0] == m.ID && m.group.Phase != Dissolving {
+				d.groups[m.group.Model]++
+			}
+		case p.free(now, m):
+			d.free = append(d.free, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b *domain) int { return cmp.Compare(a.name, b.name) })
+	return out
+}
+
+// wanted returns how many groups of a model the fleet should run.
+func (p *Planner) wanted(model *catalog.Model) float64 {
+	alive := 0
+	for _, m := range p.members {
+		if m.Listed && !m.Draining && m.FailedProbes < silentProbes && !p.evacuated[m.DataCentre] {
+			alive++
+		}
+	}
+	share := 0.0
+	for _, other := range p.engine.Models {
+		share += other.Share
+	}
+	if share <= 0 {
+		return 0
+	}
+	return float64(alive) * (1 - p.opts.SpareShare) * model.Share / share / float64(model.GroupSize)
+}
+
+// running returns the number of groups of a model that serve or will.
+func (p *Planner) running(model string) int {
+	n := 0
+	for _, g := range p.groups {
+		if g.Model == model && g.Phase != Dissolving {
+			n++
+		}
+	}
+	return n
+}
+
+// assemble forms groups of free VMs: first of the model that has the smallest
+// part of the groups it should have.
+func (p *Planner) assemble(now time.Time) {
+	if now.Sub(p.started) < adoptGrace && p.opts.Term > 1 {
+		return
+	}
+	domains := p.domains(now)
+	for p.assembleOne(now, domains) {
+	}
+}
+
+func (p *Planner) assembleOne(now time.Time, domains []*domain) bool {
+	models := make([]*catalog.Model, 0, len(p.engine.Models))
+	for i := range p.engine.Models {
+		models = append(models, &p.engine.Models[i])
+	}
+	lack := func(m *catalog.Model) float64 { return (float64(p.running(m.Name)) + 0.5) / math.Max(p.wanted(m), 0.1) }
+	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(lack(a), lack(b)) })
+	for _, model := range models {
+		if float64(p.running(model.Name)) >= math.Ceil(p.wanted(model)) && p.running(model.Name) > 0 {
+			continue
+		}
+		if d, members := p.bestPlace(now, domains, model); d != nil {
+			p.assembleIn(now, d, model, members)
+			return true
+		}
+	}
+	return false
+}
+
+// bestPlace returns the domain in which a group of a model forms soonest, and
+// its members.
+func (p *Planner) bestPlace(now time.Time, domains []*domain, model *catalog.Model) (*domain, []*member) {
+	var best *domain
+	var members []*member
+	bestKey := [3]int{math.MaxInt, 0, 0}
+	for _, d := range domains {
+		if len(d.free) < model.GroupSize {
+			continue
+		}
+		chosen := cheapest(d.free, model)
+		loads := 0
+		for _, m := range chosen {
+			if joinCost(m, model.Name) == joinLoad {
+				loads++
+			}
+		}
+		if loads > 0 && !p.mayLoad(now, loads, model) {
+			continue
+		}
+		key := [3]int{loads, d.groups[model.Name], -len(d.free)}
+		if slices.Compare(key[:], bestKey[:]) < 0 {
+			best, members, bestKey = d, chosen, key
+		}
+	}
+	return best, members
+}
+
+func joinCost(m *member, model string) int {
+	switch {
+	case m.Model == model && m.HasStaged(model):
+		return joinHeld
+	case m.HasStaged(model):
+		return joinStaged
+	}
+	return joinLoad
+}
+
+// cheapest returns the free VMs that join soonest.
+func cheapest(free []*member, model *catalog.Model) []*member {
+	sorted := slices.Clone(free)
+	slices.SortStableFunc(sorted, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(joinCost(a, model.Name), joinCost(b, model.Name)), cmp.Compare(len(a.Staged), len(b.Staged)))
+	})
+	return sorted[:model.GroupSize]
+}
+
+func (p *Planner) assembleIn(now time.Time, d *domain, model *catalog.Model, members []*member) {
+	for _, m := range members {
+		if joinCost(m, model.Name) == joinLoad {
+			p.beginLoad(now, m, model.Name)
+		}
+	}
+	g := p.newGroup(now, model.Name, members)
+	d.groups[model.Name]++
+	d.free = slices.DeleteFunc(d.free, func(m *member) bool { return m.group != nil })
+	for _, m := range members {
+		p.sendJoin(now, g, m)
+	}
+}
--- /dev/null
+++ b/coord/replica/assess.go
@@ -0,0 +1,84 @@
+package replica
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// darkShare is the part of a data centre's VMs whose silence is taken for a
+// loss of the way there, not of the VMs.
+const darkShare = 0.7
+
+// sorted returns the groups by epoch, so that runs repeat.
+func (p *Planner) sorted() []*Group {
+	out := make([]*Group, 0, len(p.groups))
+	for _, g := range p.groups {
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b *Group) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// assess finds the groups that have lost a member or are about to.
+func (p *Planner) assess(now time.Time) {
+	for _, g := range p.sorted() {
+		p.assessGroup(now, g)
+	}
+}
+
+func (p *Planner) assessGroup(now time.Time, g *Group) {
+	for i, id := range g.Members {
+		reason := p.fault(now, g, i)
+		switch reason {
+		case "":
+		case "leaving":
+			g.giveUp(now, reason, id, true)
+		default:
+			g.giveUp(now, reason, id, false)
+			return
+		}
+	}
+	if g.refusals > maxRefusals {
+		g.giveUp(now, "orders refused", "", false)
+	}
+}
+
+// fault says what is wrong with a group's member, or "".
+func (p *Planner) fault(now time.Time, g *Group, rank int) string {
+	m := p.members[g.Members[rank]]
+	switch {
+	case m == nil:
+		return "gone"
+	case m.VM.Born != g.born[rank]:
+		return "restarted"
+	case m.silent(now, silentFor):
+		return "silent"
+	case g.Phase == Serving && !g.holds(m), g.Phase == Opening && !g.holds(m):
+		return "not a member"
+	case rank == 0 && m.Stage == fleet.Broken && g.holds(m):
+		return "head gave up"
+	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
+		return "head stopped serving"
+	case m.leaving():
+		return "leaving"
+	}
+	return ""
+}
+
+// dark reports whether most VMs of a data centre are silent.
+func (p *Planner) dark(now time.Time, dataCentre string) bool {
+	silent, all := 0, 0
+	for _, m := range p.members {
+		if m.DataCentre != dataCentre {
+			continue
+		}
+		all++
+		if m.silent(now, silentFor) {
+			silent++
+		}
+	}
+	return all > 0 && float64(silent) >= darkShare*float64(all)
+}
--- /dev/null
+++ b/coord/replica/dissolve.go
@@ -0,0 +1,100 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// dissolve frees the members of groups that were given up.
+func (p *Planner) dissolve(now time.Time) {
+	for _, g := range p.sorted() {
+		if g.Phase == Dissolving {
+			p.dissolveGroup(now, g)
+		}
+	}
+}
+
+func (p *Planner) dissolveGroup(now time.Time, g *Group) {
+	head := p.members[g.Members[0]]
+	switch {
+	case head == nil:
+		p.freeSurvivors(now, g)
+	case p.headSafe(g, head):
+		p.release(g)
+	case !head.silent(now, silentFor):
+		p.stopHead(now, g, head)
+	case head.silent(now, headSilentFor) && !p.dark(now, head.DataCentre):
+		p.freeSurvivors(now, g)
+	case p.wholeAgain(now, g):
+		g.enter(now, Serving)
+	}
+}
+
+// headSafe reports whether the head certainly doesn't serve the group and
+// won't.
+func (p *Planner) headSafe(g *Group, head *member) bool {
+	if head.VM.Born != g.born[0] {
+		return true
+	}
+	if g.openUnsettled || head.pending != nil && head.pending.order.Action == Open {
+		return false
+	}
+	if head.HeardAt.Before(head.settleAt) || head.HeardAt.Before(g.openedAt) {
+		return false
+	}
+	if !g.holds(head) {
+		return true
+	}
+	return head.Stage == fleet.Joining || head.Stage == fleet.Ready
+}
+
+// stopHead tells a head that answers to stop serving.
+func (p *Planner) stopHead(now time.Time, g *Group, head *member) {
+	if now.Sub(head.settleAt) < settleFor {
+		return
+	}
+	waiting := g.finish && now.Sub(g.Since) < closeFor
+	switch {
+	case waiting && head.Stage == fleet.Open:
+		p.send(now, head, Order{Action: Close, Group: g.Name, Epoch: g.Epoch})
+	case waiting && head.Stage == fleet.Closing:
+	default:
+		p.send(now, head, Order{Action: Leave, Group: g.Name, Epoch: g.Epoch})
+	}
+}
+
+// freeSurvivors takes the members away from a head that doesn't answer. They
+// are held until the head, if it still runs, has given up.
+func (p *Planner) freeSurvivors(now time.Time, g *Group) {
+	done := true
+	for _, id := range g.Members[1:] {
+		m := p.members[id]
+		if m == nil || m.group != g || m.silent(now, silentFor) {
+			continue
+		}
+		if g.holds(m) || m.HeardAt.Before(m.settleAt) {
+			done = false
+			if now.Sub(m.settleAt) >= settleFor {
+				p.send(now, m, Order{Action: Leave, Group: g.Name, Epoch: g.Epoch})
+			}
+			continue
+		}
+		m.heldUntil = now.Add(p.opts.Stall + stallMargin)
+		m.group = nil
+	}
+	if done {
+		p.release(g)
+	}
+}
+
+// wholeAgain reports whether all members of a group that was out of reach
+// answer again as before.
+func (p *Planner) wholeAgain(now time.Time, g *Group) bool {
+	for rank := range g.Members {
+		if p.fault(now, g, rank) != "" {
+			return false
+		}
+	}
+	return p.members[g.Members[0]].Stage == fleet.Open
+}
--- /dev/null
+++ b/coord/replica/group.go
@@ -0,0 +1,134 @@
+package replica
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// Phase is how far a group is.
+type Phase string
+
+// Phases of a group.
+const (
+	Forming    Phase = "forming"    // members are joining
+	Opening    Phase = "opening"    // all were ready; the head is told to serve
+	Serving    Phase = "serving"    // the head has reported that it serves
+	Dissolving Phase = "dissolving" // members are to be freed
+)
+
+// Group is a set of VMs that run one model together.
+type Group struct {
+	Name  string
+	Epoch uint64
+	Model string
+	// Members are VM IDs, the head's first.
+	Members []string
+	Phase   Phase
+	// Since is when the phase began.
+	Since time.Time
+	// Reason says why the group is dissolved.
+	Reason string
+	// Lost is the member that was lost, if that is the reason.
+	Lost string
+
+	// finish lets the head finish its work before it is freed.
+	finish bool
+	// openUnsettled is whether an order to serve may yet take effect.
+	openUnsettled bool
+	openedAt      time.Time
+	refusals      int
+	// born holds each member's start.
+	born []int64
+}
+
+func (g *Group) enter(now time.Time, phase Phase) {
+	g.Phase, g.Since = phase, now
+}
+
+// holds reports whether a VM reports its membership of the group.
+func (g *Group) holds(m *member) bool {
+	return m.Group == g.Name && m.Epoch == g.Epoch
+}
+
+// giveUp begins to dissolve a group.
+func (g *Group) giveUp(now time.Time, reason, lost string, finish bool) {
+	if g.Phase == Dissolving {
+		g.finish = g.finish && finish
+		return
+	}
+	g.Reason, g.Lost, g.finish = reason, lost, finish
+	g.enter(now, Dissolving)
+}
+
+func (p *Planner) newGroup(now time.Time, model string, members []*member) *Group {
+	p.lastEpoch++
+	epoch := p.opts.Term<<epochBits | p.lastEpoch
+	g := &Group{Name: "g" + strconv.FormatUint(epoch, 36), Epoch: epoch, Model: model}
+	for _, m := range members {
+		g.Members = append(g.Members, m.ID)
+		g.born = append(g.born, m.VM.Born)
+		m.group = g
+	}
+	g.enter(now, Forming)
+	p.groups[g.Name] = g
+	return g
+}
+
+// release frees a group's members.
+func (p *Planner) release(g *Group) {
+	for _, id := range g.Members {
+		if m := p.members[id]; m != nil && m.group == g {
+			m.group = nil
+		}
+	}
+	p.released[g.Name] = true
+	delete(p.groups, g.Name)
+}
+
+// advance moves forming groups on towards serving.
+func (p *Planner) advance(now time.Time) {
+	for _, g := range p.sorted() {
+		switch g.Phase {
+		case Forming:
+			p.form(now, g)
+		case Opening:
+			p.open(now, g)
+		}
+	}
+}
+
+func (p *Planner) form(now time.Time, g *Group) {
+	all := true
+	for _, id := range g.Members {
+		m := p.members[id]
+		if !g.holds(m) {
+			p.sendJoin(now, g, m)
+			all = false
+			continue
+		}
+		all = all && m.Stage != fleet.Joining
+	}
+	if all {
+		g.enter(now, Opening)
+		p.open(now, g)
+	}
+}
+
+func (p *Planner) sendJoin(now time.Time, g *Group, m *member) {
+	if now.Sub(m.settleAt) < settleFor {
+		return
+	}
+	p.send(now, m, Order{Action: Join, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Members: g.Members})
+}
+
+func (p *Planner) open(now time.Time, g *Group) {
+	head := p.members[g.Members[0]]
+	switch {
+	case head.Stage == fleet.Open:
+		g.enter(now, Serving)
+	case now.Sub(head.settleAt) >= settleFor+p.engine.FormTime:
+		p.send(now, head, Order{Action: Open, Group: g.Name, Epoch: g.Epoch})
+	}
+}
--- /dev/null
+++ b/coord/replica/planner.go
@@ -0,0 +1,227 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+const (
+	// silentProbes and silentFor are what a member's silence must last to
+	// count it as lost; a head's must last for headSilentFor, since taking
+	// its members away can't be undone.
+	silentProbes  = 2
+	silentFor     = 500 * time.Millisecond
+	headSilentFor = 1200 * time.Millisecond
+	// freshFor is how old the last answered probe of a VM may be that joins
+	// a group.
+	freshFor = 2 * time.Second
+	// retryPause is the pause before a VM gets another order.
+	retryPause = 150 * time.Millisecond
+	// answerTimeout bounds the wait for an order's answer beyond the
+	// embedding program's own timeout.
+	answerTimeout = 2 * time.Second
+	// settleFor is how long an accepted order may take to show in reports.
+	settleFor = 400 * time.Millisecond
+	// adoptGrace is how long a group of an earlier planner may be
+	// incomplete before its VMs are taken out of it.
+	adoptGrace = 1500 * time.Millisecond
+	// closeFor bounds the wait for a head to finish its work.
+	closeFor = 9 * time.Second
+	// stallMargin is added to the time after which a head that stands still
+	// gives up.
+	stallMargin = time.Second
+	// maxRefusals is how many refused orders a forming group may see.
+	maxRefusals = 6
+	// epochBits leaves room below the term for the epochs of one planner.
+	epochBits = 24
+)
+
+// Options set up a Planner.
+type Options struct {
+	// Service is the service whose VMs are planned for.
+	Service string
+	// Term is the lease's; epochs of a later term are higher.
+	Term uint64
+	// Stall is how long a head stands still without a member until it gives
+	// up.
+	Stall time.Duration
+	// SpareShare is the part of the VMs that is kept out of groups to
+	// replace members.
+	SpareShare float64
+	// LoadWindow and LoadOverage bound the starts of loads: in any window no
+	// more than its length times the rate times the overage.
+	LoadWindow time.Duration
+}
+
+// Planner plans the groups of one service. It is not safe for concurrent use.
+type Planner struct {
+	opts   Options
+	table  *fleet.Table
+	engine *catalog.Engine
+	// evacuated data centres get no work and no new groups.
+	evacuated map[string]bool
+	// traffic is whether requests have begun, from when on loads are slow.
+	traffic bool
+
+	members  map[string]*member
+	groups   map[string]*Group
+	released map[string]bool // groups whose members are free
+	strays   map[string]time.Time
+	loads    []time.Time // starts of loads
+
+	started   time.Time
+	lastOrder uint64
+	lastEpoch uint64
+	out       []Order
+}
+
+// member is a VM with what the planner knows beyond its reports.
+type member struct {
+	*fleet.VM
+	pending *pending
+	// retryAt is when the next order may be sent.
+	retryAt time.Time
+	// settleAt is when the newest order was accepted.
+	settleAt time.Time
+	// acceptedOrders is the number of orders that the start acceptedBorn is
+	// known to have accepted.
+	acceptedOrders uint64
+	acceptedBorn   int64
+	group          *Group
+	// heldUntil is when the VM may join another group, after its head could
+	// not be asked.
+	heldUntil time.Time
+	// loading is the model whose load this planner has started.
+	loading   string
+	loadSince time.Time
+}
+
+// New returns a planner over the table, which the caller keeps up to date.
+func New(opts Options, table *fleet.Table) *Planner {
+	return &Planner{
+		opts: opts, table: table,
+		members:  make(map[string]*member),
+		groups:   make(map[string]*Group),
+		released: make(map[string]bool),
+		strays:   make(map[string]time.Time),
+	}
+}
+
+// Configure sets the engine's figures and the data centres that are to get no
+// work.
+func (p *Planner) Configure(engine *catalog.Engine, evacuated map[string]bool) {
+	p.engine, p.evacuated = engine, evacuated
+}
+
+// TrafficSeen says that requests have begun.
+func (p *Planner) TrafficSeen() { p.traffic = true }
+
+// Tick runs the systems and returns the orders to send.
+func (p *Planner) Tick(now time.Time) []Order {
+	if p.engine == nil {
+		return nil
+	}
+	if p.started.IsZero() {
+		p.started = now
+	}
+	p.sync(now)
+	p.adopt(now)
+	p.assess(now)
+	p.dissolve(now)
+	p.advance(now)
+	p.assemble(now)
+	p.stage(now)
+	out := p.out
+	p.out = nil
+	return out
+}
+
+// sync follows the table of VMs.
+func (p *Planner) sync(now time.Time) {
+	for _, vm := range p.table.All() {
+		if !vm.Engine || vm.Service != p.opts.Service {
+			continue
+		}
+		m := p.members[vm.ID]
+		if m == nil {
+			m = &member{VM: vm}
+			p.members[vm.ID] = m
+		}
+		m.VM = vm
+		if m.acceptedBorn != vm.Born {
+			m.restarted(vm.Born)
+		}
+		if m.pending != nil && now.Sub(m.pending.sentAt) > answerTimeout {
+			p.Answered(now, m.pending.order.ID, m.ID, Unknown)
+		}
+		m.trackLoad(now, p.engine)
+	}
+	for id := range p.members {
+		if p.table.Get(id) == nil {
+			delete(p.members, id)
+		}
+	}
+}
+
+func (m *member) restarted(born int64) {
+	m.acceptedBorn, m.acceptedOrders = born, 0
+	m.pending = nil
+	m.heldUntil = time.Time{}
+	m.loading = ""
+}
+
+// trackLoad ends a load that has shown its effect or can't be under way any
+// more.
+func (m *member) trackLoad(now time.Time, e *catalog.Engine) {
+	if m.loading == "" {
+		return
+	}
+	model := e.Model(m.loading)
+	late := model == nil || now.Sub(m.loadSince) > 4*model.LoadTime
+	if late || m.HasStaged(m.loading) {
+		m.loading = ""
+	}
+}
+
+// accepted returns the number of orders that the VM has accepted.
+func (m *member) accepted() uint64 { return max(m.Orders, m.acceptedOrders) }
+
+// idle reports whether the VM may get an order.
+func (m *member) idle(now time.Time) bool { return m.pending == nil && !now.Before(m.retryAt) }
+
+// silent reports whether the VM has not answered probes for d.
+func (m *member) silent(now time.Time, d time.Duration) bool {
+	return m.FailedProbes >= silentProbes && now.Sub(m.FailedSince) >= d
+}
+
+// leaving reports whether the VM is about to end.
+func (m *member) leaving() bool { return m.Draining || !m.Listed }
+
+// Unsettled returns the VMs whose next report is awaited, to be probed soon.
+func (p *Planner) Unsettled(now time.Time) []string {
+	var out []string
+	for _, vm := range p.table.All() {
+		if m := p.members[vm.ID]; m != nil && p.unsettled(now, m) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+func (p *Planner) unsettled(now time.Time, m *member) bool {
+	if now.Sub(m.settleAt) < settleFor {
+		return true
+	}
+	if m.group == nil {
+		return false
+	}
+	if m.loading != "" && p.traffic {
+		return false
+	}
+	return m.group.Phase != Serving
+}
+
+// Groups returns the groups by name, for reports.
+func (p *Planner) Groups() map[string]*Group { return p.groups }
--- /dev/null
+++ b/coord/replica/stage.go
@@ -0,0 +1,130 @@
+package replica
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+)
+
+// mayLoad reports whether n more loads of a model may begin for a join. Once
+// requests come, a load takes long, and only a model without any group is
+// worth VMs that wait for it; others are staged first.
+func (p *Planner) mayLoad(now time.Time, n int, model *catalog.Model) bool {
+	if p.traffic && p.running(model.Name) > 0 {
+		return false
+	}
+	return p.loadRoom(now) >= n
+}
+
+// loadRoom returns how many loads may begin now.
+func (p *Planner) loadRoom(now time.Time) int {
+	under := 0
+	for _, m := range p.members {
+		if m.loading != "" {
+			under++
+		}
+	}
+	room := p.engine.ConcurrentLoads - under
+	if !p.traffic {
+		return room
+	}
+	window := p.opts.LoadWindow
+	p.loads = slices.DeleteFunc(p.loads, func(t time.Time) bool { return now.Sub(t) > window })
+	rate := int(p.engine.LoadsPerSecond*window.Seconds()) - len(p.loads)
+	return min(room, rate)
+}
+
+func (p *Planner) beginLoad(now time.Time, m *member, model string) {
+	m.loading, m.loadSince = model, now
+	p.loads = append(p.loads, now)
+}
+
+// stage loads weights onto free hosts, for the model whose next loss they
+// would mend.
+func (p *Planner) stage(now time.Time) {
+	if !p.traffic && p.lacking(now) {
+		return // the loads go to groups first
+	}
+	for _, d := range p.domains(now) {
+		for _, m := range d.free {
+			if p.loadRoom(now) <= 0 {
+				return
+			}
+			if model := p.stageChoice(d, m); model != "" {
+				p.send(now, m, Order{Action: Stage, Model: model})
+				p.beginLoad(now, m, model)
+			}
+		}
+	}
+}
+
+// lacking reports whether some model has fewer groups than it should, and the
+// VMs for one more.
+func (p *Planner) lacking(now time.Time) bool {
+	for _, d := range p.domains(now) {
+		for i := range p.engine.Models {
+			model := &p.engine.Models[i]
+			if len(d.free) >= model.GroupSize && float64(p.running(model.Name)) < math.Ceil(p.wanted(model)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// stageChoice returns the model to stage on a free VM, or "".
+func (p *Planner) stageChoice(d *domain, m *member) string {
+	best, bestScore := "", 0.0
+	for i := range p.engine.Models {
+		model := &p.engine.Models[i]
+		score := p.stageScore(d, model)
+		if score > bestScore {
+			best, bestScore = model.Name, score
+		}
+	}
+	if best == "" || m.HasStaged(best) {
+		return ""
+	}
+	if len(m.Staged) > 0 && !p.redundant(d, m, best, bestScore) {
+		return ""
+	}
+	return best
+}
+
+// stageScore tells how much a domain lacks a staged VM of a model.
+func (p *Planner) stageScore(d *domain, model *catalog.Model) float64 {
+	staged := 0
+	for _, m := range d.free {
+		if m.HasStaged(model.Name) {
+			staged++
+		}
+	}
+	for _, m := range p.members {
+		if m.Domain == d.name && m.group == nil && m.loading == model.Name {
+			staged++
+		}
+	}
+	below := float64(p.running(model.Name)) < math.Ceil(p.wanted(model))
+	if below && staged < model.GroupSize {
+		return 2 + float64(staged)/float64(model.GroupSize)
+	}
+	exposed := float64(d.groups[model.Name] * model.GroupSize)
+	return exposed / float64(1+staged) / 100
+}
+
+// redundant reports whether a VM's staged weights are worth less than those
+// of another model.
+func (p *Planner) redundant(d *domain, m *member, best string, bestScore float64) bool {
+	for _, name := range m.Staged {
+		model := p.engine.Model(name)
+		if model == nil {
+			continue
+		}
+		if name == best || 2*p.stageScore(d, model) >= bestScore {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,230 @@
+// Package coordinator runs the decisions that one entry VM takes for all: it
+// is a candidate for the lease and, while it holds it, plans the groups of
+// each service and sends the orders.
+package coordinator
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/replica"
+	"github.com/pimentoshore/pimentoshore/internal/entry"
+	"github.com/pimentoshore/pimentoshore/internal/leasestore"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
+)
+
+// Orderer sends orders to endpoint VMs.
+type Orderer interface {
+	// Order sends an order. The error says why its outcome isn't Accepted.
+	Order(ctx context.Context, o replica.Order) (replica.Outcome, error)
+}
+
+// Options set up a Coordinator.
+type Options struct {
+	Lease   lease.Options
+	Replica replica.Options
+	// OrderTimeout bounds an order from sending to answer.
+	OrderTimeout time.Duration
+	// ProbeEvery is the interval between probes of all VMs by the holder,
+	// FastEvery that of VMs whose reports are awaited.
+	ProbeEvery, FastEvery time.Duration
+	Log                   *slog.Logger
+	Metrics               metrics.Registry
+	Now                   func() time.Time
+}
+
+// Coordinator is a candidate for the lease, and the planner while it holds it.
+type Coordinator struct {
+	opts   Options
+	table  platform.Table
+	state  *entry.State
+	orders Orderer
+	prober *entry.Prober
+
+	mu       sync.Mutex
+	machine  *lease.Machine
+	term     uint64 // of the lease held, or 0
+	planners map[string]*replica.Planner
+	phases   map[string]replica.Phase // by group, as last logged
+	running  sync.WaitGroup
+}
+
+// New returns a coordinator that does nothing until it is ticked.
+func New(opts Options, table platform.Table, state *entry.State, orders Orderer, prober *entry.Prober) *Coordinator {
+	return &Coordinator{
+		opts: opts, table: table, state: state, orders: orders, prober: prober,
+		machine: lease.New(opts.Lease), phases: make(map[string]replica.Phase),
+	}
+}
+
+// Tick lets the lease and the planners act.
+func (c *Coordinator) Tick(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step(ctx, lease.Tick{})
+	if c.term == 0 {
+		return
+	}
+	c.plan(ctx)
+}
+
+// Stop gives the lease up, so that another candidate takes it at once.
+func (c *Coordinator) Stop(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step(ctx, lease.Stop{})
+}
+
+// HandedOver reports whether a stop needs nothing more.
+func (c *Coordinator) HandedOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.machine.HandedOver()
+}
+
+// step feeds the lease. mu is held.
+func (c *Coordinator) step(ctx context.Context, ev lease.Event) {
+	for _, effect := range c.machine.Step(c.opts.Now(), ev) {
+		c.run(ctx, effect)
+	}
+}
+
+// run carries an effect of the lease out. mu is held.
+func (c *Coordinator) run(ctx context.Context, effect lease.Effect) {
+	switch e := effect.(type) {
+	case lease.ReadRows:
+		c.async(func() { c.read(ctx, e) })
+	case lease.WriteRow:
+		c.async(func() { c.answer(ctx, leasestore.Write(ctx, c.table, e)) })
+	case lease.RegisterCandidate:
+		c.async(func() { c.logFailure("registering as a candidate", leasestore.Register(ctx, c.table, e)) })
+	case lease.RemoveCandidate:
+		c.async(func() { c.logFailure("removing a candidate", leasestore.Remove(ctx, c.table, e)) })
+	case lease.BecameHolder:
+		c.opts.Log.Info("lease won", "term", e.Grant.Term)
+		c.term = e.Grant.Term
+		c.planners = make(map[string]*replica.Planner)
+	case lease.LostLease:
+		c.opts.Log.Warn("lease lost", "term", e.Term, "reason", string(e.Reason))
+		c.term, c.planners = 0, nil
+		c.prober.Want(nil)
+	}
+}
+
+func (c *Coordinator) async(f func()) {
+	c.running.Add(1)
+	go func() {
+		defer c.running.Done()
+		f()
+	}()
+}
+
+func (c *Coordinator) logFailure(what string, err error) {
+	if err != nil {
+		c.opts.Log.Info(what+" failed", "error", err)
+	}
+}
+
+func (c *Coordinator) answer(ctx context.Context, ev lease.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step(ctx, ev)
+}
+
+func (c *Coordinator) read(ctx context.Context, e lease.ReadRows) {
+	ev, err := leasestore.Read(ctx, c.table, e)
+	if err != nil {
+		c.logFailure("reading the lease", err)
+		c.answer(ctx, lease.ReadFailed{Read: e.ID})
+		return
+	}
+	if ev.Row != nil {
+		c.state.Locked(func(k entry.Knowledge) { k.Targets.SetNodes(len(ev.Row.Candidates)) })
+	}
+	c.answer(ctx, ev)
+}
+
+// plan runs the planners and sends their orders. mu is held.
+func (c *Coordinator) plan(ctx context.Context) {
+	now := c.opts.Now()
+	if !c.machine.MayOrder(now, c.opts.OrderTimeout) {
+		return
+	}
+	want := make(map[string]time.Duration)
+	c.state.Locked(func(k entry.Knowledge) {
+		if k.Catalog == nil || !k.Listed {
+			return
+		}
+		for _, svc := range k.Catalog.Engines() {
+			p := c.planner(svc.Name, k)
+			p.Configure(svc.Engine, k.Evacuated)
+			if c.state.Traffic() > 0 {
+				p.TrafficSeen()
+			}
+			for _, o := range p.Tick(now) {
+				c.async(func() { c.order(ctx, p, o) })
+			}
+			c.logGroups(p)
+			for _, vm := range k.VMs.All() {
+				if vm.Engine && vm.Service == svc.Name && vm.Listed {
+					want[vm.ID] = c.opts.ProbeEvery
+				}
+			}
+			for _, id := range p.Unsettled(now) {
+				want[id] = c.opts.FastEvery
+			}
+		}
+	})
+	c.prober.Want(want)
+}
+
+func (c *Coordinator) planner(service string, k entry.Knowledge) *replica.Planner {
+	p := c.planners[service]
+	if p == nil {
+		opts := c.opts.Replica
+		opts.Service, opts.Term = service, c.term
+		p = replica.New(opts, k.VMs)
+		c.planners[service] = p
+	}
+	return p
+}
+
+// order sends one order and tells its planner the outcome.
+func (c *Coordinator) order(ctx context.Context, p *replica.Planner, o replica.Order) {
+	orderCtx, cancel := context.WithTimeout(ctx, c.opts.OrderTimeout)
+	defer cancel()
+	outcome, err := c.orders.Order(orderCtx, o)
+	level := slog.LevelInfo
+	if outcome != replica.Accepted {
+		level = slog.LevelWarn
+	}
+	c.opts.Log.Log(ctx, level, "order", "action", string(o.Action), "endpoint", o.VM, "group", o.Group, "epoch", o.Epoch,
+		"model", o.Model, "expected", o.Expected, "outcome", outcome.String(), "error", err)
+	telemetry.Counter(c.opts.Metrics, "orders_total", "action", string(o.Action), "outcome", outcome.String()).Inc(1)
+	c.state.Locked(func(k entry.Knowledge) { p.Answered(k.Now, o.ID, o.VM, outcome) })
+}
+
+// logGroups logs each change of a group's phase. mu is held.
+func (c *Coordinator) logGroups(p *replica.Planner) {
+	groups := p.Groups()
+	for name, g := range groups {
+		if c.phases[name] == g.Phase {
+			continue
+		}
+		c.phases[name] = g.Phase
+		c.opts.Log.Info("group "+string(g.Phase), "group", name, "epoch", g.Epoch, "model", g.Model,
+			"members", g.Members, "reason", g.Reason, "lost", g.Lost)
+	}
+	for name := range c.phases {
+		if groups[name] == nil {
+			delete(c.phases, name)
+			c.opts.Log.Info("group gone", "group", name)
+		}
+	}
+}
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -9,14 +9,10 @@
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/member"
-	"github.com/pimentoshore/pimentoshore/coord/table"
-	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/leasestore"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
 
-// maxCandidates bounds the registrations read of one data centre.
-const maxCandidates = 256
-
 // candidacy is a lease that this node is a candidate of, with the work of its
 // holder.
 type candidacy struct {
@@ -85,10 +81,8 @@
 	}
 }
 
-// readLease reads the registrations' keys first and then all rows in one
-// snapshot. A registration made in between is read the next time.
 func (n *Node) readLease(ctx context.Context, o *candidacy, e lease.ReadRows) {
-	ev, err := n.leaseRows(ctx, e)
+	ev, err := leasestore.Read(ctx, n.platform, e)
 	n.locked(func(now time.Time) {
 		if err != nil {
 			n.stepLease(now, o, lease.ReadFailed{Read: e.ID})
@@ -99,100 +93,19 @@
 	})
 }
 
-func (n *Node) leaseRows(ctx context.Context, e lease.ReadRows) (lease.RowsRead, error) {
-	ev := lease.RowsRead{Read: e.ID}
-	if e.VMs {
-		vms, err := n.platform.VMs(ctx)
-		if err != nil {
-			return ev, err
-		}
-		ev.VMsKnown = true
-		for _, vm := range vms {
-			ev.VMs = append(ev.VMs, vm.Name)
-		}
-	}
-	keys := []string{e.Key, e.Own}
-	if e.Prefix != "" {
-		listed, err := n.platform.List(ctx, e.Prefix, "", maxCandidates)
-		if err != nil {
-			return ev, err
-		}
-		keys = keys[:1]
-		for _, row := range listed {
-			keys = append(keys, row.Key)
-		}
-	}
-	rows, err := n.platform.Get(ctx, keys...)
-	if err != nil {
-		return ev, err
-	}
-	return decodeLease(ev, rows)
-}
-
-func decodeLease(ev lease.RowsRead, rows []platform.Row) (lease.RowsRead, error) {
-	if rows[0].Revision > 0 {
-		ev.Row = &lease.Row{}
-		ev.Revision = rows[0].Revision
-		if err := json.Unmarshal(rows[0].Value, ev.Row); err != nil {
-			return ev, err
-		}
-	}
-	for _, row := range rows[1:] {
-		if row.Revision == 0 {
-			continue
-		}
-		reg := lease.Registration{Revision: row.Revision}
-		if err := json.Unmarshal(row.Value, &reg.Candidate); err != nil {
-			return ev, err
-		}
-		ev.Registrations = append(ev.Registrations, reg)
-	}
-	return ev, nil
-}
-
 func (n *Node) writeLease(ctx context.Context, o *candidacy, e lease.WriteRow) {
-	revision, err := n.commit(ctx, e.Key, e.Revision, e.Row)
-	n.locked(func(now time.Time) {
-		n.stepLease(now, o, lease.WriteAnswered{Token: e.Row.Token, Outcome: leaseOutcome(err), Revision: revision})
-	})
-}
-
-func leaseOutcome(err error) lease.Outcome {
-	switch platform.OutcomeOf(err) {
-	case table.Applied:
-		return lease.Applied
-	case table.Conflict:
-		return lease.Conflict
-	case table.NotWritten:
-		return lease.NotWritten
-	}
-	return lease.Unknown
-}
-
-// commit writes one row if it's at the revision.
-func (n *Node) commit(ctx context.Context, key string, revision uint64, value any) (uint64, error) {
-	raw, err := json.Marshal(value)
-	if err != nil {
-		return 0, platform.ErrUnavailable
-	}
-	return n.platform.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: key, Revision: revision}},
-		Writes:     []platform.Write{{Key: key, Value: raw}},
-	})
+	answer := leasestore.Write(ctx, n.platform, e)
+	n.locked(func(now time.Time) { n.stepLease(now, o, answer) })
 }
 
 func (n *Node) register(ctx context.Context, e lease.RegisterCandidate) {
-	if _, err := n.commit(ctx, e.Key, e.Revision, e.Candidate); err != nil {
+	if err := leasestore.Register(ctx, n.platform, e); err != nil {
 		n.log.Debug("registering as a candidate failed", "error", err)
 	}
 }
 
 func (n *Node) unregister(ctx context.Context, e lease.RemoveCandidate) {
-	_, err := n.platform.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: e.Key, Revision: e.Revision}},
-		Writes:     []platform.Write{{Key: e.Key, Delete: true}},
-	})
-	if err != nil {
+	if err := leasestore.Remove(ctx, n.platform, e); err != nil {
 		n.log.Debug("removing a candidate failed", "key", e.Key, "error", err)
 	}
 }
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,198 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
+)
+
+const (
+	// maxSends bounds the sends of one request, refused ones included.
+	maxSends = 4
+	// maxDials bounds the endpoints that are tried for one send.
+	maxDials = 4
+	// leastLeft is the time below which a request isn't sent any more.
+	leastLeft = 10 * time.Millisecond
+	// patienceFactor times the objective, patienceLeast at least, is how long
+	// an endpoint may take for a request that another one may run as well.
+	patienceFactor = 3
+	patienceLeast  = 300 * time.Millisecond
+)
+
+// Causes for the end of an attempt.
+var (
+	errDeadline = errors.New("the request's deadline has passed")
+	errLost     = errors.New("the endpoint was lost")
+	errSilent   = errors.New("the endpoint made no progress")
+)
+
+// attempt is a request at an endpoint.
+type attempt struct {
+	ticket *dispatch.Ticket
+	resp   *upstream.Response
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	sentAt time.Time
+}
+
+// end closes an attempt and counts its outcome.
+func (s *Server) end(a *attempt, outcome dispatch.Outcome) {
+	if a.resp != nil {
+		a.resp.Close()
+	}
+	a.cancel(nil)
+	s.state.done(a.ticket, outcome)
+}
+
+// attempt sends the request to an endpoint until one may have run it, and
+// returns that one's answer. lastEvent is set where a stream goes on.
+func (s *Server) attempt(ctx context.Context, req *request, lastEvent string) (*attempt, *problem.Error) {
+	for dials := 0; ; dials++ {
+		if fault := s.mayRun(ctx, req); fault != nil {
+			return nil, fault
+		}
+		if req.sends > 0 && dials == 0 && !s.state.takeRepeat(req.service.Name) {
+			return nil, s.final(req, problem.New(problem.Overloaded, "the budget of repeats is used up", "retry later").After(time.Second))
+		}
+		a, fault := s.place(ctx, req)
+		if fault != nil {
+			return nil, fault
+		}
+		err := s.send(a, req, lastEvent)
+		if err == nil {
+			return a, nil
+		}
+		req.exclude = append(req.exclude, a.ticket.Target.ID)
+		var notSent *upstream.NotSentError
+		if errors.As(err, &notSent) {
+			s.end(a, dispatch.Failed)
+			s.log.Info("endpoint not reached", "request", req.id, "endpoint", a.ticket.Target.ID, "error", err.Error())
+			if dials < maxDials {
+				continue
+			}
+			return nil, s.final(req, problem.New(problem.EndpointFailed, "no endpoint could be reached", "retry").After(time.Second))
+		}
+		return nil, s.broke(ctx, a, req, err)
+	}
+}
+
+// place chooses the endpoint of an attempt.
+func (s *Server) place(ctx context.Context, req *request) (*attempt, *problem.Error) {
+	a := &attempt{sentAt: s.now()}
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw}
+	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
+	if refusal != nil {
+		a.cancel(nil)
+		kind := problem.NoEndpoint
+		if refusal.Reason != dispatch.NoTarget {
+			kind = problem.Overloaded
+		}
+		return nil, s.final(req, problem.New(kind, string(refusal.Reason), "retry later").After(refusal.RetryAfter))
+	}
+	a.ticket = ticket
+	req.last = ticket.Target.ID
+	return a, nil
+}
+
+// mayRun checks what may have changed while the request waited.
+func (s *Server) mayRun(ctx context.Context, req *request) *problem.Error {
+	if ctx.Err() != nil || req.deadline.Sub(s.now()) < leastLeft {
+		return s.final(req, problem.New(problem.DeadlineExceeded, "the deadline has passed", "allow more time"))
+	}
+	if !s.keysValid(req) {
+		return s.final(req, problem.New(problem.PlatformDown, "the configuration is too old to trust keys", "retry").After(time.Second))
+	}
+	return nil
+}
+
+// final is fault for a problem after which nothing more can be tried.
+func (s *Server) final(req *request, p *problem.Error) *problem.Error {
+	req.final = true
+	return s.fault(req, p)
+}
+
+// fault returns the problem with what is known of the request's run.
+func (s *Server) fault(req *request, p *problem.Error) *problem.Error {
+	if req.mayHaveRun {
+		return p.MayHaveRun()
+	}
+	return p
+}
+
+// send sends an attempt and waits for the header of its answer.
+func (s *Server) send(a *attempt, req *request, lastEvent string) error {
+	out := req.out
+	out.Header = out.Header.Clone()
+	left := req.deadline.Sub(a.sentAt)
+	out.Header.Set(s.proto.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	out.Header.Set(s.proto.ExpectVM, a.ticket.Target.ID)
+	if lastEvent != "" {
+		out.Header.Set(s.proto.LastEventID, lastEvent)
+	}
+	if req.route.Kind == catalog.Idempotent && req.attempts+1 < req.route.MaxAttempts {
+		patience := max(patienceLeast, patienceFactor*req.route.Objective)
+		timer := time.AfterFunc(patience, func() { a.cancel(errSilent) })
+		defer timer.Stop()
+	}
+	resp, err := s.client.Send(a.ctx, a.ticket.Target.Address, &out)
+	if err != nil {
+		return err
+	}
+	a.resp = resp
+	if echo := resp.Header.Get(s.proto.RequestID); echo != req.id {
+		resp.Close()
+		return &upstream.BrokenError{Address: a.ticket.Target.Address, Err: errors.Errorf("the answer belongs to request %q", echo)}
+	}
+	return nil
+}
+
+// broke ends an attempt whose answer was lost.
+func (s *Server) broke(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
+	req.sends++
+	req.mayHaveRun = true
+	if context.Cause(a.ctx) != errLost {
+		req.attempts++
+	}
+	outcome := dispatch.Failed
+	if ctx.Err() != nil {
+		outcome = dispatch.Neutral
+	}
+	s.end(a, outcome)
+	s.log.Info("attempt broke off", "request", req.id, "endpoint", a.ticket.Target.ID, "send", req.sends,
+		"after", s.now().Sub(a.sentAt), "error", err.Error())
+	if ctx.Err() != nil {
+		return s.fault(req, problem.New(problem.DeadlineExceeded, "the endpoint did not answer in time", "retry if the request may run twice"))
+	}
+	return s.fault(req, problem.New(problem.EndpointFailed, "the endpoint broke off", "retry if the request may run twice"))
+}
+
+// refusedByEndpoint reports whether an answer says that the request did not
+// run.
+func (s *Server) refusedByEndpoint(resp *upstream.Response) bool {
+	return resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(s.proto.NotRun) != ""
+}
+
+// mayRepeat reports whether the request may be sent again after a send that
+// may have run.
+func (req *request) mayRepeat() bool {
+	return req.route.Repeatable() && req.attempts < req.route.MaxAttempts && req.sends < maxSends
+}
+
+// copyHeader copies an endpoint's headers to the caller's answer.
+func copyHeader(dst, src http.Header) {
+	for name, values := range src {
+		if !slices.Contains(hopByHop, name) {
+			dst[name] = values
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/prober.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// Engines asks endpoint VMs that run models for their reports.
+type Engines interface {
+	// Report asks the VM of an ID at an address. Another VM there is an error.
+	Report(ctx context.Context, address, id string) (fleet.Report, error)
+}
+
+// ProbeOptions set the pace of a Prober.
+type ProbeOptions struct {
+	// HeadEvery is the interval between probes of a head that this node
+	// sends requests to.
+	HeadEvery time.Duration
+	// FastEvery is the interval between probes of a VM in doubt.
+	FastEvery time.Duration
+	// Timeout bounds a probe.
+	Timeout time.Duration
+	// StalledAfter is how long none of a group's requests may make progress
+	// before its members are probed; SilentAfter ends a request that alone
+	// makes none, FirstAfter one that never made any.
+	StalledAfter, SilentAfter, FirstAfter time.Duration
+}
+
+// Prober keeps the reports of VMs fresh that this node depends on.
+type Prober struct {
+	opts    ProbeOptions
+	state   *State
+	engines Engines
+
+	mu sync.Mutex
+	// wanted is the interval that others ask for, by VM.
+	wanted  map[string]time.Duration
+	running map[string]bool
+	lastAt  map[string]time.Time
+}
+
+// NewProber returns a prober of the state's VMs.
+func NewProber(opts ProbeOptions, state *State, engines Engines) *Prober {
+	return &Prober{
+		opts: opts, state: state, engines: engines,
+		wanted: make(map[string]time.Duration), running: make(map[string]bool),
+		lastAt: make(map[string]time.Time),
+	}
+}
+
+// Want replaces the intervals at which a coordinator wants VMs probed.
+func (p *Prober) Want(intervals map[string]time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = intervals
+}
+
+// target is a probe that is due.
+type target struct{ id, address string }
+
+// Tick starts the probes that are due and ends requests that make no
+// progress. lost are tickets whose targets are gone.
+func (p *Prober) Tick(ctx context.Context, lost []*dispatch.Ticket) {
+	for _, t := range lost {
+		t.Cancel()
+	}
+	for _, t := range p.due() {
+		go p.probe(ctx, t)
+	}
+}
+
+func (p *Prober) due() []target {
+	var out []target
+	p.state.Locked(func(k Knowledge) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		intervals := p.intervals(k)
+		for id, every := range intervals {
+			vm := k.VMs.Get(id)
+			if vm == nil || vm.Address == "" || p.running[id] {
+				continue
+			}
+			if vm.FailedProbes > 0 && vm.FailedProbes < quickRetries {
+				every = min(every, p.opts.FastEvery)
+			}
+			if k.Now.Sub(p.lastAt[id]) < every {
+				continue
+			}
+			p.running[id] = true
+			p.lastAt[id] = k.Now
+			out = append(out, target{id, vm.Address})
+		}
+	})
+	return out
+}
+
+// quickRetries is how many failed probes are repeated soon.
+const quickRetries = 4
+
+// intervals returns how often each VM is to be probed.
+func (p *Prober) intervals(k Knowledge) map[string]time.Duration {
+	out := make(map[string]time.Duration, len(p.wanted))
+	for _, id := range k.Targets.Heads() {
+		out[id] = p.opts.HeadEvery
+	}
+	for id, every := range p.wanted {
+		if have, ok := out[id]; !ok || every < have {
+			out[id] = every
+		}
+	}
+	for _, t := range k.Targets.Stalled(k.Now, p.opts.StalledAfter) {
+		for _, id := range t.Members {
+			out[id] = p.opts.FastEvery
+		}
+	}
+	for _, ticket := range k.Targets.Silent(k.Now, p.opts.SilentAfter, p.opts.FirstAfter) {
+		ticket.Cancel()
+	}
+	// A member that has failed a probe is followed until it answers.
+	for id := range p.lastAt {
+		vm := k.VMs.Get(id)
+		if vm == nil {
+			delete(p.lastAt, id)
+			continue
+		}
+		if _, ok := out[id]; !ok && vm.FailedProbes > 0 && vm.Listed {
+			out[id] = p.opts.HeadEvery
+		}
+	}
+	return out
+}
+
+func (p *Prober) probe(ctx context.Context, t target) {
+	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
+	defer cancel()
+	sent := p.state.now()
+	report, err := p.engines.Report(ctx, t.address, t.id)
+	p.state.Locked(func(k Knowledge) {
+		late := k.Now.Sub(sent) > 2*p.opts.Timeout // this node itself stood still
+		switch {
+		case err == nil:
+			k.VMs.ApplyReport(sent, t.id, report)
+		case !late && ctx.Err() != context.Canceled:
+			k.VMs.ProbeFailed(sent, t.id)
+			p.state.log.Info("probe failed", "endpoint", t.id, "error", err.Error())
+		}
+	})
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.running, t.id)
+}
--- /dev/null
+++ b/internal/leasestore/leasestore.go
@@ -0,0 +1,114 @@
+// Package leasestore carries out the reads and writes of a lease's state
+// machine on the platform's table.
+package leasestore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/table"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+)
+
+// maxCandidates bounds the registrations read of one lease.
+const maxCandidates = 256
+
+// Read reads the registrations' keys first and then all rows in one snapshot.
+// A registration made in between is read the next time.
+func Read(ctx context.Context, t platform.Table, e lease.ReadRows) (lease.RowsRead, error) {
+	ev := lease.RowsRead{Read: e.ID}
+	if e.VMs {
+		vms, err := t.VMs(ctx)
+		if err != nil {
+			return ev, err
+		}
+		ev.VMsKnown = true
+		for _, vm := range vms {
+			ev.VMs = append(ev.VMs, vm.Name)
+		}
+	}
+	keys := []string{e.Key, e.Own}
+	if e.Prefix != "" {
+		listed, err := t.List(ctx, e.Prefix, "", maxCandidates)
+		if err != nil {
+			return ev, err
+		}
+		keys = keys[:1]
+		for _, row := range listed {
+			keys = append(keys, row.Key)
+		}
+	}
+	rows, err := t.Get(ctx, keys...)
+	if err != nil {
+		return ev, err
+	}
+	return decode(ev, rows)
+}
+
+func decode(ev lease.RowsRead, rows []platform.Row) (lease.RowsRead, error) {
+	if rows[0].Revision > 0 {
+		ev.Row = &lease.Row{}
+		ev.Revision = rows[0].Revision
+		if err := json.Unmarshal(rows[0].Value, ev.Row); err != nil {
+			return ev, err
+		}
+	}
+	for _, row := range rows[1:] {
+		if row.Revision == 0 {
+			continue
+		}
+		reg := lease.Registration{Revision: row.Revision}
+		if err := json.Unmarshal(row.Value, &reg.Candidate); err != nil {
+			return ev, err
+		}
+		ev.Registrations = append(ev.Registrations, reg)
+	}
+	return ev, nil
+}
+
+// Write writes the lease row and returns what is known of it.
+func Write(ctx context.Context, t platform.Table, e lease.WriteRow) lease.WriteAnswered {
+	revision, err := Commit(ctx, t, e.Key, e.Revision, e.Row)
+	return lease.WriteAnswered{Token: e.Row.Token, Outcome: outcome(err), Revision: revision}
+}
+
+func outcome(err error) lease.Outcome {
+	switch platform.OutcomeOf(err) {
+	case table.Applied:
+		return lease.Applied
+	case table.Conflict:
+		return lease.Conflict
+	case table.NotWritten:
+		return lease.NotWritten
+	}
+	return lease.Unknown
+}
+
+// Register writes a candidate's registration.
+func Register(ctx context.Context, t platform.Table, e lease.RegisterCandidate) error {
+	_, err := Commit(ctx, t, e.Key, e.Revision, e.Candidate)
+	return err
+}
+
+// Remove deletes a candidate's registration.
+func Remove(ctx context.Context, t platform.Table, e lease.RemoveCandidate) error {
+	_, err := t.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: e.Key, Revision: e.Revision}},
+		Writes:     []platform.Write{{Key: e.Key, Delete: true}},
+	})
+	return err
+}
+
+// Commit writes one row as JSON if it's at the revision.
+func Commit(ctx context.Context, t platform.Table, key string, revision uint64, value any) (uint64, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %s", platform.ErrUnavailable, err.Error())
+	}
+	return t.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key, Revision: revision}},
+		Writes:     []platform.Write{{Key: key, Value: raw}},
+	})
+}
