Load groups in turn and spares at once before the first request

Cause: m1 pairs took every free load slot, so that a group of four never got its turn, and no spare was staged when requests came.

--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -111,17 +111,25 @@
 		if float64(p.running(model.Name)) >= math.Ceil(p.wanted(model)) && p.running(model.Name) > 0 {
 			continue
 		}
-		if d, members := p.bestPlace(now, domains, model); d != nil {
-			p.assembleIn(now, d, model, members)
-			return true
+		d, members := p.bestPlace(domains, model)
+		if d == nil {
+			continue
+		}
+		if !p.mayLoad(now, loadsOf(members, model), model) {
+			if !p.traffic {
+				return false // its turn comes when loads have ended
+			}
+			continue
 		}
+		p.assembleIn(now, d, model, members)
+		return true
 	}
 	return false
 }
 
 // bestPlace returns the domain in which a group of a model forms soonest, and
 // its members.
-func (p *Planner) bestPlace(now time.Time, domains []*domain, model *catalog.Model) (*domain, []*member) {
+func (p *Planner) bestPlace(domains []*domain, model *catalog.Model) (*domain, []*member) {
 	var best *domain
 	var members []*member
 	bestKey := [3]int{math.MaxInt, 0, 0}
@@ -130,15 +138,7 @@
 			continue
 		}
 		chosen := cheapest(d.free, model)
-		loads := 0
-		for _, m := range chosen {
-			if joinCost(m, model.Name) == joinLoad {
-				loads++
-			}
-		}
-		if loads > 0 && !p.mayLoad(now, loads, model) {
-			continue
-		}
+		loads := loadsOf(chosen, model)
 		key := [3]int{loads, d.groups[model.Name], -len(d.free)}
 		if slices.Compare(key[:], bestKey[:]) < 0 {
 			best, members, bestKey = d, chosen, key
@@ -147,6 +147,17 @@
 	return best, members
 }
 
+// loadsOf returns how many of the members have to load the model.
+func loadsOf(members []*member, model *catalog.Model) int {
+	n := 0
+	for _, m := range members {
+		if joinCost(m, model.Name) == joinLoad {
+			n++
+		}
+	}
+	return n
+}
+
 func joinCost(m *member, model string) int {
 	switch {
 	case m.Model == model && m.HasStaged(model):
--- a/coord/replica/order.go
+++ b/coord/replica/order.go
@@ -38,8 +38,10 @@
 
 // Outcomes of orders.
 const (
-	// Accepted means that the order has begun or its effect already holds.
+	// Accepted means that the order has begun.
 	Accepted Outcome = iota + 1
+	// Holds means that its effect held already, so that nothing has begun.
+	Holds
 	// Refused means that it didn't and won't take effect.
 	Refused
 	// Unknown means that the answer was lost: it may yet take effect.
@@ -48,7 +50,7 @@
 
 // String names the outcome.
 func (o Outcome) String() string {
-	return [...]string{"invalid", "accepted", "refused", "unknown"}[o]
+	return [...]string{"invalid", "accepted", "holds", "refused", "unknown"}[o]
 }
 
 // pending is the newest order to a VM whose effect no report has shown.
@@ -83,6 +85,8 @@
 	if outcome == Accepted {
 		vm.acceptedOrders = max(vm.acceptedOrders, o.Expected+1)
 		vm.acceptedBorn = o.Born
+	}
+	if outcome == Accepted || outcome == Holds {
 		vm.settleAt = now
 	}
 	p.noteOpen(now, o, outcome)
@@ -98,7 +102,7 @@
 	switch {
 	case g != nil && o.Action == Open && outcome == Unknown:
 		g.openUnsettled = true
-	case g != nil && o.Action == Open && outcome == Accepted:
+	case g != nil && o.Action == Open && outcome != Refused:
 		g.openedAt = now
 		g.openUnsettled = false
 	case g != nil && o.VM == g.Members[0] && outcome == Accepted:
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -191,8 +191,12 @@
 // idle reports whether the VM may get an order.
 func (m *member) idle(now time.Time) bool { return m.pending == nil && !now.Before(m.retryAt) }
 
-// silent reports whether the VM has not answered probes for d.
+// silent reports whether the VM has not answered probes for d. One that is no
+// longer listed is not probed.
 func (m *member) silent(now time.Time, d time.Duration) bool {
+	if !m.Listed && now.Sub(m.HeardAt) >= max(d, freshFor) {
+		return true
+	}
 	return m.FailedProbes >= silentProbes && now.Sub(m.FailedSince) >= d
 }
 
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -8,11 +8,17 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 )
 
-// mayLoad reports whether n more loads of a model may begin for a join. Once
-// requests come, a load takes long, and only a model without any group is
-// worth VMs that wait for it; others are staged first.
+// mayLoad reports whether n more loads of a model may begin for a join. Before
+// requests come they may go beyond those that run at full speed by a group's.
+// After that a load takes long, and only a model without any group is worth
+// VMs that wait for it; others are staged first.
 func (p *Planner) mayLoad(now time.Time, n int, model *catalog.Model) bool {
-	if p.traffic && p.running(model.Name) > 0 {
+	switch {
+	case n == 0:
+		return true
+	case !p.traffic:
+		return p.loadRoom(now) > 0
+	case p.running(model.Name) > 0:
 		return false
 	}
 	return p.loadRoom(now) >= n
@@ -42,14 +48,16 @@
 }
 
 // stage loads weights onto free hosts, for the model whose next loss they
-// would mend.
+// would mend. Before requests come, the loads of groups go first; the others
+// then begin all at once, since those under way when the first request comes
+// keep their pace.
 func (p *Planner) stage(now time.Time) {
 	if !p.traffic && p.lacking(now) {
-		return // the loads go to groups first
+		return
 	}
 	for _, d := range p.domains(now) {
 		for _, m := range d.free {
-			if p.loadRoom(now) <= 0 {
+			if p.traffic && p.loadRoom(now) <= 0 {
 				return
 			}
 			if model := p.stageChoice(d, m); model != "" {
@@ -93,6 +101,9 @@
 	return best
 }
 
+// stagedPower is how fast the worth of further staged VMs falls.
+const stagedPower = 1.5
+
 // stageScore tells how much a domain lacks a staged VM of a model.
 func (p *Planner) stageScore(d *domain, model *catalog.Model) float64 {
 	staged := 0
@@ -111,7 +122,7 @@
 		return 2 + float64(staged)/float64(model.GroupSize)
 	}
 	exposed := float64(d.groups[model.Name] * model.GroupSize)
-	return exposed / float64(1+staged) / 100
+	return exposed / math.Pow(float64(1+staged), stagedPower) / 100
 }
 
 // redundant reports whether a VM's staged weights are worth less than those
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -201,7 +201,7 @@
 	defer cancel()
 	outcome, err := c.orders.Order(orderCtx, o)
 	level := slog.LevelInfo
-	if outcome != replica.Accepted {
+	if err != nil {
 		level = slog.LevelWarn
 	}
 	c.opts.Log.Log(ctx, level, "order", "action", string(o.Action), "endpoint", o.VM, "group", o.Group, "epoch", o.Epoch,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,11 +38,13 @@
 	orderTimeout   = 700 * time.Millisecond
 	operatorWait   = time.Second
 	vmPause        = 700 * time.Millisecond
+	vmStartPause   = 250 * time.Millisecond
+	vmStart        = 3 * time.Second
 	watchRetry     = 200 * time.Millisecond
-	probeTimeout   = 300 * time.Millisecond
-	probeEvery     = 500 * time.Millisecond
-	fastProbeEvery = 120 * time.Millisecond
-	stalledAfter   = 700 * time.Millisecond
+	probeTimeout   = 200 * time.Millisecond
+	probeEvery     = 450 * time.Millisecond
+	fastProbeEvery = 80 * time.Millisecond
+	stalledAfter   = 500 * time.Millisecond
 	silentAfter    = 1200 * time.Millisecond
 	firstAfter     = 2500 * time.Millisecond
 	// keysMargin is kept from the time for which keys may be trusted, for a
@@ -153,7 +155,7 @@
 		g.Go(func() error { return n.serveMetrics(running) })
 	}
 	g.Go(func() error {
-		opts := watch.Options{OperatorWait: operatorWait, VMPause: vmPause, RetryPause: watchRetry}
+		opts := watch.Options{OperatorWait: operatorWait, VMPause: vmPause, VMStartPause: vmStartPause, VMStart: vmStart, RetryPause: watchRetry}
 		return watch.Run(running, n.backends.Source, n.state, opts)
 	})
 	g.Go(func() error { n.tick(running); return nil })
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -16,8 +16,11 @@
 	// read waits at most so long for one.
 	OperatorWait time.Duration
 	// VMPause is the time between the starts of two reads of VMs, in which
-	// changes collect.
-	VMPause time.Duration
+	// changes collect. While VMs register for the first time it is
+	// VMStartPause.
+	VMPause, VMStartPause time.Duration
+	// VMStart is how long after the start VMs are taken to register.
+	VMStart time.Duration
 	// RetryPause is the pause after a failed read.
 	RetryPause time.Duration
 }
@@ -65,9 +68,14 @@
 
 func followVMs(ctx context.Context, src Source, obs Observer, opts Options) {
 	var version uint64
+	started := boottime.Now()
 	for ctx.Err() == nil {
 		sent := boottime.Now()
-		news, err := src.VMs(ctx, version, opts.VMPause)
+		pause := opts.VMPause
+		if sent.Sub(started) < opts.VMStart {
+			pause = opts.VMStartPause
+		}
+		news, err := src.VMs(ctx, version, pause)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			version = 0
@@ -79,7 +87,7 @@
 		}
 		version = news.Version
 		obs.VMs(sent, news)
-		sleep(ctx, opts.VMPause-boottime.Now().Sub(sent))
+		sleep(ctx, pause-boottime.Now().Sub(sent))
 	}
 }
 
