--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
@@ -27,14 +29,17 @@
 			if err != nil {
 				return err
 			}
-			return serveEntry(cmd.Context(), set)
+			return serveEntry(cmd.Context(), file, set)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "/etc/pimentoshore/settings.toml", "settings file (TOML)")
 	return cmd
 }
 
-func serveEntry(ctx context.Context, set settings.Entry) error {
+func serveEntry(ctx context.Context, file string, set settings.Entry) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	log, err := telemetry.NewLogger(os.Stdout, string(set.Log.Format), set.Log.Level, set.VM, set.DataCentre)
 	if err != nil {
 		return err
@@ -51,5 +56,20 @@
 	if err != nil {
 		return err
 	}
+	go reload(ctx, hup, file, n)
 	return n.Run(ctx)
 }
+
+// reload reads the settings anew at each signal. Settings that can't be read
+// leave those in force as they are.
+func reload(ctx context.Context, hup <-chan os.Signal, file string, n *node.Node) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		set, err := settings.LoadEntry(file)
+		n.Reload(set, err)
+	}
+}
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -20,14 +20,14 @@
 	switch {
 	case head == nil:
 		p.freeSurvivors(now, g)
+	case !g.ordered && p.wholeAgain(now, g):
+		g.enter(now, Serving)
 	case p.headSafe(g, head):
 		p.release(g)
 	case !head.silent(now, silentFor):
 		p.stopHead(now, g, head)
 	case head.silent(now, headSilentFor) && !p.dark(now, head.DataCentre):
 		p.freeSurvivors(now, g)
-	case p.wholeAgain(now, g):
-		g.enter(now, Serving)
 	}
 }
 
@@ -54,6 +54,7 @@
 	if now.Sub(head.settleAt) < settleFor {
 		return
 	}
+	g.ordered = true
 	waiting := g.finish && now.Sub(g.Since) < closeFor
 	switch {
 	case waiting && head.Stage == fleet.Open:
@@ -65,29 +66,39 @@
 }
 
 // freeSurvivors takes the members away from a head that doesn't answer. They
-// are held until the head, if it still runs, has given up.
+// are held until the head, if it still runs, has given up. The group stays
+// until each of its members is known to have left it, restarted or gone.
 func (p *Planner) freeSurvivors(now time.Time, g *Group) {
 	done := true
-	for _, id := range g.Members[1:] {
+	for rank, id := range g.Members {
 		m := p.members[id]
-		if m == nil || m.group != g || m.silent(now, silentFor) {
-			continue
-		}
-		if g.holds(m) || m.HeardAt.Before(m.settleAt) {
+		switch {
+		case m == nil || m.group != g:
+		case m.VM.Born != g.born[rank]:
+			m.group = nil
+		case rank == 0 || m.silent(now, silentFor):
+			done = false
+		case g.holds(m) || m.HeardAt.Before(m.settleAt):
 			done = false
-			if now.Sub(m.settleAt) >= settleFor {
-				p.send(now, m, Order{Action: Leave, Group: g.Name, Epoch: g.Epoch})
-			}
-			continue
+			p.takeAway(now, g, m)
+		default:
+			m.heldUntil = now.Add(p.opts.Stall + stallMargin)
+			m.group = nil
 		}
-		m.heldUntil = now.Add(p.opts.Stall + stallMargin)
-		m.group = nil
 	}
 	if done {
 		p.release(g)
 	}
 }
 
+// takeAway tells a member to leave its group.
+func (p *Planner) takeAway(now time.Time, g *Group, m *member) {
+	g.ordered = true
+	if now.Sub(m.settleAt) >= settleFor {
+		p.send(now, m, Order{Action: Leave, Group: g.Name, Epoch: g.Epoch})
+	}
+}
+
 // wholeAgain reports whether all members of a group that was out of reach
 // answer again as before.
 func (p *Planner) wholeAgain(now time.Time, g *Group) bool {
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -38,7 +38,9 @@
 	// openUnsettled is whether an order to serve may yet take effect.
 	openUnsettled bool
 	openedAt      time.Time
-	refusals      int
+	// ordered is whether an order has been sent to dissolve the group.
+	ordered  bool
+	refusals int
 	// born holds each member's start.
 	born []int64
 }
@@ -58,7 +60,7 @@
 		g.finish = g.finish && finish
 		return
 	}
-	g.Reason, g.Lost, g.finish = reason, lost, finish
+	g.Reason, g.Lost, g.finish, g.ordered = reason, lost, finish, false
 	g.enter(now, Dissolving)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,10 +32,10 @@
 const (
 	tickEvery      = 50 * time.Millisecond
 	sweepEvery     = time.Second
-	leaseDuration  = 3 * time.Second
-	renewEvery     = time.Second
+	leaseDuration  = 2 * time.Second
+	renewEvery     = 700 * time.Millisecond
 	leaseRetry     = 300 * time.Millisecond
-	orderTimeout   = 700 * time.Millisecond
+	orderTimeout   = 500 * time.Millisecond
 	operatorWait   = time.Second
 	vmPause        = 700 * time.Millisecond
 	vmStartPause   = 250 * time.Millisecond
@@ -128,12 +128,29 @@
 	return hex.EncodeToString(b[:]), nil
 }
 
+// Reload takes over new settings, but for the addresses and the node's place,
+// which need a restart. err is why they could not be read.
+func (n *Node) Reload(set settings.Entry, err error) {
+	if err != nil {
+		n.log.Error("settings were not reloaded; those in force stay", "error", err)
+		return
+	}
+	restart := set.VM != n.set.VM || set.DataCentre != n.set.DataCentre || set.Listen != n.set.Listen || set.Store != n.set.Store
+	limitMemory(set.Memory)
+	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", set.Memory.LimitMB)
+}
+
+// limitMemory keeps the heap a good way below the process's limit.
+func limitMemory(m settings.EntryMemory) {
+	if m.LimitMB > 0 {
+		debug.SetMemoryLimit(m.LimitMB << 20 * 3 / 4)
+	}
+}
+
 // Run serves until the context ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetGCPercent(gcPercent)
-	if n.set.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(n.set.Memory.LimitMB << 20 * 3 / 4)
-	}
+	limitMemory(n.set.Memory)
 	n.log.Info("start", "callers", n.set.Listen.Callers, "store", n.set.Store)
 	callers, err := net.Listen("tcp", n.set.Listen.Callers)
 	if err != nil {
