Judge a head only by what it has reported since it was given up

Cause: a new holder took a group's stage from a row that was written before the head served, believed the head safe and gave its VMs to another group (TWO).

--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -53,7 +53,8 @@
 	if row.ColdLeft > 0 {
 		vm.ColdUntil = now.Add(row.ColdLeft)
 	}
-	if now.Sub(vm.HeardAt) > reportPreferred && row.Orders >= vm.Orders {
+	if now.Sub(vm.HeardAt) > reportPreferred {
+		row.Orders = vm.Orders
 		changed = vm.setState(row.State) || changed
 	}
 	if changed {
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -42,7 +42,8 @@
 	// Born tells the VM's starts apart: the time of the newest one, in Unix
 	// milliseconds. It is 0 if the VM did not say.
 	Born int64
-	// Orders is the number of orders that this start has accepted.
+	// Orders is the number of orders that this start has accepted. Rows don't
+	// tell it.
 	Orders uint64
 	// Busy is whether an order is being carried out.
 	Busy bool
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -6,13 +6,13 @@
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
-// adopt takes over the groups of earlier planners from what VMs report, and
-// takes VMs out of what is left of broken ones.
+// adopt takes over the groups of earlier planners from what VMs have reported
+// to this one, and takes VMs out of what is left of broken ones.
 func (p *Planner) adopt(now time.Time) {
 	unknown := make(map[string][]*member)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.group != nil || m.Group == "" || p.released[m.Group] {
+		if m == nil || m.group != nil || m.Group == "" || p.released[m.Group] || m.HeardAt.Before(p.started) {
 			continue
 		}
 		unknown[m.Group] = append(unknown[m.Group], m)
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -40,8 +40,8 @@
 	if g.openUnsettled || head.pending != nil && head.pending.order.Action == Open {
 		return false
 	}
-	if head.HeardAt.Before(head.settleAt) || head.HeardAt.Before(g.openedAt) {
-		return false
+	if head.HeardAt.Before(head.settleAt) || head.HeardAt.Before(g.openedAt) || head.HeardAt.Before(g.Since) {
+		return false // nothing that it has said is new enough
 	}
 	if !g.holds(head) {
 		return true
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -15,8 +15,9 @@
 	silentFor     = 500 * time.Millisecond
 	headSilentFor = 1200 * time.Millisecond
 	// freshFor is how old the last answered probe of a VM may be that joins
-	// a group.
-	freshFor = 2 * time.Second
+	// a group. It is less than the time for which a table prefers reports to
+	// rows, so that no old row makes a VM seem free.
+	freshFor = 1400 * time.Millisecond
 	// retryPause is the pause before a VM gets another order.
 	retryPause = 150 * time.Millisecond
 	// answerTimeout bounds the wait for an order's answer beyond the
