Load everything before the first request, once the VMs have gathered

Cause: loads before the first request were held to the rate that holds after it, so that spares were still loading at 16 s. Groups of a lease regained in the same term took numbers that were in use (PARTIAL); the term's counter is now kept. Streams that have begun are placed first and wait.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -11,6 +11,8 @@
 	// queueShare is how far above its slots a target's predicted load may
 	// go: a place comes free several times within an objective.
 	queueShare = 0.15
+	// begunShare is the same for requests whose answer has begun.
+	begunShare = 1.0
 	// remotePenalty is what a request to another data centre costs, as a
 	// part of a target's slots.
 	remotePenalty = 0.06
@@ -32,6 +34,9 @@
 	Exclude []string
 	// Draw is a number drawn for the request.
 	Draw uint64
+	// Begun is whether the caller has a part of the answer: it is placed
+	// also where new requests are not.
+	Begun bool
 }
 
 // Refusal says why no target is chosen and when to come back.
@@ -60,7 +65,7 @@
 		if slices.Contains(q.Exclude, target.ID) || now.Before(target.health.avoidUntil) {
 			continue
 		}
-		if full(target) {
+		if full(target, q.Begun) {
 			reason = AllFull
 			continue
 		}
@@ -90,8 +95,12 @@
 	return &Refusal{Reason: reason, RetryAfter: after + time.Duration(float64(after)*spread(draw, 0))}
 }
 
-func full(t *Target) bool {
-	return float64(t.load()) >= float64(t.Slots)*(1+queueShare)
+func full(t *Target, begun bool) bool {
+	share := queueShare
+	if begun {
+		share = begunShare
+	}
+	return float64(t.load()) >= float64(t.Slots)*(1+share)
 }
 
 func (t *Table) score(target *Target) float64 {
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -61,13 +61,12 @@
 	for _, vm := range vms.All() {
 		target := t.follow(vm)
 		target.observe(vm)
-		whole := t.describe(vm, target, groups)
-		gone := vm.Engine && !whole || dead(now, vm)
-		if gone {
+		works, serves := t.describe(vm, target, groups)
+		if !works || dead(now, vm) {
 			lost = target.drop(lost)
+			continue
 		}
-		target.usable = !gone && vm.Listed && !vm.Draining && !evacuated[vm.DataCentre]
-		if target.usable {
+		if serves && vm.Listed && !vm.Draining && !evacuated[vm.DataCentre] {
 			key := poolKey{vm.Service, target.Model}
 			t.pools[key] = append(t.pools[key], target)
 		}
@@ -97,14 +96,15 @@
 	return target
 }
 
-// describe fills in a target's group and reports whether it is whole.
-func (t *Table) describe(vm *fleet.VM, target *Target, groups map[groupKey][]*fleet.VM) bool {
+// describe fills in a target's group. works is whether requests that are at
+// the VM may end well, and serves whether it takes more.
+func (t *Table) describe(vm *fleet.VM, target *Target, groups map[groupKey][]*fleet.VM) (works, serves bool) {
 	if !vm.Engine {
-		return true
+		return true, true
 	}
-	if vm.Stage != fleet.Open || vm.Rank != 0 {
+	if vm.Rank != 0 || vm.Stage != fleet.Open && vm.Stage != fleet.Closing {
 		target.Group, target.Model = "", ""
-		return false
+		return false, false
 	}
 	if target.Group != vm.Group || target.Epoch != vm.Epoch {
 		target.Group, target.Epoch = vm.Group, vm.Epoch
@@ -115,27 +115,21 @@
 	target.Members = target.Members[:0]
 	for _, m := range members {
 		target.Members = append(target.Members, m.ID)
+		if m.FailedProbes >= deadProbes {
+			return false, false
+		}
 	}
-	return t.whole(vm, members)
+	return true, vm.Stage == fleet.Open && t.complete(vm, len(members))
 }
 
-// whole reports whether nothing speaks against a group: no member is known to
-// be silent or to have left it.
-func (t *Table) whole(head *fleet.VM, members []*fleet.VM) bool {
+// complete reports whether a group has as many members as its model needs.
+func (t *Table) complete(head *fleet.VM, members int) bool {
 	svc := t.cats.Service(head.Service)
 	if svc == nil || svc.Engine == nil {
 		return false
 	}
 	model := svc.Engine.Model(head.Model)
-	if model == nil || len(members) < model.GroupSize {
-		return false
-	}
-	for _, m := range members {
-		if m.FailedProbes >= deadProbes {
-			return false
-		}
-	}
-	return true
+	return model != nil && members >= model.GroupSize
 }
 
 const (
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -21,7 +21,6 @@
 	// Members are the IDs of a group's VMs.
 	Members []string
 
-	usable  bool
 	tickets map[*Ticket]struct{}
 	// others is the work of other nodes as of the newest report.
 	others   int
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -89,10 +89,19 @@
 	return n
 }
 
+// gathering reports whether VMs are still starting for the first time, so that
+// groups that are formed now would split the domains badly.
+func (p *Planner) gathering(now time.Time) bool {
+	if p.traffic || p.opts.Epochs.Term() > 1 || now.Sub(p.started) > gatherMost {
+		return false
+	}
+	return now.Sub(p.grewAt) < gatherQuiet
+}
+
 // assemble forms groups of free VMs: first of the model that has the smallest
 // part of the groups it should have.
 func (p *Planner) assemble(now time.Time) {
-	if now.Sub(p.started) < adoptGrace && p.opts.Term > 1 {
+	if now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 || p.gathering(now) {
 		return
 	}
 	domains := p.domains(now)
@@ -116,9 +125,6 @@
 			continue
 		}
 		if !p.mayLoad(now, loadsOf(members, model), model) {
-			if !p.traffic {
-				return false // its turn comes when loads have ended
-			}
 			continue
 		}
 		p.assembleIn(now, d, model, members)
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -65,8 +65,7 @@
 }
 
 func (p *Planner) newGroup(now time.Time, model string, members []*member) *Group {
-	p.lastEpoch++
-	epoch := p.opts.Term<<epochBits | p.lastEpoch
+	epoch := p.opts.Epochs.next()
 	g := &Group{Name: "g" + strconv.FormatUint(epoch, 36), Epoch: epoch, Model: model}
 	for _, m := range members {
 		g.Members = append(g.Members, m.ID)
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -28,6 +28,10 @@
 	// adoptGrace is how long a group of an earlier planner may be
 	// incomplete before its VMs are taken out of it.
 	adoptGrace = 1500 * time.Millisecond
+	// gatherQuiet is how long no VM may appear at the first start before
+	// groups are formed, gatherMost when they are formed all the same.
+	gatherQuiet = 700 * time.Millisecond
+	gatherMost  = 4 * time.Second
 	// closeFor bounds the wait for a head to finish its work.
 	closeFor = 9 * time.Second
 	// stallMargin is added to the time after which a head that stands still
@@ -43,8 +47,8 @@
 type Options struct {
 	// Service is the service whose VMs are planned for.
 	Service string
-	// Term is the lease's; epochs of a later term are higher.
-	Term uint64
+	// Epochs numbers the groups. Planners of one term share it.
+	Epochs *Epochs
 	// Stall is how long a head stands still without a member until it gives
 	// up.
 	Stall time.Duration
@@ -56,6 +60,24 @@
 	LoadWindow time.Duration
 }
 
+// Epochs numbers groups, so that no two share a number: those of a later term
+// are higher. One value must be used for all of a term, also when the lease
+// lapses and is regained within it.
+type Epochs struct {
+	term, last uint64
+}
+
+// NewEpochs returns the epochs of a term.
+func NewEpochs(term uint64) *Epochs { return &Epochs{term: term} }
+
+// Term returns the term of the epochs.
+func (e *Epochs) Term() uint64 { return e.term }
+
+func (e *Epochs) next() uint64 {
+	e.last++
+	return e.term<<epochBits | e.last
+}
+
 // Planner plans the groups of one service. It is not safe for concurrent use.
 type Planner struct {
 	opts   Options
@@ -72,9 +94,10 @@
 	strays   map[string]time.Time
 	loads    []time.Time // starts of loads
 
-	started   time.Time
+	started time.Time
+	// grewAt is when the newest VM appeared.
+	grewAt    time.Time
 	lastOrder uint64
-	lastEpoch uint64
 	out       []Order
 }
 
@@ -149,6 +172,7 @@
 		if m == nil {
 			m = &member{VM: vm}
 			p.members[vm.ID] = m
+			p.grewAt = now
 		}
 		m.VM = vm
 		if m.acceptedBorn != vm.Born {
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -8,56 +8,50 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 )
 
-// mayLoad reports whether n more loads of a model may begin for a join. Before
-// requests come they may go beyond those that run at full speed by a group's.
-// After that a load takes long, and only a model without any group is worth
+// mayLoad reports whether n more loads of a model may begin for a join. Once
+// requests come a load takes long, and only a model without any group is worth
 // VMs that wait for it; others are staged first.
 func (p *Planner) mayLoad(now time.Time, n int, model *catalog.Model) bool {
-	switch {
-	case n == 0:
+	if n == 0 || !p.traffic {
 		return true
-	case !p.traffic:
-		return p.loadRoom(now) > 0
-	case p.running(model.Name) > 0:
-		return false
 	}
-	return p.loadRoom(now) >= n
+	return p.running(model.Name) == 0 && p.loadRoom(now) >= n
 }
 
-// loadRoom returns how many loads may begin now.
+// loadRoom returns how many loads may begin now. Loads before the first
+// request are quick and not limited.
 func (p *Planner) loadRoom(now time.Time) int {
+	if !p.traffic {
+		return len(p.members)
+	}
 	under := 0
 	for _, m := range p.members {
 		if m.loading != "" {
 			under++
 		}
 	}
-	room := p.engine.ConcurrentLoads - under
-	if !p.traffic {
-		return room
-	}
 	window := p.opts.LoadWindow
 	p.loads = slices.DeleteFunc(p.loads, func(t time.Time) bool { return now.Sub(t) > window })
 	rate := int(p.engine.LoadsPerSecond*window.Seconds()) - len(p.loads)
-	return min(room, rate)
+	return min(p.engine.ConcurrentLoads-under, rate)
 }
 
 func (p *Planner) beginLoad(now time.Time, m *member, model string) {
 	m.loading, m.loadSince = model, now
-	p.loads = append(p.loads, now)
+	if p.traffic {
+		p.loads = append(p.loads, now)
+	}
 }
 
 // stage loads weights onto free hosts, for the model whose next loss they
-// would mend. Before requests come, the loads of groups go first; the others
-// then begin all at once, since those under way when the first request comes
-// keep their pace.
+// would mend.
 func (p *Planner) stage(now time.Time) {
-	if !p.traffic && p.lacking(now) {
+	if p.gathering(now) {
 		return
 	}
 	for _, d := range p.domains(now) {
 		for _, m := range d.free {
-			if p.traffic && p.loadRoom(now) <= 0 {
+			if p.loadRoom(now) <= 0 {
 				return
 			}
 			if model := p.stageChoice(d, m); model != "" {
@@ -68,20 +62,6 @@
 	}
 }
 
-// lacking reports whether some model has fewer groups than it should, and the
-// VMs for one more.
-func (p *Planner) lacking(now time.Time) bool {
-	for _, d := range p.domains(now) {
-		for i := range p.engine.Models {
-			model := &p.engine.Models[i]
-			if len(d.free) >= model.GroupSize && float64(p.running(model.Name)) < math.Ceil(p.wanted(model)) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // stageChoice returns the model to stage on a free VM, or "".
 func (p *Planner) stageChoice(d *domain, m *member) string {
 	best, bestScore := "", 0.0
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -50,6 +50,7 @@
 	mu       sync.Mutex
 	machine  *lease.Machine
 	term     uint64 // of the lease held, or 0
+	epochs   *replica.Epochs
 	planners map[string]*replica.Planner
 	phases   map[string]replica.Phase // by group, as last logged
 	running  sync.WaitGroup
@@ -110,6 +111,9 @@
 		c.opts.Log.Info("lease won", "term", e.Grant.Term)
 		c.term = e.Grant.Term
 		c.planners = make(map[string]*replica.Planner)
+		if c.epochs == nil || c.epochs.Term() != c.term {
+			c.epochs = replica.NewEpochs(c.term)
+		}
 	case lease.LostLease:
 		c.opts.Log.Warn("lease lost", "term", e.Term, "reason", string(e.Reason))
 		c.term, c.planners = 0, nil
@@ -188,7 +192,7 @@
 	p := c.planners[service]
 	if p == nil {
 		opts := c.opts.Replica
-		opts.Service, opts.Term = service, c.term
+		opts.Service, opts.Epochs = service, c.epochs
 		p = replica.New(opts, k.VMs)
 		c.planners[service] = p
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -22,6 +22,11 @@
 	maxDials = 4
 	// leastLeft is the time below which a request isn't sent any more.
 	leastLeft = 10 * time.Millisecond
+	// waitShare is the part of its objective that a request may wait for a
+	// place, begunWait the time that one may whose answer has begun.
+	waitShare  = 0.3
+	begunWait  = 1500 * time.Millisecond
+	placeRetry = 20 * time.Millisecond
 	// patienceFactor times the objective, patienceLeast at least, is how long
 	// an endpoint may take for a request that another one may run as well.
 	patienceFactor = 3
@@ -89,8 +94,12 @@
 func (s *Server) place(ctx context.Context, req *request) (*attempt, *problem.Error) {
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw}
+	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.begun}
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
+	for until := s.waitUntil(req); refusal != nil && s.now().Before(until) && ctx.Err() == nil; {
+		time.Sleep(placeRetry)
+		ticket, refusal = s.state.pick(q, func() { a.cancel(errLost) })
+	}
 	if refusal != nil {
 		a.cancel(nil)
 		kind := problem.NoEndpoint
@@ -100,10 +109,22 @@
 		return nil, s.final(req, problem.New(kind, string(refusal.Reason), "retry later").After(refusal.RetryAfter))
 	}
 	a.ticket = ticket
+	a.sentAt = s.now()
 	req.last = ticket.Target.ID
 	return a, nil
 }
 
+// waitUntil is how long a request may wait for a place: one whose answer has
+// begun as long as its caller bears a pause.
+func (s *Server) waitUntil(req *request) time.Time {
+	now := s.now()
+	wait := time.Duration(float64(req.route.Objective) * waitShare)
+	if req.begun {
+		wait = begunWait
+	}
+	return now.Add(min(wait, req.deadline.Sub(now)))
+}
+
 // mayRun checks what may have changed while the request waited.
 func (s *Server) mayRun(ctx context.Context, req *request) *problem.Error {
 	if ctx.Err() != nil || req.deadline.Sub(s.now()) < leastLeft {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -119,7 +119,9 @@
 func (s *Server) rejected(a *attempt, req *request) *problem.Error {
 	status, faulty := a.resp.Status, a.resp.Header.Get(s.proto.Faulty)
 	_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxBuffered))
-	req.exclude = append(req.exclude, a.ticket.Target.ID)
+	if status == http.StatusMisdirectedRequest || faulty != "" {
+		req.exclude = append(req.exclude, a.ticket.Target.ID)
+	}
 	req.sends++
 	s.end(a, dispatch.Rejected)
 	s.log.Info("endpoint did not run the request", "request", req.id, "endpoint", a.ticket.Target.ID,
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -38,6 +38,8 @@
 	attempts, sends int
 	// mayHaveRun is whether some send may have run.
 	mayHaveRun bool
+	// begun is whether the caller has a part of the answer.
+	begun bool
 	// final is whether nothing more can be tried.
 	final   bool
 	exclude []string
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -26,8 +26,6 @@
 	// last is the id of the newest event that the caller got, or the one
 	// that the caller itself goes on after.
 	last string
-	// begun is whether the header has been sent.
-	begun bool
 	// events counts those delivered.
 	events int
 }
@@ -45,7 +43,7 @@
 		return
 	case r.Context().Err() != nil:
 		s.count("caller gone")
-	case rl.begun:
+	case rl.req.begun:
 		s.count("stream broken")
 		s.log.Warn("stream broken off", "request", req.id, "kind", string(fault.Kind), "detail", fault.Message,
 			"route", req.route.Name, "events", rl.events, "sends", req.sends, "endpoint", req.last,
@@ -101,7 +99,7 @@
 func (rl *relay) failure(a *attempt) (done bool, fault *problem.Error) {
 	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBuffered))
 	rl.req.exclude = append(rl.req.exclude, a.ticket.Target.ID)
-	if err != nil || rl.begun {
+	if err != nil || rl.req.begun {
 		return false, rl.broke(rl.ctx, a, rl.req, errors.Errorf("the endpoint answered status %d", a.resp.Status))
 	}
 	rl.req.sends++
@@ -167,10 +165,10 @@
 
 // begin sends the header of the first endpoint that brought an event.
 func (rl *relay) begin(a *attempt) {
-	if rl.begun {
+	if rl.req.begun {
 		return
 	}
-	rl.begun = true
+	rl.req.begun = true
 	copyHeader(rl.w.Header(), a.resp.Header)
 	rl.w.WriteHeader(a.resp.Status)
 	limit := rl.req.deadline.Sub(rl.now()) + time.Second
