Replace lost members in the group's next formation

Cause: after a loss the head was stopped, its report awaited, and survivors of a lost head were held for six seconds; only then was a group formed anew. The survivors and staged spares of the domain now join the group's next epoch at once. Ruled out: more spares alone (none was used at the losses of heads).

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -119,7 +119,8 @@
 			return false, false
 		}
 	}
-	return true, vm.Stage == fleet.Open && t.complete(vm, len(members))
+	works = t.complete(vm, len(members))
+	return works, works && vm.Stage == fleet.Open
 }
 
 // complete reports whether a group has as many members as its model needs.
@@ -167,7 +168,8 @@
 	return groups
 }
 
-// Heads returns the IDs of the VMs that requests may go to, to be probed.
+// Heads returns the IDs of the VMs that requests may go to now or soon, to be
+// probed.
 func (t *Table) Heads() []string {
 	var out []string
 	for _, pool := range t.pools {
@@ -177,6 +179,14 @@
 			}
 		}
 	}
+	if t.vms == nil {
+		return out
+	}
+	for _, vm := range t.vms.All() {
+		if vm.Listed && vm.Group != "" && vm.Rank == 0 && (vm.Stage == fleet.Joining || vm.Stage == fleet.Ready) {
+			out = append(out, vm.ID)
+		}
+	}
 	slices.SortFunc(out, strings.Compare)
 	return out
 }
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -9,26 +9,26 @@
 // adopt takes over the groups of earlier planners from what VMs have reported
 // to this one, and takes VMs out of what is left of broken ones.
 func (p *Planner) adopt(now time.Time) {
-	unknown := make(map[string][]*member)
+	unknown := make(map[groupKey][]*member)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.group != nil || m.Group == "" || p.released[m.Group] || m.HeardAt.Before(p.started) {
+		if m == nil || m.group != nil || m.Group == "" || p.released[keyOf(m)] || m.HeardAt.Before(p.started) {
 			continue
 		}
-		unknown[m.Group] = append(unknown[m.Group], m)
+		unknown[keyOf(m)] = append(unknown[keyOf(m)], m)
 	}
-	for name := range p.strays {
-		if unknown[name] == nil {
-			delete(p.strays, name)
+	for key := range p.strays {
+		if unknown[key] == nil {
+			delete(p.strays, key)
 		}
 	}
-	for name, members := range unknown {
+	for key, members := range unknown {
 		if p.adoptGroup(now, members) {
 			continue
 		}
-		since, seen := p.strays[name]
+		since, seen := p.strays[key]
 		if !seen {
-			p.strays[name] = now
+			p.strays[key] = now
 			continue
 		}
 		if now.Sub(since) >= adoptGrace && now.Sub(p.started) >= adoptGrace {
@@ -45,7 +45,7 @@
 	}
 	byRank := make([]*member, model.GroupSize)
 	for _, m := range members {
-		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Epoch != members[0].Epoch || m.Model != model.Name {
+		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Model != model.Name {
 			return false
 		}
 		byRank[m.Rank] = m
@@ -58,7 +58,7 @@
 		m.group = g
 		joining = joining || m.Stage == fleet.Joining
 	}
-	p.groups[g.Name] = g
+	p.groups[g.key()] = g
 	switch head := byRank[0]; {
 	case head.Stage == fleet.Open:
 		g.enter(now, Serving)
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -29,7 +29,7 @@
 	return m.group == nil && m.idle(now) && m.loading == "" &&
 		m.Listed && !m.Draining && !p.evacuated[m.DataCentre] &&
 		m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor && !m.HeardAt.Before(m.settleAt) &&
-		!now.Before(m.heldUntil) && (m.Group == "" || p.released[m.Group]) && !m.Busy
+		!now.Before(m.heldUntil) && (m.Group == "" || p.released[keyOf(m)]) && !m.Busy
 }
 
 // domains returns the fabric domains by name.
@@ -189,7 +189,7 @@
 			p.beginLoad(now, m, model.Name)
 		}
 	}
-	g := p.newGroup(now, model.Name, members)
+	g := p.newGroup(now, "", model.Name, members)
 	d.groups[model.Name]++
 	d.free = slices.DeleteFunc(d.free, func(m *member) bool { return m.group != nil })
 	for _, m := range members {
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -1,8 +1,8 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
@@ -18,7 +18,7 @@
 	for _, g := range p.groups {
 		out = append(out, g)
 	}
-	slices.SortFunc(out, func(a, b *Group) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b *Group) int { return cmp.Compare(a.Epoch, b.Epoch) })
 	return out
 }
 
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -22,6 +22,7 @@
 		p.freeSurvivors(now, g)
 	case !g.ordered && p.wholeAgain(now, g):
 		g.enter(now, Serving)
+	case !g.ordered && !g.finish && p.reform(now, g):
 	case p.headSafe(g, head):
 		p.release(g)
 	case !head.silent(now, silentFor):
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -45,13 +45,24 @@
 	born []int64
 }
 
+// groupKey names one formation of a group.
+type groupKey struct {
+	name  string
+	epoch uint64
+}
+
+func (g *Group) key() groupKey { return groupKey{g.Name, g.Epoch} }
+
+// keyOf returns the formation that a VM reports to be in.
+func keyOf(m *member) groupKey { return groupKey{m.Group, m.Epoch} }
+
 func (g *Group) enter(now time.Time, phase Phase) {
 	g.Phase, g.Since = phase, now
 }
 
 // holds reports whether a VM reports its membership of the group.
 func (g *Group) holds(m *member) bool {
-	return m.Group == g.Name && m.Epoch == g.Epoch
+	return keyOf(m) == g.key()
 }
 
 // giveUp begins to dissolve a group.
@@ -64,16 +75,20 @@
 	g.enter(now, Dissolving)
 }
 
-func (p *Planner) newGroup(now time.Time, model string, members []*member) *Group {
+// newGroup enters a group in the table. Without a name it gets one of its own.
+func (p *Planner) newGroup(now time.Time, name, model string, members []*member) *Group {
 	epoch := p.opts.Epochs.next()
-	g := &Group{Name: "g" + strconv.FormatUint(epoch, 36), Epoch: epoch, Model: model}
+	if name == "" {
+		name = "g" + strconv.FormatUint(epoch, 36)
+	}
+	g := &Group{Name: name, Epoch: epoch, Model: model}
 	for _, m := range members {
 		g.Members = append(g.Members, m.ID)
 		g.born = append(g.born, m.VM.Born)
 		m.group = g
 	}
 	g.enter(now, Forming)
-	p.groups[g.Name] = g
+	p.groups[g.key()] = g
 	return g
 }
 
@@ -84,8 +99,8 @@
 			m.group = nil
 		}
 	}
-	p.released[g.Name] = true
-	delete(p.groups, g.Name)
+	p.released[g.key()] = true
+	delete(p.groups, g.key())
 }
 
 // advance moves forming groups on towards serving.
--- a/coord/replica/order.go
+++ b/coord/replica/order.go
@@ -98,7 +98,7 @@
 
 // noteOpen remembers heads that may yet begin to serve.
 func (p *Planner) noteOpen(now time.Time, o Order, outcome Outcome) {
-	g := p.groups[o.Group]
+	g := p.groups[groupKey{o.Group, o.Epoch}]
 	switch {
 	case g != nil && o.Action == Open && outcome == Unknown:
 		g.openUnsettled = true
@@ -112,7 +112,7 @@
 
 // refused counts refusals, so that a group that can't be formed is given up.
 func (p *Planner) refused(o Order) {
-	if g := p.groups[o.Group]; g != nil && (o.Action == Join || o.Action == Open) {
+	if g := p.groups[groupKey{o.Group, o.Epoch}]; g != nil && (o.Action == Join || o.Action == Open) {
 		g.refusals++
 	}
 }
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -89,9 +89,9 @@
 	traffic bool
 
 	members  map[string]*member
-	groups   map[string]*Group
-	released map[string]bool // groups whose members are free
-	strays   map[string]time.Time
+	groups   map[groupKey]*Group
+	released map[groupKey]bool // groups whose members are free
+	strays   map[groupKey]time.Time
 	loads    []time.Time // starts of loads
 
 	started time.Time
@@ -127,9 +127,9 @@
 	return &Planner{
 		opts: opts, table: table,
 		members:  make(map[string]*member),
-		groups:   make(map[string]*Group),
-		released: make(map[string]bool),
-		strays:   make(map[string]time.Time),
+		groups:   make(map[groupKey]*Group),
+		released: make(map[groupKey]bool),
+		strays:   make(map[groupKey]time.Time),
 	}
 }
 
@@ -252,5 +252,5 @@
 	return m.group.Phase != Serving
 }
 
-// Groups returns the groups by name, for reports.
-func (p *Planner) Groups() map[string]*Group { return p.groups }
+// Groups returns the groups by epoch, for reports.
+func (p *Planner) Groups() []*Group { return p.sorted() }
--- /dev/null
+++ b/coord/replica/reform.go
@@ -0,0 +1,64 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+)
+
+// reform replaces the lost members of a group by spares of its domain that
+// have the model's weights: the survivors and the spares join the group's next
+// formation, whatever its head does. The head of the earlier one, if it still
+// runs, stands still without its members until it gives up.
+func (p *Planner) reform(now time.Time, g *Group) bool {
+	model := p.engine.Model(g.Model)
+	survivors := p.survivors(now, g)
+	if model == nil || len(survivors) == 0 || p.dark(now, survivors[0].DataCentre) {
+		return false
+	}
+	spares := p.sparesFor(now, model, survivors[0].Domain, model.GroupSize-len(survivors))
+	if len(survivors)+len(spares) < model.GroupSize {
+		return false
+	}
+	for _, id := range g.Members {
+		if m := p.members[id]; m != nil && m.group == g {
+			m.group = nil
+		}
+	}
+	delete(p.groups, g.key())
+	next := p.newGroup(now, g.Name, g.Model, append(survivors, spares...))
+	for _, id := range next.Members {
+		p.sendJoin(now, next, p.members[id])
+	}
+	return true
+}
+
+// survivors returns a group's members that answer and stay.
+func (p *Planner) survivors(now time.Time, g *Group) []*member {
+	var out []*member
+	for rank := range g.Members {
+		switch p.fault(now, g, rank) {
+		case "", "head gave up", "head stopped serving":
+			m := p.members[g.Members[rank]]
+			if m.idle(now) && m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor {
+				out = append(out, m)
+			}
+		}
+	}
+	return out
+}
+
+// sparesFor returns up to n free VMs of a domain that hold a model's weights.
+func (p *Planner) sparesFor(now time.Time, model *catalog.Model, domain string, n int) []*member {
+	var out []*member
+	for _, vm := range p.table.All() {
+		m := p.members[vm.ID]
+		if len(out) >= n || m == nil {
+			continue
+		}
+		if m.Domain == domain && m.HasStaged(model.Name) && p.free(now, m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -46,7 +46,7 @@
 // stage loads weights onto free hosts, for the model whose next loss they
 // would mend.
 func (p *Planner) stage(now time.Time) {
-	if p.gathering(now) {
+	if p.gathering(now) || now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 {
 		return
 	}
 	for _, d := range p.domains(now) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -52,7 +52,7 @@
 	term     uint64 // of the lease held, or 0
 	epochs   *replica.Epochs
 	planners map[string]*replica.Planner
-	phases   map[string]replica.Phase // by group, as last logged
+	phases   map[uint64]replica.Phase // by epoch, as last logged
 	running  sync.WaitGroup
 }
 
@@ -60,7 +60,7 @@
 func New(opts Options, table platform.Table, state *entry.State, orders Orderer, prober *entry.Prober) *Coordinator {
 	return &Coordinator{
 		opts: opts, table: table, state: state, orders: orders, prober: prober,
-		machine: lease.New(opts.Lease), phases: make(map[string]replica.Phase),
+		machine: lease.New(opts.Lease), phases: make(map[uint64]replica.Phase),
 	}
 }
 
@@ -216,19 +216,20 @@
 
 // logGroups logs each change of a group's phase. mu is held.
 func (c *Coordinator) logGroups(p *replica.Planner) {
-	groups := p.Groups()
-	for name, g := range groups {
-		if c.phases[name] == g.Phase {
+	seen := make(map[uint64]bool)
+	for _, g := range p.Groups() {
+		seen[g.Epoch] = true
+		if c.phases[g.Epoch] == g.Phase {
 			continue
 		}
-		c.phases[name] = g.Phase
-		c.opts.Log.Info("group "+string(g.Phase), "group", name, "epoch", g.Epoch, "model", g.Model,
+		c.phases[g.Epoch] = g.Phase
+		c.opts.Log.Info("group "+string(g.Phase), "group", g.Name, "epoch", g.Epoch, "model", g.Model,
 			"members", g.Members, "reason", g.Reason, "lost", g.Lost)
 	}
-	for name := range c.phases {
-		if groups[name] == nil {
-			delete(c.phases, name)
-			c.opts.Log.Info("group gone", "group", name)
+	for epoch := range c.phases {
+		if !seen[epoch] {
+			delete(c.phases, epoch)
+			c.opts.Log.Info("group gone", "epoch", epoch)
 		}
 	}
 }
