Stage spares of each model; restage only for a clear gain

Cause: both spares of a domain held the larger model's weights, and a new holder swapped the weights of spares to and fro. Attempts at a head that lives on without its members count towards the route's attempts (BUDGET).

--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -78,6 +78,11 @@
 	return float64(alive) * (1 - p.opts.SpareShare) * model.Share / share / float64(model.GroupSize)
 }
 
+// lacks reports whether a model has fewer groups than it should.
+func (p *Planner) lacks(model *catalog.Model) bool {
+	return p.running(model.Name) < max(1, int(p.wanted(model)))
+}
+
 // running returns the number of groups of a model that serve or will.
 func (p *Planner) running(model string) int {
 	n := 0
@@ -117,7 +122,7 @@
 	lack := func(m *catalog.Model) float64 { return (float64(p.running(m.Name)) + 0.5) / math.Max(p.wanted(m), 0.1) }
 	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(lack(a), lack(b)) })
 	for _, model := range models {
-		if float64(p.running(model.Name)) >= math.Ceil(p.wanted(model)) && p.running(model.Name) > 0 {
+		if !p.lacks(model) {
 			continue
 		}
 		d, members := p.bestPlace(domains, model)
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -27,7 +27,7 @@
 	settleFor = 400 * time.Millisecond
 	// adoptGrace is how long a group of an earlier planner may be
 	// incomplete before its VMs are taken out of it.
-	adoptGrace = 1500 * time.Millisecond
+	adoptGrace = 800 * time.Millisecond
 	// gatherQuiet is how long no VM may appear at the first start before
 	// groups are formed, gatherMost when they are formed all the same.
 	gatherQuiet = 700 * time.Millisecond
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -49,8 +49,18 @@
 	if p.gathering(now) || now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 {
 		return
 	}
-	for _, d := range p.domains(now) {
+	domains := p.domains(now)
+	p.stageIn(now, domains, func(m *member) bool { return len(m.Staged) == 0 })
+	p.stageIn(now, domains, func(m *member) bool { return len(m.Staged) > 0 })
+}
+
+// stageIn loads weights onto those free hosts of the domains that match.
+func (p *Planner) stageIn(now time.Time, domains []*domain, match func(*member) bool) {
+	for _, d := range domains {
 		for _, m := range d.free {
+			if !match(m) || m.loading != "" {
+				continue
+			}
 			if p.loadRoom(now) <= 0 {
 				return
 			}
@@ -67,7 +77,7 @@
 	best, bestScore := "", 0.0
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
-		score := p.stageScore(d, model)
+		score := p.stageScore(d, model, 0)
 		if score > bestScore {
 			best, bestScore = model.Name, score
 		}
@@ -84,11 +94,16 @@
 // stagedPower is how fast the worth of further staged VMs falls.
 const stagedPower = 1.5
 
-// stageScore tells how much a domain lacks a staged VM of a model.
-func (p *Planner) stageScore(d *domain, model *catalog.Model) float64 {
-	staged := 0
+// restageFactor is how much more other weights have to be worth than those that
+// a VM gives up for them.
+const restageFactor = 1.3
+
+// stageScore tells how much a domain lacks a staged VM of a model, beyond those
+// that it has, less some.
+func (p *Planner) stageScore(d *domain, model *catalog.Model, less int) float64 {
+	staged := -less
 	for _, m := range d.free {
-		if m.HasStaged(model.Name) {
+		if m.HasStaged(model.Name) && m.loading == "" {
 			staged++
 		}
 	}
@@ -97,23 +112,22 @@
 			staged++
 		}
 	}
-	below := float64(p.running(model.Name)) < math.Ceil(p.wanted(model))
-	if below && staged < model.GroupSize {
+	if len(d.free) >= model.GroupSize && staged < model.GroupSize && p.lacks(model) {
 		return 2 + float64(staged)/float64(model.GroupSize)
 	}
 	exposed := float64(d.groups[model.Name] * model.GroupSize)
-	return exposed / math.Pow(float64(1+staged), stagedPower) / 100
+	return exposed / math.Pow(float64(1+max(0, staged)), stagedPower) / 100
 }
 
-// redundant reports whether a VM's staged weights are worth less than those
-// of another model.
+// redundant reports whether a VM's staged weights are worth clearly less than
+// those of another model.
 func (p *Planner) redundant(d *domain, m *member, best string, bestScore float64) bool {
 	for _, name := range m.Staged {
 		model := p.engine.Model(name)
 		if model == nil {
 			continue
 		}
-		if name == best || 2*p.stageScore(d, model) >= bestScore {
+		if name == best || restageFactor*p.stageScore(d, model, 1) >= bestScore {
 			return false
 		}
 	}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -53,9 +53,13 @@
 	epochs   *replica.Epochs
 	planners map[string]*replica.Planner
 	phases   map[uint64]replica.Phase // by epoch, as last logged
+	summed   time.Time
 	running  sync.WaitGroup
 }
 
+// summaryEvery is the time between two log lines that count the VMs.
+const summaryEvery = 4 * time.Second
+
 // New returns a coordinator that does nothing until it is ticked.
 func New(opts Options, table platform.Table, state *entry.State, orders Orderer, prober *entry.Prober) *Coordinator {
 	return &Coordinator{
@@ -175,6 +179,10 @@
 				c.async(func() { c.order(ctx, p, o) })
 			}
 			c.logGroups(p)
+			if now.Sub(c.summed) >= summaryEvery {
+				c.summed = now
+				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now))
+			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && vm.Listed {
 					want[vm.ID] = c.opts.ProbeEvery
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -181,9 +181,7 @@
 func (s *Server) broke(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
 	req.sends++
 	req.mayHaveRun = true
-	if context.Cause(a.ctx) != errLost {
-		req.attempts++
-	}
+	req.attempts++
 	outcome := dispatch.Failed
 	if ctx.Err() != nil {
 		outcome = dispatch.Neutral
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,8 +33,7 @@
 	out      upstream.Request
 	draw     uint64
 
-	// attempts counts sends that may have run, but for those at endpoints
-	// that were lost; sends counts all.
+	// attempts counts sends that may have run; sends counts all.
 	attempts, sends int
 	// mayHaveRun is whether some send may have run.
 	mayHaveRun bool
