--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -8,11 +8,11 @@
 )
 
 const (
-	// queueShare is how far above its slots a target's predicted load may
-	// go: a place comes free several times within an objective.
-	queueShare = 0.15
-	// begunShare is the same for requests whose answer has begun.
-	begunShare = 1.0
+	// begunFactor times its slots is the predicted load up to which a target
+	// takes requests whose answer has begun.
+	begunFactor = 2
+	// plainFactor times a plain server's slots is what one node sends it.
+	plainFactor = 3
 	// remotePenalty is what a request to another data centre costs, as a
 	// part of a target's slots.
 	remotePenalty = 0.06
@@ -83,7 +83,7 @@
 	}
 	best.cold.take(now)
 	ticket := &Ticket{Target: best, ProgressAt: now, sentAt: now}
-	best.tickets[ticket] = struct{}{}
+	best.add(now, ticket)
 	return ticket, nil
 }
 
@@ -96,11 +96,13 @@
 }
 
 func full(t *Target, begun bool) bool {
-	share := queueShare
 	if begun {
-		share = begunShare
+		return t.load() >= t.Slots*begunFactor
 	}
-	return float64(t.load()) >= float64(t.Slots)*(1+share)
+	if t.Group == "" {
+		return len(t.tickets) >= t.Slots*plainFactor
+	}
+	return len(t.tickets) >= t.allowed
 }
 
 func (t *Table) score(target *Target) float64 {
@@ -153,7 +155,7 @@
 
 // Done ends a request at its target.
 func (t *Table) Done(now time.Time, ticket *Ticket, outcome Outcome) {
-	delete(ticket.Target.tickets, ticket)
+	ticket.Target.remove(now, ticket)
 	switch outcome {
 	case Succeeded:
 		ticket.Target.health.succeeded()
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -60,7 +61,7 @@
 	var lost []*Ticket
 	for _, vm := range vms.All() {
 		target := t.follow(vm)
-		target.observe(vm)
+		target.observe(vm, t.lag(vm.Service), t.nodes)
 		works, serves := t.describe(vm, target, groups)
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
@@ -80,6 +81,14 @@
 	return lost
 }
 
+// lag returns the age of the figures in the reports of a service's VMs.
+func (t *Table) lag(service string) time.Duration {
+	if svc := t.cats.Service(service); svc != nil && svc.Engine != nil {
+		return svc.Engine.ReportLag
+	}
+	return 0
+}
+
 // follow returns the target of a VM. A VM that has started again or serves as
 // another group's head is another target.
 func (t *Table) follow(vm *fleet.VM) *Target {
@@ -109,6 +118,7 @@
 	if target.Group != vm.Group || target.Epoch != vm.Epoch {
 		target.Group, target.Epoch = vm.Group, vm.Epoch
 		target.health = health{}
+		target.allowed = int(math.Ceil(float64(vm.Slots) / float64(t.nodes)))
 	}
 	target.Model = vm.Model
 	members := groups[groupKey{vm.Group, vm.Epoch}]
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
@@ -25,9 +26,13 @@
 	// others is the work of other nodes as of the newest report.
 	others   int
 	reported time.Time
-	pace     float64
-	cold     coldRate
-	health   health
+	// allowed is how many requests this node may have at a group's head
+	// until the next report.
+	allowed int
+	history history
+	pace    float64
+	cold    coldRate
+	health  health
 }
 
 // Ticket is one request at a target.
@@ -49,20 +54,71 @@
 // load is the predicted number of requests at the target.
 func (t *Target) load() int { return len(t.tickets) + t.others }
 
-// observe takes in what the VM reports of its work.
-func (t *Target) observe(vm *fleet.VM) {
+// observe takes in what the VM reports of its work as of lag before the report.
+// What is free is divided over the nodes, so that together they don't send
+// more than the VM runs at once; what is too much is given back in proportion.
+func (t *Target) observe(vm *fleet.VM, lag time.Duration, nodes int) {
 	if !vm.HeardAt.After(t.reported) {
 		return
 	}
 	t.reported = vm.HeardAt
-	own := 0
-	for ticket := range t.tickets {
-		if ticket.sentAt.Before(vm.HeardAt) {
-			own++
+	own := t.history.at(vm.HeardAt.Add(-lag))
+	total := max(own, vm.Running+vm.Waiting)
+	t.others = total - own
+	t.pace = max(1, vm.Pace)
+	room := t.Slots - total
+	if room >= 0 {
+		t.allowed = own + int(math.Ceil(float64(room)*min(1, roomShare/float64(nodes))))
+		return
+	}
+	t.allowed = max(1, own*t.Slots/total)
+}
+
+// roomShare is how much more than its even part of the free places a node may
+// take until the next report.
+const roomShare = 1.5
+
+// add and remove count a ticket.
+func (t *Target) add(now time.Time, ticket *Ticket) {
+	t.tickets[ticket] = struct{}{}
+	t.history.note(now, len(t.tickets))
+}
+
+func (t *Target) remove(now time.Time, ticket *Ticket) {
+	delete(t.tickets, ticket)
+	t.history.note(now, len(t.tickets))
+}
+
+// history remembers how many requests this node had at a target.
+type history struct {
+	notes []historyNote
+}
+
+type historyNote struct {
+	at time.Time
+	n  int
+}
+
+// historyKept is longer than a report's lag and way.
+const historyKept = time.Second
+
+func (h *history) note(now time.Time, n int) {
+	old := 0
+	for old+1 < len(h.notes) && now.Sub(h.notes[old+1].at) > historyKept {
+		old++
+	}
+	h.notes = append(h.notes[:0], h.notes[old:]...)
+	h.notes = append(h.notes, historyNote{now, n})
+}
+
+// at returns the number as of a time.
+func (h *history) at(t time.Time) int {
+	for i := len(h.notes) - 1; i >= 0; i-- {
+		if !h.notes[i].at.After(t) {
+			return h.notes[i].n
 		}
 	}
-	t.others = max(0, vm.Running+vm.Waiting-own)
-	t.pace = max(1, vm.Pace)
+	return 0
 }
 
 // health follows the outcomes of requests.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,7 +24,7 @@
 	leastLeft = 10 * time.Millisecond
 	// waitShare is the part of its objective that a request may wait for a
 	// place, begunWait the time that one may whose answer has begun.
-	waitShare  = 0.3
+	waitShare  = 0.12
 	begunWait  = 1500 * time.Millisecond
 	placeRetry = 20 * time.Millisecond
 	// patienceFactor times the objective, patienceLeast at least, is how long
