--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -68,14 +68,7 @@
 			alive++
 		}
 	}
-	share := 0.0
-	for _, other := range p.engine.Models {
-		share += other.Share
-	}
-	if share <= 0 {
-		return 0
-	}
-	return float64(alive) * (1 - p.opts.SpareShare) * model.Share / share / float64(model.GroupSize)
+	return float64(alive) * (1 - p.spareShare()) * p.share(model) / float64(model.GroupSize)
 }
 
 // lacks reports whether a model has fewer groups than it should.
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -93,6 +93,7 @@
 	released map[groupKey]bool // groups whose members are free
 	strays   map[groupKey]time.Time
 	loads    []time.Time // starts of loads
+	demand   demand
 
 	started time.Time
 	// grewAt is when the newest VM appeared.
@@ -130,6 +131,7 @@
 		groups:   make(map[groupKey]*Group),
 		released: make(map[groupKey]bool),
 		strays:   make(map[groupKey]time.Time),
+		demand:   demand{use: make(map[string]float64), work: make(map[string]float64)},
 	}
 }
 
@@ -155,6 +157,7 @@
 	p.assess(now)
 	p.dissolve(now)
 	p.advance(now)
+	p.sampleDemand(now)
 	p.assemble(now)
 	p.stage(now)
 	out := p.out
