Tell VMs apart that had one address after another; keep unlisted members

Members that the platform no longer lists but that answer stay for 5 s: a partition from the store dissolved their groups.

--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -47,6 +47,9 @@
 	if restarted {
 		vm.restart()
 	}
+	if vm.Address != row.Address {
+		t.takeAddress(now, row)
+	}
 	changed := restarted || !vm.Listed || vm.Draining != row.Draining || vm.Address != row.Address
 	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
 	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
@@ -63,6 +66,16 @@
 	return restarted
 }
 
+// takeAddress ends the VMs that had the address of a row before.
+func (t *Table) takeAddress(now time.Time, row Row) {
+	for _, other := range t.list {
+		if other.ID != row.ID && other.Address == row.Address && other.Born <= row.Born {
+			other.Address = ""
+			t.Unlist(now, other.ID)
+		}
+	}
+}
+
 // restart forgets what was known of an earlier start.
 func (vm *VM) restart() {
 	vm.State = State{Domain: vm.Domain}
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -74,8 +74,9 @@
 
 // VM is what is known of an endpoint VM.
 type VM struct {
-	ID         string
-	Service    string
+	ID      string
+	Service string
+	// Address is empty once another VM has it.
 	Address    string
 	DataCentre string
 	Slots      int
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -12,6 +12,10 @@
 // loss of the way there, not of the VMs.
 const darkShare = 0.7
 
+// unlistedGrace is how long a member that still answers may be missing from the
+// platform's list, which it may have lost touch with.
+const unlistedGrace = 5 * time.Second
+
 // sorted returns the groups by epoch, so that runs repeat.
 func (p *Planner) sorted() []*Group {
 	out := make([]*Group, 0, len(p.groups))
@@ -62,7 +66,7 @@
 		return "head gave up"
 	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
 		return "head stopped serving"
-	case m.leaving():
+	case m.Draining, !m.Listed && now.Sub(m.ListedAt) >= unlistedGrace:
 		return "leaving"
 	}
 	return ""
--- a/coord/replica/demand.go
+++ b/coord/replica/demand.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
@@ -9,7 +10,7 @@
 
 const (
 	// demandWeight is the part of the newest sample in the running means.
-	demandWeight = 0.1
+	demandWeight = 0.2
 	demandEvery  = 250 * time.Millisecond
 	// busyFrom and busyTo are the use of a model's places between which
 	// spares are given up for more groups.
@@ -87,3 +88,6 @@
 	free := (busyTo - use) / (busyTo - busyFrom)
 	return p.opts.SpareShare * min(1, max(0, free))
 }
+
+// Use returns the part of each model's places in use.
+func (p *Planner) Use() map[string]float64 { return maps.Clone(p.demand.use) }
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -222,12 +222,16 @@
 // silent reports whether the VM has not answered probes for d. One that is no
 // longer listed is not probed.
 func (m *member) silent(now time.Time, d time.Duration) bool {
-	if !m.Listed && now.Sub(m.HeardAt) >= max(d, freshFor) {
+	if !m.Listed && now.Sub(m.HeardAt) >= max(d, freshFor) && now.Sub(m.ListedAt) >= UnlistedProbed {
 		return true
 	}
 	return m.FailedProbes >= silentProbes && now.Sub(m.FailedSince) >= d
 }
 
+// UnlistedProbed is how long VMs are to be probed after they were taken off the
+// platform's list.
+const UnlistedProbed = 12 * time.Second
+
 // leaving reports whether the VM is about to end.
 func (m *member) leaving() bool { return m.Draining || !m.Listed }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -181,10 +181,10 @@
 			c.logGroups(p)
 			if now.Sub(c.summed) >= summaryEvery {
 				c.summed = now
-				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now))
+				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now), "use", p.Use())
 			}
 			for _, vm := range k.VMs.All() {
-				if vm.Engine && vm.Service == svc.Name && vm.Listed {
+				if vm.Engine && vm.Service == svc.Name && (vm.Listed || now.Sub(vm.ListedAt) < replica.UnlistedProbed) {
 					want[vm.ID] = c.opts.ProbeEvery
 				}
 			}
