Count VMs that load or are held when choosing what to stage

Cause: survivors of a broken group were restaged to the other model while the member that they lacked was loading.

--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -101,18 +101,17 @@
 // stageScore tells how much a domain lacks a staged VM of a model, beyond those
 // that it has, less some.
 func (p *Planner) stageScore(d *domain, model *catalog.Model, less int) float64 {
-	staged := -less
-	for _, m := range d.free {
-		if m.HasStaged(model.Name) && m.loading == "" {
-			staged++
-		}
-	}
+	staged, room := -less, 0
 	for _, m := range p.members {
-		if m.Domain == d.name && m.group == nil && m.loading == model.Name {
+		if m.Domain != d.name || m.group != nil || m.leaving() || m.FailedProbes > 0 {
+			continue
+		}
+		room++
+		if m.loading == model.Name || m.loading == "" && m.HasStaged(model.Name) {
 			staged++
 		}
 	}
-	if len(d.free) >= model.GroupSize && staged < model.GroupSize && p.lacks(model) {
+	if room >= model.GroupSize && staged < model.GroupSize && p.lacks(model) {
 		return 2 + float64(staged)/float64(model.GroupSize)
 	}
 	exposed := float64(d.groups[model.Name] * model.GroupSize)
