--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -21,7 +21,7 @@
 	name       string
 	dataCentre string
 	free       []*member
-	groups     map[string]int // by model
+	groups     map[string]int // by model, those that are dissolved included
 }
 
 // free reports whether a VM may join a group now.
@@ -49,7 +49,7 @@
 		}
 		switch {
 		case m.group != nil:
-			if m.group.Members[0] == m.ID && m.group.Phase != Dissolving {
+			if m.group.Members[0] == m.ID {
 				d.groups[m.group.Model]++
 			}
 		case p.free(now, m):
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -12,6 +12,10 @@
 // loss of the way there, not of the VMs.
 const darkShare = 0.7
 
+// darkAfter is how long it takes until all VMs of a data centre that can be
+// reached again have been probed.
+const darkAfter = time.Second
+
 // unlistedGrace is how long a member that still answers may be missing from the
 // platform's list, which it may have lost touch with.
 const unlistedGrace = 5 * time.Second
@@ -72,8 +76,17 @@
 	return ""
 }
 
-// dark reports whether most VMs of a data centre are silent.
+// dark reports whether most VMs of a data centre are silent, or were a moment
+// ago, so that not all of them have been heard again.
 func (p *Planner) dark(now time.Time, dataCentre string) bool {
+	if p.mostlySilent(now, dataCentre) {
+		p.darkAt[dataCentre] = now
+	}
+	at, was := p.darkAt[dataCentre]
+	return was && now.Sub(at) < darkAfter
+}
+
+func (p *Planner) mostlySilent(now time.Time, dataCentre string) bool {
 	silent, all := 0, 0
 	for _, m := range p.members {
 		if m.DataCentre != dataCentre {
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -25,9 +25,10 @@
 	case !g.ordered && !g.finish && p.reform(now, g):
 	case p.headSafe(g, head):
 		p.release(g)
-	case !head.silent(now, silentFor):
+	case !g.finish && p.dark(now, head.DataCentre):
+	case head.FailedProbes == 0:
 		p.stopHead(now, g, head)
-	case head.silent(now, headSilentFor) && !p.dark(now, head.DataCentre):
+	case head.silent(now, headSilentFor):
 		p.freeSurvivors(now, g)
 	}
 }
@@ -47,6 +48,9 @@
 	if !g.holds(head) {
 		return true
 	}
+	if !g.openedAt.IsZero() && head.HeardAt.Before(g.openedAt.Add(p.engine.FormTime+openMargin)) {
+		return false // an order to serve may be about to take effect
+	}
 	return head.Stage == fleet.Joining || head.Stage == fleet.Ready
 }
 
@@ -55,7 +59,6 @@
 	if now.Sub(head.settleAt) < settleFor {
 		return
 	}
-	g.ordered = true
 	waiting := g.finish && now.Sub(g.Since) < closeFor
 	switch {
 	case waiting && head.Stage == fleet.Open:
@@ -94,7 +97,6 @@
 
 // takeAway tells a member to leave its group.
 func (p *Planner) takeAway(now time.Time, g *Group, m *member) {
-	g.ordered = true
 	if now.Sub(m.settleAt) >= settleFor {
 		p.send(now, m, Order{Action: Leave, Group: g.Name, Epoch: g.Epoch})
 	}
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -38,7 +38,7 @@
 	// openUnsettled is whether an order to serve may yet take effect.
 	openUnsettled bool
 	openedAt      time.Time
-	// ordered is whether an order has been sent to dissolve the group.
+	// ordered is whether an order to dissolve the group may have taken effect.
 	ordered  bool
 	refusals int
 	// born holds each member's start.
--- a/coord/replica/order.go
+++ b/coord/replica/order.go
@@ -90,6 +90,9 @@
 		vm.settleAt = now
 	}
 	p.noteOpen(now, o, outcome)
+	if g := p.groups[groupKey{o.Group, o.Epoch}]; g != nil && g.Phase == Dissolving && outcome != Refused {
+		g.ordered = true
+	}
 	if outcome == Refused {
 		p.refused(o)
 	}
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -39,6 +39,8 @@
 	stallMargin = time.Second
 	// maxRefusals is how many refused orders a forming group may see.
 	maxRefusals = 6
+	// openMargin is added to the time that a head takes to serve.
+	openMargin = 300 * time.Millisecond
 	// epochBits leaves room below the term for the epochs of one planner.
 	epochBits = 24
 )
@@ -92,6 +94,7 @@
 	groups   map[groupKey]*Group
 	released map[groupKey]bool // groups whose members are free
 	strays   map[groupKey]time.Time
+	darkAt   map[string]time.Time // by data centre
 	loads    []time.Time // starts of loads
 	demand   demand
 
@@ -131,6 +134,7 @@
 		groups:   make(map[groupKey]*Group),
 		released: make(map[groupKey]bool),
 		strays:   make(map[groupKey]time.Time),
+		darkAt:   make(map[string]time.Time),
 		demand:   demand{use: make(map[string]float64), work: make(map[string]float64)},
 	}
 }
--- /dev/null
+++ b/coord/replica/planner_test.go
@@ -0,0 +1,251 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// formed returns a world of six domains whose groups serve when requests
+// begin.
+func formed(t *testing.T) *world {
+	w := newWorld(t, 1, 6)
+	w.run(8 * time.Second)
+	w.startTraffic()
+	return w
+}
+
+func TestFormsAllGroupsAndStagesSparesBeforeTraffic(t *testing.T) {
+	w := formed(t)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, w.serving(small), 6)
+	spares := map[string]int{}
+	for _, vm := range w.vms {
+		if vm.state.Group == "" {
+			assert.Equal(t, len(vm.state.Staged), 1, "%s is not staged", vm.row.ID)
+			spares[vm.state.Staged[0]]++
+		}
+	}
+	assert.DeepEqual(t, spares, map[string]int{large: 6, small: 6})
+}
+
+func TestReplacesLostMemberBySpareOfTheDomain(t *testing.T) {
+	for name, rank := range map[string]int{"head": 0, "member": 1} {
+		t.Run(name, func(t *testing.T) {
+			w := formed(t)
+			head := w.head(large)
+			group := head.state.Group
+			w.vms[head.list[rank]].dead = true
+			w.run(5 * time.Second)
+			assert.Equal(t, w.serving(large), 6)
+			for _, vm := range w.vms {
+				if vm.state.Stage == fleet.Open && vm.state.Group == group && !vm.dead {
+					return
+				}
+			}
+			t.Fatalf("no head serves %s again", group)
+		})
+	}
+}
+
+func TestDarkDomainIsFormedAgainWhenItReturns(t *testing.T) {
+	w := formed(t)
+	domain := w.head(large).row.Domain
+	var lost []*engineVM
+	for _, vm := range w.vms {
+		if vm.row.Domain == domain {
+			vm.dead = true
+			lost = append(lost, vm)
+		}
+	}
+	w.run(7 * time.Second)
+	assert.Equal(t, w.serving(large), 5)
+	for _, vm := range lost {
+		w.restart(vm)
+	}
+	w.run(5 * time.Second)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, w.serving(small), 6)
+}
+
+func TestGroupsOutOfReachAreLeftAlone(t *testing.T) {
+	w := formed(t)
+	dc := w.head(large).row.DataCentre
+	orders := map[string]uint64{}
+	for id, vm := range w.vms {
+		if vm.row.DataCentre == dc {
+			vm.cut = true
+			orders[id] = vm.state.Orders
+		}
+	}
+	w.run(6 * time.Second)
+	for _, vm := range w.vms {
+		vm.cut = false
+	}
+	w.run(3 * time.Second)
+	for id, n := range orders {
+		if w.vms[id].state.Group != "" {
+			assert.Equal(t, w.vms[id].state.Orders, n, "%s got orders", id)
+		}
+	}
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, w.serving(small), 6)
+}
+
+func TestTakeoverAdoptsServingGroups(t *testing.T) {
+	w := formed(t)
+	before := w.head(large).state.Membership
+	w.takeover()
+	w.run(3 * time.Second)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, w.serving(small), 6)
+	assert.Equal(t, w.head(large).state.Membership, before)
+}
+
+// A new holder read rows from before the groups served, took their heads for
+// safe and gave their VMs to other groups.
+func TestTakeoverDoesNotTrustOldRows(t *testing.T) {
+	w := formed(t)
+	w.table = fleet.NewTable()
+	for _, id := range w.ids {
+		vm := w.vms[id]
+		row := vm.row
+		row.State = vm.state
+		if row.Stage == fleet.Open {
+			row.Stage = fleet.Ready
+		}
+		row.Orders = 0
+		w.table.ApplyRow(w.now, row)
+		vm.cut = vm.row.DataCentre == "dc-0"
+	}
+	w.takeover()
+	w.run(5 * time.Second)
+	for _, vm := range w.vms {
+		vm.cut = false
+	}
+	w.run(5 * time.Second) // checkTaken fails the test if a VM is taken
+	assert.Equal(t, w.serving(large), 6)
+}
+
+// A lease that lapsed and was regained in the same term numbered groups anew,
+// so that two formations shared a number.
+func TestRegainedTermNumbersGoOn(t *testing.T) {
+	epochs := NewEpochs(3)
+	first := epochs.next()
+	w := newWorld(t, 1, 2)
+	w.epochs = epochs
+	w.newPlanner()
+	w.run(5 * time.Second)
+	for _, g := range w.p.Groups() {
+		assert.Assert(t, g.Epoch > first)
+	}
+	last := w.p.Groups()[len(w.p.Groups())-1].Epoch
+	w.newPlanner()
+	assert.Assert(t, epochs.next() > last)
+}
+
+func TestMemberOffTheListStaysWhileItAnswers(t *testing.T) {
+	w := formed(t)
+	head := w.head(large)
+	w.table.Unlist(w.now, head.list[2])
+	w.run(4 * time.Second)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, head.state.Stage, fleet.Open)
+}
+
+func TestDrainingMemberIsReplacedOnceTheHeadHasFinished(t *testing.T) {
+	w := formed(t)
+	head := w.head(large)
+	leaving := w.vms[head.list[2]]
+	leaving.row.Draining = true
+	w.list(leaving)
+	w.run(6 * time.Second)
+	assert.Equal(t, w.serving(large), 6)
+	for _, vm := range w.vms {
+		if vm.state.Stage == fleet.Open {
+			for _, id := range vm.list {
+				assert.Assert(t, id != leaving.row.ID)
+			}
+		}
+	}
+}
+
+func TestLoadsStayWithinTheRate(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	w.startTraffic()
+	var starts []time.Time
+	for end := w.now.Add(40 * time.Second); w.now.Before(end); w.now = w.now.Add(tick) {
+		before := len(w.p.loads)
+		w.step()
+		for range max(0, len(w.p.loads)-before) {
+			starts = append(starts, w.now)
+		}
+	}
+	for i, from := range starts {
+		n := 0
+		for _, at := range starts[i:] {
+			if at.Sub(from) < 5*time.Second {
+				n++
+			}
+		}
+		assert.Assert(t, n <= 20, "%d loads in 5 s", n)
+	}
+	assert.Assert(t, len(starts) > 0)
+}
+
+// Random losses, restarts, partitions, lost and late orders and takeovers:
+// the world checks after each step that no VM is taken from a serving head and
+// that no head serves with a member that was never ready.
+func TestRandomFaults(t *testing.T) {
+	runs := 60
+	if testing.Short() {
+		runs = 10
+	}
+	for seed := range runs {
+		w := newWorld(t, uint64(seed), 4)
+		w.lose = 0.3 * w.rng.Float64()
+		w.run(time.Duration(w.rng.Int64N(int64(8 * time.Second))))
+		w.startTraffic()
+		for range 60 {
+			w.fault()
+			w.run(time.Duration(w.rng.Int64N(int64(1500 * time.Millisecond))))
+		}
+		w.lose = 0
+		for _, vm := range w.vms {
+			vm.cut = false
+			if vm.dead {
+				w.restart(vm)
+			}
+		}
+		w.run(70 * time.Second)
+		assert.Assert(t, w.serving(large) >= 3, "seed %d: %d groups of the large model", seed, w.serving(large))
+		assert.Assert(t, w.serving(small) >= 3, "seed %d: %d groups of the small model", seed, w.serving(small))
+	}
+}
+
+func (w *world) fault() {
+	vm := w.vms[w.ids[w.rng.IntN(len(w.ids))]]
+	switch w.rng.IntN(6) {
+	case 0, 1:
+		vm.dead = true
+	case 2:
+		if vm.dead {
+			w.restart(vm)
+		}
+	case 3:
+		vm.cut = !vm.cut
+	case 4:
+		w.takeover()
+	case 5:
+		dc := vm.row.DataCentre
+		cut := w.rng.IntN(2) == 0
+		for _, other := range w.vms {
+			if other.row.DataCentre == dc {
+				other.cut = cut
+			}
+		}
+	}
+}
