--- /dev/null
+++ b/coord/catalog/catalog_test.go
@@ -0,0 +1,49 @@
+package catalog
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func testCatalog() *Catalog {
+	routes := []Route{
+		{Name: "short", Host: "h", Prefix: "/a/", Backends: []Backend{{"s", 1}}},
+		{Name: "long", Host: "h", Prefix: "/a/b/", Backends: []Backend{{"s", 1}}, Public: true},
+	}
+	return New(3, routes, []Service{{Name: "s"}}, []Account{{Name: "acc", Keys: []string{"k1", "k2"}}}, Limits{})
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	c := testCatalog()
+	assert.Equal(t, c.Match("h", "/a/b/c").Name, "long")
+	assert.Equal(t, c.Match("h", "/a/x").Name, "short")
+	assert.Assert(t, c.Match("h", "/a") == nil)
+	assert.Assert(t, c.Match("other", "/a/b/") == nil)
+}
+
+func TestKeys(t *testing.T) {
+	c := testCatalog()
+	assert.Equal(t, c.Account("k2").Name, "acc")
+	assert.Assert(t, c.Account("gone") == nil)
+	assert.Assert(t, c.NeedsKey(c.Match("h", "/a/x")))
+	assert.Assert(t, !c.NeedsKey(c.Match("h", "/a/b/")))
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	r := Route{Backends: []Backend{{"a", 90}, {"b", 10}}}
+	counts := map[string]int{}
+	for draw := range uint64(1000) {
+		counts[r.Split(draw)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	none := Route{Backends: []Backend{{"a", 0}}}
+	assert.Equal(t, none.Split(7), "a")
+}
+
+func TestRepeatable(t *testing.T) {
+	assert.Assert(t, (&Route{Kind: Idempotent}).Repeatable())
+	assert.Assert(t, !(&Route{Kind: Once}).Repeatable())
+	assert.Assert(t, !(&Route{Kind: Stream}).Repeatable())
+	assert.Assert(t, (&Route{Kind: Stream, Resumable: true}).Repeatable())
+}
--- /dev/null
+++ b/coord/dispatch/dispatch_test.go
@@ -0,0 +1,253 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+func testCatalog() *catalog.Catalog {
+	services := []catalog.Service{
+		{Name: "llm", ColdPerSecond: 36, Engine: &catalog.Engine{
+			Slots: 26, ReportLag: 200 * time.Millisecond,
+			Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}},
+		}},
+		{Name: "shop"},
+	}
+	return catalog.New(1, nil, services, nil, catalog.Limits{})
+}
+
+func testOptions() Options {
+	return Options{
+		DataCentre: "dc-a", ColdOverage: 1.5, ColdSlack: 5,
+		RepeatRatio: 0.2, RepeatSlack: 136, RepeatWindow: 10 * time.Second,
+	}
+}
+
+// site is a table with groups of two VMs.
+type site struct {
+	vms   *fleet.Table
+	table *Table
+	now   time.Time
+}
+
+func newSite(groups int) *site {
+	s := &site{vms: fleet.NewTable(), table: New(testOptions()), now: start}
+	s.table.SetNodes(4)
+	for g := range groups {
+		for rank := range 2 {
+			stage := fleet.Ready
+			if rank == 0 {
+				stage = fleet.Open
+			}
+			s.vms.ApplyRow(s.now, fleet.Row{
+				ID: vmID(g, rank), Service: "llm", Address: vmID(g, rank), DataCentre: "dc-a", Slots: 26, Engine: true,
+				State: fleet.State{Born: 1, Model: "m", Membership: fleet.Membership{
+					Group: fmt.Sprint("g", g), Epoch: 1, Rank: rank, Stage: stage,
+				}},
+			})
+		}
+	}
+	s.update()
+	return s
+}
+
+func vmID(group, rank int) string { return fmt.Sprintf("i-%d%d", group, rank) }
+
+func (s *site) update() []*Ticket { return s.table.Update(s.now, s.vms, testCatalog(), nil) }
+
+func (s *site) report(id string, running int) {
+	vm := s.vms.Get(id)
+	s.vms.ApplyReport(s.now, id, fleet.Report{State: vm.State, Load: fleet.Load{Running: running, Pace: 1}})
+	s.update()
+}
+
+func (s *site) pick(draw int) (*Ticket, *Refusal) {
+	return s.table.Pick(s.now, Query{Service: "llm", Model: "m", Draw: uint64(draw)})
+}
+
+// picks returns how many requests are placed until one is refused.
+func (s *site) picks() int {
+	for n := range 1000 {
+		if _, refusal := s.pick(n); refusal != nil {
+			return n
+		}
+	}
+	return 1000
+}
+
+// Load: all nodes see the same free places in one report. Together they must
+// not send much more than fits.
+func TestFreePlacesAreDividedOverTheNodes(t *testing.T) {
+	s := newSite(1)
+	s.now = s.now.Add(time.Second)
+	s.report(vmID(0, 0), 10)
+	n := s.picks()
+	assert.Equal(t, n, 6) // 16 free places, 1.5 parts of four
+}
+
+// Load: more is at a group than it runs at once. A node gives its part back.
+func TestOverloadIsGivenBackInProportion(t *testing.T) {
+	s := newSite(1)
+	for i := range 6 {
+		_, refusal := s.pick(i)
+		assert.Assert(t, refusal == nil)
+	}
+	s.now = s.now.Add(time.Second)
+	s.report(vmID(0, 0), 52)
+	_, refusal := s.pick(9)
+	assert.Assert(t, refusal != nil)
+	assert.Equal(t, refusal.Reason, AllFull)
+	assert.Assert(t, refusal.RetryAfter > 0)
+}
+
+func TestFullGroupsStillTakeStreamsThatHaveBegun(t *testing.T) {
+	s := newSite(1)
+	s.now = s.now.Add(time.Second)
+	s.report(vmID(0, 0), 26)
+	_, refusal := s.pick(1)
+	assert.Assert(t, refusal != nil)
+	_, refusal = s.table.Pick(s.now, Query{Service: "llm", Model: "m", Begun: true})
+	assert.Assert(t, refusal == nil)
+}
+
+func TestLeastLoadedGroupIsChosen(t *testing.T) {
+	s := newSite(2)
+	s.now = s.now.Add(time.Second)
+	s.report(vmID(0, 0), 20)
+	s.report(vmID(1, 0), 5)
+	ticket, refusal := s.pick(1)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, ticket.Target.ID, vmID(1, 0))
+}
+
+func TestLostMemberEndsTheGroupsRequests(t *testing.T) {
+	s := newSite(1)
+	ticket, _ := s.pick(1)
+	for range deadProbes {
+		s.now = s.now.Add(200 * time.Millisecond)
+		s.vms.ProbeFailed(s.now, vmID(0, 1))
+	}
+	lost := s.update()
+	assert.DeepEqual(t, len(lost), 1)
+	assert.Assert(t, lost[0] == ticket)
+	_, refusal := s.pick(2)
+	assert.Equal(t, refusal.Reason, NoTarget)
+}
+
+// A head that closes finishes its requests; a router cut them.
+func TestClosingHeadKeepsItsRequests(t *testing.T) {
+	s := newSite(1)
+	_, refusal := s.pick(1)
+	assert.Assert(t, refusal == nil)
+	s.now = s.now.Add(time.Second)
+	vm := s.vms.Get(vmID(0, 0))
+	closing := vm.State
+	closing.Stage = fleet.Closing
+	s.vms.ApplyReport(s.now, vm.ID, fleet.Report{State: closing})
+	assert.Equal(t, len(s.update()), 0)
+	_, refusal = s.pick(2)
+	assert.Equal(t, refusal.Reason, NoTarget)
+}
+
+func TestEvacuatedDrainingAndUnlistedGetNothing(t *testing.T) {
+	for name, leave := range map[string]func(s *site){
+		"evacuated": func(s *site) {
+			s.table.Update(s.now, s.vms, testCatalog(), map[string]bool{"dc-a": true})
+		},
+		"draining": func(s *site) {
+			vm := s.vms.Get(vmID(0, 0))
+			s.vms.ApplyRow(s.now, fleet.Row{
+				ID: vm.ID, Service: "llm", Address: vm.Address, DataCentre: "dc-a", Slots: 26, Engine: true,
+				Draining: true, State: vm.State,
+			})
+			s.update()
+		},
+		"unlisted": func(s *site) {
+			s.vms.Unlist(s.now, vmID(0, 0))
+			s.update()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(1)
+			_, refusal := s.pick(1)
+			assert.Assert(t, refusal == nil)
+			leave(s)
+			_, refusal = s.pick(2)
+			assert.Equal(t, refusal.Reason, NoTarget)
+		})
+	}
+}
+
+// The bound holds over all nodes: each keeps to its part within any second.
+func TestColdEndpointGetsItsRate(t *testing.T) {
+	s := newSite(1)
+	vm := s.vms.Get(vmID(0, 0))
+	vm.ColdUntil = s.now.Add(time.Minute)
+	s.table.targets[vm.ID].allowed = 1000
+	sent := 0
+	for range 100 {
+		s.now = s.now.Add(10 * time.Millisecond)
+		if ticket, refusal := s.pick(1); refusal == nil {
+			sent++
+			s.table.Done(s.now, ticket, Succeeded)
+		}
+	}
+	const bound = 36*1.5 + 5
+	assert.Assert(t, sent > 0)
+	assert.Assert(t, float64(sent*4) <= bound, "%d requests by each of 4 nodes in a second", sent)
+}
+
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	s := newSite(1)
+	for range 100 {
+		s.table.CountRequest(s.now, "llm")
+	}
+	n := 0
+	for s.table.TakeRepeat(s.now, "llm") {
+		n++
+	}
+	assert.Assert(t, n > 0)
+	assert.Assert(t, float64(4*n) <= 0.2*400+136, "%d repeats by each of 4 nodes", n)
+	s.now = s.now.Add(11 * time.Second)
+	assert.Assert(t, s.table.TakeRepeat(s.now, "llm"), "the window has passed")
+}
+
+func TestFailingServerIsAvoidedForAWhile(t *testing.T) {
+	s := newSite(0)
+	for _, id := range []string{"s-1", "s-2"} {
+		s.vms.ApplyRow(s.now, fleet.Row{ID: id, Service: "shop", Address: id, DataCentre: "dc-a", Slots: 6, State: fleet.State{Born: 1}})
+	}
+	s.update()
+	for range avoidAfter {
+		ticket, refusal := s.table.Pick(s.now, Query{Service: "shop", Exclude: []string{"s-2"}})
+		assert.Assert(t, refusal == nil)
+		s.table.Done(s.now, ticket, Failed)
+	}
+	for draw := range 20 {
+		ticket, refusal := s.table.Pick(s.now, Query{Service: "shop", Draw: uint64(draw)})
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, ticket.Target.ID, "s-2")
+		s.table.Done(s.now, ticket, Succeeded)
+	}
+	s.now = s.now.Add(avoidMost)
+	_, refusal := s.table.Pick(s.now, Query{Service: "shop", Exclude: []string{"s-2"}})
+	assert.Assert(t, refusal == nil, "it's tried again")
+}
+
+func TestSilentRequestsAreFound(t *testing.T) {
+	s := newSite(1)
+	ticket, _ := s.pick(1)
+	s.now = s.now.Add(time.Second)
+	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond)), 1)
+	assert.Equal(t, len(s.table.Silent(s.now, time.Second, 2*time.Second)), 0)
+	ticket.Begun = true
+	assert.Equal(t, len(s.table.Silent(s.now, time.Second, 2*time.Second)), 1)
+}
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -95,7 +95,7 @@
 	released map[groupKey]bool // groups whose members are free
 	strays   map[groupKey]time.Time
 	darkAt   map[string]time.Time // by data centre
-	loads    []time.Time // starts of loads
+	loads    []time.Time          // starts of loads
 	demand   demand
 
 	started time.Time
