Let VMs of small groups be members of large ones: stage the other model on their hosts

A VM rejoins its last model in 0.2 s whatever is staged, so that its host may hold another model's weights. Groups are given up where their VMs mend one of a model that lacks more.

--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -80,6 +80,7 @@
 func (vm *VM) restart() {
 	vm.State = State{Domain: vm.Domain}
 	vm.Load = Load{}
+	vm.Held = ""
 	vm.HeardAt = time.Time{}
 	vm.FailedProbes = 0
 }
@@ -91,6 +92,9 @@
 		s.Domain = vm.Domain
 	}
 	vm.State = s
+	if s.Group != "" && s.Model != "" && s.Stage != Joining {
+		vm.Held = s.Model
+	}
 	return changed
 }
 
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -91,6 +91,9 @@
 
 	State
 	Load
+	// Held is the model of the newest group that this start was in, whose
+	// weights it still has in its accelerators.
+	Held string
 	// HeardAt is when the newest answered probe was sent.
 	HeardAt time.Time
 	// FailedProbes counts probes without an answer since HeardAt.
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -21,7 +21,9 @@
 	name       string
 	dataCentre string
 	free       []*member
-	groups     map[string]int // by model, those that are dissolved included
+	// awaited is whether a broken group waits for VMs of the domain.
+	awaited bool
+	groups  map[string]int // by model, those that are dissolved included
 }
 
 // free reports whether a VM may join a group now.
@@ -49,6 +51,7 @@
 		}
 		switch {
 		case m.group != nil:
+			d.awaited = d.awaited || m.group.awaits && m.group.Phase == Dissolving && !m.group.ordered
 			if m.group.Members[0] == m.ID {
 				d.groups[m.group.Model]++
 			}
@@ -138,7 +141,7 @@
 	var members []*member
 	bestKey := [3]int{math.MaxInt, 0, 0}
 	for _, d := range domains {
-		if len(d.free) < model.GroupSize {
+		if len(d.free) < model.GroupSize || d.awaited {
 			continue
 		}
 		chosen := cheapest(d.free, model)
@@ -164,7 +167,7 @@
 
 func joinCost(m *member, model string) int {
 	switch {
-	case m.Model == model && m.HasStaged(model):
+	case m.Held == model:
 		return joinHeld
 	case m.HasStaged(model):
 		return joinStaged
@@ -174,11 +177,16 @@
 
 // cheapest returns the free VMs that join soonest.
 func cheapest(free []*member, model *catalog.Model) []*member {
-	sorted := slices.Clone(free)
+	return byCost(free, model.Name)[:model.GroupSize]
+}
+
+// byCost returns VMs in the order in which they can join a group of a model.
+func byCost(vms []*member, model string) []*member {
+	sorted := slices.Clone(vms)
 	slices.SortStableFunc(sorted, func(a, b *member) int {
-		return cmp.Or(cmp.Compare(joinCost(a, model.Name), joinCost(b, model.Name)), cmp.Compare(len(a.Staged), len(b.Staged)))
+		return cmp.Or(cmp.Compare(joinCost(a, model), joinCost(b, model)), cmp.Compare(len(a.Staged), len(b.Staged)))
 	})
-	return sorted[:model.GroupSize]
+	return sorted
 }
 
 func (p *Planner) assembleIn(now time.Time, d *domain, model *catalog.Model, members []*member) {
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -59,7 +59,11 @@
 	if now.Sub(head.settleAt) < settleFor {
 		return
 	}
-	waiting := g.finish && now.Sub(g.Since) < closeFor
+	limit := closeFor
+	if g.Lost == "" {
+		limit = donorCloseFor
+	}
+	waiting := g.finish && now.Sub(g.Since) < limit
 	switch {
 	case waiting && head.Stage == fleet.Open:
 		p.send(now, head, Order{Action: Close, Group: g.Name, Epoch: g.Epoch})
@@ -105,6 +109,9 @@
 // wholeAgain reports whether all members of a group that was out of reach
 // answer again as before.
 func (p *Planner) wholeAgain(now time.Time, g *Group) bool {
+	if g.Lost == "" {
+		return false // it was given up for another reason
+	}
 	for rank := range g.Members {
 		if p.fault(now, g, rank) != "" {
 			return false
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -38,6 +38,8 @@
 	// openUnsettled is whether an order to serve may yet take effect.
 	openUnsettled bool
 	openedAt      time.Time
+	// awaits is whether other groups were given up for this one.
+	awaits bool
 	// ordered is whether an order to dissolve the group may have taken effect.
 	ordered  bool
 	refusals int
@@ -71,7 +73,7 @@
 		g.finish = g.finish && finish
 		return
 	}
-	g.Reason, g.Lost, g.finish, g.ordered = reason, lost, finish, false
+	g.Reason, g.Lost, g.finish, g.ordered, g.awaits = reason, lost, finish, false, false
 	g.enter(now, Dissolving)
 }
 
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -34,6 +34,8 @@
 	gatherMost  = 4 * time.Second
 	// closeFor bounds the wait for a head to finish its work.
 	closeFor = 9 * time.Second
+	// donorCloseFor is the same for a group whose VMs are needed elsewhere.
+	donorCloseFor = 1200 * time.Millisecond
 	// stallMargin is added to the time after which a head that stands still
 	// gives up.
 	stallMargin = time.Second
@@ -99,6 +101,10 @@
 	demand   demand
 
 	started time.Time
+	// rebalancedAt is when groups were last given up for another model's.
+	rebalancedAt time.Time
+	// lackSince is when a model began to have fewer groups than it should.
+	lackSince time.Time
 	// grewAt is when the newest VM appeared.
 	grewAt    time.Time
 	lastOrder uint64
@@ -163,6 +169,7 @@
 	p.advance(now)
 	p.sampleDemand(now)
 	p.assemble(now)
+	p.rebalance(now)
 	p.stage(now)
 	out := p.out
 	p.out = nil
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -16,9 +16,10 @@
 	if model == nil || len(survivors) == 0 || p.dark(now, survivors[0].DataCentre) {
 		return false
 	}
-	spares := p.sparesFor(now, model, survivors[0].Domain, model.GroupSize-len(survivors))
-	if len(survivors)+len(spares) < model.GroupSize {
-		return false
+	lack := model.GroupSize - len(survivors)
+	spares := p.sparesFor(now, model, survivors[0].Domain, lack)
+	if len(spares) < lack {
+		return p.awaitDonors(now, g, model, survivors[0].Domain, lack-len(spares))
 	}
 	for _, id := range g.Members {
 		if m := p.members[id]; m != nil && m.group == g {
@@ -48,17 +49,45 @@
 	return out
 }
 
-// sparesFor returns up to n free VMs of a domain that hold a model's weights.
+// sparesFor returns up to n free VMs of a domain that join a group of a model
+// without a load.
 func (p *Planner) sparesFor(now time.Time, model *catalog.Model, domain string, n int) []*member {
 	var out []*member
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if len(out) >= n || m == nil {
+		if m != nil && m.Domain == domain && joinCost(m, model.Name) < joinLoad && p.free(now, m) {
+			out = append(out, m)
+		}
+	}
+	return byCost(out, model.Name)[:min(n, len(out))]
+}
+
+// awaitDonors gives groups of other models up whose VMs can replace n members
+// of a group, if that leaves the models better balanced. It reports whether
+// the group is to wait for them.
+func (p *Planner) awaitDonors(now time.Time, g *Group, model *catalog.Model, name string, n int) bool {
+	if now.Sub(g.Since) >= donorWait {
+		return false
+	}
+	if g.awaits {
+		return true
+	}
+	for _, d := range p.domains(now) {
+		if d.name != name {
 			continue
 		}
-		if m.Domain == domain && m.HasStaged(model.Name) && p.free(now, m) {
-			out = append(out, m)
+		donors := p.donorsIn(d, model, n)
+		if len(donors) == 0 || !p.improves(model, donors) {
+			return false
 		}
+		for _, donor := range donors {
+			donor.giveUp(now, "its VMs are needed for "+g.Name, "", true)
+		}
+		g.awaits = true
+		return true
 	}
-	return out
+	return false
 }
+
+// donorWait is how long a group waits for the VMs of others.
+const donorWait = 3 * time.Second
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
 // mayLoad reports whether n more loads of a model may begin for a join. Once
@@ -43,35 +44,95 @@
 	}
 }
 
-// stage loads weights onto free hosts, for the model whose next loss they
-// would mend.
+// stage loads weights onto hosts: onto free ones those whose next loss they
+// would mend, and onto those of VMs that hold one model's weights in their
+// accelerators another model's, so that they can be members of either.
 func (p *Planner) stage(now time.Time) {
 	if p.gathering(now) || now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 {
 		return
 	}
 	domains := p.domains(now)
-	p.stageIn(now, domains, func(m *member) bool { return len(m.Staged) == 0 })
-	p.stageIn(now, domains, func(m *member) bool { return len(m.Staged) > 0 })
+	p.stageFree(now, domains, func(m *member) bool { return len(m.Staged) == 0 })
+	if p.restageable(now) {
+		p.stageFree(now, domains, func(m *member) bool { return len(m.Staged) > 0 })
+	}
+	for i := range p.engine.Models {
+		p.stageOther(now, &p.engine.Models[i])
+	}
+}
+
+// restageable reports whether hosts that have weights may get others: the lack
+// of a group must have lasted, since most are mended without a load.
+func (p *Planner) restageable(now time.Time) bool {
+	lacking := false
+	for i := range p.engine.Models {
+		lacking = lacking || p.lacks(&p.engine.Models[i])
+	}
+	if !lacking {
+		p.lackSince = now
+	}
+	return !p.traffic || now.Sub(p.lackSince) >= restageAfter
 }
 
-// stageIn loads weights onto those free hosts of the domains that match.
-func (p *Planner) stageIn(now time.Time, domains []*domain, match func(*member) bool) {
+// restageAfter is how long a lack must last.
+const restageAfter = 3 * time.Second
+
+// stageFree loads weights onto those free hosts that match and whose VMs hold
+// none.
+func (p *Planner) stageFree(now time.Time, domains []*domain, match func(*member) bool) {
 	for _, d := range domains {
 		for _, m := range d.free {
-			if !match(m) || m.loading != "" {
+			if m.Held != "" || !match(m) || m.loading != "" {
 				continue
 			}
-			if p.loadRoom(now) <= 0 {
+			if model := p.stageChoice(d, m); model != "" && !p.stageOn(now, m, model) {
 				return
 			}
-			if model := p.stageChoice(d, m); model != "" {
-				p.send(now, m, Order{Action: Stage, Model: model})
-				p.beginLoad(now, m, model)
-			}
 		}
 	}
 }
 
+// stageOther loads a model onto the hosts of VMs that hold another one.
+func (p *Planner) stageOther(now time.Time, model *catalog.Model) {
+	for _, vm := range p.table.All() {
+		m := p.members[vm.ID]
+		if m == nil || m.Held == "" || m.Held == model.Name || m.HasStaged(model.Name) || m.loading != "" {
+			continue
+		}
+		if m.leaving() || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining || p.keepsOther(m) {
+			continue
+		}
+		if p.loadRoom(now) <= loadsForFree || !p.stageOn(now, m, model.Name) {
+			return
+		}
+	}
+}
+
+// loadsForFree is the number of loads that are kept for VMs without weights.
+const loadsForFree = 2
+
+// keepsOther reports whether a VM's host has weights of a model that the VM
+// does not hold.
+func (p *Planner) keepsOther(m *member) bool {
+	for _, name := range m.Staged {
+		if name != m.Held && p.engine.Model(name) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// stageOn loads a model onto a VM's host. It returns false if no load may
+// begin now.
+func (p *Planner) stageOn(now time.Time, m *member, model string) bool {
+	if p.loadRoom(now) <= 0 {
+		return false
+	}
+	p.send(now, m, Order{Action: Stage, Model: model})
+	p.beginLoad(now, m, model)
+	return true
+}
+
 // stageChoice returns the model to stage on a free VM, or "".
 func (p *Planner) stageChoice(d *domain, m *member) string {
 	best, bestScore := "", 0.0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 	// key may be in force.
 	unknownAfter = 2500 * time.Millisecond
 	// spareShare is the part of model VMs that is kept to replace members.
-	spareShare = 1.0 / 6
+	spareShare = 1.0 / 12
 	// gcPercent trades processor time for memory.
 	gcPercent = 50
 	// stopNotice is how long a stopping node still takes new connections,
