Judge VMs in the planner by their reports alone

By reading: a row that is read whole again may be older than the group whose head it describes, and made a silent head seem free. A test that brings this about failed first.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -19,7 +19,7 @@
 	// failurePenalty weighs the share of failed requests.
 	failurePenalty = 2.0
 	// jitter spreads requests over targets that are about as good.
-	jitter = 0.04
+	jitter = 0.15
 	// retryAfterFull is when a place is likely to be free again.
 	retryAfterFull = 500 * time.Millisecond
 	// retryAfterNone is when a lost group may be serving again.
@@ -82,7 +82,7 @@
 		return nil, refusal(reason, q.Draw)
 	}
 	best.cold.take(now)
-	ticket := &Ticket{Target: best, ProgressAt: now, sentAt: now}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), sentAt: now}
 	best.add(now, ticket)
 	return ticket, nil
 }
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -44,7 +44,9 @@
 	// ProgressAt is when the request was sent or last brought bytes.
 	ProgressAt time.Time
 	// Begun is whether it has brought any.
-	Begun  bool
+	Begun bool
+	// Load is the number of requests predicted at the target beside this one.
+	Load   int
 	sentAt time.Time
 }
 
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -114,6 +114,10 @@
 // member is a VM with what the planner knows beyond its reports.
 type member struct {
 	*fleet.VM
+	// State is what the VM last reported to a probe. It hides that of the
+	// table, which may come from a row that is older.
+	fleet.State
+	heardAt time.Time
 	pending *pending
 	// retryAt is when the next order may be sent.
 	retryAt time.Time
@@ -192,6 +196,7 @@
 		if m.acceptedBorn != vm.Born {
 			m.restarted(vm.Born)
 		}
+		m.takeReport()
 		if m.pending != nil && now.Sub(m.pending.sentAt) > answerTimeout {
 			p.Answered(now, m.pending.order.ID, m.ID, Unknown)
 		}
@@ -204,6 +209,15 @@
 	}
 }
 
+// takeReport takes over the state of a new report. A VM that has not answered
+// yet is known by its row.
+func (m *member) takeReport() {
+	if m.VM.HeardAt.IsZero() || !m.VM.HeardAt.Equal(m.heardAt) {
+		m.State = m.VM.State
+		m.heardAt = m.VM.HeardAt
+	}
+}
+
 func (m *member) restarted(born int64) {
 	m.acceptedBorn, m.acceptedOrders = born, 0
 	m.pending = nil
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -51,12 +51,14 @@
 	}
 }
 
+// A domain that restarts keeps the weights of its hosts, so that its large
+// group is formed again without a load.
 func TestDarkDomainIsFormedAgainWhenItReturns(t *testing.T) {
 	w := formed(t)
 	domain := w.head(large).row.Domain
 	var lost []*engineVM
-	for _, vm := range w.vms {
-		if vm.row.Domain == domain {
+	for _, id := range w.ids {
+		if vm := w.vms[id]; vm.row.Domain == domain {
 			vm.dead = true
 			lost = append(lost, vm)
 		}
@@ -68,9 +70,31 @@
 	}
 	w.run(5 * time.Second)
 	assert.Equal(t, w.serving(large), 6)
+	w.run(30 * time.Second)
 	assert.Equal(t, w.serving(small), 6)
 }
 
+// A VM of a small group has the large model's weights on its host: where no
+// spare is left, its group is given up for a large one that lost a member.
+func TestSmallGroupIsGivenUpForALargeOne(t *testing.T) {
+	w := formed(t)
+	domain := w.head(large).row.Domain
+	for _, id := range w.ids {
+		if vm := w.vms[id]; vm.row.Domain == domain && vm.state.Group == "" {
+			vm.dead = true
+		}
+	}
+	w.run(3 * time.Second)
+	for _, id := range w.ids {
+		if vm := w.vms[id]; vm.row.Domain == domain && vm.state.Model == large && vm.state.Rank == 3 {
+			vm.dead = true
+		}
+	}
+	w.run(6 * time.Second)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Equal(t, w.serving(small), 5)
+}
+
 func TestGroupsOutOfReachAreLeftAlone(t *testing.T) {
 	w := formed(t)
 	dc := w.head(large).row.DataCentre
@@ -130,6 +154,31 @@
 	assert.Equal(t, w.serving(large), 6)
 }
 
+// A head out of reach was taken for one that serves no group, by a row from
+// before it did.
+func TestOldRowDoesNotFreeASilentHead(t *testing.T) {
+	w := formed(t)
+	head := w.head(large)
+	for _, id := range w.ids { // neither spares nor donors
+		if vm := w.vms[id]; vm.row.Domain == head.row.Domain && vm.state.Group != head.state.Group {
+			vm.dead = true
+		}
+	}
+	w.run(3 * time.Second)
+	w.vms[head.list[3]].dead = true
+	w.lose = 1
+	w.run(1500 * time.Millisecond)
+	head.cut = true
+	w.run(1800 * time.Millisecond)
+	row := head.row
+	row.Born = head.state.Born
+	w.table.ApplyRow(w.now, row)
+	w.run(tick)
+	for key := range w.p.released {
+		assert.Assert(t, key.name != head.state.Group, "%v was released while its head serves", key)
+	}
+}
+
 // A lease that lapsed and was regained in the same term numbered groups anew,
 // so that two formations shared a number.
 func TestRegainedTermNumbersGoOn(t *testing.T) {
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -102,6 +102,9 @@
 		if m.leaving() || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining || p.keepsOther(m) {
 			continue
 		}
+		if held := p.engine.Model(m.Held); held != nil && held.GroupSize >= model.GroupSize {
+			continue // a restarted domain needs the weights of its large groups
+		}
 		if p.loadRoom(now) <= loadsForFree || !p.stageOn(now, m, model.Name) {
 			return
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -111,6 +111,7 @@
 	a.ticket = ticket
 	a.sentAt = s.now()
 	req.last = ticket.Target.ID
+	req.load = ticket.Load
 	return a, nil
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -43,6 +43,7 @@
 	final   bool
 	exclude []string
 	last    string // the endpoint of the newest send
+	load    int    // predicted there when it was chosen
 }
 
 // hopByHop are headers that concern one connection.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +29,9 @@
 	last string
 	// events counts those delivered.
 	events int
+	// first is the time to the first event, pause the longest between two.
+	first, pause time.Duration
+	lastAt       time.Time
 }
 
 // serveStream answers a request by a stream of events, which may go on at
@@ -91,6 +95,7 @@
 	rl.req.sends++
 	rl.end(a, dispatch.Succeeded)
 	rl.count("answered")
+	rl.logAnswered()
 	return true, nil
 }
 
@@ -156,6 +161,7 @@
 	if ev.id != "" {
 		rl.last = ev.id
 	}
+	rl.clock()
 	rl.events++
 	if flush {
 		return rl.out.Flush()
@@ -163,6 +169,29 @@
 	return nil
 }
 
+// clock measures the pauses that the caller sees.
+func (rl *relay) clock() {
+	now := rl.now()
+	if rl.events == 0 {
+		rl.first = now.Sub(rl.req.started)
+	} else {
+		rl.pause = max(rl.pause, now.Sub(rl.lastAt))
+	}
+	rl.lastAt = now
+}
+
+// logAnswered logs a stream that was delivered whole, with what made it late.
+func (rl *relay) logAnswered() {
+	level := slog.LevelDebug
+	if rl.first > rl.req.route.Objective || rl.pause > rl.req.route.PauseObjective {
+		level = slog.LevelInfo
+	}
+	if rl.log.Enabled(rl.ctx, level) {
+		rl.log.Log(rl.ctx, level, "stream answered", "request", rl.req.id, "route", rl.req.route.Name, "endpoint", rl.req.last,
+			"first", rl.first, "pause", rl.pause, "events", rl.events, "sends", rl.req.sends, "load", rl.req.load)
+	}
+}
+
 // begin sends the header of the first endpoint that brought an event.
 func (rl *relay) begin(a *attempt) {
 	if rl.req.begun {
