Take a report of a start that no row tells of for another VM's

Cause: servers that came back under other IDs at their old addresses were joined under the old IDs and refused, twelve orders in 0.4 s; order counts stayed too high after an order that counted twice.

--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -46,12 +46,14 @@
 	restarted := row.Born > vm.Born
 	if restarted {
 		vm.restart()
+		vm.Born = row.Born
 	}
 	if vm.Address != row.Address {
 		t.takeAddress(now, row)
 	}
 	changed := restarted || !vm.Listed || vm.Draining != row.Draining || vm.Address != row.Address
 	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
+	vm.rowBorn = row.Born
 	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
 	if row.ColdLeft > 0 {
 		vm.ColdUntil = now.Add(row.ColdLeft)
@@ -109,8 +111,9 @@
 	t.Changes++
 }
 
-// ApplyReport takes in the answer to a probe that was sent at a time to a
-// start of a VM.
+// ApplyReport takes in the answer to a probe that was sent at a time. Reports
+// don't name their VM: one of a start that no row has told of shows that the
+// earlier start has ended, but may be another VM's that has the address now.
 func (t *Table) ApplyReport(sent time.Time, id string, r Report) {
 	vm := t.vms[id]
 	if vm == nil || sent.Before(vm.HeardAt) || r.Born < vm.Born {
@@ -118,6 +121,12 @@
 	}
 	if r.Born > vm.Born {
 		vm.restart()
+		vm.Born = r.Born
+		t.Changes++
+	}
+	if r.Born != vm.rowBorn {
+		t.ProbeFailed(sent, id) // it may be another VM at the address
+		return
 	}
 	vm.HeardAt = sent
 	vm.FailedProbes = 0
--- a/coord/fleet/table_test.go
+++ b/coord/fleet/table_test.go
@@ -54,6 +54,27 @@
 	assert.Assert(t, table.Get("i-2").Listed)
 }
 
+// Servers that came back under other IDs at their old addresses were joined
+// under the old ones, and refused.
+func TestReportOfUnknownStartIsNotTheVMs(t *testing.T) {
+	table := NewTable()
+	table.ApplyRow(at(0), row("i-1", "a", 1))
+	table.ApplyReport(at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Model: "m"}})
+	for s := range 3 {
+		table.ApplyReport(at(2+float64(s)), "i-1", Report{State: State{Born: 9}})
+	}
+	vm := table.Get("i-1")
+	assert.Assert(t, vm.HeardAt.IsZero())
+	assert.Equal(t, vm.Orders, uint64(0))
+	assert.Equal(t, vm.FailedProbes, 3)
+	assert.Equal(t, vm.Born, int64(9), "the earlier start has ended")
+
+	table.ApplyRow(at(6), row("i-1", "a", 9))
+	table.ApplyReport(at(7), "i-1", Report{State: State{Born: 9, Orders: 1}})
+	assert.Equal(t, vm.Orders, uint64(1), "the row tells that it is the VM")
+	assert.Equal(t, vm.FailedProbes, 0)
+}
+
 func TestOldReportsAndFailuresAreIgnored(t *testing.T) {
 	table := NewTable()
 	table.ApplyRow(at(0), row("i-1", "a", 1))
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -91,6 +91,7 @@
 
 	State
 	Load
+	rowBorn int64 // as of the newest row
 	// Held is the model of the newest group that this start was in, whose
 	// weights it still has in its accelerators.
 	Held string
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -25,6 +25,8 @@
 	answerTimeout = 2 * time.Second
 	// settleFor is how long an accepted order may take to show in reports.
 	settleFor = 400 * time.Millisecond
+	// reportLagMost is more than the age of a report's figures.
+	reportLagMost = 600 * time.Millisecond
 	// adoptGrace is how long a group of an earlier planner may be
 	// incomplete before its VMs are taken out of it.
 	adoptGrace = 800 * time.Millisecond
@@ -238,8 +240,14 @@
 	}
 }
 
-// accepted returns the number of orders that the VM has accepted.
-func (m *member) accepted() uint64 { return max(m.Orders, m.acceptedOrders) }
+// accepted returns the number of orders that the VM has accepted: as reported,
+// or more if the newest was accepted after the figures of the report.
+func (m *member) accepted() uint64 {
+	if m.heardAt.Sub(m.settleAt) >= reportLagMost {
+		return m.Orders
+	}
+	return max(m.Orders, m.acceptedOrders)
+}
 
 // idle reports whether the VM may get an order.
 func (m *member) idle(now time.Time) bool { return m.pending == nil && !now.Before(m.retryAt) }
