--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -35,6 +35,8 @@
 	Model   string // empty for a plain service
 	// Exclude holds targets that have failed the request.
 	Exclude []string
+	// PromptTokens is the length of the prompt, 0 if there is none.
+	PromptTokens int
 	// Draw is a number drawn for the request.
 	Draw uint64
 	// Begun is whether the caller has a part of the answer: it is placed
@@ -85,7 +87,7 @@
 		return nil, refusal(reason, q.Draw)
 	}
 	best.cold.take(now)
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), sentAt: now}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), reading: t.reading(q), sentAt: now}
 	best.add(now, ticket)
 	return ticket, nil
 }
@@ -109,7 +111,7 @@
 }
 
 func (t *Table) score(target *Target) float64 {
-	own := float64(len(target.tickets)+1) * float64(t.nodes)
+	own := (target.own() + 1) * float64(t.nodes)
 	all := float64(target.load() + 1)
 	score := (ownWeight*own + (1-ownWeight)*all) / float64(max(1, target.Slots)) * target.pace
 	if target.DataCentre != t.opts.DataCentre {
@@ -118,6 +120,15 @@
 	return score + failurePenalty*target.health.failures
 }
 
+// reading returns the length of a request's prompt against the usual one.
+func (t *Table) reading(q Query) float64 {
+	svc := t.cats.Service(q.Service)
+	if svc == nil || svc.Engine == nil || svc.Engine.MeanPrompt <= 0 {
+		return 0
+	}
+	return float64(q.PromptTokens) / svc.Engine.MeanPrompt
+}
+
 // coldRoom reports whether a target that may be cold bears one more request
 // of this node in this second.
 func (t *Table) coldRoom(now time.Time, target *Target) bool {
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -45,6 +45,8 @@
 	ProgressAt time.Time
 	// Begun is whether it has brought any.
 	Begun bool
+	// reading is the request's prompt against the mean, until it has begun.
+	reading float64
 	// Load is the number of requests predicted at the target beside this one.
 	Load   int
 	sentAt time.Time
@@ -53,6 +55,23 @@
 // Inflight is the number of this node's requests at the target.
 func (t *Target) Inflight() int { return len(t.tickets) }
 
+// own is the work of this node's requests at the target: each counts as one,
+// and more while its prompt has to be read.
+func (t *Target) own() float64 {
+	work := 0.0
+	for ticket := range t.tickets {
+		work++
+		if !ticket.Begun {
+			work += readingWeight * ticket.reading
+		}
+	}
+	return work
+}
+
+// readingWeight is the weight of reading a prompt of mean length against that
+// of a request that is being answered.
+const readingWeight = 1.0
+
 // load is the predicted number of requests at the target.
 func (t *Target) load() int { return len(t.tickets) + t.others }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -94,7 +94,8 @@
 func (s *Server) place(ctx context.Context, req *request) (*attempt, *problem.Error) {
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
-	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.begun}
+	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.begun,
+		PromptTokens: req.prompt}
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
 	for until := s.waitUntil(req); refusal != nil && s.now().Before(until) && ctx.Err() == nil; {
 		time.Sleep(placeRetry)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -29,6 +29,7 @@
 	account  string
 	service  *catalog.Service
 	model    string
+	prompt   int   // tokens
 	version  int64 // of the catalog
 	out      upstream.Request
 	draw     uint64
@@ -74,6 +75,10 @@
 	}
 	if req.service.Engine != nil {
 		req.model = r.Header.Get(s.proto.Model)
+		prompt, _, _ := strings.Cut(r.Header.Get(s.proto.Tokens), ",")
+		if n, err := strconv.Atoi(prompt); err == nil && n > 0 {
+			req.prompt = n
+		}
 	}
 	body, fault := readBody(r, view.Catalog.Limits.MaxBodyBytes)
 	if fault != nil {
