--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,6 +43,7 @@
 	watchRetry     = 200 * time.Millisecond
 	probeTimeout   = 200 * time.Millisecond
 	probeEvery     = 450 * time.Millisecond
+	headProbeEvery = 800 * time.Millisecond
 	fastProbeEvery = 80 * time.Millisecond
 	stalledAfter   = 500 * time.Millisecond
 	silentAfter    = 1200 * time.Millisecond
@@ -104,7 +105,7 @@
 		RepeatRatio: set.Bounds.RepeatRatio, RepeatSlack: set.Bounds.RepeatSlack, RepeatWindow: set.Bounds.RepeatWindow,
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
-		HeadEvery: probeEvery, FastEvery: fastProbeEvery, Timeout: probeTimeout,
+		HeadEvery: headProbeEvery, FastEvery: fastProbeEvery, Timeout: probeTimeout,
 		StalledAfter: stalledAfter, SilentAfter: silentAfter, FirstAfter: firstAfter,
 	}, n.state, b.Engines)
 	n.coord = coordinator.New(coordinator.Options{
