--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -54,5 +54,8 @@
 	}
 }
 
-// ready reports whether more bytes have arrived already.
-func (e *eventReader) ready() bool { return e.r.Buffered() > 0 }
+// ready reports whether another whole event has arrived already.
+func (e *eventReader) ready() bool {
+	arrived, err := e.r.Peek(e.r.Buffered())
+	return err == nil && (bytes.Contains(arrived, []byte("\n\n")) || bytes.Contains(arrived, []byte("\n\r\n")))
+}
