Let closed groups of an earlier holder join anew

Cause: the earlier holder's order to join, unanswered, took effect four seconds later at a member of a group that the next holder had told to serve again; its number of orders had not changed. Such a group now joins its next epoch first.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -37,7 +37,10 @@
 	}
 }
 
-// adoptGroup takes a group over if all its members report it.
+// adoptGroup takes a group over if all its members report it. One whose head
+// doesn't serve joins anew: orders of an earlier planner that still arrive late
+// may take its members elsewhere, and are refused once these have accepted
+// another order.
 func (p *Planner) adoptGroup(now time.Time, members []*member) bool {
 	model := p.engine.Model(members[0].Model)
 	if model == nil || len(members) != model.GroupSize {
@@ -50,24 +53,21 @@
 		}
 		byRank[m.Rank] = m
 	}
-	g := &Group{Name: members[0].Group, Epoch: members[0].Epoch, Model: model.Name}
-	joining := false
+	head := byRank[0]
+	if head.Stage != fleet.Open && head.Stage != fleet.Closing {
+		p.newGroup(now, head.Group, model.Name, byRank)
+		return true
+	}
+	g := &Group{Name: head.Group, Epoch: head.Epoch, Model: model.Name}
 	for _, m := range byRank {
 		g.Members = append(g.Members, m.ID)
 		g.born = append(g.born, m.VM.Born)
 		m.group = g
-		joining = joining || m.Stage == fleet.Joining
 	}
 	p.groups[g.key()] = g
-	switch head := byRank[0]; {
-	case head.Stage == fleet.Open:
-		g.enter(now, Serving)
-	case head.Stage == fleet.Closing:
+	g.enter(now, Serving)
+	if head.Stage == fleet.Closing {
 		g.giveUp(now, "closing", "", true)
-	case joining:
-		g.enter(now, Forming)
-	default:
-		g.enter(now, Opening)
 	}
 	return true
 }
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -214,9 +214,9 @@
 // takeReport takes over the state of a new report. A VM that has not answered
 // yet is known by its row.
 func (m *member) takeReport() {
-	if m.VM.HeardAt.IsZero() || !m.VM.HeardAt.Equal(m.heardAt) {
+	if m.HeardAt.IsZero() || !m.HeardAt.Equal(m.heardAt) {
 		m.State = m.VM.State
-		m.heardAt = m.VM.HeardAt
+		m.heardAt = m.HeardAt
 	}
 }
 
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// A holder's order to join, answered late, took a member out of a group that
+// the next holder had found closed and told to serve again.
+func TestLateJoinOfAnEarlierHolder(t *testing.T) {
+	w := formed(t)
+	head := w.head(small)
+	group := head.state.Group
+	head.state.Stage = fleet.Ready // closed for another group
+	head.state.Orders++
+	member := w.vms[head.list[1]]
+	late := Order{
+		VM: member.row.ID, Born: member.state.Born, Action: Join, Group: "other", Epoch: w.epochs.next(), Model: large,
+		Members: []string{"i-x", member.row.ID, "i-y", "i-z"}, Expected: member.state.Orders,
+	}
+	w.takeover()
+	w.run(4 * time.Second)
+	assert.Equal(t, w.apply(late), Refused)
+	assert.Equal(t, member.state.Group, group)
+	assert.Equal(t, w.serving(small), 6)
+}
+
 // A lease that lapsed and was regained in the same term numbered groups anew,
 // so that two formations shared a number.
 func TestRegainedTermNumbersGoOn(t *testing.T) {
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -96,15 +96,9 @@
 func (p *Planner) stageOther(now time.Time, model *catalog.Model) {
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.Held == "" || m.Held == model.Name || m.HasStaged(model.Name) || m.loading != "" {
+		if m == nil || !p.mayHoldToo(m, model) || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining {
 			continue
 		}
-		if m.leaving() || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining || p.keepsOther(m) {
-			continue
-		}
-		if held := p.engine.Model(m.Held); held != nil && held.GroupSize >= model.GroupSize {
-			continue // a restarted domain needs the weights of its large groups
-		}
 		if p.loadRoom(now) <= loadsForFree || !p.stageOn(now, m, model.Name) {
 			return
 		}
@@ -114,6 +108,17 @@
 // loadsForFree is the number of loads that are kept for VMs without weights.
 const loadsForFree = 2
 
+// mayHoldToo reports whether a VM's host should get a model beside the one that
+// the VM holds. Hosts of large groups keep their own model, which a domain that
+// restarts needs most.
+func (p *Planner) mayHoldToo(m *member, model *catalog.Model) bool {
+	held := p.engine.Model(m.Held)
+	if held == nil || held.GroupSize >= model.GroupSize {
+		return false
+	}
+	return m.loading == "" && !m.leaving() && !m.HasStaged(model.Name) && !p.keepsOther(m)
+}
+
 // keepsOther reports whether a VM's host has weights of a model that the VM
 // does not hold.
 func (p *Planner) keepsOther(m *member) bool {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -36,9 +36,9 @@
 			return ev, errors.New("an event is over the limit")
 		}
 		switch {
-		case err == bufio.ErrBufferFull:
+		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case err == io.EOF && len(e.buf) > 0:
+		case errors.Is(err, io.EOF) && len(e.buf) > 0:
 			return ev, io.ErrUnexpectedEOF
 		case err != nil:
 			return ev, err
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -124,7 +124,7 @@
 	events := &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}
 	for {
 		ev, err := events.next()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return rl.finish(a)
 		}
 		if err != nil {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -199,7 +200,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.r.Read(p)
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		b.resp.ended = true
 	}
 	return n, err
