--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/spf13/cobra"
@@ -36,14 +38,20 @@
 	return cmd
 }
 
+// logFlush bounds the writing of the last log lines.
+const logFlush = 500 * time.Millisecond
+
 func serveEntry(ctx context.Context, file string, set settings.Entry) error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
-	log, err := telemetry.NewLogger(os.Stdout, string(set.Log.Format), set.Log.Level, set.VM, set.DataCentre)
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer out.Close(logFlush)
+	plain, err := telemetry.NewLogger(out, string(set.Log.Format), set.Log.Level, set.VM, set.DataCentre)
 	if err != nil {
 		return err
 	}
+	log := slog.New(telemetry.NewBounded(plain.Handler()))
 	client := upstream.New(nil)
 	store := platform.NewStore(set.Store, func(table, key string, err error) {
 		log.Warn("row skipped", "table", table, "key", key, "error", err)
