Stand in for the users' platform; test whole nodes on it

Nodes are tested over loopback: each kind of request, withdrawn keys, store away, history forgotten, answers of the store lost, a member lost, a planned stop.

--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,263 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/settings"
+	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
+	"github.com/pimentoshore/pimentoshore/platform"
+)
+
+// site is two entry VMs, four model VMs of one domain, and a plain service.
+type site struct {
+	t       *testing.T
+	store   *cloud.Store
+	engines []*cloud.Engine
+	shop    *cloud.Shop
+	nodes   []*running
+}
+
+type running struct {
+	set  settings.Entry
+	stop context.CancelFunc
+	done chan error
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: cloud.NewStore()}
+	t.Cleanup(s.store.Server.Close)
+	s.configure(1, "key")
+	for i := range 4 {
+		e, err := cloud.NewEngine(s.store, fmt.Sprint("i-", i), "llm", "dc-a", "d0")
+		assert.NilError(t, err)
+		t.Cleanup(e.Server.Close)
+		s.engines = append(s.engines, e)
+	}
+	var err error
+	s.shop, err = cloud.NewShop(s.store, "s-1", "shop", "dc-a")
+	assert.NilError(t, err)
+	t.Cleanup(s.shop.Server.Close)
+	for i := range 2 {
+		s.start(fmt.Sprint("entry-", i))
+	}
+	return s
+}
+
+// configure puts a configuration in force with one account of that key.
+func (s *site) configure(version int, key string) {
+	route := func(prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "attempts": 2, "timeout-ms": 3000,
+			"slo-ms": 500, "gap-target-ms": 300, "resumable": kind == "stream",
+		}
+	}
+	err := s.store.Put("op", "config", map[string]any{
+		"version": version,
+		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")},
+		"services": []any{
+			map[string]any{"name": "shop"},
+			map[string]any{"name": "llm", "engine": map[string]any{
+				"slots": 26, "loads-per-s": 4, "loads_at_once": 6, "form-ms": 20, "report_lag_ms": 10,
+				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 1, "warm-s": 0.1}},
+			}},
+		},
+		"limits":  map[string]any{"max-body-bytes": 100000},
+		"tenants": []any{map[string]any{"name": "acc", "api-keys": []string{key}}},
+	})
+	assert.NilError(s.t, err)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (s *site) start(vm string) *running {
+	set := settings.Entry{
+		VM: vm, DataCentre: "dc-a", Store: s.store.Address(),
+		Listen: settings.EntryListen{Callers: freeAddress(s.t), Ready: freeAddress(s.t)},
+		Bounds: settings.EntryBounds{
+			KeysValid: 5 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second,
+			GroupStall: 5 * time.Second, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second, ColdOverage: 1.5,
+			LoadWindow: 5 * time.Second,
+		},
+	}
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	client := upstream.New(nil)
+	store := platform.NewStore(set.Store, func(table, key string, err error) { s.t.Logf("skipped %s/%s: %v", table, key, err) })
+	engines := platform.NewEngines(client)
+	n, err := New(set, log, metrics.NewRegistry(), client, Backends{
+		Table: store, Source: store.Published(), Engines: engines, Orders: engines,
+		Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
+	})
+	assert.NilError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{set: set, stop: cancel, done: make(chan error, 1)}
+	go func() { r.done <- n.Run(ctx) }()
+	s.t.Cleanup(cancel)
+	s.nodes = append(s.nodes, r)
+	return r
+}
+
+func (s *site) call(n *running, method, path, key string) (status int, body string) {
+	req, err := http.NewRequest(method, "http://"+n.set.Listen.Callers+path, nil)
+	assert.NilError(s.t, err)
+	req.Host = "h"
+	req.Header.Set("Pimentoshore-Attempt-Id", fmt.Sprint(time.Now().UnixNano()))
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Pimentoshore-Model", "m")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(raw)
+}
+
+// eventually waits for a condition that the site reaches by itself.
+func (s *site) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("not reached: %s", what)
+}
+
+func (s *site) serves(n *running, method, path, key string) func() bool {
+	return func() bool {
+		status, _ := s.call(n, method, path, key)
+		return status == http.StatusOK
+	}
+}
+
+func TestNodesServeEachKind(t *testing.T) {
+	s := newSite(t)
+	for _, n := range s.nodes {
+		s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+		_, body := s.call(n, http.MethodPost, "/ask/x", "key")
+		assert.Equal(t, strings.Count(body, "data: piece\n\n"), 4)
+		before := s.shop.Runs()
+		status, body := s.call(n, http.MethodPost, "/order/x", "key")
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, "order taken for acc")
+		assert.Equal(t, s.shop.Runs(), before+1)
+		status, _ = s.call(n, http.MethodGet, "/look/x", "key")
+		assert.Equal(t, status, http.StatusOK)
+		status, _ = s.call(n, http.MethodGet, "/look/x", "other")
+		assert.Equal(t, status, http.StatusUnauthorized)
+		resp, err := http.Get("http://" + n.set.Listen.Ready + platform.ReadyPath)
+		assert.NilError(t, err)
+		resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+}
+
+func TestConfigurationIsInForceSoonAndAnEvictedKeyIsRefused(t *testing.T) {
+	s := newSite(t)
+	n := s.nodes[0]
+	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.configure(2, "new")
+	s.eventually("the new key", s.serves(n, http.MethodPost, "/order/x", "new"))
+	status, _ := s.call(n, http.MethodPost, "/order/x", "key")
+	assert.Equal(t, status, http.StatusUnauthorized)
+}
+
+// While the store is away, orders go on for as long as keys may be trusted,
+// and then nothing runs under a key until it is back.
+func TestStoreOutage(t *testing.T) {
+	s := newSite(t)
+	n := s.nodes[0]
+	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.store.Fail(cloud.Busy)
+	status, _ := s.call(n, http.MethodPost, "/order/x", "key")
+	assert.Equal(t, status, http.StatusOK)
+	s.eventually("a refusal", func() bool {
+		status, _ := s.call(n, http.MethodPost, "/order/x", "key")
+		return status == http.StatusServiceUnavailable
+	})
+	runs := s.shop.Runs()
+	status, _ = s.call(n, http.MethodPost, "/order/x", "key")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, s.shop.Runs(), runs)
+	s.store.Fail(cloud.Healthy)
+	s.eventually("orders again", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.eventually("streams again", s.serves(n, http.MethodPost, "/ask/x", "key"))
+}
+
+func TestForgottenHistoryIsReadWhole(t *testing.T) {
+	s := newSite(t)
+	n := s.nodes[0]
+	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.store.Fail(cloud.Busy)
+	s.configure(2, "new")
+	s.store.Forget()
+	s.store.Fail(cloud.Healthy)
+	s.eventually("the new key", s.serves(n, http.MethodPost, "/order/x", "new"))
+}
+
+func TestLostAnswersOfTheStoreDoNotStopTheCoordinator(t *testing.T) {
+	s := newSite(t)
+	s.store.Fail(cloud.Lost)
+	s.eventually("streams", s.serves(s.nodes[0], http.MethodPost, "/ask/x", "key"))
+}
+
+func TestLostMemberIsReplaced(t *testing.T) {
+	s := newSite(t)
+	n := s.nodes[0]
+	s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+	s.engines[0].Server.CloseClientConnections()
+	s.engines[0].Server.Close()
+	served := 0
+	s.eventually("streams by the others", func() bool {
+		if status, _ := s.call(n, http.MethodPost, "/ask/x", "key"); status == http.StatusOK {
+			served++
+		}
+		return served >= 20
+	})
+}
+
+func TestPlannedStopEndsWhatRuns(t *testing.T) {
+	s := newSite(t)
+	n := s.nodes[0]
+	s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+	for _, e := range s.engines {
+		e.SetEvents(200) // a second and more
+	}
+	type result struct {
+		status int
+		body   string
+	}
+	got := make(chan result)
+	go func() {
+		status, body := s.call(n, http.MethodPost, "/ask/x", "key")
+		got <- result{status, body}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	n.stop()
+	r := <-got
+	assert.Equal(t, r.status, http.StatusOK)
+	assert.Equal(t, strings.Count(r.body, "data: piece\n\n"), 200)
+	assert.NilError(t, <-n.done)
+	s.eventually("streams by the other node", s.serves(s.nodes[1], http.MethodPost, "/ask/x", "key"))
+}
--- /dev/null
+++ b/internal/standin/cloud/store.go
@@ -0,0 +1,238 @@
+// Package cloud stands in for the users' platform on loopback: its store of
+// rows with conditions and a feed, model engines that form groups by order, and
+// a plain service. Faults are switched on by tests.
+package cloud
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Row is a row of the store.
+type Row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"tombstone,omitempty"`
+}
+
+// Fault is how the store fails.
+type Fault string
+
+// Faults of the store.
+const (
+	Healthy Fault = ""
+	Busy    Fault = "busy"   // answers 503
+	Silent  Fault = "silent" // doesn't answer
+	Lost    Fault = "lost"   // does what it is asked for and breaks off
+)
+
+// Store is a store of rows. Its address is that of its server.
+type Store struct {
+	Server *httptest.Server
+
+	mu      sync.Mutex
+	version uint64
+	rows    map[string]Row
+	history []Row
+	changed chan struct{}
+	fault   Fault
+	// oldest is the version before which the history is forgotten.
+	oldest uint64
+}
+
+// NewStore starts an empty store.
+func NewStore() *Store {
+	s := &Store{rows: make(map[string]Row), changed: make(chan struct{})}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /rows-get", s.get)
+	mux.HandleFunc("GET /rows-feed", s.feed)
+	mux.HandleFunc("POST /rows-tx", s.transact)
+	s.Server = httptest.NewServer(mux)
+	return s
+}
+
+// Address returns the store's IP address and port.
+func (s *Store) Address() string { return strings.TrimPrefix(s.Server.URL, "http://") }
+
+// Fail sets how the store fails.
+func (s *Store) Fail(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.version
+}
+
+// Put writes a row as the operator or a VM does, also while the store fails
+// for others.
+func (s *Store) Put(table, key string, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(Row{Table: table, Key: key, Value: raw})
+	return nil
+}
+
+// Delete drops a row.
+func (s *Store) Delete(table, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.set(Row{Table: table, Key: key, Deleted: true})
+}
+
+// set applies a row at the present version. mu is held.
+func (s *Store) set(r Row) {
+	r.Version = s.version
+	name := r.Table + "/" + r.Key
+	if r.Deleted {
+		delete(s.rows, name)
+	} else {
+		s.rows[name] = r
+	}
+	s.history = append(s.history, r)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// fails plays the present fault and reports whether the request is over.
+func (s *Store) fails(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	case Silent:
+		<-r.Context().Done()
+		return true
+	}
+	return false
+}
+
+type answer struct {
+	Rows    []Row  `json:"rows,omitempty"`
+	More    bool   `json:"has-more"`
+	Version uint64 `json:"ver"`
+}
+
+func reply(w http.ResponseWriter, status int, a any) {
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(a); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	if s.fails(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := answer{Version: s.version}
+	for _, row := range s.rows {
+		if row.Table == q.Get("table") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	slices.SortFunc(a.Rows, func(x, y Row) int { return strings.Compare(x.Key, y.Key) })
+	reply(w, http.StatusOK, a)
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	if s.fails(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	after, _ := strconv.ParseUint(q.Get("after"), 10, 64) // a stand-in trusts its caller
+	wait, _ := strconv.Atoi(q.Get("wait-ms"))             // as above
+	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		a, gone, changed := s.since(q.Get("table"), after), after < s.oldest, s.changed
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(a.Rows) > 0 {
+			reply(w, http.StatusOK, a)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			reply(w, http.StatusOK, a)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// since returns the changes of a table after a version. mu is held.
+func (s *Store) since(table string, after uint64) answer {
+	a := answer{Version: s.version}
+	for _, row := range s.history {
+		if row.Table == table && row.Version > after {
+			a.Rows = append(a.Rows, row)
+		}
+	}
+	return a
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	if s.fails(w, r) {
+		return
+	}
+	var tx struct {
+		Conditions []Row `json:"expected-rev"`
+		Sets       []Row `json:"set-keys"`
+		Deletes    []Row `json:"delete"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range tx.Conditions {
+		if s.rows[c.Table+"/"+c.Key].Version != c.Version {
+			reply(w, http.StatusPreconditionFailed, answer{Version: s.version})
+			return
+		}
+	}
+	s.version++
+	for _, row := range tx.Sets {
+		s.set(row)
+	}
+	for _, row := range tx.Deletes {
+		row.Deleted = true
+		s.set(row)
+	}
+	if s.fault == Lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, answer{Version: s.version})
+}
