Let groups that are given up for others finish their streams

Cause: a stream that had been moved once was cut again when its group was given up for another after 1.2 s. Such groups now have 3 s.

--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -37,7 +37,7 @@
 	// closeFor bounds the wait for a head to finish its work.
 	closeFor = 9 * time.Second
 	// donorCloseFor is the same for a group whose VMs are needed elsewhere.
-	donorCloseFor = 1200 * time.Millisecond
+	donorCloseFor = 3 * time.Second
 	// stallMargin is added to the time after which a head that stands still
 	// gives up.
 	stallMargin = time.Second
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -90,4 +90,4 @@
 }
 
 // donorWait is how long a group waits for the VMs of others.
-const donorWait = 3 * time.Second
+const donorWait = 4 * time.Second
