--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -144,9 +144,9 @@
 	s.t.Fatalf("not reached: %s", what)
 }
 
-func (s *site) serves(n *running, method, path, key string) func() bool {
+func (s *site) serves(n *running, path, key string) func() bool {
 	return func() bool {
-		status, _ := s.call(n, method, path, key)
+		status, _ := s.call(n, http.MethodPost, path, key)
 		return status == http.StatusOK
 	}
 }
@@ -154,7 +154,7 @@
 func TestNodesServeEachKind(t *testing.T) {
 	s := newSite(t)
 	for _, n := range s.nodes {
-		s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+		s.eventually("streams", s.serves(n, "/ask/x", "key"))
 		_, body := s.call(n, http.MethodPost, "/ask/x", "key")
 		assert.Equal(t, strings.Count(body, "data: piece\n\n"), 4)
 		before := s.shop.Runs()
@@ -176,9 +176,9 @@
 func TestConfigurationIsInForceSoonAndAnEvictedKeyIsRefused(t *testing.T) {
 	s := newSite(t)
 	n := s.nodes[0]
-	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.eventually("orders", s.serves(n, "/order/x", "key"))
 	s.configure(2, "new")
-	s.eventually("the new key", s.serves(n, http.MethodPost, "/order/x", "new"))
+	s.eventually("the new key", s.serves(n, "/order/x", "new"))
 	status, _ := s.call(n, http.MethodPost, "/order/x", "key")
 	assert.Equal(t, status, http.StatusUnauthorized)
 }
@@ -188,7 +188,7 @@
 func TestStoreOutage(t *testing.T) {
 	s := newSite(t)
 	n := s.nodes[0]
-	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.eventually("orders", s.serves(n, "/order/x", "key"))
 	s.store.Fail(cloud.Busy)
 	status, _ := s.call(n, http.MethodPost, "/order/x", "key")
 	assert.Equal(t, status, http.StatusOK)
@@ -201,31 +201,31 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 	assert.Equal(t, s.shop.Runs(), runs)
 	s.store.Fail(cloud.Healthy)
-	s.eventually("orders again", s.serves(n, http.MethodPost, "/order/x", "key"))
-	s.eventually("streams again", s.serves(n, http.MethodPost, "/ask/x", "key"))
+	s.eventually("orders again", s.serves(n, "/order/x", "key"))
+	s.eventually("streams again", s.serves(n, "/ask/x", "key"))
 }
 
 func TestForgottenHistoryIsReadWhole(t *testing.T) {
 	s := newSite(t)
 	n := s.nodes[0]
-	s.eventually("orders", s.serves(n, http.MethodPost, "/order/x", "key"))
+	s.eventually("orders", s.serves(n, "/order/x", "key"))
 	s.store.Fail(cloud.Busy)
 	s.configure(2, "new")
 	s.store.Forget()
 	s.store.Fail(cloud.Healthy)
-	s.eventually("the new key", s.serves(n, http.MethodPost, "/order/x", "new"))
+	s.eventually("the new key", s.serves(n, "/order/x", "new"))
 }
 
 func TestLostAnswersOfTheStoreDoNotStopTheCoordinator(t *testing.T) {
 	s := newSite(t)
 	s.store.Fail(cloud.Lost)
-	s.eventually("streams", s.serves(s.nodes[0], http.MethodPost, "/ask/x", "key"))
+	s.eventually("streams", s.serves(s.nodes[0], "/ask/x", "key"))
 }
 
 func TestLostMemberIsReplaced(t *testing.T) {
 	s := newSite(t)
 	n := s.nodes[0]
-	s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+	s.eventually("streams", s.serves(n, "/ask/x", "key"))
 	s.engines[0].Server.CloseClientConnections()
 	s.engines[0].Server.Close()
 	served := 0
@@ -240,7 +240,7 @@
 func TestPlannedStopEndsWhatRuns(t *testing.T) {
 	s := newSite(t)
 	n := s.nodes[0]
-	s.eventually("streams", s.serves(n, http.MethodPost, "/ask/x", "key"))
+	s.eventually("streams", s.serves(n, "/ask/x", "key"))
 	for _, e := range s.engines {
 		e.SetEvents(200) // a second and more
 	}
@@ -259,5 +259,5 @@
 	assert.Equal(t, r.status, http.StatusOK)
 	assert.Equal(t, strings.Count(r.body, "data: piece\n\n"), 200)
 	assert.NilError(t, <-n.done)
-	s.eventually("streams by the other node", s.serves(s.nodes[1], http.MethodPost, "/ask/x", "key"))
+	s.eventually("streams by the other node", s.serves(s.nodes[1], "/ask/x", "key"))
 }
