--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -211,13 +211,17 @@
 		s.table.CountRequest(s.now, "llm")
 	}
 	n := 0
-	for s.table.TakeRepeat(s.now, "llm") {
+	for s.table.TakeRepeat(s.now, "llm", false) {
+		n++
+	}
+	assert.Assert(t, s.table.TakeRepeat(s.now, "llm", true), "a part is left to streams that have begun")
+	for n++; s.table.TakeRepeat(s.now, "llm", true); {
 		n++
 	}
 	assert.Assert(t, n > 0)
 	assert.Assert(t, float64(4*n) <= 0.2*400+136, "%d repeats by each of 4 nodes", n)
 	s.now = s.now.Add(11 * time.Second)
-	assert.Assert(t, s.table.TakeRepeat(s.now, "llm"), "the window has passed")
+	assert.Assert(t, s.table.TakeRepeat(s.now, "llm", false), "the window has passed")
 }
 
 func TestFailingServerIsAvoidedForAWhile(t *testing.T) {
--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -47,17 +47,27 @@
 }
 
 // TakeRepeat counts one more send of a request, unless that would exceed this
-// node's part of the budget.
-func (t *Table) TakeRepeat(now time.Time, service string) bool {
+// node's part of the budget. A part is left to requests whose answer has begun,
+// which callers lose if they can't go on.
+func (t *Table) TakeRepeat(now time.Time, service string, begun bool) bool {
 	b := t.budget(service)
 	i := b.advance(now)
-	most := t.opts.RepeatRatio*float64(sum(b.requests)) + t.opts.RepeatSlack/float64(t.nodes+1)
-	if float64(sum(b.again)+1) > most*repeatPart {
+	most := t.opts.RepeatRatio*float64(sum(b.requests)) + t.opts.RepeatSlack/float64(t.nodes)
+	part := newPart
+	if begun {
+		part = begunPart
+	}
+	if float64(sum(b.again)+1) > most*part {
 		return false
 	}
 	b.again[i]++
 	return true
 }
 
-// repeatPart keeps some of the budget for sends that arrive later than others.
-const repeatPart = 0.9
+// newPart and begunPart are the parts of the budget for requests without and
+// with a begun answer. Some is kept for sends that arrive later than others and
+// for nodes that are not counted yet.
+const (
+	newPart   = 0.65
+	begunPart = 0.85
+)
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -65,7 +65,7 @@
 		if fault := s.mayRun(ctx, req); fault != nil {
 			return nil, fault
 		}
-		if req.sends > 0 && dials == 0 && !s.state.takeRepeat(req.service.Name) {
+		if req.sends > 0 && dials == 0 && !s.state.takeRepeat(req.service.Name, req.begun) {
 			return nil, s.final(req, problem.New(problem.Overloaded, "the budget of repeats is used up", "retry later").After(time.Second))
 		}
 		a, fault := s.place(ctx, req)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -215,8 +215,8 @@
 	s.targets.CountRequest(s.now(), service)
 }
 
-func (s *State) takeRepeat(service string) bool {
+func (s *State) takeRepeat(service string, begun bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.targets.TakeRepeat(s.now(), service)
+	return s.targets.TakeRepeat(s.now(), service, begun)
 }
