--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -255,3 +255,32 @@
 	ticket.Begun = true
 	assert.Equal(t, len(s.table.Silent(s.now, time.Second, 2*time.Second)), 1)
 }
+
+// Load: several nodes choose among groups by reports that are half a second
+// old. They must not all fill the same one.
+func TestNodesWithOldReportsDoNotSwing(t *testing.T) {
+	const groups, nodes, perReport = 6, 4, 60
+	var all []*site
+	for range nodes {
+		all = append(all, newSite(groups))
+	}
+	// One group has just opened and is empty, the others run half of what
+	// they can.
+	for _, s := range all {
+		s.now = s.now.Add(time.Second)
+		for g := range groups {
+			s.report(vmID(g, 0), map[bool]int{true: 0, false: 12}[g == 0])
+		}
+	}
+	sent := make(map[string]int)
+	for i := range perReport {
+		ticket, refusal := all[i%nodes].pick(i * 7919)
+		assert.Assert(t, refusal == nil)
+		sent[ticket.Target.ID]++
+	}
+	even := perReport / groups
+	assert.Assert(t, sent[vmID(0, 0)] <= 2*even, "%d of %d went to the empty group", sent[vmID(0, 0)], perReport)
+	for g := 1; g < groups; g++ {
+		assert.Assert(t, sent[vmID(g, 0)] >= even/2, "group %d got %d", g, sent[vmID(g, 0)])
+	}
+}
