--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -135,7 +135,7 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	w.WriteHeader(got.status)
 	_, _ = w.Write(got.body) // the caller may have gone
-	s.count("answered")
+	s.answered(req)
 	if got.status >= http.StatusInternalServerError {
 		s.log.Info("endpoint's failure delivered", "request", req.id, "endpoint", got.vm, "status", got.status, "sends", req.sends)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -110,6 +110,12 @@
 		"elapsed", s.now().Sub(req.started))
 }
 
+// answered counts an endpoint's answer and the time that it took.
+func (s *Server) answered(req *request) {
+	s.count("answered")
+	telemetry.Timer(s.opts.Metrics, "answer_seconds", "kind", string(req.route.Kind)).Update(s.now().Sub(req.started))
+}
+
 func (s *Server) count(outcome string) {
 	telemetry.Counter(s.opts.Metrics, "requests_total", "outcome", outcome).Inc(1)
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -13,6 +13,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
 const streamBuffer = 4 << 10
@@ -94,7 +95,7 @@
 	}
 	rl.req.sends++
 	rl.end(a, dispatch.Succeeded)
-	rl.count("answered")
+	rl.answered(rl.req)
 	rl.logAnswered()
 	return true, nil
 }
@@ -174,6 +175,7 @@
 	now := rl.now()
 	if rl.events == 0 {
 		rl.first = now.Sub(rl.req.started)
+		telemetry.Timer(rl.opts.Metrics, "first_event_seconds").Update(rl.first)
 	} else {
 		rl.pause = max(rl.pause, now.Sub(rl.lastAt))
 	}
