Ask the store less often

Operators' feed waits 1.5 s, failed reads wait 0.35 s, and candidates of a lease share eight reads an interval.

--- a/coord/lease/options.go
+++ b/coord/lease/options.go
@@ -46,6 +46,10 @@
 	RenewEvery time.Duration
 	// PollEvery is the interval between reads by other candidates.
 	PollEvery time.Duration
+	// PollersPerInterval is the number of candidates up to which each reads
+	// every PollEvery; with more of them the interval grows in proportion, so
+	// that the reads of all stay bounded. 0 leaves it as it is.
+	PollersPerInterval int
 	// AskEvery is the interval between rounds of promises in an outage.
 	AskEvery time.Duration
 	// RetryEvery is the pause after a failed read by the holder, a failed
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -110,6 +110,15 @@
 	}
 }
 
+// pollEvery returns the interval between this candidate's reads.
+func (m *Machine) pollEvery() time.Duration {
+	per, all := m.opts.PollersPerInterval, len(m.seen.row.Candidates)
+	if per <= 0 || all <= per {
+		return m.opts.PollEvery
+	}
+	return m.opts.PollEvery * time.Duration(all) / time.Duration(per)
+}
+
 // scheduleRead plans the next read after one that was answered.
 func (m *Machine) scheduleRead(now time.Time) {
 	switch {
@@ -120,7 +129,7 @@
 	case m.mine() || m.attempts.unsettled() || m.seen.revision == 0:
 		m.read.next = now.Add(m.opts.RetryEvery)
 	default:
-		m.read.next = now.Add(m.opts.PollEvery)
+		m.read.next = now.Add(m.pollEvery())
 		due := m.seen.takeoverAt
 		if now.Before(due) && due.Before(m.read.next) {
 			m.read.next = due
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,13 +34,15 @@
 	sweepEvery     = time.Second
 	leaseDuration  = 2 * time.Second
 	renewEvery     = 700 * time.Millisecond
+	leasePoll      = 700 * time.Millisecond
+	leasePollers   = 8
 	leaseRetry     = 300 * time.Millisecond
 	orderTimeout   = 500 * time.Millisecond
-	operatorWait   = time.Second
+	operatorWait   = 1500 * time.Millisecond
 	vmPause        = 700 * time.Millisecond
 	vmStartPause   = 250 * time.Millisecond
 	vmStart        = 3 * time.Second
-	watchRetry     = 200 * time.Millisecond
+	watchRetry     = 350 * time.Millisecond
 	probeTimeout   = 200 * time.Millisecond
 	probeEvery     = 450 * time.Millisecond
 	headProbeEvery = 800 * time.Millisecond
@@ -111,7 +113,7 @@
 	n.coord = coordinator.New(coordinator.Options{
 		Lease: lease.Options{
 			DataCentre: "all", VM: set.VM, Incarnation: incarnation, WithoutPromises: true,
-			Duration: leaseDuration, RenewEvery: renewEvery, PollEvery: renewEvery, RetryEvery: leaseRetry,
+			Duration: leaseDuration, RenewEvery: renewEvery, PollEvery: leasePoll, PollersPerInterval: leasePollers, RetryEvery: leaseRetry,
 			OrderTimeout: orderTimeout, Margin: leaseRetry,
 		},
 		Replica:      replica.Options{Stall: set.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: set.Bounds.LoadWindow},
