--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -76,29 +76,18 @@
 // model.
 type Engine struct {
 	// Slots is the number of requests that a group runs at once.
-	Slots int
-	// KVTokens is the number of tokens that a group keeps in memory.
-	KVTokens int
-	Models   []Model
-	// StepTime is one token step, PerSequence what each running request adds
-	// to it, and ContextPerK what each thousand tokens of its context add.
-	StepTime, PerSequence, ContextPerK time.Duration
-	// ReadPerSecond is the number of prompt tokens read in a second.
-	ReadPerSecond float64
-	// StepsPerPass is the number of token steps between two chances to read.
-	StepsPerPass int
+	Slots  int
+	Models []Model
 	// LoadsPerSecond bounds the starts of loads from the weight store;
 	// ConcurrentLoads is how many run at full speed.
 	LoadsPerSecond  float64
 	ConcurrentLoads int
-	// StagedPerHost is the number of models whose weights a host keeps.
-	StagedPerHost int
 	// FormTime is the time from the order to serve until a group serves.
 	FormTime time.Duration
 	// ReportLag is the age of the figures in an engine's report.
 	ReportLag time.Duration
-	// MeanPrompt and MeanAnswer are the usual numbers of tokens of a request.
-	MeanPrompt, MeanAnswer float64
+	// MeanPrompt is the usual number of tokens of a prompt.
+	MeanPrompt float64
 }
 
 // Model is a model and what a group of it takes.
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -31,8 +31,6 @@
 // Load is the work at a VM as of its last report.
 type Load struct {
 	Running, Waiting int
-	// KVUsed is the part of its memory for tokens that is in use, 0 to 1.
-	KVUsed float64
 	// Pace is over 1 while the VM is slow.
 	Pace float64
 }
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -71,7 +71,7 @@
 
 func testEngine() *catalog.Engine {
 	return &catalog.Engine{
-		Slots: 26, LoadsPerSecond: 4, ConcurrentLoads: 6, StagedPerHost: 1, FormTime: formTime,
+		Slots: 26, LoadsPerSecond: 4, ConcurrentLoads: 6, FormTime: formTime,
 		Models: []catalog.Model{
 			{Name: large, GroupSize: 4, Share: 0.67, Pace: 1, LoadTime: loadTime, WarmTime: warmTime},
 			{Name: small, GroupSize: 2, Share: 0.33, Pace: 0.6, LoadTime: loadTime, WarmTime: warmTime},
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -13,6 +12,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/member"
 	"github.com/pimentoshore/pimentoshore/internal/transport"
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
 const maxControlBodyBytes = 64 << 10
@@ -22,18 +22,7 @@
 
 // NotSentError means that no byte of the request left this process, so that
 // it certainly did not run.
-type NotSentError struct {
-	Address string
-	Err     error
-}
-
-// Error names the address and the cause.
-func (e *NotSentError) Error() string {
-	return fmt.Sprintf("endpoint %s could not be reached: %v; nothing was sent", e.Address, e.Err)
-}
-
-// Unwrap returns the cause.
-func (e *NotSentError) Unwrap() error { return e.Err }
+type NotSentError = upstream.NotSentError
 
 // Client calls endpoints and other entry VMs over HTTP. It is safe for
 // concurrent use.
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -18,12 +18,8 @@
 	Seal  string
 	Model string
 	// Tokens is the prompt's number of tokens and the most to be written.
-	Tokens string
-	// AnswerHint is the caller's estimate of the tokens to be written.
-	AnswerHint  string
+	Tokens      string
 	LastEventID string
-	// Urgency ranks a request at the endpoint, 0 first.
-	Urgency string
 	// Faulty names the VM that made a group fail.
 	Faulty string
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -175,7 +175,7 @@
 		g.Go(func() error { return n.serveMetrics(running) })
 	}
 	g.Go(func() error {
-		opts := watch.Options{OperatorWait: operatorWait, VMPause: vmPause, VMStartPause: vmStartPause, VMStart: vmStart, RetryPause: watchRetry}
+		opts := watch.Options{OperatorWait: operatorWait, VMPause: min(vmPause, n.set.Bounds.DrainWithin*2/5), VMStartPause: vmStartPause, VMStart: vmStart, RetryPause: watchRetry}
 		return watch.Run(running, n.backends.Source, n.state, opts)
 	})
 	g.Go(func() error { n.tick(running); return nil })
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -92,7 +92,7 @@
 		VM: vm, DataCentre: "dc-a", Store: s.store.Address(),
 		Listen: settings.EntryListen{Callers: freeAddress(s.t), Ready: freeAddress(s.t)},
 		Bounds: settings.EntryBounds{
-			KeysValid: 5 * time.Second, ConfigWithin: 2 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second,
+			KeysValid: 5 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second,
 			GroupStall: 5 * time.Second, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second, ColdOverage: 1.5,
 			LoadWindow: 5 * time.Second,
 		},
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -42,8 +42,6 @@
 type EntryBounds struct {
 	// KeysValid is the longest that a withdrawn key may still be served.
 	KeysValid time.Duration `toml:"keys_valid"`
-	// ConfigWithin is how soon a new configuration is in force.
-	ConfigWithin time.Duration `toml:"config_within"`
 	// DrainWithin is how soon an endpoint that leaves gets nothing new.
 	DrainWithin time.Duration `toml:"drain_within"`
 	// StopGrace bounds a graceful shutdown.
@@ -59,6 +57,18 @@
 	LoadWindow   time.Duration `toml:"load_window"`
 }
 
+// DefaultEntry returns the settings that hold for absent keys.
+func DefaultEntry() Entry {
+	return Entry{
+		Log: Log{Format: LogJSON, Level: "info"},
+		Bounds: EntryBounds{
+			KeysValid: 5 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second, GroupStall: 5 * time.Second,
+			RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
+			LoadWindow: 5 * time.Second,
+		},
+	}
+}
+
 // LoadEntry reads the settings file of an entry VM. Its error is an *Error,
 // unless the file can't be read.
 func LoadEntry(path string) (Entry, error) {
@@ -66,7 +76,7 @@
 	if err != nil {
 		return Entry{}, errors.Annotate(err, "reading settings; name a file that exists")
 	}
-	s := Entry{Log: Log{Format: LogJSON, Level: "info"}}
+	s := DefaultEntry()
 	err = Decode(path, data, &s)
 	return s, err
 }
@@ -95,7 +105,7 @@
 		key   string
 		value time.Duration
 	}{
-		{"bounds.keys_valid", b.KeysValid}, {"bounds.config_within", b.ConfigWithin},
+		{"bounds.keys_valid", b.KeysValid},
 		{"bounds.drain_within", b.DrainWithin}, {"bounds.stop_grace", b.StopGrace},
 		{"bounds.group_stall", b.GroupStall}, {"bounds.repeat_window", b.RepeatWindow},
 		{"bounds.load_window", b.LoadWindow},
