--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -223,8 +223,8 @@
 	return waiting > 0
 }
 
-// Silent returns the tickets of groups that alone make no progress while
-// others at their target do: for d, or for first if they never made any.
+// Silent returns the tickets at groups that have made no progress for d, or for
+// first if they never made any.
 func (t *Table) Silent(now time.Time, d, first time.Duration) []*Ticket {
 	var out []*Ticket
 	for _, target := range t.targets {
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -67,7 +67,7 @@
 	p.groups[g.key()] = g
 	g.enter(now, Serving)
 	if head.Stage == fleet.Closing {
-		g.giveUp(now, "closing", "", true)
+		g.giveUp(now, HeadClosing, "", true)
 	}
 	return true
 }
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -41,8 +41,8 @@
 	for i, id := range g.Members {
 		reason := p.fault(now, g, i)
 		switch reason {
-		case "":
-		case "leaving":
+		case Sound:
+		case MemberLeaving:
 			g.giveUp(now, reason, id, true)
 		default:
 			g.giveUp(now, reason, id, false)
@@ -50,30 +50,30 @@
 		}
 	}
 	if g.refusals > maxRefusals {
-		g.giveUp(now, "orders refused", "", false)
+		g.giveUp(now, OrdersRefused, "", false)
 	}
 }
 
-// fault says what is wrong with a group's member, or "".
-func (p *Planner) fault(now time.Time, g *Group, rank int) string {
+// fault says what is wrong with a group's member.
+func (p *Planner) fault(now time.Time, g *Group, rank int) Reason {
 	m := p.members[g.Members[rank]]
 	switch {
 	case m == nil:
-		return "gone"
+		return MemberGone
 	case m.VM.Born != g.born[rank]:
-		return "restarted"
+		return MemberRestarted
 	case m.silent(now, silentFor):
-		return "silent"
+		return MemberSilent
 	case g.Phase == Serving && !g.holds(m), g.Phase == Opening && !g.holds(m):
-		return "not a member"
+		return NotMember
 	case rank == 0 && m.Stage == fleet.Broken && g.holds(m):
-		return "head gave up"
+		return HeadGaveUp
 	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
-		return "head stopped serving"
+		return HeadStopped
 	case m.Draining, !m.Listed && now.Sub(m.ListedAt) >= unlistedGrace:
-		return "leaving"
+		return MemberLeaving
 	}
-	return ""
+	return Sound
 }
 
 // dark reports whether most VMs of a data centre are silent, or were a moment
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -113,7 +113,7 @@
 		return false // it was given up for another reason
 	}
 	for rank := range g.Members {
-		if p.fault(now, g, rank) != "" {
+		if p.fault(now, g, rank) != Sound {
 			return false
 		}
 	}
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -18,6 +18,24 @@
 	Dissolving Phase = "dissolving" // members are to be freed
 )
 
+// Reason says why a group is dissolved.
+type Reason string
+
+// Reasons to dissolve a group.
+const (
+	Sound           Reason = "" // there is none
+	MemberGone      Reason = "gone"
+	MemberRestarted Reason = "restarted"
+	MemberSilent    Reason = "silent"
+	NotMember       Reason = "not a member"
+	HeadGaveUp      Reason = "head gave up"
+	HeadStopped     Reason = "head stopped serving"
+	MemberLeaving   Reason = "leaving"
+	OrdersRefused   Reason = "orders refused"
+	HeadClosing     Reason = "closing"
+	NeededElsewhere Reason = "needed elsewhere"
+)
+
 // Group is a set of VMs that run one model together.
 type Group struct {
 	Name  string
@@ -29,9 +47,11 @@
 	// Since is when the phase began.
 	Since time.Time
 	// Reason says why the group is dissolved.
-	Reason string
+	Reason Reason
 	// Lost is the member that was lost, if that is the reason.
 	Lost string
+	// For is the group or model that needs the VMs, if that is the reason.
+	For string
 
 	// finish lets the head finish its work before it is freed.
 	finish bool
@@ -68,7 +88,7 @@
 }
 
 // giveUp begins to dissolve a group.
-func (g *Group) giveUp(now time.Time, reason, lost string, finish bool) {
+func (g *Group) giveUp(now time.Time, reason Reason, lost string, finish bool) {
 	if g.Phase == Dissolving {
 		g.finish = g.finish && finish
 		return
@@ -77,6 +97,13 @@
 	g.enter(now, Dissolving)
 }
 
+// giveWay begins to dissolve a sound group, once its work is done, for another
+// group or model.
+func (g *Group) giveWay(now time.Time, to string) {
+	g.For = to
+	g.giveUp(now, NeededElsewhere, "", true)
+}
+
 // newGroup enters a group in the table. Without a name it gets one of its own.
 func (p *Planner) newGroup(now time.Time, name, model string, members []*member) *Group {
 	epoch := p.opts.Epochs.next()
--- a/coord/replica/rebalance.go
+++ b/coord/replica/rebalance.go
@@ -31,7 +31,7 @@
 		if donors := p.donorsFor(now, model); len(donors) > 0 {
 			p.rebalancedAt = now
 			for _, g := range donors {
-				g.giveUp(now, "its VMs are needed for "+model.Name, "", true)
+				g.giveWay(now, model.Name)
 			}
 			return
 		}
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -39,7 +39,7 @@
 	var out []*member
 	for rank := range g.Members {
 		switch p.fault(now, g, rank) {
-		case "", "head gave up", "head stopped serving":
+		case Sound, HeadGaveUp, HeadStopped:
 			m := p.members[g.Members[rank]]
 			if m.idle(now) && m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor {
 				out = append(out, m)
@@ -81,7 +81,7 @@
 			return false
 		}
 		for _, donor := range donors {
-			donor.giveUp(now, "its VMs are needed for "+g.Name, "", true)
+			donor.giveWay(now, g.Name)
 		}
 		g.awaits = true
 		return true
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -232,7 +232,7 @@
 		}
 		c.phases[g.Epoch] = g.Phase
 		c.opts.Log.Info("group "+string(g.Phase), "group", g.Name, "epoch", g.Epoch, "model", g.Model,
-			"members", g.Members, "reason", g.Reason, "lost", g.Lost)
+			"members", g.Members, "reason", string(g.Reason), "lost", g.Lost, "for", g.For)
 	}
 	for epoch := range c.phases {
 		if !seen[epoch] {
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -65,6 +65,9 @@
 // Tick starts the probes that are due and ends requests that make no
 // progress. lost are tickets whose targets are gone.
 func (p *Prober) Tick(ctx context.Context, lost []*dispatch.Ticket) {
+	p.state.Locked(func(k Knowledge) {
+		lost = append(lost, k.Targets.Silent(k.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
+	})
 	for _, t := range lost {
 		t.Cancel()
 	}
@@ -117,9 +120,6 @@
 			out[id] = p.opts.FastEvery
 		}
 	}
-	for _, ticket := range k.Targets.Silent(k.Now, p.opts.SilentAfter, p.opts.FirstAfter) {
-		ticket.Cancel()
-	}
 	// A member that has failed a probe is followed until it answers.
 	for id := range p.lastAt {
 		vm := k.VMs.Get(id)
