--- a/coord/replica/demand.go
+++ b/coord/replica/demand.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// demandWeight is the part of the newest sample in the running means.
+	// demandWeight is the weight of the newest sample in the running means.
 	demandWeight = 0.2
 	demandEvery  = 250 * time.Millisecond
 	// busyFrom and busyTo are the use of a model's places between which
@@ -18,12 +18,11 @@
 	busyTo   = 1.05
 )
 
-// demand follows how much of the models' places is in use.
+// demand follows how much of the models' places is in use, 0 to 1 and more
+// where requests wait.
 type demand struct {
 	sampledAt time.Time
-	// use is the part of a model's places in use, work what it keeps busy in
-	// VMs.
-	use, work map[string]float64
+	use       map[string]float64
 }
 
 // sampleDemand takes in what the heads report.
@@ -40,13 +39,11 @@
 			continue
 		}
 		use := float64(requests) / float64(places)
-		work := use * float64(p.running(model.Name)*model.GroupSize)
 		if _, known := d.use[model.Name]; !known {
-			d.use[model.Name], d.work[model.Name] = use, work
+			d.use[model.Name] = use
 			continue
 		}
 		d.use[model.Name] += demandWeight * (use - d.use[model.Name])
-		d.work[model.Name] += demandWeight * (work - d.work[model.Name])
 	}
 }
 
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -91,7 +91,8 @@
 	engine *catalog.Engine
 	// evacuated data centres get no work and no new groups.
 	evacuated map[string]bool
-	// traffic is whether requests have begun, from when on loads are slow.
+	// traffic is whether requests have begun, from when on loads are slow and
+	// limited. Any planner but the first takes it that they have.
 	traffic bool
 
 	members  map[string]*member
@@ -141,13 +142,13 @@
 // New returns a planner over the table, which the caller keeps up to date.
 func New(opts Options, table *fleet.Table) *Planner {
 	return &Planner{
-		opts: opts, table: table,
+		opts: opts, table: table, traffic: opts.Epochs.Term() > 1,
 		members:  make(map[string]*member),
 		groups:   make(map[groupKey]*Group),
 		released: make(map[groupKey]bool),
 		strays:   make(map[groupKey]time.Time),
 		darkAt:   make(map[string]time.Time),
-		demand:   demand{use: make(map[string]float64), work: make(map[string]float64)},
+		demand:   demand{use: make(map[string]float64)},
 	}
 }
 
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -265,6 +265,16 @@
 	assert.Assert(t, len(starts) > 0)
 }
 
+// A node that takes over in the middle of a day and has seen no request yet
+// must not load as before the first one.
+func TestTakeoverKeepsLoadsWithinTheRate(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	w.takeover()
+	w.run(4 * time.Second)
+	assert.Assert(t, len(w.p.loads) > 0)
+	assert.Assert(t, len(w.p.loads) <= 20, "%d loads", len(w.p.loads))
+}
+
 // Random losses, restarts, partitions, lost and late orders and takeovers:
 // the world checks after each step that no VM is taken from a serving head and
 // that no head serves with a member that was never ready.
