--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -21,20 +21,27 @@
 // entryCommand serves callers on the users' platform.
 func entryCommand() *cobra.Command {
 	var file string
+	var check bool
 	cmd := &cobra.Command{
 		Use:     "entry",
 		Short:   "Serves callers on an entry VM of the users' platform",
-		Example: "  pimentoshored entry --settings /etc/pimentoshore/settings.toml",
+		Example: "  pimentoshored entry --settings /etc/pimentoshore/settings.toml\n" +
+			"  pimentoshored entry --check --settings settings.toml",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			set, err := settings.LoadEntry(file)
 			if err != nil {
 				return err
 			}
+			if check {
+				cmd.Println(file + " is valid")
+				return nil
+			}
 			return serveEntry(cmd.Context(), file, set)
 		},
 	}
 	cmd.Flags().StringVar(&file, "settings", "/etc/pimentoshore/settings.toml", "settings file (TOML)")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit: 0 if they are valid, else 2")
 	return cmd
 }
 
