--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -23,11 +23,11 @@
 	var file string
 	var check bool
 	cmd := &cobra.Command{
-		Use:     "entry",
-		Short:   "Serves callers on an entry VM of the users' platform",
+		Use:   "entry",
+		Short: "Serves callers on an entry VM of the users' platform",
 		Example: "  pimentoshored entry --settings /etc/pimentoshore/settings.toml\n" +
 			"  pimentoshored entry --check --settings settings.toml",
-		Args:    cobra.NoArgs,
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			set, err := settings.LoadEntry(file)
 			if err != nil {
