--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -38,8 +38,8 @@
 // Ticket is one request at a target.
 type Ticket struct {
 	Target *Target
-	// Cancel is called by the embedding program's owner of the ticket when
-	// the target is lost.
+	// Cancel ends the request. The embedding program sets it, and calls it
+	// when the target is lost.
 	Cancel func()
 	// ProgressAt is when the request was sent or last brought bytes.
 	ProgressAt time.Time
@@ -52,9 +52,6 @@
 	sentAt time.Time
 }
 
-// Inflight is the number of this node's requests at the target.
-func (t *Target) Inflight() int { return len(t.tickets) }
-
 // own is the work of this node's requests at the target: each counts as one,
 // and more while its prompt has to be read.
 func (t *Target) own() float64 {
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -9,6 +9,7 @@
 // adopt takes over the groups of earlier planners from what VMs have reported
 // to this one, and takes VMs out of what is left of broken ones.
 func (p *Planner) adopt(now time.Time) {
+	p.forgetReleased()
 	unknown := make(map[groupKey][]*member)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
@@ -37,6 +38,17 @@
 	}
 }
 
+// forgetReleased drops the released groups that no VM names any more.
+func (p *Planner) forgetReleased() {
+	named := make(map[groupKey]bool)
+	for _, m := range p.members {
+		if p.released[keyOf(m)] {
+			named[keyOf(m)] = true
+		}
+	}
+	p.released = named
+}
+
 // adoptGroup takes a group over if all its members report it. One whose head
 // doesn't serve joins anew: orders of an earlier planner that still arrive late
 // may take its members elsewhere, and are refused once these have accepted
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -275,6 +275,13 @@
 	assert.Assert(t, len(w.p.loads) <= 20, "%d loads", len(w.p.loads))
 }
 
+func TestReleasedGroupsAreForgotten(t *testing.T) {
+	w := formed(t)
+	w.p.released[groupKey{"old", 1}] = true
+	w.run(tick)
+	assert.Equal(t, len(w.p.released), 0)
+}
+
 // Random losses, restarts, partitions, lost and late orders and takeovers:
 // the world checks after each step that no VM is taken from a serving head and
 // that no head serves with a member that was never ready.
