--- a/cmd/pimentoshored/entry_test.go
+++ b/cmd/pimentoshored/entry_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -31,3 +37,43 @@
 		assert.Assert(t, errors.As(err, &faults), "%v", err)
 	}
 }
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A signal that the settings have changed ended the process.
+func TestHangupReloadsAndServesOn(t *testing.T) {
+	ready := freeAddress(t)
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	content := fmt.Sprintf("vm = \"a\"\ndata_centre = \"d\"\nstore = \"127.0.0.1:1\"\n[listen]\ncallers = %q\nready = %q\n", freeAddress(t), ready)
+	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
+	set, err := settings.LoadEntry(file)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- serveEntry(ctx, file, set) }()
+	answers := func() bool {
+		resp, err := http.Get("http://" + ready + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusServiceUnavailable
+	}
+	for range 500 {
+		if answers() {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.NilError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	time.Sleep(100 * time.Millisecond) // the signal arrives
+	assert.Assert(t, answers())
+	cancel()
+	assert.NilError(t, <-done)
+}
