Simplify what a second reading found

One method counts a send that may have run, one says whether earlier groups may not have been taken over yet; a coordinator's HandedOver had no caller. Behaviour stays as it is.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -38,6 +38,12 @@
 	}
 }
 
+// adopting reports whether groups of earlier planners may not have been taken
+// over yet.
+func (p *Planner) adopting(now time.Time) bool {
+	return p.opts.Epochs.Term() > 1 && now.Sub(p.started) < adoptGrace
+}
+
 // forgetReleased drops the released groups that no VM names any more.
 func (p *Planner) forgetReleased() {
 	named := make(map[groupKey]bool)
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -102,7 +102,7 @@
 // assemble forms groups of free VMs: first of the model that has the smallest
 // part of the groups it should have.
 func (p *Planner) assemble(now time.Time) {
-	if now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 || p.gathering(now) {
+	if p.adopting(now) || p.gathering(now) {
 		return
 	}
 	domains := p.domains(now)
--- a/coord/replica/rebalance.go
+++ b/coord/replica/rebalance.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
@@ -106,8 +105,10 @@
 		if m == model {
 			running++
 		}
-		for range slices.DeleteFunc(slices.Clone(donors), func(g *Group) bool { return g.Model != m.Name }) {
-			running--
+		for _, g := range donors {
+			if g.Model == m.Name {
+				running--
+			}
 		}
 		after = min(after, running/wanted)
 	}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -48,7 +48,7 @@
 // would mend, and onto those of VMs that hold one model's weights in their
 // accelerators another model's, so that they can be members of either.
 func (p *Planner) stage(now time.Time) {
-	if p.gathering(now) || now.Sub(p.started) < adoptGrace && p.opts.Epochs.Term() > 1 {
+	if p.gathering(now) || p.adopting(now) {
 		return
 	}
 	domains := p.domains(now)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -86,13 +86,6 @@
 	c.step(ctx, lease.Stop{})
 }
 
-// HandedOver reports whether a stop needs nothing more.
-func (c *Coordinator) HandedOver() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.machine.HandedOver()
-}
-
 // step feeds the lease. mu is held.
 func (c *Coordinator) step(ctx context.Context, ev lease.Event) {
 	for _, effect := range c.machine.Step(c.opts.Now(), ev) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -181,9 +181,7 @@
 
 // broke ends an attempt whose answer was lost.
 func (s *Server) broke(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
-	req.sends++
-	req.mayHaveRun = true
-	req.attempts++
+	req.ran()
 	outcome := dispatch.Failed
 	if ctx.Err() != nil {
 		outcome = dispatch.Neutral
@@ -203,6 +201,13 @@
 	return resp.Status == http.StatusMisdirectedRequest || resp.Header.Get(s.proto.NotRun) != ""
 }
 
+// ran counts a send that may have run.
+func (req *request) ran() {
+	req.sends++
+	req.attempts++
+	req.mayHaveRun = true
+}
+
 // mayRepeat reports whether the request may be sent again after a send that
 // may have run.
 func (req *request) mayRepeat() bool {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -88,9 +88,7 @@
 		req.exclude = append(req.exclude, a.ticket.Target.ID)
 		return nil, s.broke(ctx, a, req, err)
 	}
-	req.sends++
-	req.attempts++
-	req.mayHaveRun = true
+	req.ran()
 	got := &answer{status: a.resp.Status, header: a.resp.Header, body: body, vm: a.ticket.Target.ID}
 	outcome := dispatch.Succeeded
 	if got.status >= http.StatusInternalServerError {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -108,9 +108,7 @@
 	if err != nil || rl.req.begun {
 		return false, rl.broke(rl.ctx, a, rl.req, errors.Errorf("the endpoint answered status %d", a.resp.Status))
 	}
-	rl.req.sends++
-	rl.req.attempts++
-	rl.req.mayHaveRun = true
+	rl.req.ran()
 	got := &answer{status: a.resp.Status, header: a.resp.Header, body: body, vm: a.ticket.Target.ID}
 	rl.end(a, dispatch.Failed)
 	if got.status >= http.StatusInternalServerError && rl.again(rl.ctx, rl.req) {
