--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -17,8 +17,6 @@
 type Table struct {
 	vms  map[string]*VM
 	list []*VM // by ID
-	// Changes grows with each change of a VM's state, place or listing.
-	Changes uint64
 }
 
 // NewTable returns an empty table.
@@ -51,7 +49,6 @@
 	if vm.Address != row.Address {
 		t.takeAddress(now, row)
 	}
-	changed := restarted || !vm.Listed || vm.Draining != row.Draining || vm.Address != row.Address
 	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
 	vm.rowBorn = row.Born
 	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
@@ -60,10 +57,7 @@
 	}
 	if now.Sub(vm.HeardAt) > reportPreferred {
 		row.Orders = vm.Orders
-		changed = vm.setState(row.State) || changed
-	}
-	if changed {
-		t.Changes++
+		vm.setState(row.State)
 	}
 	return restarted
 }
@@ -87,9 +81,7 @@
 	vm.FailedProbes = 0
 }
 
-func (vm *VM) setState(s State) bool {
-	changed := vm.Membership != s.Membership || vm.Born != s.Born || vm.Model != s.Model ||
-		!slices.Equal(vm.Staged, s.Staged)
+func (vm *VM) setState(s State) {
 	if s.Domain == "" {
 		s.Domain = vm.Domain
 	}
@@ -97,7 +89,6 @@
 	if s.Group != "" && s.Model != "" && s.Stage != Joining {
 		vm.Held = s.Model
 	}
-	return changed
 }
 
 // Unlist notes that the platform no longer lists a VM.
@@ -108,7 +99,6 @@
 	}
 	vm.Listed = false
 	vm.ListedAt = now
-	t.Changes++
 }
 
 // ApplyReport takes in the answer to a probe that was sent at a time. Reports
@@ -122,7 +112,6 @@
 	if r.Born > vm.Born {
 		vm.restart()
 		vm.Born = r.Born
-		t.Changes++
 	}
 	if r.Born != vm.rowBorn {
 		t.ProbeFailed(sent, id) // it may be another VM at the address
@@ -131,9 +120,7 @@
 	vm.HeardAt = sent
 	vm.FailedProbes = 0
 	vm.Load = r.Load
-	if vm.setState(r.State) {
-		t.Changes++
-	}
+	vm.setState(r.State)
 }
 
 // ProbeFailed notes a probe without an answer.
@@ -146,7 +133,6 @@
 		vm.FailedSince = sent
 	}
 	vm.FailedProbes++
-	t.Changes++
 }
 
 // Sweep drops VMs that have been unlisted and silent for long.
