A soak of real processes under faults from outside

Four entry VMs as processes of their own, ten engines and three shops behind loopback proxies, callers on kept connections. Checked while it runs: orders once, true refusals, answers whole and one's own, nothing under a withdrawn key, groups whole and never robbed of members, nothing lost on a calm node, planned stops in time, no process ends by itself, all serve again.

--- /dev/null
+++ b/internal/soak/site_test.go
@@ -0,0 +1,196 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
+	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
+)
+
+const (
+	nodesPerSite   = 4
+	enginesPerSite = 10
+	shopsPerSite   = 3
+	// shopTakes is how long a plain request takes, so that faults meet some
+	// while they run.
+	shopTakes = 60 * time.Millisecond
+)
+
+// keysValid and drainWithin are the bounds of the settings below.
+const keysValid = 5 * time.Second
+
+// site is a small platform with entry VMs in two data centres.
+type site struct {
+	t       *testing.T
+	dir     string
+	store   *cloud.Store
+	ledger  *cloud.Ledger
+	engines []*cloud.Engine
+	shops   []*cloud.Shop
+	nodes   []*process
+	// engineLinks and shopLinks are the ways to the endpoints, doors those
+	// from each node to the store.
+	engineLinks, shopLinks, doors []*wire.Proxy
+
+	mu      sync.Mutex
+	version int
+	// withdrawn is when each account's key was confirmed to be withdrawn.
+	withdrawn map[string]time.Time
+}
+
+func newSite(t *testing.T) *site {
+	dir, err := os.MkdirTemp("", "soak-logs")
+	assert.NilError(t, err)
+	s := &site{t: t, dir: dir, store: cloud.NewStore(), ledger: cloud.NewLedger(), withdrawn: make(map[string]time.Time)}
+	t.Cleanup(s.store.Server.Close)
+	s.configure()
+	for i := range enginesPerSite {
+		s.addEngine(i)
+	}
+	for i := range shopsPerSite {
+		s.addShop(i)
+	}
+	for i := range nodesPerSite {
+		s.addNode(i)
+	}
+	return s
+}
+
+func dataCentre(i int) string { return fmt.Sprint("dc-", i%2) }
+
+// link returns a proxy before a server of the test.
+func (s *site) link(server *httptest.Server) *wire.Proxy {
+	p, err := wire.New("127.0.0.1", strings.TrimPrefix(server.URL, "http://"))
+	assert.NilError(s.t, err)
+	s.t.Cleanup(p.Close)
+	return p
+}
+
+func (s *site) addEngine(i int) {
+	e, err := cloud.NewEngine(s.store, fmt.Sprint("i-", i), "llm", dataCentre(i), "d"+dataCentre(i))
+	assert.NilError(s.t, err)
+	s.t.Cleanup(e.Server.Close)
+	e.Ledger = s.ledger
+	e.SetEvents(20)
+	link := s.link(e.Server)
+	assert.NilError(s.t, e.Advertise(link.Address()))
+	s.engines, s.engineLinks = append(s.engines, e), append(s.engineLinks, link)
+}
+
+func (s *site) addShop(i int) {
+	shop, err := cloud.NewShop(s.store, fmt.Sprint("s-", i), "shop", dataCentre(i))
+	assert.NilError(s.t, err)
+	s.t.Cleanup(shop.Server.Close)
+	shop.Ledger, shop.Takes = s.ledger, shopTakes
+	link := s.link(shop.Server)
+	assert.NilError(s.t, shop.Advertise(link.Address()))
+	s.shops, s.shopLinks = append(s.shops, shop), append(s.shopLinks, link)
+}
+
+// addNode prepares an entry VM on a loopback address of its own, so that no
+// connection that leaves takes a port that it is to listen on.
+func (s *site) addNode(i int) {
+	ip := fmt.Sprintf("127.2.%d.%d", os.Getpid()%250+1, i+1)
+	listen := make([]string, 3)
+	for k := range listen {
+		l, err := net.Listen("tcp", ip+":0")
+		assert.NilError(s.t, err)
+		listen[k] = l.Addr().String()
+		l.Close()
+	}
+	door := s.link(s.store.Server)
+	vm := fmt.Sprint("entry-", i)
+	text := fmt.Sprintf(`vm = %q
+data_centre = %q
+store = %q
+[listen]
+callers = %q
+ready = %q
+peers = %q
+[bounds]
+keys_valid = "5s"
+stop_grace = "8s"
+repeat_slack = 100.0
+`, vm, dataCentre(i), door.Address(), listen[0], listen[1], listen[2])
+	p := &process{
+		t: s.t, vm: vm, settings: filepath.Join(s.dir, vm+".toml"), callers: listen[0], ready: listen[1],
+		logPath: filepath.Join(s.dir, vm+".log"),
+	}
+	assert.NilError(s.t, os.WriteFile(p.settings, []byte(text), 0o600))
+	s.nodes, s.doors = append(s.nodes, p), append(s.doors, door)
+	s.t.Cleanup(p.kill)
+}
+
+// account is the client account whose key is in force from a version on.
+func account(version int) string { return fmt.Sprint("acc-", version) }
+
+// configure puts the next configuration in force. Its account's key replaces
+// that of two versions before.
+func (s *site) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := func(prefix, kind, service string) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "attempts": 2, "timeout-ms": 5000,
+			"slo-ms": 500, "gap-target-ms": 300, "resumable": kind == "stream",
+		}
+	}
+	tenants := []any{map[string]any{"name": account(s.version), "api-keys": []string{"key-" + account(s.version)}}}
+	if s.version > 1 {
+		tenants = append(tenants, map[string]any{"name": account(s.version - 1), "api-keys": []string{"key-" + account(s.version-1)}})
+	}
+	err := s.store.Put("op", "config", map[string]any{
+		"version": s.version,
+		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")},
+		"services": []any{
+			map[string]any{"name": "shop"},
+			map[string]any{"name": "llm", "engine": map[string]any{
+				"slots": 26, "loads-per-s": 20, "loads_at_once": 20, "form-ms": 20, "report_lag_ms": 10,
+				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.1, "warm-s": 0.1}},
+			}},
+		},
+		"limits":  map[string]any{"max-body-bytes": 100000},
+		"tenants": tenants,
+	})
+	assert.NilError(s.t, err)
+	s.withdrawn[account(s.version-2)] = time.Now()
+}
+
+// present returns the newest account.
+func (s *site) present() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return account(s.version)
+}
+
+// evacuate takes a data centre out of use, or back.
+func (s *site) evacuate(dc string, out bool) {
+	if out {
+		assert.NilError(s.t, s.store.Put("op", "evacuate/"+dc, map[string]any{}))
+		return
+	}
+	s.store.Delete("op", "evacuate/"+dc)
+}
+
+// ready reports whether a node says that callers may be sent to it.
+func (s *site) ready(p *process) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + p.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -21,6 +21,8 @@
 type Engine struct {
 	ID     string
 	Server *httptest.Server
+	// Ledger, if it is set before the first request, takes note of runs.
+	Ledger *Ledger
 	store  *Store
 	row    map[string]any
 
@@ -71,6 +73,36 @@
 	return out
 }
 
+// Advertise lists the engine at another address, such as a proxy's.
+func (e *Engine) Advertise(address string) error {
+	e.mu.Lock()
+	e.row["address"] = address
+	e.mu.Unlock()
+	return e.list()
+}
+
+// Restart lets the engine start again at once: it knows nothing of before.
+func (e *Engine) Restart() error {
+	e.mu.Lock()
+	if e.group != nil {
+		e.Ledger.closesHead(e.group)
+		e.Ledger.lost(e.name())
+	}
+	e.orders, e.model, e.group = 0, "", nil
+	e.row["born"] = time.Now().UnixMilli()
+	e.mu.Unlock()
+	e.Server.CloseClientConnections()
+	return e.list()
+}
+
+// name returns the engine's group. mu is held.
+func (e *Engine) name() groupName {
+	if e.group == nil {
+		return groupName{}
+	}
+	return groupName{e.group["name"].(string), e.group["epoch"].(uint64)}
+}
+
 // SetEvents sets the number of events of each answer.
 func (e *Engine) SetEvents(n int) {
 	e.mu.Lock()
@@ -131,8 +163,10 @@
 	case o.Op == "open":
 		e.later(formTime, e.group, "open")
 	case o.Op == "leave":
+		e.Ledger.closesHead(e.group)
 		e.group = nil
 	default:
+		e.Ledger.closesHead(e.group)
 		e.group["state"] = "ready"
 	}
 	e.orders++
@@ -146,6 +180,8 @@
 			rank = i
 		}
 	}
+	e.Ledger.joins(e.ID, e.name(), groupName{o.Group, o.Epoch}, o.Members)
+	e.Ledger.closesHead(e.group)
 	e.model = o.Model
 	e.group = map[string]any{"name": o.Group, "epoch": o.Epoch, "rank": rank, "state": "joining"}
 	e.later(joinTime, e.group, "ready")
@@ -158,11 +194,40 @@
 		if group["state"] != "open" {
 			group["state"] = state
 		}
+		if fmt.Sprint(e.group) == fmt.Sprint(group) {
+			e.reached(state)
+		}
 		e.mu.Unlock()
 		_ = e.list() // the value is always JSON
 	})
 }
 
+// reached tells the ledger of the group's new state, and gives the group up
+// some time after a member was lost. mu is held.
+func (e *Engine) reached(state string) {
+	name := e.name()
+	if state == "ready" {
+		e.Ledger.becomesReady(e.ID, name)
+		return
+	}
+	e.Ledger.opens(name)
+	stalled := e.Ledger.stalled(name)
+	if stalled == nil {
+		return
+	}
+	go func() {
+		<-stalled
+		time.Sleep(stall)
+		e.mu.Lock()
+		if e.name() == name && e.group["state"] == "open" {
+			e.group["state"] = "broken"
+			e.Ledger.closes(name)
+		}
+		e.mu.Unlock()
+		_ = e.list() // the value is always JSON
+	}()
+}
+
 // serve answers a request by a stream of events.
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
@@ -171,6 +236,7 @@
 		e.runs++
 	}
 	events := e.events
+	stalled := e.Ledger.stalled(e.name())
 	e.mu.Unlock()
 	w.Header().Set("Pimentoshore-Attempt-Id", r.Header.Get("Pimentoshore-Attempt-Id"))
 	if !open {
@@ -178,11 +244,18 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.Ledger.ran(r.Header.Get("Pimentoshore-Attempt-Id"), e.ID, r.Header.Get("Pimentoshore-Tenant"))
 	w.Header().Set("Pimentoshore-Response-Seal", "seal-of-"+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent is 0
 	out := http.NewResponseController(w)
 	for id := from + 1; id <= events; id++ {
+		select {
+		case <-stalled:
+			<-r.Context().Done()
+			return
+		default:
+		}
 		fmt.Fprintf(w, "id: %d\ndata: piece\n\n", id)
 		if out.Flush() != nil {
 			return
@@ -194,25 +267,47 @@
 // Shop is a plain service that counts what it runs.
 type Shop struct {
 	Server *httptest.Server
-	mu     sync.Mutex
-	runs   int
+	// Ledger, if it is set before the first request, takes note of runs.
+	Ledger *Ledger
+	// Takes is how long a request takes, set before the first one.
+	Takes time.Duration
+	id    string
+	store *Store
+	row   map[string]any
+	mu    sync.Mutex
+	runs  int
 }
 
 // NewShop starts a plain service and lists it.
 func NewShop(store *Store, id, service, dataCentre string) (*Shop, error) {
-	s := &Shop{}
-	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		s.runs++
-		s.mu.Unlock()
-		w.Header().Set("Pimentoshore-Attempt-Id", r.Header.Get("Pimentoshore-Attempt-Id"))
-		w.Header().Set("Pimentoshore-Response-Seal", "seal-of-"+id)
-		fmt.Fprint(w, "order taken for "+r.Header.Get("Pimentoshore-Tenant"))
-	}))
-	return s, store.Put("servers", id, map[string]any{
+	s := &Shop{id: id, store: store}
+	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s.row = map[string]any{
 		"service": service, "address": strings.TrimPrefix(s.Server.URL, "http://"), "zone": dataCentre, "slots": 6,
 		"state": "ready", "born": time.Now().UnixMilli(),
-	})
+	}
+	return s, store.Put("servers", id, s.row)
+}
+
+// Advertise lists the service at another address, such as a proxy's.
+func (s *Shop) Advertise(address string) error {
+	s.row["address"] = address
+	return s.store.Put("servers", s.id, s.row)
+}
+
+func (s *Shop) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.runs++
+	s.mu.Unlock()
+	id, account := r.Header.Get("Pimentoshore-Attempt-Id"), r.Header.Get("Pimentoshore-Tenant")
+	s.Ledger.ran(id, s.id, account)
+	time.Sleep(s.Takes)
+	w.Header().Set("Pimentoshore-Attempt-Id", id)
+	w.Header().Set("Pimentoshore-Response-Seal", "seal-of-"+s.id)
+	if s.Ledger != nil {
+		fmt.Fprint(w, id+" ")
+	}
+	fmt.Fprint(w, "order taken for "+account)
 }
 
 // Runs returns the number of requests that the service has run.
--- /dev/null
+++ b/internal/standin/wire/proxy_test.go
@@ -0,0 +1,63 @@
+package wire
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// echo serves connections that get back what they send.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.Copy(c, c) //nolint:errcheck // the end is the end
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestProxy(t *testing.T) {
+	p, err := New("127.0.0.1", echo(t))
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	c, err := net.Dial("tcp", p.Address())
+	assert.NilError(t, err)
+	defer c.Close()
+	answer := func(within time.Duration) string {
+		_, err := c.Write([]byte("hello"))
+		assert.NilError(t, err)
+		buf := make([]byte, 5)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(within)))
+		n, _ := io.ReadFull(c, buf) // what came is the answer
+		return string(buf[:n])
+	}
+	assert.Equal(t, answer(5*time.Second), "hello")
+	p.Set(Delay)
+	began := time.Now()
+	assert.Equal(t, answer(5*time.Second), "hello")
+	assert.Assert(t, time.Since(began) >= 2*delayed)
+	for _, f := range []Fault{Silent, NoWay} {
+		p.Set(f)
+		assert.Equal(t, answer(50*time.Millisecond), "", string(f))
+	}
+	p.Set(Clear)
+	assert.Equal(t, answer(5*time.Second), "hello")
+	p.Set(Reset)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "reset")
+}
