--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	go run ./cmd/pimentoshore demo
 
 # Packages whose tests run whole systems, which share the machine with nothing.
-SYSTEMS = ./cmd/... ./internal/daemon ./internal/demo ./internal/node
+SYSTEMS = ./cmd/... ./internal/daemon ./internal/demo ./internal/node ./internal/soak
 
 test: ## runs all tests under the race detector
 	go vet $(MODULES)
--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -60,11 +60,12 @@
 	}
 	log := slog.New(telemetry.NewBounded(plain.Handler()))
 	client := upstream.New(nil)
-	store := platform.NewStore(set.Store, func(table, key string, err error) {
+	registry := metrics.NewRegistry()
+	store := platform.NewStore(set.Store, registry, func(table, key string, err error) {
 		log.Warn("row skipped", "table", table, "key", key, "error", err)
 	})
 	engines := platform.NewEngines(client)
-	n, err := node.New(set, log, metrics.NewRegistry(), client, node.Backends{
+	n, err := node.New(set, log, registry, client, node.Backends{
 		Table: store, Source: store.Published(), Engines: engines, Orders: engines,
 		Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
 	})
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -186,6 +186,19 @@
 	Neutral
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	switch o {
+	case Succeeded:
+		return "succeeded"
+	case Failed:
+		return "failed"
+	case Rejected:
+		return "rejected"
+	}
+	return "neutral"
+}
+
 // Done ends a request at its target.
 func (t *Table) Done(now time.Time, ticket *Ticket, outcome Outcome) {
 	ticket.Target.remove(now, ticket)
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -105,7 +105,7 @@
 	}
 	root.AddCommand(
 		a.validateCommand(), a.hashKeyCommand(), a.applyCommand(), a.diffCommand(), a.historyCommand(),
-		a.statusCommand(), a.explainCommand(), a.drainCommand(), a.undrainCommand(), a.stopCommand(),
+		a.statusCommand(), a.explainCommand(), a.logsCommand(), a.drainCommand(), a.undrainCommand(), a.stopCommand(),
 		a.loadCommand(), a.demoCommand(), a.standinCommand(),
 	)
 	return root
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -336,3 +336,24 @@
 		assert.NilError(t, validateFile(fileLoad, file))
 	}
 }
+
+func TestLogsFollowARequest(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "entry-0.log")
+	text := `{"time":"2026-06-12T11:35:10Z","level":"INFO","msg":"attempt broke off","vm":"e-0","request":"r1","endpoint":"i-1"}
+garbage
+`
+	assert.NilError(t, os.WriteFile(log, []byte(text), 0o600))
+	other := `{"time":"2026-06-12T11:35:11.5Z","level":"WARN","msg":"request failed","vm":"e-1","request":"r1","status":502}`
+	r := runWith(other, "logs", "--request", "r1", log, "-")
+	assert.Equal(t, r.code, 0, r.err)
+	assert.Assert(t, strings.Contains(r.out, "0.000    e-0  INFO   attempt broke off  endpoint=i-1 request=r1"), r.out)
+	assert.Assert(t, strings.Contains(r.out, "1.500    e-1  WARN   request failed     request=r1 status=502"), r.out)
+	assert.Assert(t, strings.Contains(r.err, "passed over 1 lines"), r.err)
+
+	r = runWith("", "logs", "--request", "r2", log)
+	assert.Assert(t, r.code != 0 && strings.Contains(r.err, "look at the logs of all entry VMs"), r.err)
+	r = runWith("", "logs", log)
+	assert.Equal(t, r.code, 2, r.err)
+	r = runWith("", "logs", "--request", "r1", filepath.Join(t.TempDir(), "none"))
+	assert.Assert(t, r.code != 0 && strings.Contains(r.err, "name saved logs"), r.err)
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -127,6 +127,7 @@
 	case lease.LostLease:
 		c.opts.Log.Warn("lease lost", "term", e.Term, "reason", string(e.Reason))
 		c.term, c.planners = 0, nil
+		c.countGroups(0, 0)
 		c.prober.Want(nil)
 	}
 }
@@ -202,6 +203,8 @@
 // plan runs the planners and sends their orders. mu is held.
 func (c *Coordinator) plan(ctx context.Context) {
 	now := c.opts.Now()
+	serving, others := 0, 0
+	defer func() { c.countGroups(serving, others) }()
 	if !c.machine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
@@ -220,6 +223,8 @@
 				c.async(func() { c.order(ctx, p, o) })
 			}
 			c.logGroups(p)
+			whole, all := countServing(p.Groups())
+			serving, others = serving+whole, others+all-whole
 			if now.Sub(c.summed) >= summaryEvery {
 				c.summed = now
 				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now), "use", p.Use())
@@ -237,6 +242,21 @@
 	c.prober.Want(want)
 }
 
+// countServing returns how many groups serve, of how many.
+func countServing(groups []*replica.Group) (serving, all int) {
+	for _, g := range groups {
+		if g.Phase == replica.Serving {
+			serving++
+		}
+	}
+	return serving, len(groups)
+}
+
+func (c *Coordinator) countGroups(serving, others int) {
+	telemetry.Gauge(c.opts.Metrics, "whole_groups").Update(int64(serving))
+	telemetry.Gauge(c.opts.Metrics, "broken_groups").Update(int64(others))
+}
+
 func (c *Coordinator) planner(service string, k entry.Knowledge) *replica.Planner {
 	p := c.planners[service]
 	if p == nil {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -55,6 +56,7 @@
 		a.resp.Close()
 	}
 	a.cancel(nil)
+	telemetry.Counter(s.opts.Metrics, "attempts_total", "outcome", outcome.String()).Inc(1)
 	s.state.done(a.ticket, outcome)
 }
 
@@ -96,11 +98,14 @@
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.begun,
 		PromptTokens: req.prompt}
+	began := s.now()
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
 	for until := s.waitUntil(req); refusal != nil && s.now().Before(until) && ctx.Err() == nil; {
 		time.Sleep(placeRetry)
 		ticket, refusal = s.state.pick(q, func() { a.cancel(errLost) })
 	}
+	placed := strconv.FormatBool(refusal == nil)
+	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
 	if refusal != nil {
 		a.cancel(nil)
 		kind := problem.NoEndpoint
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -5,8 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
 // Engines asks endpoint VMs that run models for their reports.
@@ -31,6 +34,7 @@
 	// before its members are probed; SilentAfter ends a request that alone
 	// makes none, FirstAfter one that never made any.
 	StalledAfter, SilentAfter, FirstAfter time.Duration
+	Metrics                               metrics.Registry
 }
 
 // Prober keeps the reports of VMs fresh that this node depends on.
@@ -146,6 +150,11 @@
 	defer cancel()
 	sent := p.state.now()
 	report, err := p.engines.Report(ctx, t.address, t.id)
+	outcome := "answered"
+	if err != nil {
+		outcome = "failed"
+	}
+	telemetry.Counter(p.opts.Metrics, "probes_total", "outcome", outcome).Inc(1)
 	p.state.Locked(func(k Knowledge) {
 		late := k.Now.Sub(sent) > 2*p.opts.Timeout // this node itself stood still
 		switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,10 +117,10 @@
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
 		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, Timeout: probeTimeout,
-		StalledAfter: stalledAfter, SilentAfter: silentAfter, FirstAfter: firstAfter,
+		StalledAfter: stalledAfter, SilentAfter: silentAfter, FirstAfter: firstAfter, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
-		VM: set.VM, DataCentre: set.DataCentre, Address: set.Listen.Peers, Every: askEvery, Timeout: askTimeout, MaxAge: askMaxAge, Log: log,
+		VM: set.VM, DataCentre: set.DataCentre, Address: set.Listen.Peers, Every: askEvery, Timeout: askTimeout, MaxAge: askMaxAge, Log: log, Metrics: registry,
 	}, (*listener)(n))
 	n.coord = coordinator.New(coordinator.Options{
 		Lease: lease.Options{
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -113,9 +113,10 @@
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("vm", vm)
 	client := upstream.New(nil)
-	store := platform.NewStore(set.Store, func(table, key string, err error) { s.t.Logf("skipped %s/%s: %v", table, key, err) })
+	registry := metrics.NewRegistry()
+	store := platform.NewStore(set.Store, registry, func(table, key string, err error) { s.t.Logf("skipped %s/%s: %v", table, key, err) })
 	engines := platform.NewEngines(client)
-	n, err := New(set, log, metrics.NewRegistry(), client, Backends{
+	n, err := New(set, log, registry, client, Backends{
 		Table: store, Source: store.Published(), Engines: engines, Orders: engines,
 		Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
 	})
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -53,6 +53,10 @@
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+		if view := n.state.View(); view != nil {
+			telemetry.Gauge(n.registry, "configuration_number").Update(view.Catalog.Version)
+			telemetry.Gauge(n.registry, "configuration_age_seconds").Update(int64(boottime.Now().Sub(view.AsOf).Seconds()))
+		}
 		telemetry.WriteMetrics(c.Response(), n.registry)
 		return nil
 	})
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -13,10 +13,12 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/pimentoshore/pimentoshore/coord/news"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
 // Listener takes in what other nodes tell.
@@ -39,8 +41,9 @@
 	Every, Timeout time.Duration
 	// MaxAge is the age of an answer from which it's better to read from the
 	// platform oneself, if it can be read.
-	MaxAge time.Duration
-	Log    *slog.Logger
+	MaxAge  time.Duration
+	Log     *slog.Logger
+	Metrics metrics.Registry
 }
 
 // Follower asks another node, if there is one to ask, what is new.
@@ -117,6 +120,7 @@
 			return
 		}
 		mark, err := f.askOne(ctx, n, unreadable)
+		f.count(err)
 		if err == nil {
 			f.turn(n.VM, mark)
 			return
@@ -128,6 +132,14 @@
 	}
 }
 
+func (f *Follower) count(err error) {
+	outcome := "told"
+	if err != nil {
+		outcome = "passed over"
+	}
+	telemetry.Counter(f.opts.Metrics, "told_answers_total", "outcome", outcome).Inc(1)
+}
+
 // turn notes whom this node relies on, and the mark of its answer. Nobody
 // means that it reads itself.
 func (f *Follower) turn(vm string, mark int64) {
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/news"
@@ -59,7 +60,7 @@
 func follower(listener Listener, nodes ...news.Node) *Follower {
 	f := NewFollower(Options{
 		VM: "e9", DataCentre: "a", Address: "10.0.0.9:1", Every: time.Second, Timeout: 300 * time.Millisecond, MaxAge: time.Second,
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry(),
 	}, listener)
 	f.Set(nodes)
 	return f
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -70,10 +71,13 @@
 	p.ended = ended
 	go func() {
 		err := cmd.Wait()
+		if err == nil {
+			err = errors.New("with success")
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		if !p.asked {
-			p.status = fmt.Errorf("%s ended by itself: %v", p.vm, err)
+			p.status = fmt.Errorf("%s ended by itself: %w", p.vm, err)
 		}
 		p.cmd, p.struckAt = nil, time.Now()
 		close(ended)
--- a/internal/standin/wire/proxy.go
+++ b/internal/standin/wire/proxy.go
@@ -3,6 +3,7 @@
 package wire
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -131,7 +132,7 @@
 		if n > 0 && !p.pass(to, buf[:n], toServer) {
 			return
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite() // the other way may already be closed
 			}
