Free places are divided by lot where there are many nodes

Each of 32 nodes might take at least one place of each head between two reports, 32 for a few free ones.

Ruled out: long pauses (none of 2,493 late streams had one), wrong reports.

A node's part is now rounded up or down by lot, so that all together take about what is free (TestNodesShareFreePlaces; one each before: 640 for 120 places).

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -318,3 +318,23 @@
 	_, refusal := s.pick(0)
 	assert.Equal(t, refusal.Reason, AllCold)
 }
+
+// Many nodes that fill the free places of one head between two reports send it
+// about what it has free, not one request each.
+func TestNodesShareFreePlaces(t *testing.T) {
+	for _, nodes := range []int{4, 32, 300} {
+		sent := 0
+		const heads, slots, running = 20, 26, 20
+		for rank := range nodes {
+			s := newSite(heads)
+			s.table.SetNodes(nodes, rank)
+			s.now = s.now.Add(time.Second)
+			for g := range heads {
+				s.report(vmID(g, 0), running)
+			}
+			sent += s.picks()
+		}
+		free := heads * (slots - running)
+		assert.Assert(t, sent <= 2*free && sent >= free, "%d nodes send %d for %d free places", nodes, sent, free)
+	}
+}
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -66,7 +65,7 @@
 	var lost []*Ticket
 	for _, vm := range vms.All() {
 		target := t.follow(vm)
-		target.observe(vm, t.lag(vm.Service), t.nodes)
+		target.observe(vm, t.lag(vm.Service), t.nodes, t.rank)
 		works, serves := t.describe(vm, target, groups)
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
@@ -123,7 +122,7 @@
 	if target.Group != vm.Group || target.Epoch != vm.Epoch {
 		target.Group, target.Epoch = vm.Group, vm.Epoch
 		target.health = health{}
-		target.allowed = int(math.Ceil(float64(vm.Slots) / float64(t.nodes)))
+		target.allowed = target.round(float64(vm.Slots)/float64(t.nodes), vm.Epoch, t.rank)
 	}
 	target.Model = vm.Model
 	members := groups[groupKey{vm.Group, vm.Epoch}]
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
@@ -75,7 +77,7 @@
 // observe takes in what the VM reports of its work as of lag before the report.
 // What is free is divided over the nodes, so that together they don't send
 // more than the VM runs at once; what is too much is given back in proportion.
-func (t *Target) observe(vm *fleet.VM, lag time.Duration, nodes int) {
+func (t *Target) observe(vm *fleet.VM, lag time.Duration, nodes, rank int) {
 	if !vm.HeardAt.After(t.reported) {
 		return
 	}
@@ -86,12 +88,28 @@
 	t.pace = max(1, vm.Pace)
 	room := t.Slots - total
 	if room >= 0 {
-		t.allowed = own + int(math.Ceil(float64(room)*min(1, roomShare/float64(nodes))))
+		part := float64(room) * min(1, roomShare/float64(nodes))
+		t.allowed = own + t.round(part, uint64(vm.HeardAt.UnixNano()/int64(reportEvery)), rank)
 		return
 	}
 	t.allowed = max(1, own*t.Slots/total)
 }
 
+// round rounds a node's part up or down by lot, so that many nodes together
+// take about the sum of their parts, also where each part is below one. The
+// lots change with the seed, and differ from node to node.
+func (t *Target) round(part float64, seed uint64, rank int) int {
+	whole := math.Floor(part)
+	lot := spread(xxhash.Sum64String(t.ID)^seed, rank)
+	if lot < part-whole {
+		whole++
+	}
+	return int(whole)
+}
+
+// reportEvery is about the time between two reports.
+const reportEvery = 500 * time.Millisecond
+
 // roomShare is how much more than its even part of the free places a node may
 // take until the next report.
 const roomShare = 1.5
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -81,6 +81,7 @@
 	e, err := cloud.NewEngine(s.store, fmt.Sprint("i-", i), "llm", dataCentre(i), "d"+dataCentre(i))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(e.Server.Close)
+	s.t.Cleanup(e.Server.CloseClientConnections)
 	e.Ledger = s.ledger
 	e.SetEvents(20)
 	link := s.link(e.Server)
@@ -92,6 +93,7 @@
 	shop, err := cloud.NewShop(s.store, fmt.Sprint("s-", i), "shop", dataCentre(i))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(shop.Server.Close)
+	s.t.Cleanup(shop.Server.CloseClientConnections)
 	shop.Ledger, shop.Takes = s.ledger, shopTakes
 	link := s.link(shop.Server)
 	assert.NilError(s.t, shop.Advertise(link.Address()))
--- a/internal/standin/wire/proxy.go
+++ b/internal/standin/wire/proxy.go
@@ -32,6 +32,7 @@
 
 	mu    sync.Mutex
 	fault Fault
+	ended bool
 	open  map[net.Conn]struct{}
 }
 
@@ -64,6 +65,7 @@
 	p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended = true
 	p.resetAll()
 }
 
@@ -109,9 +111,11 @@
 		reset(client)
 		return
 	}
-	p.mu.Lock()
-	p.open[client], p.open[server] = struct{}{}, struct{}{}
-	p.mu.Unlock()
+	if !p.keep(client, server) {
+		reset(client)
+		reset(server)
+		return
+	}
 	var both sync.WaitGroup
 	both.Go(func() { p.pump(server, client, true) })
 	both.Go(func() { p.pump(client, server, false) })
@@ -124,6 +128,17 @@
 	delete(p.open, server)
 }
 
+// keep notes the two connections unless the proxy has ended meanwhile.
+func (p *Proxy) keep(client, server net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return false
+	}
+	p.open[client], p.open[server] = struct{}{}, struct{}{}
+	return true
+}
+
 // pump copies bytes one way and passes the end of the stream on.
 func (p *Proxy) pump(to, from net.Conn, toServer bool) {
 	buf := make([]byte, 16<<10)
