A row that came shortly after a report holds once the report is old

Found by reading the diff: since unchanged rows are no longer told again, a row that was put off for a fresh report would never hold: a node that had probed a member just before it joined its next group would not use that group. And a row of any group went before a report of none, also an old one. Now a put-off row holds when the report is 1.5 s old unless another report comes, and only a row of a newer group than the reported one goes before a report (TestRowHoldsOnceTheReportIsOld, TestOldRowDoesNotBringALeftGroupBack).

--- a/coord/fleet/relayed_test.go
+++ b/coord/fleet/relayed_test.go
@@ -49,3 +49,36 @@
 	table.ApplyRow(now.Add(time.Millisecond), Row{ID: "a", Address: "10.0.0.1:1", State: member(8)})
 	assert.Equal(t, table.Get("a").Epoch, uint64(8))
 }
+
+// A VM that has left its group by its report, as an old row has not seen yet.
+func TestOldRowDoesNotBringALeftGroupBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	member := State{Born: 5, Membership: Membership{Group: "g", Epoch: 7, Stage: Ready}}
+	table := NewTable()
+	table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: member})
+	table.ApplyReport(now, "a", Report{State: State{Born: 5}})
+	table.ApplyRow(now.Add(time.Millisecond), Row{ID: "a", Address: "10.0.0.1:1", State: member})
+	assert.Equal(t, table.Get("a").Group, "")
+}
+
+// Rows that say the same are not told again: one that came shortly after a
+// report holds once the report is old.
+func TestRowHoldsOnceTheReportIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	joined := State{Born: 5, Membership: Membership{Group: "g", Epoch: 8, Stage: Ready}}
+	table := NewTable()
+	table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: State{Born: 5}})
+	table.ApplyReport(now, "a", Report{State: State{Born: 5, Orders: 3}})
+	table.ApplyRow(now.Add(time.Second), Row{ID: "a", Address: "10.0.0.1:1", State: joined})
+	table.Sweep(now.Add(reportPreferred))
+	assert.Equal(t, table.Get("a").Group, "")
+	table.Sweep(now.Add(reportPreferred + time.Millisecond))
+	assert.Equal(t, table.Get("a").Group, "g")
+	assert.Equal(t, table.Get("a").Orders, uint64(3))
+
+	table.ApplyReport(now.Add(2*time.Second), "a", Report{State: State{Born: 5}})
+	table.ApplyRow(now.Add(2*time.Second), Row{ID: "a", Address: "10.0.0.1:1", State: joined})
+	table.ApplyReport(now.Add(3*time.Second), "a", Report{State: State{Born: 5}})
+	table.Sweep(now.Add(9 * time.Second))
+	assert.Equal(t, table.Get("a").Group, "", "a newer report goes before the row")
+}
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -7,7 +7,8 @@
 )
 
 // reportPreferred is how long a report's state goes before that of a row,
-// which may have been written earlier than it arrived.
+// which may have been written earlier than it arrived. A row of a newer group
+// was certainly written later.
 const reportPreferred = 1500 * time.Millisecond
 
 // unlistedKept is how long a VM is kept that the platform no longer lists.
@@ -55,9 +56,13 @@
 	if row.ColdLeft > 0 {
 		vm.ColdUntil = now.Add(row.ColdLeft)
 	}
-	if now.Sub(vm.HeardAt) > reportPreferred || row.Epoch > vm.Epoch {
-		row.Orders = vm.Orders
+	row.Orders = vm.Orders
+	newerGroup := vm.Epoch > 0 && row.Epoch > vm.Epoch
+	if now.Sub(vm.HeardAt) > reportPreferred || newerGroup {
 		vm.setState(row.State)
+		vm.pending = nil
+	} else {
+		vm.pending = &row.State
 	}
 	return restarted
 }
@@ -77,6 +82,7 @@
 	vm.State = State{Domain: vm.Domain}
 	vm.Load = Load{}
 	vm.Held = ""
+	vm.pending = nil
 	vm.HeardAt = time.Time{}
 	vm.FailedProbes = 0
 }
@@ -118,6 +124,7 @@
 		return
 	}
 	vm.HeardAt = sent
+	vm.pending = nil
 	vm.FailedProbes = 0
 	vm.Load = r.Load
 	vm.setState(r.State)
@@ -145,8 +152,15 @@
 	vm.FailedProbes++
 }
 
-// Sweep drops VMs that have been unlisted and silent for long.
+// Sweep drops VMs that have been unlisted and silent for long, and lets rows
+// hold that came shortly after a report: no other may come that says the same.
 func (t *Table) Sweep(now time.Time) {
+	for _, vm := range t.list {
+		if vm.pending != nil && now.Sub(vm.HeardAt) > reportPreferred {
+			vm.setState(*vm.pending)
+			vm.pending = nil
+		}
+	}
 	t.list = slices.DeleteFunc(t.list, func(vm *VM) bool {
 		drop := !vm.Listed && now.Sub(vm.ListedAt) > unlistedKept && now.Sub(vm.HeardAt) > unlistedKept
 		if drop {
