--- a/coord/news/record.go
+++ b/coord/news/record.go
@@ -37,9 +37,11 @@
 
 // entry is a VM's row or its removal.
 type entry struct {
-	row       fleet.Row
-	changedAt uint64
-	removedAt time.Time // zero if the VM is listed
+	row fleet.Row
+	// changedAt is the version of the newest change of what the row says, and
+	// seenAt that of the newest news of it.
+	changedAt, seenAt uint64
+	removedAt         time.Time // zero if the VM is listed
 }
 
 // NewRecord returns an empty record.
@@ -86,7 +88,7 @@
 	if n.Version < v.version || n.Version == 0 {
 		return false
 	}
-	if v.version == 0 {
+	if n.Whole {
 		v.floor = n.Version
 	}
 	v.version = n.Version
@@ -109,18 +111,23 @@
 	return true
 }
 
-// put notes a row. One that says the same as before is no change.
+// put notes a row. One that says the same as before is no change to those who
+// know this record.
 func (v *vms) put(row fleet.Row) {
 	old, ok := v.entries[row.ID]
 	if ok && old.removedAt.IsZero() && reflect.DeepEqual(old.row, row) {
+		old.seenAt = v.version
+		v.entries[row.ID] = old
 		return
 	}
-	v.entries[row.ID] = entry{row: row, changedAt: v.version}
+	v.entries[row.ID] = entry{row: row, changedAt: v.version, seenAt: v.version}
 }
 
+// remove notes that a VM is gone, also one that was never known here: who asks
+// may know it.
 func (v *vms) remove(now time.Time, id string) {
-	if old, ok := v.entries[id]; ok && old.removedAt.IsZero() {
-		v.entries[id] = entry{changedAt: v.version, removedAt: now}
+	if old, ok := v.entries[id]; !ok || old.removedAt.IsZero() {
+		v.entries[id] = entry{changedAt: v.version, seenAt: v.version, removedAt: now}
 	}
 }
 
@@ -148,16 +155,21 @@
 }
 
 // VMsAfter returns what has changed since a version, or nil if the record is
-// older.
-func (r *Record) VMsAfter(after uint64) *VMs {
+// older. Who has that version from this record gets no rows that say the same
+// as then; others may have seen the rows say something else meanwhile.
+func (r *Record) VMsAfter(after uint64, fromHere bool) *VMs {
 	v := &r.vms
 	if v.version == 0 || v.version < after {
 		return nil
 	}
 	n := &VMs{Version: v.version, Whole: after < v.floor || after == 0}
 	for id, e := range v.entries {
+		since := e.seenAt
+		if fromHere {
+			since = e.changedAt
+		}
 		switch {
-		case !n.Whole && e.changedAt <= after:
+		case !n.Whole && since <= after:
 		case e.removedAt.IsZero():
 			n.Rows = append(n.Rows, e.row)
 		default:
--- a/coord/news/record_test.go
+++ b/coord/news/record_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"flag"
+	"os"
 	"testing"
 	"time"
 
@@ -12,6 +14,17 @@
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
+// TestMain fixes the seed, so that each run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 var start = time.Unix(1000, 0)
 
 func row(id string, born int64) fleet.Row {
@@ -20,43 +33,64 @@
 
 func TestRecordTellsWhatHasChanged(t *testing.T) {
 	r := NewRecord()
-	assert.Assert(t, r.VMsAfter(0) == nil, "nothing is known yet")
+	assert.Assert(t, r.VMsAfter(0, true) == nil, "nothing is known yet")
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1), row("b", 1)}})
 	r.PutVMs(start, VMs{Version: 12, Rows: []fleet.Row{row("b", 2)}})
 	r.PutVMs(start, VMs{Version: 14, Removed: []string{"a"}})
 
-	assert.DeepEqual(t, r.VMsAfter(10), &VMs{Version: 14, Rows: []fleet.Row{row("b", 2)}, Removed: []string{"a"}})
-	assert.DeepEqual(t, r.VMsAfter(12), &VMs{Version: 14, Removed: []string{"a"}})
-	assert.DeepEqual(t, r.VMsAfter(14), &VMs{Version: 14})
-	assert.Assert(t, r.VMsAfter(15) == nil, "the other knows more")
+	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 14, Rows: []fleet.Row{row("b", 2)}, Removed: []string{"a"}})
+	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 14, Removed: []string{"a"}})
+	assert.DeepEqual(t, r.VMsAfter(14, true), &VMs{Version: 14})
+	assert.Assert(t, r.VMsAfter(15, true) == nil, "the other knows more")
 }
 
 // Who comes from before the first read may have missed removals.
 func TestRecordTellsTheWholeToThoseFromBefore(t *testing.T) {
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(9), &VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
+	assert.DeepEqual(t, r.VMsAfter(9, true), &VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	r.PutVMs(start, VMs{Version: 11, Removed: []string{"a"}})
 	r.PutVMs(start.Add(2*removedKept), VMs{Version: 20})
-	assert.DeepEqual(t, r.VMsAfter(10), &VMs{Version: 20, Whole: true}) // the removal is forgotten
-	assert.DeepEqual(t, r.VMsAfter(11), &VMs{Version: 20})
+	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 20, Whole: true}) // the removal is forgotten
+	assert.DeepEqual(t, r.VMsAfter(11, true), &VMs{Version: 20})
+}
+
+// A VM that came and went between two reads is not known here, but may be to
+// one that asks.
+func TestRemovalOfAVMThatWasNeverKnownIsTold(t *testing.T) {
+	r := NewRecord()
+	r.PutVMs(start, VMs{Version: 10, Whole: true})
+	r.PutVMs(start, VMs{Version: 14, Removed: []string{"b"}})
+	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 14, Removed: []string{"b"}})
+	r.PutVMs(start, VMs{Version: 20, Whole: true})
+	assert.DeepEqual(t, r.VMsAfter(16, true), &VMs{Version: 20, Whole: true, Removed: []string{"b"}})
 }
 
 func TestUnchangedRowsAreNotTold(t *testing.T) {
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	r.PutVMs(start, VMs{Version: 11, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(10), &VMs{Version: 11})
+	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 11})
 	r.PutVMs(start, VMs{Version: 12, Removed: []string{"a"}})
 	r.PutVMs(start, VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(12), &VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}}) // it is listed again
+	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}}) // it is listed again
+}
+
+// A row that changed and changed back is no change, but to one that saw it in
+// between.
+func TestRowThatChangedBackIsToldToOthers(t *testing.T) {
+	r := NewRecord()
+	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
+	r.PutVMs(start, VMs{Version: 12, Rows: []fleet.Row{row("a", 1)}})
+	assert.DeepEqual(t, r.VMsAfter(11, false), &VMs{Version: 12, Rows: []fleet.Row{row("a", 1)}})
+	assert.DeepEqual(t, r.VMsAfter(11, true), &VMs{Version: 12})
 }
 
 func TestOlderNewsAreIgnored(t *testing.T) {
 	r := NewRecord()
 	assert.Assert(t, r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 2)}}))
 	assert.Assert(t, !r.PutVMs(start, VMs{Version: 9, Whole: true}))
-	assert.DeepEqual(t, r.VMsAfter(0).Rows, []fleet.Row{row("a", 2)})
+	assert.DeepEqual(t, r.VMsAfter(0, true).Rows, []fleet.Row{row("a", 2)})
 
 	assert.Assert(t, r.PutOperators(Operators{Version: 10, Whole: true, Evacuated: map[string]bool{"dc": true}}))
 	assert.Assert(t, !r.PutOperators(Operators{Version: 9, Whole: true}))
@@ -142,9 +176,15 @@
 			nodes[i] = &listing{record: NewRecord(), rows: map[string]fleet.Row{}}
 		}
 		type late struct {
-			to   int
-			news *VMs
+			to, from int // from is none for the platform
+			news     *VMs
+		}
+		const none = -1
+		type source struct {
+			node    int
+			version uint64
 		}
+		told := make([]source, 3) // whom each node heard last, and up to which version
 		var underway []late
 		now := start
 		note := func() {
@@ -175,14 +215,19 @@
 				}
 			case "read":
 				n := p.read(nodes[i].record.Position().VMs)
-				underway = append(underway, late{i, &n})
+				underway = append(underway, late{i, none, &n})
 			case "ask":
-				other := nodes[(i+1)%3]
-				underway = append(underway, late{i, other.record.VMsAfter(nodes[i].record.Position().VMs)})
+				other := (i + 1) % 3
+				at := nodes[i].record.Position().VMs
+				underway = append(underway, late{i, other, nodes[other].record.VMsAfter(at, told[i] == source{other, at})})
 			case "deliver":
 				if len(underway) > 0 {
 					at := rapid.IntRange(0, len(underway)-1).Draw(t, "answer")
-					nodes[underway[at].to].take(now, underway[at].news)
+					l := underway[at]
+					nodes[l.to].take(now, l.news)
+					if l.from != none && l.news != nil {
+						told[l.to] = source{l.from, l.news.Version}
+					}
 					underway = append(underway[:at], underway[at+1:]...)
 				}
 			}
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -54,7 +54,7 @@
 	}
 	a := news.Answer{
 		Known: true, Borrowed: s.unreadable(now) && s.told(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
-		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs),
+		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.Told == after.VMs),
 		Mark: now.Add(-reportOverlap).UnixNano(),
 	}
 	if !s.regainedAt.IsZero() {
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -54,9 +54,11 @@
 
 	mu      sync.Mutex
 	sources *news.Sources
-	// asked is the node that answered last, and mark its Answer.Mark.
+	// asked is the node that answered last, mark its Answer.Mark, and told the
+	// version of VMs that it told.
 	asked string
 	mark  int64
+	told  uint64
 }
 
 // NewFollower returns a follower that knows no other node yet.
@@ -116,13 +118,13 @@
 		f.mu.Unlock()
 		if !ok {
 			f.listener.Alone()
-			f.turn("", 0)
+			f.turn("", news.Answer{})
 			return
 		}
-		mark, err := f.askOne(ctx, n, unreadable)
+		a, err := f.askOne(ctx, n, unreadable)
 		f.count(err)
 		if err == nil {
-			f.turn(n.VM, mark)
+			f.turn(n.VM, a)
 			return
 		}
 		f.opts.Log.Info("node does not tell", "node", n.VM, "error", err)
@@ -140,15 +142,21 @@
 	telemetry.Counter(f.opts.Metrics, "told_answers_total", "outcome", outcome).Inc(1)
 }
 
-// turn notes whom this node relies on, and the mark of its answer. Nobody
-// means that it reads itself.
-func (f *Follower) turn(vm string, mark int64) {
+// turn notes whom this node relies on, and its answer. Nobody means that it
+// reads itself.
+func (f *Follower) turn(vm string, a news.Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if vm != "" {
 		f.sources.Answered(vm)
 	}
-	f.mark = mark
+	if vm != f.asked {
+		f.told = 0
+	}
+	f.mark = a.Mark
+	if a.VMs != nil {
+		f.told = a.VMs.Version
+	}
 	if vm == f.asked {
 		return
 	}
@@ -156,34 +164,33 @@
 	f.asked = vm
 }
 
-func (f *Follower) askOne(ctx context.Context, n news.Node, unreadable bool) (mark int64, err error) {
+func (f *Follower) askOne(ctx context.Context, n news.Node, unreadable bool) (a news.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
 	position := f.listener.Position()
 	if n.VM == f.asked {
-		position.Reports = f.mark
+		position.Reports, position.Told = f.mark, f.told
 	}
 	asked := boottime.Now()
 	client := relaypb.NewRelayProtobufClient("http://"+n.Address, &f.http)
 	resp, err := client.Ask(ctx, &relaypb.AskRequest{
-		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address, Operators: position.Operators, Vms: position.VMs, Reports: position.Reports, Lease: position.Lease,
+		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address, Operators: position.Operators, Vms: position.VMs, Reports: position.Reports, Lease: position.Lease, Told: position.Told,
 	})
 	if err != nil {
-		return 0, errors.Trace(err)
+		return a, errors.Trace(err)
 	}
-	var a news.Answer
 	if err := json.Unmarshal(resp.Answer, &a); err != nil {
-		return 0, errors.Annotate(err, "reading its answer")
+		return a, errors.Annotate(err, "reading its answer")
 	}
 	if !a.Known {
-		return 0, errors.New("it has read nothing yet")
+		return a, errors.New("it has read nothing yet")
 	}
 	if a.Borrowed {
-		return 0, errors.New("it can't read from the platform itself")
+		return a, errors.New("it can't read from the platform itself")
 	}
 	if age := max(a.OperatorsAge, a.VMsAge); age > f.opts.MaxAge && !unreadable {
-		return 0, fmt.Errorf("it last read %s ago", age)
+		return a, fmt.Errorf("it last read %s ago", age)
 	}
 	f.listener.Hear(asked, a)
-	return a.Mark, nil
+	return a, nil
 }
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -80,7 +80,7 @@
 	assert.DeepEqual(t, listener.heard, []news.Answer{known, known})
 	assert.Assert(t, !listener.asked.Before(before))
 	assert.DeepEqual(t, teller.questions, []news.Position{
-		{Operators: 1, VMs: 2, Lease: 3}, {Operators: 1, VMs: 2, Lease: 3, Reports: 77},
+		{Operators: 1, VMs: 2, Lease: 3}, {Operators: 1, VMs: 2, Lease: 3, Reports: 77, Told: 7},
 	})
 	assert.Equal(t, listener.alone, 0)
 	assert.DeepEqual(t, teller.met[0], news.Node{VM: "e9", DataCentre: "a", Address: "10.0.0.9:1"})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -28,7 +28,7 @@
 	if req.Vm != "" && req.Address != "" {
 		s.teller.Met(news.Node{VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address})
 	}
-	answer := s.teller.Answer(news.Position{Operators: req.Operators, VMs: req.Vms, Reports: req.Reports, Lease: req.Lease})
+	answer := s.teller.Answer(news.Position{Operators: req.Operators, VMs: req.Vms, Reports: req.Reports, Lease: req.Lease, Told: req.Told})
 	raw, err := json.Marshal(answer)
 	return &relaypb.AskResponse{Answer: raw}, errors.Trace(err)
 }
