--- a/coord/news/record.go
+++ b/coord/news/record.go
@@ -126,15 +126,18 @@
 // remove notes that a VM is gone, also one that was never known here: who asks
 // may know it.
 func (v *vms) remove(now time.Time, id string) {
-	if old, ok := v.entries[id]; !ok || old.removedAt.IsZero() {
-		v.entries[id] = entry{changedAt: v.version, seenAt: v.version, removedAt: now}
+	e := v.entries[id]
+	if e.removedAt.IsZero() {
+		e = entry{changedAt: v.version}
 	}
+	e.seenAt, e.removedAt = v.version, now
+	v.entries[id] = e
 }
 
 func (v *vms) forget(now time.Time) {
 	for id, e := range v.entries {
 		if !e.removedAt.IsZero() && now.Sub(e.removedAt) > removedKept {
-			v.floor = max(v.floor, e.changedAt)
+			v.floor = max(v.floor, e.seenAt)
 			delete(v.entries, id)
 		}
 	}
--- a/coord/news/record_test.go
+++ b/coord/news/record_test.go
@@ -165,82 +165,118 @@
 	}
 }
 
+// none stands for the platform among the nodes that tell.
+const none = -1
+
+// source is whom a node heard last, and up to which version.
+type source struct {
+	node    int
+	version uint64
+}
+
+// answer is news on its way to a node.
+type answer struct {
+	to, from int // from is none for the platform
+	news     *VMs
+}
+
+// world is nodes that follow one platform.
+type world struct {
+	platform *platformModel
+	held     map[uint64]map[string]int64 // what the platform held at each version
+	nodes    []*listing
+	told     []source
+	underway []answer
+	now      time.Time
+}
+
+func newWorld() *world {
+	w := &world{
+		platform: &platformModel{version: 1, rows: map[string]fleet.Row{}, changed: map[string]uint64{}},
+		held:     map[uint64]map[string]int64{}, told: make([]source, 3), now: start,
+	}
+	for range 3 {
+		w.nodes = append(w.nodes, &listing{record: NewRecord(), rows: map[string]fleet.Row{}})
+	}
+	w.note()
+	return w
+}
+
+// born is what the rows say, by VM.
+func born(rows map[string]fleet.Row) map[string]int64 {
+	out := map[string]int64{}
+	for id, row := range rows {
+		out[id] = row.Born
+	}
+	return out
+}
+
+func (w *world) note() { w.held[w.platform.version] = born(w.platform.rows) }
+
+// change lists a VM, or removes it if it was born at 0.
+func (w *world) change(id string, at int64) {
+	p := w.platform
+	if _, ok := p.rows[id]; at == 0 && !ok {
+		return
+	}
+	p.version++
+	p.rows[id] = row(id, at)
+	if at == 0 {
+		delete(p.rows, id)
+	}
+	p.changed[id] = p.version
+	w.note()
+}
+
+func (w *world) read(i int) {
+	n := w.platform.read(w.nodes[i].record.Position().VMs)
+	w.underway = append(w.underway, answer{i, none, &n})
+}
+
+func (w *world) ask(i, other int) {
+	at := w.nodes[i].record.Position().VMs
+	n := w.nodes[other].record.VMsAfter(at, w.told[i] == source{other, at})
+	w.underway = append(w.underway, answer{i, other, n})
+}
+
+func (w *world) deliver(at int) {
+	a := w.underway[at]
+	w.underway = append(w.underway[:at], w.underway[at+1:]...)
+	w.nodes[a.to].take(w.now, a.news)
+	if a.from != none && a.news != nil {
+		w.told[a.to] = source{a.from, a.news.Version}
+	}
+}
+
+func (w *world) step(t *rapid.T) {
+	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
+	i := rapid.IntRange(0, 2).Draw(t, "node")
+	switch rapid.SampledFrom([]string{"change", "change", "read", "ask", "deliver"}).Draw(t, "step") {
+	case "change":
+		id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm")
+		w.change(id, int64(rapid.IntRange(0, 2).Draw(t, "born")))
+	case "read":
+		w.read(i)
+	case "ask":
+		w.ask(i, (i+1)%3)
+	case "deliver":
+		if len(w.underway) > 0 {
+			w.deliver(rapid.IntRange(0, len(w.underway)-1).Draw(t, "answer"))
+		}
+	}
+}
+
 // Nodes that read from the platform and from each other in any order, with
 // answers that arrive late, hold at their version what the platform held then.
 func TestRecordsFollowThePlatform(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := &platformModel{version: 1, rows: map[string]fleet.Row{}, changed: map[string]uint64{}}
-		held := map[uint64]map[string]int64{}
-		nodes := make([]*listing, 3)
-		for i := range nodes {
-			nodes[i] = &listing{record: NewRecord(), rows: map[string]fleet.Row{}}
-		}
-		type late struct {
-			to, from int // from is none for the platform
-			news     *VMs
-		}
-		const none = -1
-		type source struct {
-			node    int
-			version uint64
-		}
-		told := make([]source, 3) // whom each node heard last, and up to which version
-		var underway []late
-		now := start
-		note := func() {
-			state := map[string]int64{}
-			for id, row := range p.rows {
-				state[id] = row.Born
-			}
-			held[p.version] = state
-		}
-		note()
+		w := newWorld()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "seconds")) * time.Second)
-			i := rapid.IntRange(0, 2).Draw(t, "node")
-			switch rapid.SampledFrom([]string{"list", "remove", "read", "ask", "deliver"}).Draw(t, "step") {
-			case "list":
-				id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm")
-				p.version++
-				p.rows[id] = row(id, int64(rapid.IntRange(1, 3).Draw(t, "born")))
-				p.changed[id] = p.version
-				note()
-			case "remove":
-				id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "vm")
-				if _, ok := p.rows[id]; ok {
-					p.version++
-					delete(p.rows, id)
-					p.changed[id] = p.version
-					note()
-				}
-			case "read":
-				n := p.read(nodes[i].record.Position().VMs)
-				underway = append(underway, late{i, none, &n})
-			case "ask":
-				other := (i + 1) % 3
-				at := nodes[i].record.Position().VMs
-				underway = append(underway, late{i, other, nodes[other].record.VMsAfter(at, told[i] == source{other, at})})
-			case "deliver":
-				if len(underway) > 0 {
-					at := rapid.IntRange(0, len(underway)-1).Draw(t, "answer")
-					l := underway[at]
-					nodes[l.to].take(now, l.news)
-					if l.from != none && l.news != nil {
-						told[l.to] = source{l.from, l.news.Version}
-					}
-					underway = append(underway[:at], underway[at+1:]...)
-				}
-			}
-			for _, n := range nodes {
-				version := n.record.Position().VMs
-				if version == 0 {
-					continue
-				}
-				got := map[string]int64{}
-				for id, row := range n.rows {
-					got[id] = row.Born
+			w.step(t)
+			for _, n := range w.nodes {
+				if version := n.record.Position().VMs; version > 0 {
+					assert.DeepEqual(t, born(n.rows), w.held[version])
 				}
-				assert.DeepEqual(t, got, held[version])
 			}
 		}
 	})
