Simplify the soak and the stand-in after a second reading

The soak noted when links and the store were last struck, which nothing read; the stand-in's engine and ledger each took a group's name out of a membership, and compared memberships by their printed form. No change of what is checked; the program itself is untouched.

--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -27,11 +27,8 @@
 
 	mu sync.Mutex
 	// log tells what was done, for a report.
-	log []string
-	// wiresAt and storeAt are when a fault of a link to an endpoint, or of
-	// the store or the way there, was last begun or ended.
-	wiresAt, storeAt time.Time
-	errs             []error
+	log  []string
+	errs []error
 }
 
 func (f *faults) note(format string, args ...any) {
@@ -72,19 +69,18 @@
 	case 3:
 		f.during(node.vm+" reloads", 0, func() { node.signal(syscall.SIGHUP, false) }, func() {})
 	case 4:
-		f.wire("engine's link", &f.wiresAt, s.engineLinks[f.rng.IntN(len(s.engineLinks))], f.within(3*time.Second))
+		f.wire("engine's link", s.engineLinks[f.rng.IntN(len(s.engineLinks))], f.within(3*time.Second))
 	case 5:
-		f.wire("shop's link", &f.wiresAt, s.shopLinks[f.rng.IntN(len(s.shopLinks))], f.within(2*time.Second))
+		f.wire("shop's link", s.shopLinks[f.rng.IntN(len(s.shopLinks))], f.within(2*time.Second))
 	case 6:
-		f.wire("door", &f.storeAt, s.doors[f.rng.IntN(len(s.doors))], f.within(6*time.Second))
+		f.wire("door", s.doors[f.rng.IntN(len(s.doors))], f.within(6*time.Second))
 	case 7:
 		fault := []cloud.Fault{cloud.Busy, cloud.Silent, cloud.Lost}[f.rng.IntN(3)]
 		f.during("store "+string(fault), f.within(6*time.Second),
-			func() { f.struck(&f.storeAt); s.store.Fail(fault) },
-			func() { f.struck(&f.storeAt); s.store.Fail(cloud.Healthy) })
+			func() { s.store.Fail(fault) }, func() { s.store.Fail(cloud.Healthy) })
 	case 8:
 		e := s.engines[f.rng.IntN(len(s.engines))]
-		f.during(e.ID+" starts again", 0, func() { f.struck(&f.wiresAt); f.check(e.Restart()) }, func() {})
+		f.during(e.ID+" starts again", 0, func() { f.check(e.Restart()) }, func() {})
 	case 9:
 		f.operate()
 	}
@@ -100,17 +96,10 @@
 	f.during(dc+" evacuated", f.within(3*time.Second), func() { f.site.evacuate(dc, true) }, func() { f.site.evacuate(dc, false) })
 }
 
-func (f *faults) wire(what string, at *time.Time, p *wire.Proxy, d time.Duration) {
+func (f *faults) wire(what string, p *wire.Proxy, d time.Duration) {
 	fault := []wire.Fault{wire.Delay, wire.Reset, wire.NoWay, wire.Silent}[f.rng.IntN(4)]
 	f.during(fmt.Sprint(what, " ", p.Address(), " ", fault), d,
-		func() { f.struck(at); p.Set(fault) },
-		func() { f.struck(at); p.Set(wire.Clear) })
-}
-
-func (f *faults) struck(at *time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	*at = time.Now()
+		func() { p.Set(fault) }, func() { p.Set(wire.Clear) })
 }
 
 func (f *faults) check(err error) {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -27,7 +27,7 @@
 	shopTakes = 60 * time.Millisecond
 )
 
-// keysValid and drainWithin are the bounds of the settings below.
+// keysValid is the bound of the settings below.
 const keysValid = 5 * time.Second
 
 // site is a small platform with entry VMs in two data centres.
--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -96,12 +97,7 @@
 }
 
 // name returns the engine's group. mu is held.
-func (e *Engine) name() groupName {
-	if e.group == nil {
-		return groupName{}
-	}
-	return groupName{e.group["name"].(string), e.group["epoch"].(uint64)}
-}
+func (e *Engine) name() groupName { return nameOf(e.group) }
 
 // SetEvents sets the number of events of each answer.
 func (e *Engine) SetEvents(n int) {
@@ -194,7 +190,7 @@
 		if group["state"] != "open" {
 			group["state"] = state
 		}
-		if fmt.Sprint(e.group) == fmt.Sprint(group) {
+		if maps.Equal(e.group, group) {
 			e.reached(state)
 		}
 		e.mu.Unlock()
--- a/internal/standin/cloud/ledger.go
+++ b/internal/standin/cloud/ledger.go
@@ -30,6 +30,14 @@
 	epoch uint64
 }
 
+// nameOf returns the group of an engine's membership, or none.
+func nameOf(group map[string]any) groupName {
+	if group == nil {
+		return groupName{}
+	}
+	return groupName{group["name"].(string), group["epoch"].(uint64)}
+}
+
 type groupRecord struct {
 	members []string
 	ready   map[string]bool // members that have been ready at any time
@@ -135,7 +143,7 @@
 	if l == nil || group == nil || group["rank"] != 0 {
 		return
 	}
-	l.closes(groupName{group["name"].(string), group["epoch"].(uint64)})
+	l.closes(nameOf(group))
 }
 
 // lost notes that a VM has started again: the group that it was in stands
