Streams that lost an endpoint avoid what is about to be replaced

Cause: a rolling release ends VMs without a word. Ruled out: more attempts for all (the platform bounds them, except where the endpoint has ended). Change: groups with a leaving VM come last; a request that lost an endpoint prefers groups of the newest release; a send whose VM has ended is no attempt of the route.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -338,3 +338,73 @@
 		assert.Assert(t, sent <= 2*free && sent >= free, "%d nodes send %d for %d free places", nodes, sent, free)
 	}
 }
+
+func (s *site) change(id string, change func(*fleet.Row)) {
+	vm := s.vms.Get(id)
+	row := fleet.Row{
+		ID: id, Service: vm.Service, Address: vm.Address, DataCentre: vm.DataCentre, Slots: vm.Slots,
+		Release: vm.Release, Engine: true, State: vm.State,
+	}
+	change(&row)
+	s.vms.ApplyRow(s.now, row)
+	s.update()
+}
+
+// A group with a VM that is about to end gets no requests while others have
+// room.
+func TestLeavingGroupsComeLast(t *testing.T) {
+	s := newSite(2)
+	s.change(vmID(0, 1), func(r *fleet.Row) { r.Draining = true })
+	for draw := range 4 {
+		ticket, refusal := s.pick(draw)
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, ticket.Target.ID, vmID(1, 0))
+	}
+}
+
+// A stream that has lost an endpoint goes on where the next release has been
+// rolled out, since the others are soon replaced.
+func TestRepeatGoesWhereNothingIsReplaced(t *testing.T) {
+	for draw := range 50 {
+		s := newSite(3)
+		s.change(vmID(2, 0), func(r *fleet.Row) { r.Release, r.Born = "v2", 2 })
+		s.change(vmID(2, 1), func(r *fleet.Row) { r.Release, r.Born = "v2", 2 })
+		ticket, refusal := s.table.Pick(s.now, Query{
+			Service: "llm", Model: "m", Draw: uint64(draw), Exclude: []string{vmID(0, 0)}, Begun: true, Again: true,
+		})
+		assert.Assert(t, refusal == nil)
+		assert.Equal(t, ticket.Target.ID, vmID(2, 0))
+	}
+}
+
+func TestEnded(t *testing.T) {
+	tests := []struct {
+		name  string
+		after func(*site)
+		want  bool
+	}{
+		{"serving", func(*site) {}, false},
+		{"silent but listed", func(s *site) { s.silence(vmID(0, 0)) }, false},
+		{"no longer listed but answering", func(s *site) { s.vms.Unlist(s.now, vmID(0, 0)) }, false},
+		{"neither listed nor answering", func(s *site) { s.vms.Unlist(s.now, vmID(0, 0)); s.silence(vmID(0, 0)) }, true},
+		{"started again", func(s *site) { s.change(vmID(0, 0), func(r *fleet.Row) { r.Born = 2 }) }, true},
+		{"member started again", func(s *site) { s.change(vmID(0, 1), func(r *fleet.Row) { r.Born = 2 }) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSite(1)
+			ticket, refusal := s.pick(0)
+			assert.Assert(t, refusal == nil)
+			tt.after(s)
+			s.update()
+			assert.Equal(t, s.table.Ended(ticket), tt.want)
+		})
+	}
+}
+
+func (s *site) silence(id string) {
+	for range deadProbes {
+		s.now = s.now.Add(time.Second)
+		s.vms.ProbeFailed(s.now, id)
+	}
+}
--- /dev/null
+++ b/coord/dispatch/leaving.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import "github.com/pimentoshore/pimentoshore/coord/fleet"
+
+// newestReleases returns, by service, the release of the VM that started last.
+func newestReleases(vms *fleet.Table) map[string]string {
+	releases := make(map[string]string)
+	born := make(map[string]int64)
+	for _, vm := range vms.All() {
+		if vm.Listed && vm.Born > born[vm.Service] {
+			born[vm.Service], releases[vm.Service] = vm.Born, vm.Release
+		}
+	}
+	return releases
+}
+
+// foresee notes what makes it likely that a target is soon lost. members are
+// those of the VM's group, none for a plain VM.
+func (t *Target) foresee(vm *fleet.VM, members []*fleet.VM, newest string) {
+	t.leaving, t.outdated = false, false
+	if vm.Group == "" {
+		members = []*fleet.VM{vm}
+	}
+	for _, m := range members {
+		t.leaving = t.leaving || m.Draining || !m.Listed
+		t.outdated = t.outdated || m.Release != newest
+	}
+}
+
+// Ended reports whether the VM that got a request has ended, so that it
+// certainly runs there no longer. A VM that is only silent may still run it.
+func (t *Table) Ended(ticket *Ticket) bool {
+	if t.vms == nil {
+		return false
+	}
+	target := ticket.Target
+	vm := t.vms.Get(target.ID)
+	return vm == nil || vm.Born != ticket.born || !vm.Listed && vm.FailedProbes >= deadProbes
+}
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -23,6 +23,10 @@
 	ownWeight = 0.8
 	// failurePenalty weighs the share of failed requests.
 	failurePenalty = 2.0
+	// leavingRisk weighs that a VM of a target is about to end, againRisk that
+	// a request could lose a second endpoint.
+	leavingRisk = 0.5
+	againRisk   = 1.0
 	// jitter spreads requests over targets that are about as good.
 	jitter = 0.15
 	// retryAfterFull is when a place is likely to be free again.
@@ -44,6 +48,9 @@
 	// Begun is whether the caller has a part of the answer: it is placed
 	// also where new requests are not.
 	Begun bool
+	// Again is whether an endpoint has failed the request, which may not bear
+	// to lose another one.
+	Again bool
 }
 
 // Refusal says why no target is chosen and when to come back.
@@ -80,7 +87,7 @@
 			reason = AllCold
 			continue
 		}
-		score := t.score(target) + jitter*spread(q.Draw, i)
+		score := t.score(target) + risk(target, q.Again) + jitter*spread(q.Draw, i)
 		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
@@ -89,7 +96,7 @@
 		return nil, refusal(reason, q.Draw)
 	}
 	best.cold.take(now)
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), reading: t.reading(q), sentAt: now}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), reading: t.reading(q), sentAt: now, born: best.Born}
 	best.add(now, ticket)
 	return ticket, nil
 }
@@ -122,6 +129,20 @@
 	return score + failurePenalty*target.health.failures
 }
 
+// risk weighs that a target may soon be lost, above all for a request that has
+// lost one already.
+func risk(t *Target, again bool) float64 {
+	switch {
+	case t.leaving && again:
+		return againRisk + leavingRisk
+	case t.leaving:
+		return leavingRisk
+	case t.outdated && again:
+		return againRisk
+	}
+	return 0
+}
+
 // reading returns the length of a request's prompt against the usual one.
 func (t *Table) reading(q Query) float64 {
 	svc := t.cats.Service(q.Service)
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -61,12 +61,14 @@
 func (t *Table) Update(now time.Time, vms *fleet.Table, cat *catalog.Catalog, evacuated map[string]bool) []*Ticket {
 	t.vms, t.cats = vms, cat
 	groups := membersByGroup(vms)
+	releases := newestReleases(vms)
 	clear(t.pools)
 	var lost []*Ticket
 	for _, vm := range vms.All() {
 		target := t.follow(vm)
 		target.observe(vm, t.lag(vm.Service), t.nodes, t.rank)
 		works, serves := t.describe(vm, target, groups)
+		target.foresee(vm, groups[groupKey{vm.Group, vm.Epoch}], releases[vm.Service])
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
 			continue
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -23,6 +23,9 @@
 	Slots int
 	// Members are the IDs of a group's VMs.
 	Members []string
+	// leaving is whether one of its VMs is about to end, outdated whether one
+	// runs an older release than others, so that it may soon be replaced.
+	leaving, outdated bool
 
 	tickets map[*Ticket]struct{}
 	// others is the work of other nodes as of the newest report.
@@ -52,6 +55,7 @@
 	// Load is the number of requests predicted at the target beside this one.
 	Load   int
 	sentAt time.Time
+	born   int64 // start of the VM that runs it
 }
 
 // own is the work of this node's requests at the target: each counts as one,
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -51,7 +51,7 @@
 		t.takeAddress(now, row)
 	}
 	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
-	vm.rowBorn = row.Born
+	vm.Release, vm.rowBorn = row.Release, row.Born
 	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
 	if row.ColdLeft > 0 {
 		vm.ColdUntil = now.Add(row.ColdLeft)
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -62,7 +62,9 @@
 	Address    string
 	DataCentre string
 	Slots      int
-	Draining   bool
+	// Release is the version of the software that the VM runs.
+	Release  string
+	Draining bool
 	// ColdLeft is how much longer the VM bears little load.
 	ColdLeft time.Duration
 	// Engine is whether State is filled in.
@@ -78,7 +80,9 @@
 	Address    string
 	DataCentre string
 	Slots      int
-	Engine     bool
+	// Release is the version of the software that the VM runs.
+	Release string
+	Engine  bool
 	// Listed is whether the platform lists the VM now.
 	Listed   bool
 	Draining bool
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -97,7 +97,7 @@
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.begun,
-		PromptTokens: req.prompt}
+		Again: req.mayHaveRun, PromptTokens: req.prompt}
 	began := s.now()
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
 	for until := s.waitUntil(req); refusal != nil && s.now().Before(until) && ctx.Err() == nil; {
@@ -187,6 +187,9 @@
 // broke ends an attempt whose answer was lost.
 func (s *Server) broke(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
 	req.ran()
+	if s.state.ended(a.ticket) {
+		req.attempts-- // the request certainly runs there no longer
+	}
 	outcome := dispatch.Failed
 	if ctx.Err() != nil {
 		outcome = dispatch.Neutral
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -328,6 +328,37 @@
 	assert.Equal(t, strings.Count(body, "data: piece-"), 5)
 }
 
+// end takes the endpoint of a request off the list; it answers no probe.
+func (s *site) end(r *http.Request) {
+	s.state.Locked(func(k Knowledge) {
+		id := r.Header.Get("X-Expect")
+		k.VMs.Unlist(k.Now, id)
+		for range 2 {
+			k.VMs.ProbeFailed(k.Now, id)
+		}
+	})
+}
+
+// A rolling release may end more endpoints of a stream than its route has
+// attempts. Those that ended don't run it any longer, so they don't count.
+func TestEndpointsThatEndedAreNoAttempts(t *testing.T) {
+	s := newSite(t)
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if from := lastEvent(r); from < 2 {
+			s.end(r)
+			events(w, from+1, from+1, false)
+			return
+		}
+		events(w, 3, 5, true)
+	}
+	for range 3 {
+		s.add(handler)
+	}
+	_, body, _, err := s.do(s.request(http.MethodPost, "/stream/"))
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(body, "data: piece-"), 5)
+}
+
 func TestStreamThatCannotGoOnLooksIncomplete(t *testing.T) {
 	for _, path := range []string{"/stream/", "/fixed/"} {
 		s := newSite(t)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -237,6 +237,13 @@
 	s.targets.Done(s.now(), t, outcome)
 }
 
+// ended reports whether the VM that ran a request is gone.
+func (s *State) ended(t *dispatch.Ticket) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Ended(t)
+}
+
 func (s *State) progress(t *dispatch.Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
