A broken group of an earlier holder is adopted and mended

Cause: a new holder adopted only whole groups. Change: an incomplete group is adopted with its lost members unknown, and goes the way of any group that loses a member.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
@@ -32,7 +33,10 @@
 			p.strays[key] = now
 			continue
 		}
-		if now.Sub(since) >= adoptGrace && now.Sub(p.started) >= adoptGrace {
+		if now.Sub(since) < adoptGrace || now.Sub(p.started) < adoptGrace {
+			continue
+		}
+		if !p.adoptBroken(now, members) {
 			p.expel(now, members)
 		}
 	}
@@ -60,34 +64,65 @@
 // may take its members elsewhere, and are refused once these have accepted
 // another order.
 func (p *Planner) adoptGroup(now time.Time, members []*member) bool {
-	model := p.engine.Model(members[0].Model)
-	if model == nil || len(members) != model.GroupSize {
+	byRank := p.byRank(members)
+	if byRank == nil || slices.Contains(byRank, nil) {
 		return false
 	}
+	head := byRank[0]
+	if head.Stage != fleet.Open && head.Stage != fleet.Closing {
+		p.newGroup(now, head.Group, head.Model, byRank)
+		return true
+	}
+	g := p.enterAdopted(head.Membership, head.Model, byRank)
+	g.enter(now, Serving)
+	if head.Stage == fleet.Closing {
+		g.giveUp(now, HeadClosing, "", true)
+	}
+	return true
+}
+
+// adoptBroken takes over a group some of whose members are lost, so that spares
+// may replace them. The lost ones are unknown.
+func (p *Planner) adoptBroken(now time.Time, members []*member) bool {
+	byRank := p.byRank(members)
+	if byRank == nil {
+		return false
+	}
+	g := p.enterAdopted(members[0].Membership, members[0].Model, byRank)
+	g.giveUp(now, MemberGone, "", false)
+	return true
+}
+
+// byRank orders the members of a group of an earlier planner, nil for those
+// that have not reported. It returns nil if they contradict each other.
+func (p *Planner) byRank(members []*member) []*member {
+	model := p.engine.Model(members[0].Model)
+	if model == nil {
+		return nil
+	}
 	byRank := make([]*member, model.GroupSize)
 	for _, m := range members {
 		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Model != model.Name {
-			return false
+			return nil
 		}
 		byRank[m.Rank] = m
 	}
-	head := byRank[0]
-	if head.Stage != fleet.Open && head.Stage != fleet.Closing {
-		p.newGroup(now, head.Group, model.Name, byRank)
-		return true
-	}
-	g := &Group{Name: head.Group, Epoch: head.Epoch, Model: model.Name}
+	return byRank
+}
+
+// enterAdopted enters the group of an earlier planner in the table.
+func (p *Planner) enterAdopted(of fleet.Membership, model string, byRank []*member) *Group {
+	g := &Group{Name: of.Group, Epoch: of.Epoch, Model: model}
 	for _, m := range byRank {
-		g.Members = append(g.Members, m.ID)
-		g.born = append(g.born, m.VM.Born)
+		if m == nil {
+			g.Members, g.born = append(g.Members, unknownMember), append(g.born, 0)
+			continue
+		}
+		g.Members, g.born = append(g.Members, m.ID), append(g.born, m.VM.Born)
 		m.group = g
 	}
 	p.groups[g.key()] = g
-	g.enter(now, Serving)
-	if head.Stage == fleet.Closing {
-		g.giveUp(now, HeadClosing, "", true)
-	}
-	return true
+	return g
 }
 
 // expel tells the VMs of an incomplete group to leave it. Those whose head
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -18,11 +18,11 @@
 func (p *Planner) dissolveGroup(now time.Time, g *Group) {
 	head := p.members[g.Members[0]]
 	switch {
-	case head == nil:
-		p.freeSurvivors(now, g)
 	case !g.ordered && p.wholeAgain(now, g):
 		g.enter(now, Serving)
 	case !g.ordered && !g.finish && p.reform(now, g):
+	case head == nil:
+		p.freeSurvivors(now, g)
 	case p.headSafe(g, head):
 		p.release(g)
 	case !g.finish && p.dark(now, head.DataCentre):
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,7 +42,8 @@
 	Name  string
 	Epoch uint64
 	Model string
-	// Members are VM IDs, the head's first.
+	// Members are VM IDs, the head's first; unknownMember for the lost ones of
+	// a group that was adopted without them.
 	Members []string
 	Phase   Phase
 	// Since is when the phase began.
@@ -67,6 +69,8 @@
 	born []int64
 }
 
+const unknownMember = ""
+
 // groupKey names one formation of a group.
 type groupKey struct {
 	name  string
@@ -121,14 +125,17 @@
 	return g
 }
 
-// release frees a group's members.
+// release frees a group's members. One that was adopted without some of them
+// may yet be reported by these.
 func (p *Planner) release(g *Group) {
 	for _, id := range g.Members {
 		if m := p.members[id]; m != nil && m.group == g {
 			m.group = nil
 		}
 	}
-	p.released[g.key()] = true
+	if !slices.Contains(g.Members, unknownMember) {
+		p.released[g.key()] = true
+	}
 	delete(p.groups, g.key())
 }
 
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -41,12 +41,7 @@
 			w.vms[head.list[rank]].dead = true
 			w.run(5 * time.Second)
 			assert.Equal(t, w.serving(large), 6)
-			for _, vm := range w.vms {
-				if vm.state.Stage == fleet.Open && vm.state.Group == group && !vm.dead {
-					return
-				}
-			}
-			t.Fatalf("no head serves %s again", group)
+			w.checkServes(group)
 		})
 	}
 }
@@ -129,6 +124,32 @@
 	assert.Equal(t, w.head(large).state.Membership, before)
 }
 
+// A group that loses a member just before a holder is replaced is mended by a
+// spare as under the same holder; its survivors don't wait for a lost head.
+func TestTakeoverMendsBrokenGroup(t *testing.T) {
+	for name, rank := range map[string]int{"head": 0, "member": 1} {
+		t.Run(name, func(t *testing.T) {
+			w := formed(t)
+			head := w.head(large)
+			group := head.state.Group
+			w.vms[head.list[rank]].dead = true
+			w.takeover()
+			w.run(3500 * time.Millisecond)
+			assert.Equal(t, w.serving(large), 6)
+			w.checkServes(group)
+		})
+	}
+}
+
+func (w *world) checkServes(group string) {
+	for _, vm := range w.vms {
+		if vm.state.Stage == fleet.Open && vm.state.Group == group && !vm.dead {
+			return
+		}
+	}
+	w.t.Fatalf("no head serves %s again", group)
+}
+
 // A new holder read rows from before the groups served, took their heads for
 // safe and gave their VMs to other groups.
 func TestTakeoverDoesNotTrustOldRows(t *testing.T) {
