VMs of groups that were given up go to the model they were given up for

Cause: two small groups were given up for a large one; the first one's VMs were free before the second had finished and formed a small group again. Change: each VM that is given up, and the free ones counted with it, is promised for 4 s; a rebalance must raise the smallest share by 0.05. Test: the random runs check where given VMs go (fails without it).

--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -121,7 +121,7 @@
 		if !p.lacks(model) {
 			continue
 		}
-		d, members := p.bestPlace(domains, model)
+		d, members := p.bestPlace(now, domains, model)
 		if d == nil {
 			continue
 		}
@@ -136,7 +136,7 @@
 
 // bestPlace returns the domain in which a group of a model forms soonest, and
 // its members.
-func (p *Planner) bestPlace(domains []*domain, model *catalog.Model) (*domain, []*member) {
+func (p *Planner) bestPlace(now time.Time, domains []*domain, model *catalog.Model) (*domain, []*member) {
 	var best *domain
 	var members []*member
 	bestKey := [3]int{math.MaxInt, 0, 0}
@@ -144,7 +144,10 @@
 		if len(d.free) < model.GroupSize || d.awaited {
 			continue
 		}
-		chosen := cheapest(d.free, model)
+		chosen := cheapest(now, d.free, model)
+		if len(chosen) < model.GroupSize {
+			continue
+		}
 		loads := loadsOf(chosen, model)
 		key := [3]int{loads, d.groups[model.Name], -len(d.free)}
 		if slices.Compare(key[:], bestKey[:]) < 0 {
@@ -175,9 +178,12 @@
 	return joinLoad
 }
 
-// cheapest returns the free VMs that join soonest.
-func cheapest(free []*member, model *catalog.Model) []*member {
-	return byCost(free, model.Name)[:model.GroupSize]
+// cheapest returns the free VMs that join a group of a model soonest, fewer
+// than it takes if there are no more.
+func cheapest(now time.Time, free []*member, model *catalog.Model) []*member {
+	sorted := byCost(free, model.Name)
+	sorted = slices.DeleteFunc(sorted, func(m *member) bool { return m.promisedElsewhere(now, model.Name) })
+	return sorted[:min(model.GroupSize, len(sorted))]
 }
 
 // byCost returns VMs in the order in which they can join a group of a model.
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -134,6 +134,7 @@
 	// heldUntil is when the VM may join another group, after its head could
 	// not be asked.
 	heldUntil time.Time
+	promise   promise
 	// loading is the model whose load this planner has started.
 	loading   string
 	loadSince time.Time
--- a/coord/replica/rebalance.go
+++ b/coord/replica/rebalance.go
@@ -12,6 +12,9 @@
 	rebalanceEvery = 600 * time.Millisecond
 	// rebalanceAfter is when a new planner knows the groups well enough.
 	rebalanceAfter = 2 * time.Second
+	// rebalanceGain is what giving groups up has to bring, since both models
+	// lack them until the new one serves.
+	rebalanceGain = 0.05
 )
 
 // rebalance gives groups of one model up where their VMs can form a group of a
@@ -27,16 +30,32 @@
 		if !p.lacks(model) {
 			continue
 		}
-		if donors := p.donorsFor(now, model); len(donors) > 0 {
+		donors, free := p.donorsFor(now, model)
+		if len(donors) > 0 {
 			p.rebalancedAt = now
 			for _, g := range donors {
 				g.giveWay(now, model.Name)
+				free = append(free, p.membersOf(g)...)
+			}
+			for _, m := range free {
+				m.promise = promise{model.Name, now.Add(donorWait)}
 			}
 			return
 		}
 	}
 }
 
+// promise keeps a VM for a model until the groups that were given up for it
+// have finished.
+type promise struct {
+	model string
+	until time.Time
+}
+
+func (m *member) promisedElsewhere(now time.Time, model string) bool {
+	return m.promise.model != model && now.Before(m.promise.until)
+}
+
 // changing reports whether a group is being dissolved for another one.
 func (p *Planner) changing() bool {
 	for _, g := range p.groups {
@@ -48,22 +67,32 @@
 }
 
 // donorsFor returns the fewest groups of one domain whose VMs, with the free
-// ones, join a group of the model without a load.
-func (p *Planner) donorsFor(now time.Time, model *catalog.Model) []*Group {
-	var best []*Group
+// ones that it returns too, join a group of the model without a load.
+func (p *Planner) donorsFor(now time.Time, model *catalog.Model) (best []*Group, bestFree []*member) {
 	for _, d := range p.domains(now) {
-		usable := 0
+		var free []*member
 		for _, m := range d.free {
-			if joinCost(m, model.Name) < joinLoad {
-				usable++
+			if joinCost(m, model.Name) < joinLoad && !m.promisedElsewhere(now, model.Name) {
+				free = append(free, m)
 			}
 		}
-		donors := p.donorsIn(d, model, model.GroupSize-usable)
-		if len(donors) > 0 && (best == nil || len(donors) < len(best)) && p.improves(model, donors) {
-			best = donors
+		donors := p.donorsIn(d, model, model.GroupSize-len(free))
+		if len(donors) > 0 && (best == nil || len(donors) < len(best)) && p.gain(model, donors) >= rebalanceGain {
+			best, bestFree = donors, free
+		}
+	}
+	return best, bestFree
+}
+
+// membersOf returns the VMs of a group that are known.
+func (p *Planner) membersOf(g *Group) []*member {
+	var out []*member
+	for _, id := range g.Members {
+		if m := p.members[id]; m != nil {
+			out = append(out, m)
 		}
 	}
-	return best
+	return out
 }
 
 // donorsIn returns serving groups of other models in a domain that have n VMs
@@ -94,9 +123,9 @@
 	return nil
 }
 
-// improves reports whether the smallest part that a model has of its groups
+// gain returns by how much the smallest part that a model has of its groups
 // grows if the donors are given up for one group of the model.
-func (p *Planner) improves(model *catalog.Model, donors []*Group) bool {
+func (p *Planner) gain(model *catalog.Model, donors []*Group) float64 {
 	before, after := 1e9, 1e9
 	for i := range p.engine.Models {
 		m := &p.engine.Models[i]
@@ -112,5 +141,5 @@
 		}
 		after = min(after, running/wanted)
 	}
-	return after > before
+	return after - before
 }
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -55,7 +55,7 @@
 	var out []*member
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m != nil && m.Domain == domain && joinCost(m, model.Name) < joinLoad && p.free(now, m) {
+		if m != nil && m.Domain == domain && joinCost(m, model.Name) < joinLoad && p.free(now, m) && !m.promisedElsewhere(now, model.Name) {
 			out = append(out, m)
 		}
 	}
@@ -77,7 +77,7 @@
 			continue
 		}
 		donors := p.donorsIn(d, model, n)
-		if len(donors) == 0 || !p.improves(model, donors) {
+		if len(donors) == 0 || p.gain(model, donors) <= 0 {
 			return false
 		}
 		for _, donor := range donors {
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -67,6 +67,14 @@
 	lose    float64
 	traffic bool
 	next    int
+	// given holds the VMs of groups that were given up for another model.
+	given map[string]gift
+}
+
+// gift is what a VM was given up for.
+type gift struct {
+	model string
+	at    time.Time
 }
 
 func testEngine() *catalog.Engine {
@@ -82,7 +90,7 @@
 func newWorld(t *testing.T, seed uint64, domains int) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), vms: make(map[string]*engineVM), table: fleet.NewTable(),
-		rng: rand.New(rand.NewPCG(seed, seed)), epochs: NewEpochs(1),
+		rng: rand.New(rand.NewPCG(seed, seed)), epochs: NewEpochs(1), given: make(map[string]gift),
 	}
 	for d := range domains {
 		for range domainVMs {
@@ -119,6 +127,7 @@
 	w.p = New(Options{
 		Service: service, Epochs: w.epochs, Stall: stall, SpareShare: 1.0 / 6, LoadWindow: 5 * time.Second,
 	}, w.table)
+	clear(w.given)
 	w.p.Configure(testEngine(), nil)
 	if w.traffic {
 		w.p.TrafficSeen()
@@ -147,6 +156,7 @@
 		w.carry(o)
 	}
 	w.check()
+	w.checkGifts()
 }
 
 func (w *world) deliverLate() {
@@ -336,6 +346,24 @@
 	}
 }
 
+// checkGifts fails the test if VMs of a group that was given up for another
+// model are taken by a new group of the same model again.
+func (w *world) checkGifts() {
+	for _, g := range w.p.groups {
+		for _, id := range g.Members {
+			switch {
+			case g.Phase == Dissolving && testEngine().Model(g.For) != nil:
+				w.given[id] = gift{g.For, w.now}
+			case g.Phase == Forming && g.Since.Equal(w.now):
+				to, given := w.given[id]
+				wrong := given && w.now.Sub(to.at) < time.Second && to.model != g.Model
+				assert.Assert(w.t, !wrong, "%s was given up for the %s model and joins %s of the other", id, to.model, g.Name)
+				delete(w.given, id)
+			}
+		}
+	}
+}
+
 // serving counts the groups of a model whose heads serve with all members.
 func (w *world) serving(model string) int {
 	n := 0
