--- a/coord/lease/events.go
+++ b/coord/lease/events.go
@@ -33,6 +33,10 @@
 	Revision uint64
 }
 
+// RowAsked tells that another node has asked this one for the row, and relies
+// on its reads.
+type RowAsked struct{}
+
 // ReadFailed answers a ReadRows that got no answer.
 type ReadFailed struct{ Read uint64 }
 
@@ -71,6 +75,7 @@
 func (Tick) isEvent()            {}
 func (RowsRead) isEvent()        {}
 func (RowSeen) isEvent()         {}
+func (RowAsked) isEvent()        {}
 func (ReadFailed) isEvent()      {}
 func (WriteAnswered) isEvent()   {}
 func (PromiseAsked) isEvent()    {}
@@ -87,8 +92,8 @@
 	Key string
 	// Own is the key of this VM's registration.
 	Own string
-	// Prefix is set if all registrations are wanted.
-	Prefix string
+	// All asks for all registrations, whose keys begin with Key.
+	All bool
 	// VMs asks for the platform's list of VMs too.
 	VMs bool
 }
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -69,6 +69,12 @@
 	next     time.Time
 	// answeredAt is when a read was last answered.
 	answeredAt time.Time
+	// askedAt is when another node last asked for the row.
+	askedAt time.Time
+}
+
+func (r *reading) asked(now time.Time) bool {
+	return !r.askedAt.IsZero() && now.Sub(r.askedAt) < askedFor
 }
 
 // New returns a candidate that does not hold the lease.
@@ -91,6 +97,8 @@
 		m.rowsRead(now, ev)
 	case RowSeen:
 		m.rowSeen(now, ev)
+	case RowAsked:
+		m.rowAsked(now)
 	case ReadFailed:
 		m.readFailed(now, ev)
 	case WriteAnswered:
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -11,16 +11,13 @@
 	m.read.id++
 	m.read.inFlight = true
 	m.read.all = m.mine()
-	r := ReadRows{
+	m.emit(ReadRows{
 		ID:  m.read.id,
 		Key: Key(m.opts.DataCentre),
 		Own: CandidateKey(m.opts.DataCentre, m.opts.VM),
+		All: m.read.all,
 		VMs: m.wantsVMs(now),
-	}
-	if m.read.all {
-		r.Prefix = CandidatePrefix(m.opts.DataCentre)
-	}
-	m.emit(r)
+	})
 }
 
 // wantsVMs reports whether the next read should bring the platform's list of
@@ -47,16 +44,16 @@
 		return
 	}
 	m.read.inFlight = false
-	m.read.next = now.Add(m.retryAfter())
+	m.read.next = now.Add(m.retryAfter(now))
 }
 
 // retryAfter returns the pause after a failed read. Those who do not hold the
 // lease need not hurry.
-func (m *Machine) retryAfter() time.Duration {
+func (m *Machine) retryAfter(now time.Time) time.Duration {
 	if m.mine() || m.stopping || m.attempts.unsettled() {
 		return m.opts.RetryEvery
 	}
-	return m.opts.PollEvery
+	return m.pollEvery(now)
 }
 
 func (m *Machine) rowsRead(now time.Time, ev RowsRead) {
@@ -89,7 +86,7 @@
 	if m.read.inFlight || m.stopping || m.writing() || m.mine() || m.attempts.unsettled() || !m.registered {
 		return
 	}
-	m.read.next = m.read.answeredAt.Add(seenPolls * m.pollEvery())
+	m.read.next = m.read.answeredAt.Add(seenPolls * m.pollEvery(now))
 	if due := m.seen.takeoverAt; due.Before(m.read.next) {
 		m.read.next = due
 	}
@@ -131,10 +128,21 @@
 	}
 }
 
+// rowAsked notes that others rely on what this node reads.
+func (m *Machine) rowAsked(now time.Time) {
+	m.read.askedAt = now
+	if soon := m.read.answeredAt.Add(m.opts.PollEvery); m.seen.known && soon.Before(m.read.next) {
+		m.read.next = soon
+	}
+}
+
+// askedFor is how long a node that was asked for the row reads for others.
+const askedFor = time.Second
+
 // pollEvery returns the interval between this candidate's reads.
-func (m *Machine) pollEvery() time.Duration {
+func (m *Machine) pollEvery(now time.Time) time.Duration {
 	per, all := m.opts.PollersPerInterval, len(m.seen.row.Candidates)
-	if per <= 0 || all <= per {
+	if per <= 0 || all <= per || m.read.asked(now) {
 		return m.opts.PollEvery
 	}
 	return m.opts.PollEvery * time.Duration(all) / time.Duration(per)
@@ -150,7 +158,7 @@
 	case m.mine() || m.attempts.unsettled() || m.seen.revision == 0:
 		m.read.next = now.Add(m.opts.RetryEvery)
 	default:
-		m.read.next = now.Add(m.pollEvery())
+		m.read.next = now.Add(m.pollEvery(now))
 		due := m.seen.takeoverAt
 		if now.Before(due) && due.Before(m.read.next) {
 			m.read.next = due
--- a/coord/lease/row.go
+++ b/coord/lease/row.go
@@ -6,19 +6,15 @@
 	"time"
 )
 
-// Key returns the key of a data centre's lease row.
+// Key returns the key of a data centre's lease row. It is the prefix of the
+// registrations' keys, so that one ordered read brings the row and then these.
 func Key(dataCentre string) string {
-	return "lease/" + dataCentre
-}
-
-// CandidatePrefix returns the prefix of a data centre's registrations.
-func CandidatePrefix(dataCentre string) string {
-	return "candidate/" + dataCentre + "/"
+	return "lease/" + dataCentre + "/"
 }
 
 // CandidateKey returns the key of one VM's registration.
 func CandidateKey(dataCentre, vm string) string {
-	return CandidatePrefix(dataCentre) + vm
+	return Key(dataCentre) + vm
 }
 
 // Candidate is an entry VM that may take the lease over. It is also the value
--- a/coord/news/sources.go
+++ b/coord/news/sources.go
@@ -88,7 +88,7 @@
 		switch {
 		case n.DataCentre == s.self.DataCentre && n.VM < s.self.VM:
 			home = append(home, n)
-		case n.DataCentre < s.self.DataCentre && rank == 1:
+		case n.DataCentre < s.self.DataCentre && rank <= awayAsked:
 			away = append(away, n)
 		case rank <= othersAsked:
 			s.others = append(s.others, n)
@@ -97,12 +97,24 @@
 	s.before = slices.Concat(home, away)
 }
 
+// awayAsked is how many nodes of each data centre before its own a node asks,
+// the second one where the first has gone.
+const awayAsked = 2
+
 // othersAsked is how many nodes of each data centre are asked while the
 // platform can't be read.
 const othersAsked = 2
 
-// First reports whether no other node goes before this one.
-func (s *Sources) First() bool { return len(s.before) == 0 }
+// First reports whether no node that answers goes before this one, so that it
+// reads for others. Nodes that have gone for good may stay listed.
+func (s *Sources) First() bool {
+	for _, n := range s.before {
+		if s.failures[n.VM].inRow == 0 {
+			return false
+		}
+	}
+	return true
+}
 
 // Next returns the node to ask instead of the platform. unreadable says that
 // the platform does not answer this node: then nodes of other data centres are
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -58,6 +58,7 @@
 	mu       sync.Mutex
 	machine  *lease.Machine
 	seen     *news.Lease // told by another node since the last tick
+	asked    bool        // by another node since the last tick
 	term     uint64      // of the lease held, or 0
 	epochs   *replica.Epochs
 	planners map[string]*replica.Planner
@@ -85,6 +86,10 @@
 		c.step(ctx, lease.RowSeen{Row: c.seen.Row, Revision: c.seen.Revision})
 		c.seen = nil
 	}
+	if c.asked {
+		c.step(ctx, lease.RowAsked{})
+		c.asked = false
+	}
 	c.step(ctx, lease.Tick{})
 	if c.term == 0 {
 		return
@@ -173,6 +178,13 @@
 	return c.machine.Row()
 }
 
+// Asked notes that another node relies on what this one reads of the lease.
+func (c *Coordinator) Asked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked = true
+}
+
 // Seen takes in a lease row that another node has read. Effects follow with
 // the next tick.
 func (c *Coordinator) Seen(l news.Lease) {
--- a/internal/leasestore/leasestore.go
+++ b/internal/leasestore/leasestore.go
@@ -15,8 +15,7 @@
 // maxCandidates bounds the registrations read of one lease.
 const maxCandidates = 256
 
-// Read reads the registrations' keys first and then all rows in one snapshot.
-// A registration made in between is read the next time.
+// Read reads the rows in one snapshot.
 func Read(ctx context.Context, t platform.Table, e lease.ReadRows) (lease.RowsRead, error) {
 	ev := lease.RowsRead{Read: e.ID}
 	if e.VMs {
@@ -29,36 +28,33 @@
 			ev.VMs = append(ev.VMs, vm.Name)
 		}
 	}
-	keys := []string{e.Key, e.Own}
-	if e.Prefix != "" {
-		listed, err := t.List(ctx, e.Prefix, "", maxCandidates)
-		if err != nil {
-			return ev, err
-		}
-		keys = keys[:1]
-		for _, row := range listed {
-			keys = append(keys, row.Key)
-		}
-	}
-	rows, err := t.Get(ctx, keys...)
+	rows, err := readRows(ctx, t, e)
 	if err != nil {
 		return ev, err
 	}
-	return decode(ev, rows)
+	return decode(ev, e.Key, rows)
 }
 
-func decode(ev lease.RowsRead, rows []platform.Row) (lease.RowsRead, error) {
-	if rows[0].Revision > 0 {
-		ev.Row = &lease.Row{}
-		ev.Revision = rows[0].Revision
-		if err := json.Unmarshal(rows[0].Value, ev.Row); err != nil {
-			return ev, err
-		}
+func readRows(ctx context.Context, t platform.Table, e lease.ReadRows) ([]platform.Row, error) {
+	if e.All {
+		return t.List(ctx, e.Key, "", 1+maxCandidates)
 	}
-	for _, row := range rows[1:] {
+	return t.Get(ctx, e.Key, e.Own)
+}
+
+func decode(ev lease.RowsRead, key string, rows []platform.Row) (lease.RowsRead, error) {
+	for _, row := range rows {
 		if row.Revision == 0 {
 			continue
 		}
+		if row.Key == key {
+			ev.Row = &lease.Row{}
+			ev.Revision = row.Revision
+			if err := json.Unmarshal(row.Value, ev.Row); err != nil {
+				return ev, err
+			}
+			continue
+		}
 		reg := lease.Registration{Revision: row.Revision}
 		if err := json.Unmarshal(row.Value, &reg.Candidate); err != nil {
 			return ev, err
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -15,6 +15,7 @@
 // Answer implements relay.Teller.
 func (t *teller) Answer(after news.Position) news.Answer {
 	a := t.state.Answer(after)
+	t.coord.Asked()
 	if row, revision := t.coord.Row(); a.Known && revision > after.Lease {
 		a.Lease = &news.Lease{Row: row, Revision: revision}
 	}
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -92,6 +92,9 @@
 		return w.failed("operators", err), err
 	}
 	w.obs.Operators(sent, n)
+	if n.Version == 0 {
+		return w.opts.RetryPause, nil // nothing is published yet, so that no read waits
+	}
 	return 0, nil
 }
 
