The holder's probes are bounded

Cause: the holder asks each VM every 0.45 s, 500 probes a second where there are 228; probes are a quarter of all prices on the grown deployments. Change: 280 a second over all VMs, each at least every 1.2 s.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -38,9 +38,11 @@
 	Replica replica.Options
 	// OrderTimeout bounds an order from sending to answer.
 	OrderTimeout time.Duration
-	// ProbeEvery is the interval between probes of all VMs by the holder,
-	// FastEvery that of VMs whose reports are awaited.
+	// ProbeEvery is the least interval between probes of a VM by the holder,
+	// FastEvery that of VMs whose reports are awaited. ProbesPerSecond bounds
+	// the former over all VMs.
 	ProbeEvery, FastEvery time.Duration
+	ProbesPerSecond       int
 	Log                   *slog.Logger
 	Metrics               metrics.Registry
 	Now                   func() time.Time
@@ -221,6 +223,7 @@
 		return
 	}
 	want := make(map[string]time.Duration)
+	var unsettled []string
 	c.state.Locked(func(k entry.Knowledge) {
 		if k.Catalog == nil || !k.Listed {
 			return
@@ -246,14 +249,29 @@
 					want[vm.ID] = c.opts.ProbeEvery
 				}
 			}
-			for _, id := range p.Unsettled(now) {
-				want[id] = c.opts.FastEvery
-			}
+			unsettled = append(unsettled, p.Unsettled(now)...)
 		}
 	})
+	c.pace(want, unsettled)
 	c.prober.Want(want)
 }
 
+// pace bounds the probes of all VMs, but for those whose reports are awaited.
+func (c *Coordinator) pace(want map[string]time.Duration, unsettled []string) {
+	every := time.Duration(len(want)) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
+	every = min(max(every, c.opts.ProbeEvery), probeMost)
+	for id := range want {
+		want[id] = every
+	}
+	for _, id := range unsettled {
+		want[id] = c.opts.FastEvery
+	}
+}
+
+// probeMost is less than the age of a report up to which a planner lets a VM
+// join a group.
+const probeMost = 1200 * time.Millisecond
+
 // countServing returns how many groups serve, of how many.
 func countServing(groups []*replica.Group) (serving, all int) {
 	for _, g := range groups {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,27 +31,29 @@
 )
 
 const (
-	tickEvery      = 50 * time.Millisecond
-	sweepEvery     = time.Second
-	leaseDuration  = 2 * time.Second
-	renewEvery     = 700 * time.Millisecond
-	leasePoll      = 700 * time.Millisecond
-	leasePollers   = 8
-	leaseRetry     = 300 * time.Millisecond
-	orderTimeout   = 500 * time.Millisecond
-	operatorWait   = 350 * time.Millisecond
-	vmPause        = 350 * time.Millisecond
-	ownFactor      = 2
-	vmStartPause   = 250 * time.Millisecond
-	vmStart        = 3 * time.Second
-	watchRetry     = 350 * time.Millisecond
-	ownRetry       = 1200 * time.Millisecond
-	probeTimeout   = 200 * time.Millisecond
-	probeEvery     = 450 * time.Millisecond
-	headProbeEvery = 800 * time.Millisecond
-	toldProbeEvery = 1600 * time.Millisecond
-	askEvery       = 200 * time.Millisecond
-	askTimeout     = 250 * time.Millisecond
+	tickEvery     = 50 * time.Millisecond
+	sweepEvery    = time.Second
+	leaseDuration = 2 * time.Second
+	renewEvery    = 700 * time.Millisecond
+	leasePoll     = 700 * time.Millisecond
+	leasePollers  = 8
+	leaseRetry    = 300 * time.Millisecond
+	orderTimeout  = 500 * time.Millisecond
+	operatorWait  = 350 * time.Millisecond
+	vmPause       = 350 * time.Millisecond
+	ownFactor     = 2
+	vmStartPause  = 250 * time.Millisecond
+	vmStart       = 3 * time.Second
+	watchRetry    = 350 * time.Millisecond
+	ownRetry      = 1200 * time.Millisecond
+	probeTimeout  = 200 * time.Millisecond
+	probeEvery    = 450 * time.Millisecond
+	// probesPerSecond bounds the holder's probes where there are many VMs.
+	probesPerSecond = 280
+	headProbeEvery  = 800 * time.Millisecond
+	toldProbeEvery  = 1600 * time.Millisecond
+	askEvery        = 200 * time.Millisecond
+	askTimeout      = 250 * time.Millisecond
 	// askMaxAge is a little more than twice a read's longest wait and way.
 	askMaxAge      = time.Second
 	fastProbeEvery = 80 * time.Millisecond
@@ -130,7 +132,7 @@
 			OrderTimeout: orderTimeout, Margin: leaseRetry,
 		},
 		Replica:      replica.Options{Stall: set.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: set.Bounds.LoadWindow},
-		OrderTimeout: orderTimeout, ProbeEvery: probeEvery, FastEvery: fastProbeEvery,
+		OrderTimeout: orderTimeout, ProbeEvery: probeEvery, FastEvery: fastProbeEvery, ProbesPerSecond: probesPerSecond,
 		Log: log, Metrics: registry, Now: boottime.Now,
 	}, b.Table, n.state, b.Orders, n.prober, n.follower)
 	return n, nil
