Members that lost touch with the platform alone stay in their groups

Cause: 31 VMs were cut off from the store for 9 s but served on. Change: a member that the platform doesn't list stays as long as it answers; a head, which gets no requests meanwhile, is replaced after 1.5 s instead of 5. Requests prefer other groups for the first 5 s, in which VMs that leave without a word end.

--- a/coord/dispatch/leaving.go
+++ b/coord/dispatch/leaving.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/pimentoshore/pimentoshore/coord/fleet"
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
 
 // newestReleases returns, by service, the release of the VM that started last.
 func newestReleases(vms *fleet.Table) map[string]string {
@@ -16,17 +20,22 @@
 
 // foresee notes what makes it likely that a target is soon lost. members are
 // those of the VM's group, none for a plain VM.
-func (t *Target) foresee(vm *fleet.VM, members []*fleet.VM, newest string) {
+func (t *Target) foresee(now time.Time, vm *fleet.VM, members []*fleet.VM, newest string) {
 	t.leaving, t.outdated = false, false
 	if vm.Group == "" {
 		members = []*fleet.VM{vm}
 	}
 	for _, m := range members {
-		t.leaving = t.leaving || m.Draining || !m.Listed
+		t.leaving = t.leaving || m.Draining || !m.Listed && now.Sub(m.ListedAt) < endsWithin
 		t.outdated = t.outdated || m.Release != newest
 	}
 }
 
+// endsWithin is how long after it was taken off the platform's list a VM that
+// stops for good still answers. One that answers for longer has only lost touch
+// with the platform.
+const endsWithin = 5 * time.Second
+
 // Ended reports whether the VM that got a request has ended, so that it
 // certainly runs there no longer. A VM that is only silent may still run it.
 func (t *Table) Ended(ticket *Ticket) bool {
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -68,7 +68,7 @@
 		target := t.follow(vm)
 		target.observe(vm, t.lag(vm.Service), t.nodes, t.rank)
 		works, serves := t.describe(vm, target, groups)
-		target.foresee(vm, groups[groupKey{vm.Group, vm.Epoch}], releases[vm.Service])
+		target.foresee(now, vm, groups[groupKey{vm.Group, vm.Epoch}], releases[vm.Service])
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
 			continue
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -16,9 +16,11 @@
 // reached again have been probed.
 const darkAfter = time.Second
 
-// unlistedGrace is how long a member that still answers may be missing from the
-// platform's list, which it may have lost touch with.
-const unlistedGrace = 5 * time.Second
+// unlistedGrace is how long a head may be missing from the platform's list until
+// its group is formed anew: no requests are sent to it meanwhile. Other members
+// may be missing as long as they answer, since they may only have lost touch
+// with the platform.
+const unlistedGrace = 1500 * time.Millisecond
 
 // sorted returns the groups by epoch, so that runs repeat.
 func (p *Planner) sorted() []*Group {
@@ -70,7 +72,7 @@
 		return HeadGaveUp
 	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
 		return HeadStopped
-	case m.Draining, !m.Listed && now.Sub(m.ListedAt) >= unlistedGrace:
+	case m.Draining, rank == 0 && !m.Listed && now.Sub(m.ListedAt) >= unlistedGrace:
 		return MemberLeaving
 	}
 	return Sound
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -264,7 +264,7 @@
 }
 
 // UnlistedProbed is how long VMs are to be probed after they were taken off the
-// platform's list.
+// platform's list, also if they don't answer.
 const UnlistedProbed = 12 * time.Second
 
 // leaving reports whether the VM is about to end.
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -240,10 +240,26 @@
 func TestMemberOffTheListStaysWhileItAnswers(t *testing.T) {
 	w := formed(t)
 	head := w.head(large)
+	before := head.state.Membership
 	w.table.Unlist(w.now, head.list[2])
-	w.run(4 * time.Second)
+	w.run(20 * time.Second)
 	assert.Equal(t, w.serving(large), 6)
-	assert.Equal(t, head.state.Stage, fleet.Open)
+	assert.Equal(t, head.state.Membership, before)
+}
+
+// No requests go to a head that the platform doesn't list, so that its VMs
+// serve better under another one.
+func TestHeadOffTheListIsReplaced(t *testing.T) {
+	w := formed(t)
+	head := w.head(large)
+	members := head.list
+	w.table.Unlist(w.now, head.row.ID)
+	w.run(4500 * time.Millisecond)
+	assert.Equal(t, w.serving(large), 6)
+	assert.Assert(t, head.state.Stage != fleet.Open)
+	for _, id := range members[1:] {
+		assert.Equal(t, w.vms[id].state.Model, large)
+	}
 }
 
 func TestDrainingMemberIsReplacedOnceTheHeadHasFinished(t *testing.T) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -12,6 +12,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/news"
 	"github.com/pimentoshore/pimentoshore/coord/replica"
@@ -245,7 +246,7 @@
 				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now), "use", p.Use())
 			}
 			for _, vm := range k.VMs.All() {
-				if vm.Engine && vm.Service == svc.Name && (vm.Listed || now.Sub(vm.ListedAt) < replica.UnlistedProbed) {
+				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
 					want[vm.ID] = c.opts.ProbeEvery
 				}
 			}
@@ -256,6 +257,11 @@
 	c.prober.Want(want)
 }
 
+// probed reports whether a VM of a service is to be probed.
+func probed(now time.Time, vm *fleet.VM) bool {
+	return vm.Listed || vm.FailedProbes == 0 || now.Sub(vm.ListedAt) < replica.UnlistedProbed
+}
+
 // pace bounds the probes of all VMs, but for those whose reports are awaited.
 func (c *Coordinator) pace(want map[string]time.Duration, unsettled []string) {
 	every := time.Duration(len(want)) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
