Nodes that are told the lease's row don't read it to be asked

Cause: the first node of each data centre is asked by the others and read the lease every 0.7 s, though the very first one tells it the row. Change: only a node that nobody tells reads for others.

--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -69,12 +69,17 @@
 	next     time.Time
 	// answeredAt is when a read was last answered.
 	answeredAt time.Time
-	// askedAt is when another node last asked for the row.
-	askedAt time.Time
+	// askedAt is when another node last asked for the row, toldAt when one
+	// last told a newer row.
+	askedAt, toldAt time.Time
 }
 
-func (r *reading) asked(now time.Time) bool {
-	return !r.askedAt.IsZero() && now.Sub(r.askedAt) < askedFor
+// forOthers reports whether other nodes rely on this one's own reads. One that
+// is told the row itself passes on what it hears.
+func (r *reading) forOthers(now time.Time) bool {
+	asked := !r.askedAt.IsZero() && now.Sub(r.askedAt) < askedFor
+	told := !r.toldAt.IsZero() && now.Sub(r.toldAt) < toldFor
+	return asked && !told
 }
 
 // New returns a candidate that does not hold the lease.
--- a/coord/lease/poll_test.go
+++ b/coord/lease/poll_test.go
@@ -38,6 +38,17 @@
 	assert.Assert(t, d.reads(2.7))
 }
 
+// A node that is told the row passes it on, and need not read to be asked.
+func TestToldCandidateReadsSeldomAlsoIfAsked(t *testing.T) {
+	d := standby(t)
+	for i := range 60 {
+		s := 0.1 * float64(i+1)
+		d.step(s, RowSeen{Row: *renewed(uint64(i + 2)), Revision: uint64(i + 5)})
+		d.step(s, RowAsked{})
+		assert.Assert(t, !d.m.read.inFlight, "a read at %v", s)
+	}
+}
+
 // Without promises a candidate that the row does not list may take over.
 func TestNewcomerTakesOverWhereNoPromisesAreAsked(t *testing.T) {
 	m := New(Options{DataCentre: "dc", VM: "b", WithoutPromises: true})
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -82,6 +82,7 @@
 	if !m.seen.known || ev.Revision <= m.seen.revision {
 		return
 	}
+	m.read.toldAt = now
 	m.observe(now, RowsRead{Row: &ev.Row, Revision: ev.Revision})
 	if m.read.inFlight || m.stopping || m.writing() || m.mine() || m.attempts.unsettled() || !m.registered {
 		return
@@ -131,18 +132,26 @@
 // rowAsked notes that others rely on what this node reads.
 func (m *Machine) rowAsked(now time.Time) {
 	m.read.askedAt = now
+	if !m.read.forOthers(now) {
+		return
+	}
 	if soon := m.read.answeredAt.Add(m.opts.PollEvery); m.seen.known && soon.Before(m.read.next) {
 		m.read.next = soon
 	}
 }
 
-// askedFor is how long a node that was asked for the row reads for others.
-const askedFor = time.Second
+const (
+	// askedFor is how long a node that was asked for the row reads for others.
+	askedFor = time.Second
+	// toldFor is how long what a node was told stands in for own reads, a
+	// little more than the time between two renewals.
+	toldFor = 1500 * time.Millisecond
+)
 
 // pollEvery returns the interval between this candidate's reads.
 func (m *Machine) pollEvery(now time.Time) time.Duration {
 	per, all := m.opts.PollersPerInterval, len(m.seen.row.Candidates)
-	if per <= 0 || all <= per || m.read.asked(now) {
+	if per <= 0 || all <= per || m.read.forOthers(now) {
 		return m.opts.PollEvery
 	}
 	return m.opts.PollEvery * time.Duration(all) / time.Duration(per)
