A new holder hears all VMs before it takes groups for broken

Change: VMs that have not answered the new holder yet are probed at once, and no group is judged until each has answered or failed to.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -24,6 +24,7 @@
 			delete(p.strays, key)
 		}
 	}
+	settled := p.heardAll(now)
 	for key, members := range unknown {
 		if p.adoptGroup(now, members) {
 			continue
@@ -33,7 +34,7 @@
 			p.strays[key] = now
 			continue
 		}
-		if now.Sub(since) < adoptGrace || now.Sub(p.started) < adoptGrace {
+		if now.Sub(since) < adoptGrace || !settled {
 			continue
 		}
 		if !p.adoptBroken(now, members) {
@@ -45,7 +46,27 @@
 // adopting reports whether groups of earlier planners may not have been taken
 // over yet.
 func (p *Planner) adopting(now time.Time) bool {
-	return p.opts.Epochs.Term() > 1 && now.Sub(p.started) < adoptGrace
+	return p.opts.Epochs.Term() > 1 && !p.heardAll(now)
+}
+
+// heardAll reports whether every VM has answered this planner, or has had the
+// time to: until then a group may only seem to lack members.
+func (p *Planner) heardAll(now time.Time) bool {
+	since := now.Sub(p.started)
+	if since < adoptGrace || since >= adoptMost {
+		return since >= adoptMost
+	}
+	for _, m := range p.members {
+		if p.unheard(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// unheard reports whether a VM has neither answered this planner nor failed to.
+func (p *Planner) unheard(m *member) bool {
+	return m.Listed && m.HeardAt.Before(p.started) && m.FailedProbes < silentProbes
 }
 
 // forgetReleased drops the released groups that no VM names any more.
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -30,6 +30,8 @@
 	// adoptGrace is how long a group of an earlier planner may be
 	// incomplete before its VMs are taken out of it.
 	adoptGrace = 800 * time.Millisecond
+	// adoptMost bounds the wait for the first answers of all VMs.
+	adoptMost = 3 * time.Second
 	// gatherQuiet is how long no VM may appear at the first start before
 	// groups are formed, gatherMost when they are formed all the same.
 	gatherQuiet = 700 * time.Millisecond
@@ -282,7 +284,7 @@
 }
 
 func (p *Planner) unsettled(now time.Time, m *member) bool {
-	if now.Sub(m.settleAt) < settleFor {
+	if now.Sub(m.settleAt) < settleFor || p.unheard(m) {
 		return true
 	}
 	if m.group == nil {
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -124,6 +124,22 @@
 	assert.Equal(t, w.head(large).state.Membership, before)
 }
 
+// Where there are many VMs each is probed seldom. A new holder must not take a
+// group for broken because it hasn't heard all members yet.
+func TestTakeoverWaitsUntilAllVMsWereHeard(t *testing.T) {
+	w := formed(t)
+	before := make(map[string]fleet.Membership)
+	for id, vm := range w.vms {
+		before[id] = vm.state.Membership
+	}
+	w.probing = 1200 * time.Millisecond
+	w.takeover()
+	w.run(6 * time.Second)
+	for id, vm := range w.vms {
+		assert.Equal(t, vm.state.Membership, before[id], id)
+	}
+}
+
 // A group that loses a member just before a holder is replaced is mended by a
 // spare as under the same holder; its survivors don't wait for a lost head.
 func TestTakeoverMendsBrokenGroup(t *testing.T) {
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -69,6 +69,8 @@
 	next    int
 	// given holds the VMs of groups that were given up for another model.
 	given map[string]gift
+	// probing is the time between two probes of a VM.
+	probing time.Duration
 }
 
 // gift is what a VM was given up for.
@@ -90,7 +92,7 @@
 func newWorld(t *testing.T, seed uint64, domains int) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), vms: make(map[string]*engineVM), table: fleet.NewTable(),
-		rng: rand.New(rand.NewPCG(seed, seed)), epochs: NewEpochs(1), given: make(map[string]gift),
+		rng: rand.New(rand.NewPCG(seed, seed)), epochs: NewEpochs(1), given: make(map[string]gift), probing: probing,
 	}
 	for d := range domains {
 		for range domainVMs {
@@ -175,7 +177,7 @@
 	soon := w.p.Unsettled(w.now)
 	for _, id := range w.ids {
 		vm := w.vms[id]
-		if w.now.Sub(vm.probed) < probing && !slices.Contains(soon, id) {
+		if w.now.Sub(vm.probed) < w.probing && !slices.Contains(soon, id) {
 			continue
 		}
 		vm.probed = w.now
