--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -102,11 +102,12 @@
 	return true
 }
 
-// adoptBroken takes over a group some of whose members are lost, so that spares
-// may replace them. The lost ones are unknown.
+// adoptBroken takes over a group of an earlier planner some of whose members
+// are lost, so that spares may replace them. The lost ones are unknown. VMs that
+// a later formation of the group has left behind are no group.
 func (p *Planner) adoptBroken(now time.Time, members []*member) bool {
 	byRank := p.byRank(members)
-	if byRank == nil {
+	if byRank == nil || p.formedAgain(members[0].Group) {
 		return false
 	}
 	g := p.enterAdopted(members[0].Membership, members[0].Model, byRank)
@@ -114,6 +115,16 @@
 	return true
 }
 
+// formedAgain reports whether a formation of a group is known.
+func (p *Planner) formedAgain(name string) bool {
+	for key := range p.groups {
+		if key.name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // byRank orders the members of a group of an earlier planner, nil for those
 // that have not reported. It returns nil if they contradict each other.
 func (p *Planner) byRank(members []*member) []*member {
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -72,12 +72,20 @@
 		return HeadGaveUp
 	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
 		return HeadStopped
-	case m.Draining, rank == 0 && !m.Listed && now.Sub(m.ListedAt) >= unlistedGrace:
+	case m.Draining, rank == 0 && m.unlistedFor(now) >= unlistedGrace:
 		return MemberLeaving
 	}
 	return Sound
 }
 
+// unlistedFor returns for how long the platform hasn't listed the VM.
+func (m *member) unlistedFor(now time.Time) time.Duration {
+	if m.Listed {
+		return 0
+	}
+	return now.Sub(m.ListedAt)
+}
+
 // dark reports whether most VMs of a data centre are silent, or were a moment
 // ago, so that not all of them have been heard again.
 func (p *Planner) dark(now time.Time, dataCentre string) bool {
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -284,7 +284,7 @@
 }
 
 func (p *Planner) unsettled(now time.Time, m *member) bool {
-	if now.Sub(m.settleAt) < settleFor || p.unheard(m) {
+	if now.Sub(m.settleAt) < settleFor || p.unheard(m) && now.Sub(p.started) < adoptMost {
 		return true
 	}
 	if m.group == nil {
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -140,6 +140,28 @@
 	}
 }
 
+// A VM that was lost and replaced still reports the group's earlier formation
+// when it comes back. It is told to leave, and takes no part of the group along.
+func TestReplacedMemberThatComesBackLeaves(t *testing.T) {
+	w := formed(t)
+	head := w.head(large)
+	group := head.state.Group
+	lost := w.vms[head.list[1]]
+	lost.cut = true
+	w.run(5 * time.Second)
+	epoch := head.state.Epoch
+	assert.Equal(t, w.serving(large), 6)
+	for key := range w.p.groups {
+		assert.Assert(t, key.name != group || key.epoch == epoch, "two formations of %s", group)
+	}
+	lost.cut = false
+	w.run(5 * time.Second)
+	assert.Equal(t, lost.state.Group, "")
+	assert.Equal(t, w.serving(large), 6)
+	w.checkServes(group)
+	assert.Equal(t, head.state.Epoch, epoch)
+}
+
 // A group that loses a member just before a holder is replaced is mended by a
 // spare as under the same holder; its survivors don't wait for a lost head.
 func TestTakeoverMendsBrokenGroup(t *testing.T) {
