--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -34,14 +34,16 @@
 	return true
 }
 
-// survivors returns a group's members that answer and stay.
+// survivors returns a group's members that answer and stay, but for those that
+// were given up for another model.
 func (p *Planner) survivors(now time.Time, g *Group) []*member {
 	var out []*member
 	for rank := range g.Members {
 		switch p.fault(now, g, rank) {
 		case Sound, HeadGaveUp, HeadStopped:
 			m := p.members[g.Members[rank]]
-			if m.idle(now) && m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor {
+			fresh := m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor
+			if m.idle(now) && fresh && !m.promisedElsewhere(now, g.Model) {
 				out = append(out, m)
 			}
 		}
