--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -74,14 +74,6 @@
 	askedAt, toldAt time.Time
 }
 
-// forOthers reports whether other nodes rely on this one's own reads. One that
-// is told the row itself passes on what it hears.
-func (r *reading) forOthers(now time.Time) bool {
-	asked := !r.askedAt.IsZero() && now.Sub(r.askedAt) < askedFor
-	told := !r.toldAt.IsZero() && now.Sub(r.toldAt) < toldFor
-	return asked && !told
-}
-
 // New returns a candidate that does not hold the lease.
 func New(opts Options) *Machine {
 	opts = opts.withDefaults()
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -129,10 +129,19 @@
 	}
 }
 
+// forOthers reports whether other nodes rely on this one's own reads. One that
+// is told the row itself passes on what it hears.
+func (m *Machine) forOthers(now time.Time) bool {
+	r := &m.read
+	asked := !r.askedAt.IsZero() && now.Sub(r.askedAt) < askedFor
+	told := !r.toldAt.IsZero() && now.Sub(r.toldAt) < toldRenewals*m.opts.RenewEvery
+	return asked && !told
+}
+
 // rowAsked notes that others rely on what this node reads.
 func (m *Machine) rowAsked(now time.Time) {
 	m.read.askedAt = now
-	if !m.read.forOthers(now) {
+	if !m.forOthers(now) {
 		return
 	}
 	if soon := m.read.answeredAt.Add(m.opts.PollEvery); m.seen.known && soon.Before(m.read.next) {
@@ -143,15 +152,15 @@
 const (
 	// askedFor is how long a node that was asked for the row reads for others.
 	askedFor = time.Second
-	// toldFor is how long what a node was told stands in for own reads, a
-	// little more than the time between two renewals.
-	toldFor = 1500 * time.Millisecond
+	// toldRenewals is for how many renewals what a node was told stands in for
+	// own reads.
+	toldRenewals = 2
 )
 
 // pollEvery returns the interval between this candidate's reads.
 func (m *Machine) pollEvery(now time.Time) time.Duration {
 	per, all := m.opts.PollersPerInterval, len(m.seen.row.Candidates)
-	if per <= 0 || all <= per || m.read.forOthers(now) {
+	if per <= 0 || all <= per || m.forOthers(now) {
 		return m.opts.PollEvery
 	}
 	return m.opts.PollEvery * time.Duration(all) / time.Duration(per)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -223,8 +223,7 @@
 	if !c.machine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
-	want := make(map[string]time.Duration)
-	var unsettled []string
+	var vms, unsettled []string
 	c.state.Locked(func(k entry.Knowledge) {
 		if k.Catalog == nil || !k.Listed {
 			return
@@ -247,14 +246,13 @@
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
-					want[vm.ID] = c.opts.ProbeEvery
+					vms = append(vms, vm.ID)
 				}
 			}
 			unsettled = append(unsettled, p.Unsettled(now)...)
 		}
 	})
-	c.pace(want, unsettled)
-	c.prober.Want(want)
+	c.prober.Want(c.pace(vms, unsettled))
 }
 
 // probed reports whether a VM of a service is to be probed.
@@ -262,16 +260,19 @@
 	return vm.Listed || vm.FailedProbes == 0 || now.Sub(vm.ListedAt) < replica.UnlistedProbed
 }
 
-// pace bounds the probes of all VMs, but for those whose reports are awaited.
-func (c *Coordinator) pace(want map[string]time.Duration, unsettled []string) {
-	every := time.Duration(len(want)) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
+// pace returns how often each VM is to be probed: where there are many, each the
+// less often, but for those whose reports are awaited.
+func (c *Coordinator) pace(vms, unsettled []string) map[string]time.Duration {
+	every := time.Duration(len(vms)) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
 	every = min(max(every, c.opts.ProbeEvery), probeMost)
-	for id := range want {
+	want := make(map[string]time.Duration, len(vms))
+	for _, id := range vms {
 		want[id] = every
 	}
 	for _, id := range unsettled {
 		want[id] = c.opts.FastEvery
 	}
+	return want
 }
 
 // probeMost is less than the age of a report up to which a planner lets a VM
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -16,11 +16,11 @@
 		48: 450 * time.Millisecond, 224: 800 * time.Millisecond, 5000: probeMost,
 	} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
-			want := make(map[string]time.Duration)
+			var all []string
 			for i := range vms {
-				want[fmt.Sprint("i-", i)] = 0
+				all = append(all, fmt.Sprint("i-", i))
 			}
-			c.pace(want, []string{"i-3"})
+			want := c.pace(all, []string{"i-3"})
 			assert.Equal(t, want["i-0"], every)
 			assert.Equal(t, want["i-3"], 80*time.Millisecond)
 			assert.Equal(t, len(want), vms)
