Endpoints that leave, ask for a pause or send without end

Change: coord/dispatch/pause.go holds pauses and departures by a VM's start: no send inside a pause or past a departure, one request tries after a pause, a caller whose only choice pauses hears at once how long. A departure is told to other nodes and holds against older rows; the planner mends the VM's group. Heads, interim answers, events, bodies and what is read of refusals are bounded (internal/upstream/limits.go, internal/entry/bodies.go). The stand-in and the soak play all of them.

Ruled out: taking Server-Leaving as a row's draining, which a later row takes back. Tests: dispatch pause_test.go (200 random runs), entry trouble_test.go, upstream limits_test.go with a fuzz target.

--- a/coord/dispatch/leaving.go
+++ b/coord/dispatch/leaving.go
@@ -26,7 +26,7 @@
 		members = []*fleet.VM{vm}
 	}
 	for _, m := range members {
-		t.leaving = t.leaving || m.Draining || !m.Listed && now.Sub(m.ListedAt) < endsWithin
+		t.leaving = t.leaving || m.Departing() || !m.Listed && now.Sub(m.ListedAt) < endsWithin
 		t.outdated = t.outdated || m.Release != newest
 	}
 }
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -59,6 +59,10 @@
 	RetryAfter time.Duration
 }
 
+// Within reports whether a place may come free within d, so that waiting for
+// one makes sense.
+func (r *Refusal) Within(d time.Duration) bool { return r.Reason != Paused || r.RetryAfter < d }
+
 // Reason says why a request can't be placed.
 type Reason string
 
@@ -67,24 +71,16 @@
 	NoTarget Reason = "no endpoint"
 	AllFull  Reason = "all endpoints full"
 	AllCold  Reason = "endpoints warm up"
+	Paused   Reason = "endpoints asked for a pause"
 )
 
 // Pick chooses a target for a request and counts it there until Done.
 func (t *Table) Pick(now time.Time, q Query) (*Ticket, *Refusal) {
-	pool := t.pools[poolKey{q.Service, q.Model}]
 	var best *Target
 	bestScore := 0.0
-	reason := NoTarget
-	for i, target := range pool {
-		if slices.Contains(q.Exclude, target.ID) || now.Before(target.health.avoidUntil) {
-			continue
-		}
-		if full(target, q.Begun) {
-			reason = AllFull
-			continue
-		}
-		if !t.coldRoom(now, target) {
-			reason = AllCold
+	why := refusals{reason: NoTarget}
+	for i, target := range t.pools[poolKey{q.Service, q.Model}] {
+		if !t.eligible(now, target, q) || !why.takes(t, now, target, q) {
 			continue
 		}
 		score := t.score(target) + risk(target, q.Again) + jitter*spread(q.Draw, i)
@@ -93,14 +89,53 @@
 		}
 	}
 	if best == nil {
-		return nil, refusal(reason, q.Draw)
+		return nil, why.refusal(q.Draw)
 	}
 	best.cold.take(now)
 	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), reading: t.reading(q), sentAt: now, born: best.Born}
 	best.add(now, ticket)
+	best.pause.send(now, ticket)
 	return ticket, nil
 }
 
+// eligible reports whether a target may be considered for a request at all.
+func (t *Table) eligible(now time.Time, target *Target, q Query) bool {
+	return !slices.Contains(q.Exclude, target.ID) && !t.left(target) && !now.Before(target.health.avoidUntil)
+}
+
+// refusals collects why the targets of a pool don't take a request.
+type refusals struct {
+	reason Reason
+	// pausedFor is the shortest pause that a target has asked for.
+	pausedFor time.Duration
+}
+
+// takes reports whether a target takes a request now, or notes why not.
+func (r *refusals) takes(t *Table, now time.Time, target *Target, q Query) bool {
+	switch left := target.pause.left(now); {
+	case left > 0:
+		if r.pausedFor == 0 || left < r.pausedFor {
+			r.pausedFor = left
+		}
+	case target.pause.tried(now) || full(target, q.Begun):
+		r.reason = AllFull
+	case !t.coldRoom(now, target):
+		r.reason = AllCold
+	default:
+		return true
+	}
+	return false
+}
+
+// refusal says why no target is chosen. Where all that are left asked for a
+// pause, it says when the first one ends.
+func (r *refusals) refusal(draw uint64) *Refusal {
+	if r.reason == NoTarget && r.pausedFor > 0 {
+		return &Refusal{Reason: Paused, RetryAfter: r.pausedFor}
+	}
+	return refusal(r.reason, draw)
+}
+
 func refusal(reason Reason, draw uint64) *Refusal {
 	after := retryAfterFull
 	if reason == NoTarget {
@@ -223,6 +258,7 @@
 // Done ends a request at its target.
 func (t *Table) Done(now time.Time, ticket *Ticket, outcome Outcome) {
 	ticket.Target.remove(now, ticket)
+	ticket.Target.pause.ended(ticket, outcome)
 	switch outcome {
 	case Succeeded:
 		ticket.Target.health.succeeded()
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -73,7 +73,7 @@
 			lost = target.drop(lost)
 			continue
 		}
-		if serves && vm.Listed && !vm.Draining && !evacuated[vm.DataCentre] {
+		if serves && vm.Listed && !vm.Departing() && !evacuated[vm.DataCentre] {
 			key := poolKey{vm.Service, target.Model}
 			t.pools[key] = append(t.pools[key], target)
 		}
@@ -105,7 +105,7 @@
 	}
 	if target.Born != vm.Born || target.Address != vm.Address {
 		target.Born, target.Address = vm.Born, vm.Address
-		target.health, target.others = health{}, 0
+		target.health, target.others, target.pause = health{}, 0, pause{}
 	}
 	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, vm.Slots
 	return target
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -26,6 +26,7 @@
 	// leaving is whether one of its VMs is about to end, outdated whether one
 	// runs an older release than others, so that it may soon be replaced.
 	leaving, outdated bool
+	pause             pause
 
 	tickets map[*Ticket]struct{}
 	// others is the work of other nodes as of the newest report.
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -85,6 +85,7 @@
 	vm.pending = nil
 	vm.HeardAt = time.Time{}
 	vm.FailedProbes = 0
+	vm.Leaving, vm.LeavingAt = false, time.Time{}
 }
 
 func (vm *VM) setState(s State) {
@@ -128,6 +129,20 @@
 	vm.FailedProbes = 0
 	vm.Load = r.Load
 	vm.setState(r.State)
+	if r.Leaving {
+		t.NoteLeaving(sent, id, r.Born)
+	}
+}
+
+// NoteLeaving notes that a start of a VM has said in an answer that it leaves,
+// which holds until the VM starts again. It reports whether that is new.
+func (t *Table) NoteLeaving(now time.Time, id string, born int64) bool {
+	vm := t.vms[id]
+	if vm == nil || vm.Born != born || vm.Leaving {
+		return false
+	}
+	vm.Leaving, vm.LeavingAt = true, now
+	return true
 }
 
 // ApplyRelayed takes in a report that another node got from a VM. A VM that
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"slices"
 	"time"
 )
@@ -85,7 +86,12 @@
 	Engine  bool
 	// Listed is whether the platform lists the VM now.
 	Listed   bool
-	Draining bool
+	Draining bool // by its newest row
+	// Leaving is whether this start has said in an answer that it leaves. No
+	// row takes that back: rows may be older than they arrive.
+	Leaving bool
+	// LeavingAt is when this node learned that.
+	LeavingAt time.Time
 	// ColdUntil is when the VM bears its full load.
 	ColdUntil time.Time
 	// ListedAt is when the newest row arrived.
@@ -107,8 +113,26 @@
 	FailedSince time.Time
 }
 
+// Departing reports whether the VM is about to end, by its row or by its own
+// answers.
+func (vm *VM) Departing() bool { return vm.Draining || vm.Leaving }
+
 // Report is a VM's answer to a probe.
 type Report struct {
 	State
 	Load
+	// Leaving is whether the answer said that the VM leaves.
+	Leaving bool `json:",omitempty"`
+}
+
+// PausedError means that a VM wants no probes and orders for a time. It is no
+// sign that the VM is lost.
+type PausedError struct {
+	VM  string
+	For time.Duration
+}
+
+// Error names the VM and the time.
+func (e *PausedError) Error() string {
+	return fmt.Sprintf("endpoint %s wants nothing more for %s; wait that long", e.VM, e.For)
 }
--- a/coord/news/news.go
+++ b/coord/news/news.go
@@ -38,6 +38,12 @@
 	fleet.Report
 }
 
+// Leaving is a start of a VM that has said in an answer that it leaves.
+type Leaving struct {
+	VM   string
+	Born int64
+}
+
 // Lease is a row of a lease at a revision.
 type Lease struct {
 	Row      lease.Row
@@ -73,6 +79,8 @@
 	// again after an outage, and nil without one.
 	RegainedAge *time.Duration `json:",omitempty"`
 	Reports     []Report       `json:",omitempty"`
+	// Leaving are VMs that said since the mark of the question that they leave.
+	Leaving []Leaving `json:",omitempty"`
 	// Lease is the row of the planner's lease, nil if it is not newer.
 	Lease *Lease `json:",omitempty"`
 	// Mark is the Position.Reports of the next question.
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -29,7 +29,7 @@
 // free reports whether a VM may join a group now.
 func (p *Planner) free(now time.Time, m *member) bool {
 	return m.group == nil && m.idle(now) && m.loading == "" &&
-		m.Listed && !m.Draining && !p.evacuated[m.DataCentre] &&
+		m.Listed && !m.Departing() && !p.evacuated[m.DataCentre] &&
 		m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor && !m.HeardAt.Before(m.settleAt) &&
 		!now.Before(m.heldUntil) && (m.Group == "" || p.released[keyOf(m)]) && !m.Busy
 }
@@ -67,7 +67,7 @@
 func (p *Planner) wanted(model *catalog.Model) float64 {
 	alive := 0
 	for _, m := range p.members {
-		if m.Listed && !m.Draining && m.FailedProbes < silentProbes && !p.evacuated[m.DataCentre] {
+		if m.Listed && !m.Departing() && m.FailedProbes < silentProbes && !p.evacuated[m.DataCentre] {
 			alive++
 		}
 	}
--- a/coord/replica/assess.go
+++ b/coord/replica/assess.go
@@ -72,7 +72,7 @@
 		return HeadGaveUp
 	case g.Phase == Serving && rank == 0 && m.Stage != fleet.Open:
 		return HeadStopped
-	case m.Draining, rank == 0 && m.unlistedFor(now) >= unlistedGrace:
+	case m.Departing(), rank == 0 && m.unlistedFor(now) >= unlistedGrace:
 		return MemberLeaving
 	}
 	return Sound
--- a/coord/replica/order.go
+++ b/coord/replica/order.go
@@ -119,3 +119,13 @@
 		g.refusals++
 	}
 }
+
+// holdMost bounds how long a VM may ask for no orders.
+const holdMost = 10 * time.Minute
+
+// Hold keeps orders from a VM that wants none for d.
+func (p *Planner) Hold(now time.Time, vmID string, d time.Duration) {
+	if m := p.members[vmID]; m != nil {
+		m.retryAt = now.Add(min(d, holdMost))
+	}
+}
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -227,7 +227,7 @@
 func (m *member) restarted(born int64) {
 	m.acceptedBorn, m.acceptedOrders = born, 0
 	m.pending = nil
-	m.heldUntil = time.Time{}
+	m.heldUntil, m.retryAt = time.Time{}, time.Time{}
 	m.loading = ""
 }
 
@@ -270,7 +270,7 @@
 const UnlistedProbed = 12 * time.Second
 
 // leaving reports whether the VM is about to end.
-func (m *member) leaving() bool { return m.Draining || !m.Listed }
+func (m *member) leaving() bool { return m.Departing() || !m.Listed }
 
 // Unsettled returns the VMs whose next report is awaited, to be probed soon.
 func (p *Planner) Unsettled(now time.Time) []string {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
@@ -317,7 +318,14 @@
 	c.opts.Log.Log(ctx, level, "order", "action", string(o.Action), "endpoint", o.VM, "group", o.Group, "epoch", o.Epoch,
 		"model", o.Model, "expected", o.Expected, "outcome", outcome.String(), "error", err)
 	telemetry.Counter(c.opts.Metrics, "orders_total", "action", string(o.Action), "outcome", outcome.String()).Inc(1)
-	c.state.Locked(func(k entry.Knowledge) { p.Answered(k.Now, o.ID, o.VM, outcome) })
+	var paused *fleet.PausedError
+	errors.As(err, &paused)
+	c.state.Locked(func(k entry.Knowledge) {
+		p.Answered(k.Now, o.ID, o.VM, outcome)
+		if paused != nil {
+			p.Hold(k.Now, o.VM, paused.For)
+		}
+	})
 }
 
 // logGroups logs each change of a group's phase. mu is held.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -48,6 +48,8 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	sentAt time.Time
+	// paused is whether the endpoint asked for no requests for a time.
+	paused bool
 }
 
 // end closes an attempt and counts its outcome.
@@ -100,7 +102,7 @@
 		Again: req.mayHaveRun, PromptTokens: req.prompt}
 	began := s.now()
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
-	for until := s.waitUntil(req); refusal != nil && s.now().Before(until) && ctx.Err() == nil; {
+	for until := s.waitUntil(req); refusal != nil && refusal.Within(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil; {
 		time.Sleep(placeRetry)
 		ticket, refusal = s.state.pick(q, func() { a.cancel(errLost) })
 	}
@@ -181,9 +183,40 @@
 		resp.Close()
 		return &upstream.BrokenError{Address: a.ticket.Target.Address, Err: errors.Errorf("the answer belongs to request %q", echo)}
 	}
+	s.heed(a, req)
 	return nil
 }
 
+// heed takes in what an answer says of its endpoint: that it leaves, or wants
+// no requests for a time.
+func (s *Server) heed(a *attempt, req *request) {
+	h := a.resp.Header
+	if h.Get(s.proto.Leaving) != "" && s.state.leaving(a.ticket) {
+		s.count("endpoint leaving")
+		s.log.Info("endpoint leaves", "request", req.id, "endpoint", a.ticket.Target.ID, "status", a.resp.Status)
+	}
+	if a.resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	asked := upstream.RetryAfter(h, time.Now())
+	if asked <= 0 {
+		return
+	}
+	a.paused = true
+	kept := s.state.pause(a.ticket, asked)
+	s.count("endpoint paused")
+	s.log.Info("endpoint asks for a pause", "request", req.id, "endpoint", a.ticket.Target.ID, "asked", asked, "kept", kept)
+}
+
+// failedUnlessPaused is the outcome of an attempt that the endpoint failed: one
+// that asks for a pause is sound otherwise.
+func failedUnlessPaused(a *attempt) dispatch.Outcome {
+	if a.paused {
+		return dispatch.Neutral
+	}
+	return dispatch.Failed
+}
+
 // broke ends an attempt whose answer was lost.
 func (s *Server) broke(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
 	req.ran()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -27,7 +27,7 @@
 var testProtocol = Protocol{
 	RequestID: "X-Id", Deadline: "X-Deadline", Authorization: "Authorization", KeyScheme: "Bearer", Account: "X-Account",
 	ExpectVM: "X-Expect", NotRun: "X-Not-Run", Seal: "X-Seal", Model: "X-Model", Tokens: "X-Tokens",
-	LastEventID: "Last-Event-Id", Faulty: "X-Faulty",
+	LastEventID: "Last-Event-Id", Faulty: "X-Faulty", Leaving: "X-Leaving",
 }
 
 // endpoint is a server behind the entry VM that counts what it runs.
@@ -40,13 +40,18 @@
 type site struct {
 	t      *testing.T
 	state  *State
+	server *Server
 	front  *httptest.Server
 	now    atomic.Int64 // added to the clock, in nanoseconds
 	vms    int
 	routes []catalog.Route
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t *testing.T) *site { return newSiteWith(t, 0) }
+
+// newSiteWith returns a site whose entry VM has so much memory for answers that
+// are read whole.
+func newSiteWith(t *testing.T, bodyBytes int64) *site {
 	s := &site{t: t}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := func() time.Time { return time.Now().Add(time.Duration(s.now.Load())) }
@@ -61,10 +66,10 @@
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Public: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Second},
 	}
 	s.configure()
-	server := NewServer(Options{
-		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
+	s.server = NewServer(Options{
+		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, BodyBytes: bodyBytes, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
 	}, testProtocol, s.state, upstream.New(nil), make(chan struct{}))
-	s.front = httptest.NewServer(server)
+	s.front = httptest.NewServer(s.server)
 	t.Cleanup(s.front.Close)
 	return s
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -14,10 +13,6 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
-// maxBuffered bounds the answer of a plain service, which is read whole
-// before the caller gets any of it.
-const maxBuffered = 16 << 20
-
 // answer is an endpoint's whole answer.
 type answer struct {
 	status int
@@ -30,6 +25,7 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, cancel := context.WithTimeoutCause(r.Context(), req.deadline.Sub(s.now()), errDeadline)
 	defer cancel()
+	defer func() { s.bodies.give(req.buffered) }()
 	if req.route.Kind == catalog.Stream {
 		s.serveStream(ctx, w, r, req)
 		return
@@ -80,7 +76,7 @@
 	if s.refusedByEndpoint(a.resp) {
 		return nil, s.rejected(a, req)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBuffered))
+	body, err := s.readBody(a, req)
 	if err == nil {
 		err = s.checkAnswer(a)
 	}
@@ -99,6 +95,14 @@
 	return got, nil
 }
 
+// readBody reads an endpoint's answer whole. The memory that it takes is given
+// back with the end of the request.
+func (s *Server) readBody(a *attempt, req *request) ([]byte, error) {
+	body, taken, err := s.bodies.read(a.resp.Body)
+	req.buffered += taken
+	return body, err
+}
+
 // checkAnswer reports what shows that an answer isn't the endpoint's own.
 func (s *Server) checkAnswer(a *attempt) error {
 	if a.resp.Status/100 != 2 {
@@ -116,14 +120,14 @@
 // rejected ends an attempt that the endpoint did not run.
 func (s *Server) rejected(a *attempt, req *request) *problem.Error {
 	status, faulty := a.resp.Status, a.resp.Header.Get(s.proto.Faulty)
-	_, err := io.Copy(io.Discard, io.LimitReader(a.resp.Body, maxBuffered))
+	a.resp.Discard()
 	if status == http.StatusMisdirectedRequest || faulty != "" {
 		req.exclude = append(req.exclude, a.ticket.Target.ID)
 	}
 	req.sends++
 	s.end(a, dispatch.Rejected)
 	s.log.Info("endpoint did not run the request", "request", req.id, "endpoint", a.ticket.Target.ID,
-		"status", status, "faulty", faulty, "after", s.now().Sub(a.sentAt), "read_error", err)
+		"status", status, "faulty", faulty, "after", s.now().Sub(a.sentAt))
 	return s.fault(req, problem.New(problem.EndpointFailed, "the endpoint did not run the request", "retry").After(time.Second/2))
 }
 
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
@@ -48,6 +49,14 @@
 	wanted  map[string]time.Duration
 	running map[string]bool
 	lastAt  map[string]time.Time
+	// paused holds the VMs that asked for no probes.
+	paused map[string]probePause
+}
+
+// probePause is until when a start of a VM wants no probes.
+type probePause struct {
+	born  int64
+	until time.Time
 }
 
 // NewProber returns a prober of the state's VMs.
@@ -55,7 +64,7 @@
 	return &Prober{
 		opts: opts, state: state, engines: engines,
 		wanted: make(map[string]time.Duration), running: make(map[string]bool),
-		lastAt: make(map[string]time.Time),
+		lastAt: make(map[string]time.Time), paused: make(map[string]probePause),
 	}
 }
 
@@ -67,7 +76,10 @@
 }
 
 // target is a probe that is due.
-type target struct{ id, address string }
+type target struct {
+	id, address string
+	born        int64
+}
 
 // Tick starts the probes that are due and ends requests that make no
 // progress. lost are tickets whose targets are gone.
@@ -91,7 +103,7 @@
 		intervals := p.intervals(k)
 		for id, every := range intervals {
 			vm := k.VMs.Get(id)
-			if vm == nil || vm.Address == "" || p.running[id] {
+			if vm == nil || vm.Address == "" || p.running[id] || p.isPaused(k.Now, vm) {
 				continue
 			}
 			if vm.FailedProbes > 0 && vm.FailedProbes < quickRetries {
@@ -102,7 +114,7 @@
 			}
 			p.running[id] = true
 			p.lastAt[id] = k.Now
-			out = append(out, target{id, vm.Address})
+			out = append(out, target{id, vm.Address, vm.Born})
 		}
 	})
 	return out
@@ -155,11 +167,14 @@
 		outcome = "failed"
 	}
 	telemetry.Counter(p.opts.Metrics, "probes_total", "outcome", outcome).Inc(1)
+	var asked *fleet.PausedError
 	p.state.Locked(func(k Knowledge) {
 		late := k.Now.Sub(sent) > 2*p.opts.Timeout // this node itself stood still
 		switch {
 		case err == nil:
 			k.VMs.ApplyReport(sent, t.id, report)
+		case errors.As(err, &asked):
+			p.state.log.Info("endpoint wants no probes", "endpoint", t.id, "for", asked.For)
 		case !late && ctx.Err() != context.Canceled:
 			k.VMs.ProbeFailed(sent, t.id)
 			p.state.log.Info("probe failed", "endpoint", t.id, "error", err.Error())
@@ -168,4 +183,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.running, t.id)
+	if asked != nil {
+		p.paused[t.id] = probePause{born: t.born, until: p.state.now().Add(min(asked.For, pauseMost))}
+	}
+}
+
+// pauseMost bounds the pause that an endpoint may ask a prober for.
+const pauseMost = 10 * time.Minute
+
+// isPaused reports whether a VM wants no probes now. mu is held.
+func (p *Prober) isPaused(now time.Time, vm *fleet.VM) bool {
+	pause, ok := p.paused[vm.ID]
+	if ok && (pause.born != vm.Born || !now.Before(pause.until)) {
+		delete(p.paused, vm.ID)
+		return false
+	}
+	return ok
 }
--- /dev/null
+++ b/internal/entry/prober_test.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/news"
+)
+
+// fakeEngines answers probes and counts them, by VM.
+type fakeEngines struct {
+	mu     sync.Mutex
+	probes map[string]int
+	answer func(id string) (fleet.Report, error)
+}
+
+// Report implements Engines.
+func (f *fakeEngines) Report(_ context.Context, _, id string) (fleet.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.probes[id]++
+	return f.answer(id)
+}
+
+func (f *fakeEngines) count(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.probes[id]
+}
+
+// fleetSite is an entry VM's state before groups of two VMs, with a clock of
+// the test's and no network.
+type fleetSite struct {
+	t       *testing.T
+	mu      sync.Mutex
+	now     time.Time
+	state   *State
+	engines *fakeEngines
+	prober  *Prober
+}
+
+func newFleetSite(t *testing.T, groups int) *fleetSite {
+	s := &fleetSite{t: t, now: time.Unix(1000, 0), engines: &fakeEngines{probes: make(map[string]int)}}
+	s.state = NewState(slog.New(slog.NewTextHandler(io.Discard, nil)), s.clock, dispatch.Options{
+		DataCentre: "dc", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
+	})
+	s.prober = NewProber(ProbeOptions{
+		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, Timeout: time.Second,
+		StalledAfter: 500 * time.Millisecond, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
+	}, s.state, s.engines)
+	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
+	s.state.Operators(s.now, news.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	var rows []fleet.Row
+	for g := range groups {
+		for rank, stage := range []fleet.Stage{fleet.Open, fleet.Ready} {
+			id := string(rune('a'+g)) + string(rune('0'+rank))
+			rows = append(rows, fleet.Row{
+				ID: id, Service: "llm", Address: id, DataCentre: "dc", Slots: 8, Engine: true,
+				State: fleet.State{Born: 1, Model: "m", Membership: fleet.Membership{Group: id[:1], Epoch: 1, Rank: rank, Stage: stage}},
+			})
+		}
+	}
+	s.state.VMs(s.now, news.VMs{Version: 1, Whole: true, Rows: rows})
+	s.engines.answer = func(id string) (fleet.Report, error) { return s.report(id), nil }
+	s.state.Tick()
+	return s
+}
+
+func (s *fleetSite) clock() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+// report is what a VM says that is as its row told.
+func (s *fleetSite) report(id string) fleet.Report {
+	rank, stage := int(id[1]-'0'), fleet.Open
+	if rank > 0 {
+		stage = fleet.Ready
+	}
+	return fleet.Report{
+		State: fleet.State{Born: 1, Model: "m", Membership: fleet.Membership{Group: id[:1], Epoch: 1, Rank: rank, Stage: stage}},
+		Load:  fleet.Load{Pace: 1},
+	}
+}
+
+// run lets time pass in ticks and waits for the probes of each.
+func (s *fleetSite) run(d time.Duration) {
+	const tick = 50 * time.Millisecond
+	for range d / tick {
+		s.mu.Lock()
+		s.now = s.now.Add(tick)
+		s.mu.Unlock()
+		s.prober.Tick(context.Background(), s.state.Tick())
+		for s.probing() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (s *fleetSite) probing() bool {
+	s.prober.mu.Lock()
+	defer s.prober.mu.Unlock()
+	return len(s.prober.running) > 0
+}
+
+// A VM that wants no probes gets none for so long, and isn't taken for lost.
+func TestVMThatWantsNoProbesIsNotTakenForLost(t *testing.T) {
+	s := newFleetSite(t, 1)
+	s.engines.answer = func(id string) (fleet.Report, error) {
+		return fleet.Report{}, &fleet.PausedError{VM: id, For: 5 * time.Second}
+	}
+	s.run(5 * time.Second)
+	assert.Equal(t, s.engines.count("a0"), 1)
+	s.state.Locked(func(k Knowledge) { assert.Equal(t, k.VMs.Get("a0").FailedProbes, 0) })
+	s.engines.answer = func(id string) (fleet.Report, error) { return s.report(id), nil }
+	s.run(2 * time.Second)
+	assert.Assert(t, s.engines.count("a0") > 1)
+}
+
+// A report may be what says that a VM leaves; requests go there no more.
+func TestReportOfAVMThatLeavesTakesItOutOfUse(t *testing.T) {
+	s := newFleetSite(t, 1)
+	s.engines.answer = func(id string) (fleet.Report, error) {
+		r := s.report(id)
+		r.Leaving = true
+		return r, nil
+	}
+	s.run(2 * time.Second)
+	_, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m"}, func() {})
+	assert.Assert(t, refusal != nil)
+}
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -22,4 +22,6 @@
 	LastEventID string
 	// Faulty names the VM that made a group fail.
 	Faulty string
+	// Leaving marks all answers of a VM that is about to end.
+	Leaving string
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -45,6 +45,8 @@
 	exclude []string
 	last    string // the endpoint of the newest send
 	load    int    // predicted there when it was chosen
+	// buffered is the memory that answers of endpoints take, in bytes.
+	buffered int64
 }
 
 // hopByHop are headers that concern one connection.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,9 +20,12 @@
 	// UnknownAfter is the age of the catalog from which an unknown route or
 	// key may be one that is in force.
 	UnknownAfter time.Duration
-	Log          *slog.Logger
-	Metrics      metrics.Registry
-	Now          func() time.Time
+	// BodyBytes bounds the memory of answers that are read whole; 0 leaves it
+	// to a default.
+	BodyBytes int64
+	Log       *slog.Logger
+	Metrics   metrics.Registry
+	Now       func() time.Time
 }
 
 // Server serves callers. It is an http.Handler.
@@ -33,6 +36,7 @@
 	client *upstream.Client
 	log    *slog.Logger
 	now    func() time.Time
+	bodies *bodies
 	// stopping is closed when callers are to go elsewhere.
 	stopping <-chan struct{}
 }
@@ -40,7 +44,7 @@
 // NewServer returns a server over the state. Once stopping is closed, answers
 // ask callers to close their connections.
 func NewServer(opts Options, proto Protocol, state *State, client *upstream.Client, stopping <-chan struct{}) *Server {
-	return &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, stopping: stopping}
+	return &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: newBodies(opts.BodyBytes), stopping: stopping}
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -247,8 +247,22 @@
 func (s *State) progress(t *dispatch.Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.ProgressAt = s.now()
-	t.Begun = true
+	s.targets.Progress(s.now(), t)
+}
+
+// pause notes that the endpoint of a ticket has asked for no requests for d.
+func (s *State) pause(t *dispatch.Ticket, d time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Pause(s.now(), t, d)
+}
+
+// leaving notes that the endpoint of a ticket has said that it leaves. It
+// reports whether that is new.
+func (s *State) leaving(t *dispatch.Ticket) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Leaving(s.now(), t)
 }
 
 func (s *State) countRequest(service string) {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -103,14 +103,14 @@
 // failure handles an endpoint's own failure. It's delivered if nothing else
 // can be tried.
 func (rl *relay) failure(a *attempt) (done bool, fault *problem.Error) {
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, maxBuffered))
+	body, err := rl.readBody(a, rl.req)
 	rl.req.exclude = append(rl.req.exclude, a.ticket.Target.ID)
 	if err != nil || rl.req.begun {
 		return false, rl.broke(rl.ctx, a, rl.req, errors.Errorf("the endpoint answered status %d", a.resp.Status))
 	}
 	rl.req.ran()
 	got := &answer{status: a.resp.Status, header: a.resp.Header, body: body, vm: a.ticket.Target.ID}
-	rl.end(a, dispatch.Failed)
+	rl.end(a, failedUnlessPaused(a))
 	if got.status >= http.StatusInternalServerError && rl.again(rl.ctx, rl.req) {
 		return false, rl.fault(rl.req, problem.New(problem.EndpointFailed, "the endpoint failed", "retry"))
 	}
@@ -132,7 +132,9 @@
 			}
 			return err
 		}
-		rl.state.progress(a.ticket)
+		if !ev.empty {
+			rl.state.progress(a.ticket)
+		}
 		if !rl.fresh(ev.id) {
 			continue
 		}
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -67,6 +67,9 @@
 				VM: vm.ID, Age: now.Sub(vm.HeardAt), Report: fleet.Report{State: vm.State, Load: vm.Load},
 			})
 		}
+		if vm.Leaving && vm.Listed && vm.LeavingAt.UnixNano() > after.Reports {
+			a.Leaving = append(a.Leaving, news.Leaving{VM: vm.ID, Born: vm.Born})
+		}
 	}
 	return a
 }
@@ -90,6 +93,9 @@
 	for _, r := range a.Reports {
 		s.vms.ApplyRelayed(asked.Add(-r.Age), r.VM, r.Report)
 	}
+	for _, l := range a.Leaving {
+		s.vms.NoteLeaving(s.now(), l.VM, l.Born)
+	}
 	s.toldAt = s.now()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,6 +76,8 @@
 	// stopMargin is kept from the stop's grace.
 	stopMargin = 700 * time.Millisecond
 	maxHeaders = 64 << 10
+	// bodiesPart is the part of the memory for answers that are read whole.
+	bodiesPart = 4
 	// idleTimeout is longer than callers keep a connection.
 	idleTimeout = 2 * time.Minute
 )
@@ -275,7 +277,7 @@
 // callerServer serves callers.
 func (n *Node) callerServer() *http.Server {
 	handler := entry.NewServer(entry.Options{
-		KeysValidFor: n.set.Bounds.KeysValid - keysMargin, UnknownAfter: unknownAfter,
+		KeysValidFor: n.set.Bounds.KeysValid - keysMargin, UnknownAfter: unknownAfter, BodyBytes: n.set.Memory.LimitMB << 20 / bodiesPart,
 		Log: n.log, Metrics: n.registry, Now: boottime.Now,
 	}, n.backends.Protocol, n.state, n.client, n.stopping)
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -59,7 +59,7 @@
 func (f *faults) inject() {
 	s := f.site
 	node := s.nodes[f.rng.IntN(len(s.nodes))]
-	switch f.rng.IntN(10) {
+	switch f.rng.IntN(12) {
 	case 0:
 		f.during(node.vm+" paused", f.within(4*time.Second), func() { node.signal(syscall.SIGSTOP, false) }, func() { node.signal(syscall.SIGCONT, false) })
 	case 1:
@@ -83,9 +83,33 @@
 		f.during(e.ID+" starts again", 0, func() { f.check(e.Restart()) }, func() {})
 	case 9:
 		f.operate()
+	case 10:
+		e := s.engines[f.rng.IntN(len(s.engines))]
+		f.trouble(e.ID, e, f.within(3*time.Second))
+	case 11:
+		shop := s.shops[f.rng.IntN(len(s.shops))]
+		f.trouble("shop", shop, f.within(2*time.Second))
 	}
 }
 
+// troubled is an endpoint that can be made to misbehave.
+type troubled interface {
+	Trouble(cloud.Trouble)
+	Restart() error
+}
+
+// trouble lets an endpoint misbehave. One that has said that it leaves starts
+// again.
+func (f *faults) trouble(name string, e troubled, d time.Duration) {
+	trouble := []cloud.Trouble{cloud.Leaving, cloud.Pausing, cloud.EndlessHead, cloud.EndlessBody}[f.rng.IntN(4)]
+	f.during(fmt.Sprint(name, " ", trouble), d, func() { e.Trouble(trouble) }, func() {
+		e.Trouble(cloud.Calm)
+		if trouble == cloud.Leaving {
+			f.check(e.Restart())
+		}
+	})
+}
+
 // operate changes what operators have put in force.
 func (f *faults) operate() {
 	if f.rng.IntN(3) > 0 {
--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -20,6 +20,7 @@
 
 // Engine is a VM that runs models. It joins and serves groups by order.
 type Engine struct {
+	troubled
 	ID     string
 	Server *httptest.Server
 	// Ledger, if it is set before the first request, takes note of runs.
@@ -42,7 +43,8 @@
 	mux.HandleFunc("GET /report", e.report)
 	mux.HandleFunc("POST /order", e.order)
 	mux.HandleFunc("/", e.serve)
-	e.Server = httptest.NewServer(mux)
+	e.next = mux
+	e.Server = httptest.NewServer(&e.troubled)
 	e.row = map[string]any{
 		"service": service, "address": strings.TrimPrefix(e.Server.URL, "http://"), "zone": dataCentre, "slots": 26,
 		"state": "ready", "stage": "colocated", "domain": domain, "born": time.Now().UnixMilli(),
@@ -262,6 +264,7 @@
 
 // Shop is a plain service that counts what it runs.
 type Shop struct {
+	troubled
 	Server *httptest.Server
 	// Ledger, if it is set before the first request, takes note of runs.
 	Ledger *Ledger
@@ -277,7 +280,8 @@
 // NewShop starts a plain service and lists it.
 func NewShop(store *Store, id, service, dataCentre string) (*Shop, error) {
 	s := &Shop{id: id, store: store}
-	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	s.next = http.HandlerFunc(s.serve)
+	s.Server = httptest.NewServer(&s.troubled)
 	s.row = map[string]any{
 		"service": service, "address": strings.TrimPrefix(s.Server.URL, "http://"), "zone": dataCentre, "slots": 6,
 		"state": "ready", "born": time.Now().UnixMilli(),
@@ -291,6 +295,15 @@
 	return s.store.Put("servers", s.id, s.row)
 }
 
+// Restart lets the service start again at once.
+func (s *Shop) Restart() error {
+	s.mu.Lock()
+	s.row["born"] = time.Now().UnixMilli()
+	s.mu.Unlock()
+	s.Server.CloseClientConnections()
+	return s.store.Put("servers", s.id, s.row)
+}
+
 func (s *Shop) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.runs++
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -82,7 +82,8 @@
 type conn struct {
 	net.Conn
 	address string
-	r       *bufio.Reader
+	raw     *headReader
+	r       *bufio.Reader // over raw
 	idleAt  time.Time
 	// keep is how long the endpoint keeps the connection while idle.
 	keep time.Duration
@@ -134,7 +135,9 @@
 	if _, err := cn.Write(req.encode()); err != nil {
 		return nil, err
 	}
-	for {
+	cn.raw.limit(maxHeadBytes)
+	defer cn.raw.free()
+	for range maxInterim + 1 {
 		resp, err := http.ReadResponse(cn.r, &http.Request{Method: req.Method})
 		if err != nil {
 			return nil, err
@@ -151,6 +154,7 @@
 		cn.keep = keepAlive(resp.Header)
 		return out, nil
 	}
+	return nil, &OversizeError{What: "the number of interim answers", Limit: maxInterim, Unit: "answers"}
 }
 
 // encode writes the request in one piece, so that an endpoint that answers
@@ -206,6 +210,21 @@
 	return n, err
 }
 
+// Discard reads the rest of an answer that nobody wants, if little is left that
+// comes at once, so that its connection can be kept.
+func (r *Response) Discard() {
+	if r.conn == nil {
+		return
+	}
+	_ = r.conn.SetReadDeadline(time.Now().Add(discardTime)) // without one the read fails by itself
+	_, err := io.Copy(io.Discard, io.LimitReader(r.Body, discardBytes))
+	if err != nil || !r.ended {
+		r.keep = false
+		return
+	}
+	_ = r.conn.SetReadDeadline(time.Time{}) // Close looks whether the request was cancelled
+}
+
 // Close ends the use of the connection: it is kept if the answer was read
 // whole and nothing followed it.
 func (r *Response) Close() {
--- /dev/null
+++ b/internal/upstream/limits_test.go
@@ -0,0 +1,240 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// endless writes a beginning and then a piece again and again, until the other
+// side closes the connection.
+func endless(t *testing.T, beginning, piece string) (address string, closed chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.Close() })
+	closed = make(chan struct{}, 1000)
+	pieces := []byte(strings.Repeat(piece, 1+(8<<10)/len(piece)))
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, err := conn.Write([]byte(beginning))
+				for err == nil {
+					_, err = conn.Write(pieces)
+				}
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	return l.Addr().String(), closed
+}
+
+// heads are answers whose head doesn't end.
+var heads = map[string][2]string{
+	"status line":     {"HTTP/1.1 200 ", "O"},
+	"no protocol":     {"", "x"},
+	"header line":     {"HTTP/1.1 200 OK\r\nA: ", "b"},
+	"header lines":    {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	"interim answers": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+}
+
+func TestHeadWithoutEndIsAnErrorAndTheConnectionIsClosed(t *testing.T) {
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			address, closed := endless(t, head[0], head[1])
+			_, err := post(New(nil), address)
+			var broken *BrokenError
+			assert.Assert(t, errors.As(err, &broken), "%v", err)
+			<-closed
+		})
+	}
+}
+
+func TestHeadThatIsLongEnoughIsRead(t *testing.T) {
+	long := strings.Repeat("x", maxHeadBytes/2)
+	address, _ := script(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nA: "+long+"\r\nContent-Length: 2\r\n\r\nok")
+	body, err := post(New(nil), address)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "ok")
+}
+
+// The bound of a head doesn't hold for the body after it.
+func TestBodyMayBeLongerThanAHead(t *testing.T) {
+	body := strings.Repeat("x", 3*maxHeadBytes)
+	address, _ := script(t, "HTTP/1.1 200 OK\r\n\r\n"+body)
+	got, err := post(New(nil), address)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), len(body))
+}
+
+func TestChunkedBodyWithoutEndInItsFraming(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, framing := range map[string][2]string{
+		"chunk extension": {head + "1;a=", "b"},
+		"trailer line":    {head + "0\r\nA: ", "b"},
+		"trailer lines":   {head + "0\r\n", "A: b\r\n"},
+		"chunk size":      {head, "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, closed := endless(t, framing[0], framing[1])
+			_, err := post(New(nil), address)
+			assert.Assert(t, err != nil)
+			<-closed
+		})
+	}
+}
+
+// Hundreds of endpoints that never end a head don't use up an entry VM's
+// memory.
+func TestManyHeadsWithoutEndTakeLittleMemory(t *testing.T) {
+	const conns, most = 300, 128 << 20
+	client := New(nil)
+	var wg sync.WaitGroup
+	peak := watchHeap(t)
+	for _, head := range heads {
+		address, _ := endless(t, head[0], head[1])
+		for range conns / len(heads) {
+			wg.Go(func() {
+				_, err := post(client, address)
+				assert.Check(t, err != nil)
+			})
+		}
+	}
+	wg.Wait()
+	assert.Assert(t, peak() < most, "the heap grew to %d MB", peak()>>20)
+}
+
+// watchHeap returns a function that returns the largest size of the heap so
+// far, in bytes.
+func watchHeap(t *testing.T) func() uint64 {
+	var mu sync.Mutex
+	var peak uint64
+	done := make(chan struct{})
+	t.Cleanup(func() { close(done) })
+	look := func() {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		mu.Lock()
+		defer mu.Unlock()
+		peak = max(peak, m.HeapInuse)
+	}
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(5 * time.Millisecond):
+				look()
+			}
+		}
+	}()
+	return func() uint64 {
+		look()
+		mu.Lock()
+		defer mu.Unlock()
+		return peak
+	}
+}
+
+func TestDiscardGivesUpOnABodyWithoutEnd(t *testing.T) {
+	address, closed := endless(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100000000\r\n\r\n", "x")
+	resp, err := New(nil).Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.NilError(t, err)
+	resp.Discard()
+	resp.Close()
+	<-closed
+}
+
+func TestDiscardGivesUpOnABodyThatDoesNotCome(t *testing.T) {
+	address, _ := script(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nab", whole)
+	resp, err := New(nil).Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	assert.NilError(t, err)
+	resp.Discard()
+	resp.Close()
+}
+
+func TestDiscardKeepsTheConnectionOfAShortAnswer(t *testing.T) {
+	address, conns := script(t, whole, whole)
+	c := New(nil)
+	for range 2 {
+		resp, err := c.Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		assert.NilError(t, err)
+		resp.Discard()
+		resp.Close()
+	}
+	assert.Equal(t, conns.Load(), int32(1))
+}
+
+func TestRetryAfter(t *testing.T) {
+	now := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	for value, want := range map[string]time.Duration{
+		"":     0,
+		"2":    2 * time.Second,
+		" 2 ":  2 * time.Second,
+		"0.25": 250 * time.Millisecond,
+		"0":    0,
+		"-1":   0,
+		"NaN":  0,
+		"Inf":  1<<63 - 1,
+		"1e30": 1<<63 - 1,
+		"soon": 0,
+		"2 s":  0,
+		now.Add(3 * time.Second).Format(http.TimeFormat):  3 * time.Second,
+		now.Add(-3 * time.Second).Format(http.TimeFormat): 0,
+	} {
+		assert.Equal(t, RetryAfter(http.Header{"Retry-After": {value}}, now), want, value)
+	}
+}
+
+// FuzzExchange lets an endpoint answer by any bytes. An answer is whole or an
+// error, and takes no more memory than its bytes explain.
+func FuzzExchange(f *testing.F) {
+	for _, head := range heads {
+		f.Add([]byte(head[0] + strings.Repeat(head[1], 100)))
+	}
+	for _, answer := range []string{
+		whole, whole + whole, "HTTP/1.1 204 No Content\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\nbody", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok!", "HTTP/1.1 101 Switching\r\n\r\n" + whole,
+	} {
+		f.Add([]byte(answer))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		near, far := net.Pipe()
+		defer near.Close()
+		go func() {
+			defer far.Close()
+			go func() { _, _ = io.Copy(io.Discard, far) }() // the request
+			_, _ = far.Write(answer)
+		}()
+		cn := newConn(near, "fuzz")
+		resp, err := New(nil).exchange(cn, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+		if err != nil {
+			return
+		}
+		resp.stop = func() bool { return true }
+		var body bytes.Buffer
+		_, err = body.ReadFrom(resp.Body)
+		assert.Assert(t, resp.Status >= 200)
+		assert.Assert(t, body.Len() <= len(answer))
+		if err == nil && resp.keep {
+			assert.Assert(t, resp.Framed && resp.ended)
+		}
+		resp.Close()
+	})
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -30,7 +30,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, address: address, r: bufio.NewReaderSize(nc, readBuffer), keep: idleDefault}, nil
+	return newConn(nc, address), nil
+}
+
+func newConn(nc net.Conn, address string) *conn {
+	raw := &headReader{Conn: nc}
+	return &conn{Conn: nc, address: address, raw: raw, r: bufio.NewReaderSize(raw, readBuffer), keep: idleDefault}
 }
 
 // control bounds how long a silent peer keeps a connection.
