Reports are told over several steps

Cause: an answer told the reports whose probes were sent after the asker's last question, less 0.2 s. Ruled out: probes at the start, and the age up to which a told report counts.

Change: answers tell what was learned since the last one, whenever it was sent. Metrics count probes by what they are for.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -65,7 +65,7 @@
 
 func (s *site) report(id string, running int) {
 	vm := s.vms.Get(id)
-	s.vms.ApplyReport(s.now, id, fleet.Report{State: vm.State, Load: fleet.Load{Running: running, Pace: 1}})
+	s.vms.ApplyReport(s.now, s.now, id, fleet.Report{State: vm.State, Load: fleet.Load{Running: running, Pace: 1}})
 	s.update()
 }
 
@@ -151,7 +151,7 @@
 	vm := s.vms.Get(vmID(0, 0))
 	closing := vm.State
 	closing.Stage = fleet.Closing
-	s.vms.ApplyReport(s.now, vm.ID, fleet.Report{State: closing})
+	s.vms.ApplyReport(s.now, s.now, vm.ID, fleet.Report{State: closing})
 	assert.Equal(t, len(s.update()), 0)
 	_, refusal = s.pick(2)
 	assert.Equal(t, refusal.Reason, NoTarget)
--- a/coord/fleet/relayed_test.go
+++ b/coord/fleet/relayed_test.go
@@ -22,13 +22,13 @@
 		{"of an earlier start is not", func(*Table) {}, report(4, 3), 0},
 		{"of a start that no row has told of is not", func(*Table) {}, report(6, 3), 0},
 		{"of a VM that doesn't answer this node is not", func(t *Table) { t.ProbeFailed(now, "a") }, report(5, 3), 0},
-		{"older than this node's own is not", func(t *Table) { t.ApplyReport(now.Add(2*time.Second), "a", report(5, 1)) }, report(5, 3), 1},
+		{"older than this node's own is not", func(t *Table) { t.ApplyReport(now.Add(2*time.Second), now.Add(2*time.Second), "a", report(5, 1)) }, report(5, 3), 1},
 	} {
 		table := NewTable()
 		table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: State{Born: 5}})
 		test.before(table)
 		failed := table.Get("a").FailedProbes
-		table.ApplyRelayed(now.Add(time.Second), "a", test.report)
+		table.ApplyRelayed(now.Add(time.Second), now.Add(time.Second), "a", test.report)
 		assert.Equal(t, table.Get("a").Running, test.running, test.name)
 		assert.Equal(t, table.Get("a").FailedProbes, failed, test.name)
 	}
@@ -43,7 +43,7 @@
 	}
 	table := NewTable()
 	table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: member(7)})
-	table.ApplyReport(now, "a", Report{State: member(7)})
+	table.ApplyReport(now, now, "a", Report{State: member(7)})
 	table.ApplyRow(now.Add(time.Millisecond), Row{ID: "a", Address: "10.0.0.1:1", State: member(6)})
 	assert.Equal(t, table.Get("a").Epoch, uint64(7))
 	table.ApplyRow(now.Add(time.Millisecond), Row{ID: "a", Address: "10.0.0.1:1", State: member(8)})
@@ -56,7 +56,7 @@
 	member := State{Born: 5, Membership: Membership{Group: "g", Epoch: 7, Stage: Ready}}
 	table := NewTable()
 	table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: member})
-	table.ApplyReport(now, "a", Report{State: State{Born: 5}})
+	table.ApplyReport(now, now, "a", Report{State: State{Born: 5}})
 	table.ApplyRow(now.Add(time.Millisecond), Row{ID: "a", Address: "10.0.0.1:1", State: member})
 	assert.Equal(t, table.Get("a").Group, "")
 }
@@ -68,7 +68,7 @@
 	joined := State{Born: 5, Membership: Membership{Group: "g", Epoch: 8, Stage: Ready}}
 	table := NewTable()
 	table.ApplyRow(now, Row{ID: "a", Address: "10.0.0.1:1", State: State{Born: 5}})
-	table.ApplyReport(now, "a", Report{State: State{Born: 5, Orders: 3}})
+	table.ApplyReport(now, now, "a", Report{State: State{Born: 5, Orders: 3}})
 	table.ApplyRow(now.Add(time.Second), Row{ID: "a", Address: "10.0.0.1:1", State: joined})
 	table.Sweep(now.Add(reportPreferred))
 	assert.Equal(t, table.Get("a").Group, "")
@@ -76,9 +76,9 @@
 	assert.Equal(t, table.Get("a").Group, "g")
 	assert.Equal(t, table.Get("a").Orders, uint64(3))
 
-	table.ApplyReport(now.Add(2*time.Second), "a", Report{State: State{Born: 5}})
+	table.ApplyReport(now.Add(2*time.Second), now.Add(2*time.Second), "a", Report{State: State{Born: 5}})
 	table.ApplyRow(now.Add(2*time.Second), Row{ID: "a", Address: "10.0.0.1:1", State: joined})
-	table.ApplyReport(now.Add(3*time.Second), "a", Report{State: State{Born: 5}})
+	table.ApplyReport(now.Add(3*time.Second), now.Add(3*time.Second), "a", Report{State: State{Born: 5}})
 	table.Sweep(now.Add(9 * time.Second))
 	assert.Equal(t, table.Get("a").Group, "", "a newer report goes before the row")
 }
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -108,10 +108,10 @@
 	vm.ListedAt = now
 }
 
-// ApplyReport takes in the answer to a probe that was sent at a time. Reports
+// ApplyReport takes in, now, the answer to a probe that was sent at a time. Reports
 // don't name their VM: one of a start that no row has told of shows that the
 // earlier start has ended, but may be another VM's that has the address now.
-func (t *Table) ApplyReport(sent time.Time, id string, r Report) {
+func (t *Table) ApplyReport(now, sent time.Time, id string, r Report) {
 	vm := t.vms[id]
 	if vm == nil || sent.Before(vm.HeardAt) || r.Born < vm.Born {
 		return
@@ -124,13 +124,13 @@
 		t.ProbeFailed(sent, id) // it may be another VM at the address
 		return
 	}
-	vm.HeardAt = sent
+	vm.HeardAt, vm.LearnedAt = sent, now
 	vm.pending = nil
 	vm.FailedProbes = 0
 	vm.Load = r.Load
 	vm.setState(r.State)
 	if r.Leaving {
-		t.NoteLeaving(sent, id, r.Born)
+		t.NoteLeaving(now, id, r.Born)
 	}
 }
 
@@ -147,12 +147,12 @@
 
 // ApplyRelayed takes in a report that another node got from a VM. A VM that
 // doesn't answer this node is judged by its own probes alone.
-func (t *Table) ApplyRelayed(sent time.Time, id string, r Report) {
+func (t *Table) ApplyRelayed(now, sent time.Time, id string, r Report) {
 	vm := t.vms[id]
 	if vm == nil || vm.FailedProbes > 0 || r.Born != vm.rowBorn {
 		return
 	}
-	t.ApplyReport(sent, id, r)
+	t.ApplyReport(now, sent, id, r)
 }
 
 // ProbeFailed notes a probe without an answer.
--- a/coord/fleet/table_test.go
+++ b/coord/fleet/table_test.go
@@ -19,7 +19,7 @@
 	table := NewTable()
 	r := row("i-1", "a", 1)
 	table.ApplyRow(at(0), r)
-	table.ApplyReport(at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Membership: Membership{Group: "g", Stage: Open}}})
+	table.ApplyReport(at(1), at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Membership: Membership{Group: "g", Stage: Open}}})
 	r.Membership = Membership{Group: "g", Stage: Ready}
 	table.ApplyRow(at(1.5), r)
 	assert.Equal(t, table.Get("i-1").Stage, Open)
@@ -32,14 +32,14 @@
 func TestRestartForgets(t *testing.T) {
 	table := NewTable()
 	table.ApplyRow(at(0), row("i-1", "a", 1))
-	table.ApplyReport(at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Model: "m"}})
+	table.ApplyReport(at(1), at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Model: "m"}})
 	assert.Assert(t, table.ApplyRow(at(2), row("i-1", "a", 2)))
 	vm := table.Get("i-1")
 	assert.Equal(t, vm.Orders, uint64(0))
 	assert.Equal(t, vm.Model, "")
 	assert.Assert(t, vm.HeardAt.IsZero())
 
-	table.ApplyReport(at(3), "i-1", Report{State: State{Born: 1, Orders: 3}})
+	table.ApplyReport(at(3), at(3), "i-1", Report{State: State{Born: 1, Orders: 3}})
 	assert.Equal(t, vm.Orders, uint64(0), "a report of the earlier start came late")
 }
 
@@ -59,9 +59,9 @@
 func TestReportOfUnknownStartIsNotTheVMs(t *testing.T) {
 	table := NewTable()
 	table.ApplyRow(at(0), row("i-1", "a", 1))
-	table.ApplyReport(at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Model: "m"}})
+	table.ApplyReport(at(1), at(1), "i-1", Report{State: State{Born: 1, Orders: 3, Model: "m"}})
 	for s := range 3 {
-		table.ApplyReport(at(2+float64(s)), "i-1", Report{State: State{Born: 9}})
+		table.ApplyReport(at(2+float64(s)), at(2+float64(s)), "i-1", Report{State: State{Born: 9}})
 	}
 	vm := table.Get("i-1")
 	assert.Assert(t, vm.HeardAt.IsZero())
@@ -70,7 +70,7 @@
 	assert.Equal(t, vm.Born, int64(9), "the earlier start has ended")
 
 	table.ApplyRow(at(6), row("i-1", "a", 9))
-	table.ApplyReport(at(7), "i-1", Report{State: State{Born: 9, Orders: 1}})
+	table.ApplyReport(at(7), at(7), "i-1", Report{State: State{Born: 9, Orders: 1}})
 	assert.Equal(t, vm.Orders, uint64(1), "the row tells that it is the VM")
 	assert.Equal(t, vm.FailedProbes, 0)
 }
@@ -78,8 +78,8 @@
 func TestOldReportsAndFailuresAreIgnored(t *testing.T) {
 	table := NewTable()
 	table.ApplyRow(at(0), row("i-1", "a", 1))
-	table.ApplyReport(at(2), "i-1", Report{State: State{Born: 1, Orders: 2}})
-	table.ApplyReport(at(1), "i-1", Report{State: State{Born: 1, Orders: 1}})
+	table.ApplyReport(at(2), at(2), "i-1", Report{State: State{Born: 1, Orders: 2}})
+	table.ApplyReport(at(1), at(1), "i-1", Report{State: State{Born: 1, Orders: 1}})
 	table.ProbeFailed(at(1), "i-1")
 	vm := table.Get("i-1")
 	assert.Equal(t, vm.Orders, uint64(2))
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -107,6 +107,9 @@
 	Held string
 	// HeardAt is when the newest answered probe was sent.
 	HeardAt time.Time
+	// LearnedAt is when this node took the newest answer in, which may have
+	// come by way of other nodes.
+	LearnedAt time.Time
 	// FailedProbes counts probes without an answer since HeardAt.
 	FailedProbes int
 	// FailedSince is when the first of them was sent.
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -185,7 +185,7 @@
 			w.table.ProbeFailed(w.now, id)
 			continue
 		}
-		w.table.ApplyReport(w.now, id, fleet.Report{State: vm.state})
+		w.table.ApplyReport(w.now, w.now, id, fleet.Report{State: vm.state})
 	}
 }
 
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -75,10 +75,26 @@
 	p.wanted = intervals
 }
 
+// Reasons for probes, as metrics name them.
+const (
+	forRequests = "head"    // requests go to the VM
+	forPlanner  = "planned" // the holder of the lease keeps its report fresh
+	forOrder    = "awaited" // the holder awaits the effect of an order
+	inDoubt     = "doubt"   // a probe has failed
+	forStalled  = "stalled" // requests at its group make no progress
+)
+
+// pace is how often a VM is to be probed, and what for.
+type pace struct {
+	every time.Duration
+	why   string
+}
+
 // target is a probe that is due.
 type target struct {
 	id, address string
 	born        int64
+	why         string
 }
 
 // Tick starts the probes that are due and ends requests that make no
@@ -100,21 +116,22 @@
 	p.state.Locked(func(k Knowledge) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		intervals := p.intervals(k)
-		for id, every := range intervals {
+		for id, pace := range p.paces(k) {
+			every := pace.every
 			vm := k.VMs.Get(id)
 			if vm == nil || vm.Address == "" || p.running[id] || p.isPaused(k.Now, vm) {
 				continue
 			}
 			if vm.FailedProbes > 0 && vm.FailedProbes < quickRetries {
 				every = min(every, p.opts.FastEvery)
+				pace.why = inDoubt
 			}
 			if k.Now.Sub(p.lastAt[id]) < every || vm.FailedProbes == 0 && k.Now.Sub(vm.HeardAt) < every {
 				continue
 			}
 			p.running[id] = true
 			p.lastAt[id] = k.Now
-			out = append(out, target{id, vm.Address, vm.Born})
+			out = append(out, target{id, vm.Address, vm.Born, pace.why})
 		}
 	})
 	return out
@@ -123,24 +140,29 @@
 // quickRetries is how many failed probes are repeated soon.
 const quickRetries = 4
 
-// intervals returns how often each VM is to be probed.
-func (p *Prober) intervals(k Knowledge) map[string]time.Duration {
-	out := make(map[string]time.Duration, len(p.wanted))
+// paces returns how often each VM is to be probed. p.mu is held.
+func (p *Prober) paces(k Knowledge) map[string]pace {
+	out := make(map[string]pace, len(p.wanted))
 	headEvery := p.opts.HeadEvery
 	if k.Told {
 		headEvery = p.opts.ToldHeadEvery
 	}
 	for _, id := range k.Targets.Heads() {
-		out[id] = headEvery
+		out[id] = pace{headEvery, forRequests}
 	}
 	for id, every := range p.wanted {
-		if have, ok := out[id]; !ok || every < have {
-			out[id] = every
+		if have, ok := out[id]; ok && have.every <= every {
+			continue
+		}
+		why := forPlanner
+		if every <= p.opts.FastEvery {
+			why = forOrder
 		}
+		out[id] = pace{every, why}
 	}
 	for _, t := range k.Targets.Stalled(k.Now, p.opts.StalledAfter) {
 		for _, id := range t.Members {
-			out[id] = p.opts.FastEvery
+			out[id] = pace{p.opts.FastEvery, forStalled}
 		}
 	}
 	// A member that has failed a probe is followed until it answers.
@@ -151,7 +173,7 @@
 			continue
 		}
 		if _, ok := out[id]; !ok && vm.FailedProbes > 0 && vm.Listed {
-			out[id] = p.opts.HeadEvery
+			out[id] = pace{p.opts.HeadEvery, inDoubt}
 		}
 	}
 	return out
@@ -166,13 +188,13 @@
 	if err != nil {
 		outcome = "failed"
 	}
-	telemetry.Counter(p.opts.Metrics, "probes_total", "outcome", outcome).Inc(1)
+	telemetry.Counter(p.opts.Metrics, "probes_total", "for", t.why, "outcome", outcome).Inc(1)
 	var asked *fleet.PausedError
 	p.state.Locked(func(k Knowledge) {
 		late := k.Now.Sub(sent) > 2*p.opts.Timeout // this node itself stood still
 		switch {
 		case err == nil:
-			k.VMs.ApplyReport(sent, t.id, report)
+			k.VMs.ApplyReport(k.Now, sent, t.id, report)
 		case errors.As(err, &asked):
 			p.state.log.Info("endpoint wants no probes", "endpoint", t.id, "for", asked.For)
 		case !late && ctx.Err() != context.Canceled:
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -7,13 +7,8 @@
 	"github.com/pimentoshore/pimentoshore/coord/news"
 )
 
-const (
-	// toldFor is how long an answer of another node stands in for own reads.
-	toldFor = 700 * time.Millisecond
-	// reportOverlap is how long a probe may take to be answered: reports are
-	// told again that were sent so long before the last answer.
-	reportOverlap = 200 * time.Millisecond
-)
+// toldFor is how long an answer of another node stands in for own reads.
+const toldFor = 700 * time.Millisecond
 
 // Position returns what this node knows already.
 func (s *State) Position() news.Position {
@@ -55,19 +50,19 @@
 	a := news.Answer{
 		Known: true, Borrowed: s.unreadable(now) && s.told(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.Told == after.VMs),
-		Mark: now.Add(-reportOverlap).UnixNano(),
+		Mark: now.UnixNano(),
 	}
 	if !s.regainedAt.IsZero() {
 		age := now.Sub(s.regainedAt)
 		a.RegainedAge = &age
 	}
 	for _, vm := range s.vms.All() {
-		if vm.Rank == 0 && vm.Group != "" && vm.Listed && vm.FailedProbes == 0 && vm.HeardAt.UnixNano() > after.Reports {
+		if vm.Rank == 0 && vm.Group != "" && vm.Listed && vm.FailedProbes == 0 && vm.LearnedAt.UnixNano() >= after.Reports {
 			a.Reports = append(a.Reports, news.Report{
 				VM: vm.ID, Age: now.Sub(vm.HeardAt), Report: fleet.Report{State: vm.State, Load: vm.Load},
 			})
 		}
-		if vm.Leaving && vm.Listed && vm.LeavingAt.UnixNano() > after.Reports {
+		if vm.Leaving && vm.Listed && vm.LeavingAt.UnixNano() >= after.Reports {
 			a.Leaving = append(a.Leaving, news.Leaving{VM: vm.ID, Born: vm.Born})
 		}
 	}
@@ -91,7 +86,7 @@
 		s.takeVMs(asked.Add(-a.VMsAge), *a.VMs)
 	}
 	for _, r := range a.Reports {
-		s.vms.ApplyRelayed(asked.Add(-r.Age), r.VM, r.Report)
+		s.vms.ApplyRelayed(s.now(), asked.Add(-r.Age), r.VM, r.Report)
 	}
 	for _, l := range a.Leaving {
 		s.vms.NoteLeaving(s.now(), l.VM, l.Born)
