One node of a data centre examines groups that stand still

Ruled out: fewer probes of each node by lot, since a node then doesn't know whether its group is broken.

The first node of a data centre and the holder of the lease probe the group's VMs every 0.3 s; the others hear which groups lack a VM, unless requests of their own make progress there.

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -35,6 +37,9 @@
 	cats    *catalog.Catalog
 	vms     *fleet.Table
 	budgets map[string]*repeats
+	// broken are the groups that this node found to lack a VM, told those that
+	// another node of its data centre did.
+	broken, told map[fleet.Formation]bool
 }
 
 // poolKey names the endpoints among which a request may choose.
@@ -47,6 +52,7 @@
 		targets: make(map[string]*Target),
 		pools:   make(map[poolKey][]*Target),
 		budgets: make(map[string]*repeats),
+		broken:  make(map[fleet.Formation]bool),
 	}
 }
 
@@ -63,12 +69,13 @@
 	groups := membersByGroup(vms)
 	releases := newestReleases(vms)
 	clear(t.pools)
+	clear(t.broken)
 	var lost []*Ticket
 	for _, vm := range vms.All() {
 		target := t.follow(vm)
 		target.observe(vm, t.lag(vm.Service), t.nodes, t.rank)
-		works, serves := t.describe(vm, target, groups)
-		target.foresee(now, vm, groups[groupKey{vm.Group, vm.Epoch}], releases[vm.Service])
+		works, serves := t.describe(now, vm, target, groups)
+		target.foresee(now, vm, groups[vm.Formation()], releases[vm.Service])
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
 			continue
@@ -113,7 +120,7 @@
 
 // describe fills in a target's group. works is whether requests that are at
 // the VM may end well, and serves whether it takes more.
-func (t *Table) describe(vm *fleet.VM, target *Target, groups map[groupKey][]*fleet.VM) (works, serves bool) {
+func (t *Table) describe(now time.Time, vm *fleet.VM, target *Target, groups map[fleet.Formation][]*fleet.VM) (works, serves bool) {
 	if !vm.Engine {
 		return true, true
 	}
@@ -127,18 +134,51 @@
 		target.allowed = target.round(float64(vm.Slots)/float64(t.nodes), vm.Epoch, t.rank)
 	}
 	target.Model = vm.Model
-	members := groups[groupKey{vm.Group, vm.Epoch}]
+	members := groups[vm.Formation()]
 	target.Members = target.Members[:0]
 	for _, m := range members {
 		target.Members = append(target.Members, m.ID)
 		if m.FailedProbes >= deadProbes {
-			return false, false
+			t.broken[vm.Formation()] = true
 		}
 	}
+	if t.broken[vm.Formation()] || t.told[vm.Formation()] && !target.progressed(now) {
+		return false, false
+	}
 	works = t.complete(vm, len(members))
 	return works, works && vm.Stage == fleet.Open
 }
 
+// Broken returns the groups that this node or one that tells it found to lack a
+// VM.
+func (t *Table) Broken() []fleet.Formation {
+	all := maps.Clone(t.broken)
+	maps.Copy(all, t.told)
+	out := slices.Collect(maps.Keys(all))
+	slices.SortFunc(out, func(a, b fleet.Formation) int {
+		return cmp.Or(strings.Compare(a.Group, b.Group), cmp.Compare(a.Epoch, b.Epoch))
+	})
+	return out
+}
+
+// SetTold replaces the groups that another node of the data centre found to
+// lack a VM. Requests that make progress there show this node the opposite.
+func (t *Table) SetTold(broken []fleet.Formation) {
+	t.told = make(map[fleet.Formation]bool, len(broken))
+	for _, f := range broken {
+		t.told[f] = true
+	}
+}
+
+// Members returns the VMs of the group whose head is the VM, if requests may
+// go there.
+func (t *Table) Members(head string) []string {
+	if target := t.targets[head]; target != nil && target.Group != "" {
+		return target.Members
+	}
+	return nil
+}
+
 // complete reports whether a group has as many members as its model needs.
 func (t *Table) complete(head *fleet.VM, members int) bool {
 	svc := t.cats.Service(head.Service)
@@ -168,16 +208,11 @@
 	return lost
 }
 
-type groupKey struct {
-	name  string
-	epoch uint64
-}
-
-func membersByGroup(vms *fleet.Table) map[groupKey][]*fleet.VM {
-	groups := make(map[groupKey][]*fleet.VM)
+func membersByGroup(vms *fleet.Table) map[fleet.Formation][]*fleet.VM {
+	groups := make(map[fleet.Formation][]*fleet.VM)
 	for _, vm := range vms.All() {
 		if vm.Group != "" {
-			key := groupKey{vm.Group, vm.Epoch}
+			key := vm.Formation()
 			groups[key] = append(groups[key], vm)
 		}
 	}
@@ -207,12 +242,12 @@
 	return out
 }
 
-// Stalled returns the targets none of whose requests has made progress for d.
-func (t *Table) Stalled(now time.Time, d time.Duration) []*Target {
-	var out []*Target
-	for _, target := range t.targets {
+// Stalled returns the heads none of whose requests has made progress for d.
+func (t *Table) Stalled(now time.Time, d time.Duration) []string {
+	var out []string
+	for id, target := range t.targets {
 		if target.Group != "" && target.stalled(now, d) {
-			out = append(out, target)
+			out = append(out, id)
 		}
 	}
 	return out
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -27,6 +27,8 @@
 	// runs an older release than others, so that it may soon be replaced.
 	leaving, outdated bool
 	pause             pause
+	// progressAt is when one of this node's requests last brought bytes.
+	progressAt time.Time
 
 	tickets map[*Ticket]struct{}
 	// others is the work of other nodes as of the newest report.
@@ -76,6 +78,12 @@
 // of a request that is being answered.
 const readingWeight = 1.0
 
+// progressed reports whether a request of this node has lately made progress.
+func (t *Target) progressed(now time.Time) bool { return now.Sub(t.progressAt) < progressFor }
+
+// progressFor is how long progress shows that a group is whole.
+const progressFor = 500 * time.Millisecond
+
 // load is the predicted number of requests at the target.
 func (t *Target) load() int { return len(t.tickets) + t.others }
 
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -29,6 +29,15 @@
 	Stage Stage
 }
 
+// Formation is one formation of a group.
+type Formation struct {
+	Group string
+	Epoch uint64
+}
+
+// Formation returns the one that the VM is in.
+func (m *Membership) Formation() Formation { return Formation{m.Group, m.Epoch} }
+
 // Load is the work at a VM as of its last report.
 type Load struct {
 	Running, Waiting int
--- a/coord/news/news.go
+++ b/coord/news/news.go
@@ -59,6 +59,8 @@
 	// version of VMs that the same node told last; both are 0 for others.
 	Reports int64
 	Told    uint64
+	// Suspects are the heads at whose groups requests make no progress.
+	Suspects []Suspect
 }
 
 // Answer is what a node tells another that asks.
@@ -81,6 +83,12 @@
 	Reports     []Report       `json:",omitempty"`
 	// Leaving are VMs that said since the mark of the question that they leave.
 	Leaving []Leaving `json:",omitempty"`
+	// Suspects are the heads at whose groups some node's requests make no
+	// progress.
+	Suspects []Suspect `json:",omitempty"`
+	// Broken are the groups found to lack a VM, as seen from the node's data
+	// centre.
+	Broken []fleet.Formation `json:",omitempty"`
 	// Lease is the row of the planner's lease, nil if it is not newer.
 	Lease *Lease `json:",omitempty"`
 	// Mark is the Position.Reports of the next question.
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -29,6 +29,9 @@
 	ToldHeadEvery time.Duration
 	// FastEvery is the interval between probes of a VM in doubt.
 	FastEvery time.Duration
+	// ExamineEvery is the interval between probes of the VMs of a group at
+	// which requests make no progress.
+	ExamineEvery time.Duration
 	// Timeout bounds a probe.
 	Timeout time.Duration
 	// StalledAfter is how long none of a group's requests may make progress
@@ -102,6 +105,7 @@
 func (p *Prober) Tick(ctx context.Context, lost []*dispatch.Ticket) {
 	p.state.Locked(func(k Knowledge) {
 		lost = append(lost, k.Targets.Silent(k.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
+		k.Suspects.Seen(k.Now, k.Targets.Stalled(k.Now, p.opts.StalledAfter))
 	})
 	for _, t := range lost {
 		t.Cancel()
@@ -160,11 +164,7 @@
 		}
 		out[id] = pace{every, why}
 	}
-	for _, t := range k.Targets.Stalled(k.Now, p.opts.StalledAfter) {
-		for _, id := range t.Members {
-			out[id] = pace{p.opts.FastEvery, forStalled}
-		}
-	}
+	p.examine(k, out)
 	// A member that has failed a probe is followed until it answers.
 	for id := range p.lastAt {
 		vm := k.VMs.Get(id)
@@ -179,6 +179,22 @@
 	return out
 }
 
+// examine adds the VMs of groups at which requests of some node make no
+// progress. One node of each data centre examines them for the others there,
+// and the holder of the lease for its own decisions. p.mu is held.
+func (p *Prober) examine(k Knowledge, out map[string]pace) {
+	if k.ToldAtHome && len(p.wanted) == 0 {
+		return
+	}
+	for _, s := range k.Suspects.Down(k.Now) {
+		for _, id := range k.Targets.Members(s.VM) {
+			if have, ok := out[id]; !ok || have.every > p.opts.ExamineEvery {
+				out[id] = pace{p.opts.ExamineEvery, forStalled}
+			}
+		}
+	}
+}
+
 func (p *Prober) probe(ctx context.Context, t target) {
 	ctx, cancel := context.WithTimeout(ctx, p.opts.Timeout)
 	defer cancel()
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -55,7 +55,7 @@
 		DataCentre: "dc", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
 	s.prober = NewProber(ProbeOptions{
-		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, Timeout: time.Second,
+		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, ExamineEvery: 300 * time.Millisecond, Timeout: time.Second,
 		StalledAfter: 500 * time.Millisecond, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
 	}, s.state, s.engines)
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -42,8 +42,10 @@
 	readFailedAt time.Time
 	// readAt is when this node itself last read the VMs.
 	readAt time.Time
-	// toldAt is when another node last told what it knows.
-	toldAt time.Time
+	// toldAt is when another node last told what it knows, and toldAtHome when
+	// one of the same data centre did.
+	toldAt, toldAtHome time.Time
+	suspects           *news.Suspects
 
 	view atomic.Pointer[View]
 	// traffic counts requests.
@@ -61,7 +63,7 @@
 func NewState(log *slog.Logger, now func() time.Time, opts dispatch.Options) *State {
 	return &State{
 		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: news.NewRecord(),
-		evacuated: make(map[string]bool), unlisted: make(map[string]time.Time),
+		evacuated: make(map[string]bool), unlisted: make(map[string]time.Time), suspects: news.NewSuspects(),
 	}
 }
 
@@ -189,6 +191,9 @@
 		}
 	}
 	s.vms.Sweep(now)
+	if !s.toldHome(now) {
+		s.targets.SetTold(nil)
+	}
 	if s.cat == nil {
 		return nil
 	}
@@ -199,7 +204,11 @@
 func (s *State) Locked(f func(k Knowledge)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f(Knowledge{Now: s.now(), VMs: s.vms, Targets: s.targets, Catalog: s.cat, Evacuated: s.evacuated, Listed: s.listed, Told: s.told(s.now())})
+	now := s.now()
+	f(Knowledge{
+		Now: now, VMs: s.vms, Targets: s.targets, Catalog: s.cat, Evacuated: s.evacuated, Listed: s.listed,
+		Told: s.told(now), ToldAtHome: s.toldHome(now), Suspects: s.suspects,
+	})
 }
 
 // Knowledge is what a node knows; it may only be used while it is locked.
@@ -212,6 +221,9 @@
 	Listed    bool
 	// Told is whether another node tells what it hears of endpoint VMs.
 	Told bool
+	// ToldAtHome is whether one of the same data centre does.
+	ToldAtHome bool
+	Suspects   *news.Suspects
 }
 
 // View returns what is known of the catalog, or nil.
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -14,7 +14,9 @@
 func (s *State) Position() news.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.record.Position()
+	p := s.record.Position()
+	p.Suspects = s.suspects.Up(s.now())
+	return p
 }
 
 // Told implements watch.Observer. A node that can't read from the platform
@@ -38,11 +40,18 @@
 	return !s.toldAt.IsZero() && now.Sub(s.toldAt) < toldFor
 }
 
+// toldHome reports whether another node of the same data centre does. mu is
+// held.
+func (s *State) toldHome(now time.Time) bool {
+	return !s.toldAtHome.IsZero() && now.Sub(s.toldAtHome) < toldFor
+}
+
 // Answer tells another node what it doesn't know yet.
 func (s *State) Answer(after news.Position) news.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	s.suspects.Asked(now, after.Suspects)
 	view := s.view.Load()
 	if view == nil || !s.listed {
 		return news.Answer{}
@@ -50,7 +59,7 @@
 	a := news.Answer{
 		Known: true, Borrowed: s.unreadable(now) && s.told(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.Told == after.VMs),
-		Mark: now.UnixNano(),
+		Mark: now.UnixNano(), Suspects: s.suspects.Down(now), Broken: s.targets.Broken(),
 	}
 	if !s.regainedAt.IsZero() {
 		age := now.Sub(s.regainedAt)
@@ -70,8 +79,9 @@
 }
 
 // Hear takes in what another node has answered to a question that was sent at
-// a time. Ages are counted from there, so that they are never too low.
-func (s *State) Hear(asked time.Time, a news.Answer) {
+// a time. Ages are counted from there, so that they are never too low. home is
+// whether it is of the same data centre: what it finds broken is so from here.
+func (s *State) Hear(asked time.Time, home bool, a news.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.Operators != nil {
@@ -91,14 +101,19 @@
 	for _, l := range a.Leaving {
 		s.vms.NoteLeaving(s.now(), l.VM, l.Born)
 	}
+	s.suspects.Told(asked, a.Suspects)
 	s.toldAt = s.now()
+	if home {
+		s.toldAtHome = s.toldAt
+		s.targets.SetTold(a.Broken)
+	}
 }
 
 // Alone notes that no other node tells this one anything now.
 func (s *State) Alone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.toldAt = time.Time{}
+	s.toldAt, s.toldAtHome = time.Time{}, time.Time{}
 }
 
 // Unreadable reports whether the platform does not answer this node, so that
--- a/internal/entry/told_test.go
+++ b/internal/entry/told_test.go
@@ -4,9 +4,11 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
 // chain is a line of entry VMs, each of which asks the one before it.
@@ -25,9 +27,11 @@
 
 // ask lets one node ask the one before it.
 func (c *chain) ask(i int) {
-	a := c.sites[i-1].state.Answer(news.Position{Reports: c.marks[i]})
+	after := c.sites[i].state.Position()
+	after.Reports = c.marks[i]
+	a := c.sites[i-1].state.Answer(after)
 	c.marks[i] = a.Mark
-	c.sites[i].state.Hear(c.sites[i].clock(), a)
+	c.sites[i].state.Hear(c.sites[i].clock(), true, a)
 }
 
 // run lets time pass: nodes tick, and ask every 200 ms.
@@ -62,3 +66,86 @@
 		assert.Assert(t, probes <= 2*groups, "node %d probes what others tell: %d", i, probes)
 	}
 }
+
+// stall lets a request at a group make no progress at a node.
+func (s *fleetSite) stall(group string) *dispatch.Ticket {
+	var stalled *dispatch.Ticket
+	var others []*dispatch.Ticket
+	for stalled == nil {
+		ticket, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m", Draw: uint64(len(others))}, func() {})
+		assert.Assert(s.t, refusal == nil)
+		if ticket.Target.Group == group {
+			stalled = ticket
+			continue
+		}
+		others = append(others, ticket)
+	}
+	for _, ticket := range others {
+		s.state.done(ticket, dispatch.Neutral)
+	}
+	return stalled
+}
+
+// serves reports whether a node sends requests to a group.
+func (s *fleetSite) serves(group string) bool {
+	serves := false
+	s.state.Locked(func(k Knowledge) {
+		for _, id := range k.Targets.Heads() {
+			serves = serves || id == group+"0"
+		}
+	})
+	return serves
+}
+
+// Every node used to probe all VMs of a group at which its requests made no
+// progress, twelve times a second. Now one does for its data centre, and the
+// others hear what it found.
+func TestOneNodeExaminesAGroupForItsDataCentre(t *testing.T) {
+	c := newChain(t, 4, 2)
+	lost := func(id string) (fleet.Report, error) { return fleet.Report{}, errors.New("no answer") }
+	for _, s := range c.sites {
+		answer := s.engines.answer
+		s.engines.answer = func(id string) (fleet.Report, error) {
+			if id == "a1" {
+				return lost(id)
+			}
+			return answer(id)
+		}
+	}
+	c.run(time.Second)
+	for _, s := range c.sites[1:] {
+		s.stall("a")
+	}
+	c.run(2 * time.Second)
+	assert.Assert(t, c.sites[0].engines.count("a1") >= 2, "the first node examines what others suspect")
+	for i, s := range c.sites {
+		assert.Assert(t, !s.serves("a"), "node %d", i)
+		assert.Assert(t, s.serves("b"), "node %d", i)
+		if i > 0 {
+			assert.Equal(t, s.engines.count("a1"), 0, "node %d", i)
+		}
+	}
+}
+
+// A node whose own requests make progress at a group doesn't believe that it
+// lacks a VM: the one that tells may have lost its way there.
+func TestProgressGoesBeforeWhatIsTold(t *testing.T) {
+	c := newChain(t, 2, 1)
+	c.sites[0].engines.answer = func(string) (fleet.Report, error) { return fleet.Report{}, errors.New("no answer") }
+	working := c.sites[1].stall("a")
+	for range 10 {
+		c.run(200 * time.Millisecond)
+		c.sites[1].state.progress(working)
+	}
+	assert.Assert(t, !c.sites[0].serves("a"))
+	assert.Assert(t, c.sites[1].serves("a"))
+}
+
+// A node whose data centre has no other examines by itself.
+func TestNodeThatIsToldNothingExamines(t *testing.T) {
+	s := newFleetSite(t, 1)
+	s.stall("a")
+	s.run(2 * time.Second)
+	assert.Assert(t, s.engines.count("a1") >= 3)
+	assert.Assert(t, s.engines.count("a1") <= 7, "not more often than needed: %d", s.engines.count("a1"))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,6 +57,7 @@
 	// askMaxAge is a little more than twice a read's longest wait and way.
 	askMaxAge      = time.Second
 	fastProbeEvery = 80 * time.Millisecond
+	examineEvery   = 300 * time.Millisecond
 	stalledAfter   = 500 * time.Millisecond
 	silentAfter    = 1200 * time.Millisecond
 	firstAfter     = 2500 * time.Millisecond
@@ -120,7 +121,7 @@
 		RepeatRatio: set.Bounds.RepeatRatio, RepeatSlack: set.Bounds.RepeatSlack, RepeatWindow: set.Bounds.RepeatWindow,
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
-		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, Timeout: probeTimeout,
+		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, ExamineEvery: examineEvery, Timeout: probeTimeout,
 		StalledAfter: stalledAfter, SilentAfter: silentAfter, FirstAfter: firstAfter, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -38,8 +38,8 @@
 }
 
 // Hear implements relay.Listener.
-func (l *listener) Hear(asked time.Time, a news.Answer) {
-	l.state.Hear(asked, a)
+func (l *listener) Hear(asked time.Time, from news.Node, a news.Answer) {
+	l.state.Hear(asked, from.DataCentre == l.set.DataCentre, a)
 	if a.Lease != nil {
 		l.coord.Seen(*a.Lease)
 	}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -25,8 +25,8 @@
 type Listener interface {
 	// Position is what is known already.
 	Position() news.Position
-	// Hear takes an answer in. asked is when the question was sent.
-	Hear(asked time.Time, a news.Answer)
+	// Hear takes a node's answer in. asked is when the question was sent.
+	Hear(asked time.Time, from news.Node, a news.Answer)
 	// Alone says that no node is left to ask.
 	Alone()
 	// Unreadable reports whether the platform does not answer this node.
@@ -164,6 +164,18 @@
 	f.asked = vm
 }
 
+// request returns the question of a node that has what the position says.
+func (f *Follower) request(p news.Position) *relaypb.AskRequest {
+	req := &relaypb.AskRequest{
+		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address,
+		Operators: p.Operators, Vms: p.VMs, Reports: p.Reports, Lease: p.Lease, Told: p.Told,
+	}
+	for _, s := range p.Suspects {
+		req.Suspects = append(req.Suspects, &relaypb.Suspect{Vm: s.VM, AgeNs: s.Age.Nanoseconds()})
+	}
+	return req
+}
+
 func (f *Follower) askOne(ctx context.Context, n news.Node, unreadable bool) (a news.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
@@ -173,9 +185,7 @@
 	}
 	asked := boottime.Now()
 	client := relaypb.NewRelayProtobufClient("http://"+n.Address, &f.http)
-	resp, err := client.Ask(ctx, &relaypb.AskRequest{
-		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address, Operators: position.Operators, Vms: position.VMs, Reports: position.Reports, Lease: position.Lease, Told: position.Told,
-	})
+	resp, err := client.Ask(ctx, f.request(position))
 	if err != nil {
 		return a, errors.Trace(err)
 	}
@@ -191,6 +201,6 @@
 	if age := max(a.OperatorsAge, a.VMsAge); age > f.opts.MaxAge && !unreadable {
 		return a, fmt.Errorf("it last read %s ago", age)
 	}
-	f.listener.Hear(asked, a)
+	f.listener.Hear(asked, n, a)
 	return a, nil
 }
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -41,7 +41,7 @@
 
 func (n *fakeNode) Position() news.Position { return news.Position{Operators: 1, VMs: 2, Lease: 3} }
 
-func (n *fakeNode) Hear(asked time.Time, a news.Answer) {
+func (n *fakeNode) Hear(asked time.Time, _ news.Node, a news.Answer) {
 	n.heard = append(n.heard, a)
 	n.asked = asked
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -28,7 +29,16 @@
 	if req.Vm != "" && req.Address != "" {
 		s.teller.Met(news.Node{VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address})
 	}
-	answer := s.teller.Answer(news.Position{Operators: req.Operators, VMs: req.Vms, Reports: req.Reports, Lease: req.Lease, Told: req.Told})
+	answer := s.teller.Answer(position(req))
 	raw, err := json.Marshal(answer)
 	return &relaypb.AskResponse{Answer: raw}, errors.Trace(err)
 }
+
+// position returns what the node that asks has.
+func position(req *relaypb.AskRequest) news.Position {
+	p := news.Position{Operators: req.Operators, VMs: req.Vms, Reports: req.Reports, Lease: req.Lease, Told: req.Told}
+	for _, s := range req.Suspects {
+		p.Suspects = append(p.Suspects, news.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
+	}
+	return p
+}
