The holder asks members of serving groups seldom, and awaits only what it needs

Cause: the holder asked every VM at least every 1.2 s, and every 80 ms all VMs of a group that was not serving yet, also those that had joined already or were a second from it: 925 VMs. Ruled out: fewer reports of heads, which requests are placed by.

VMs that go on not to answer are asked less and less often.

The random runs of coord/replica probe by the planner's attention now; TestMemberOffTheListStays failed with members asked seldom that are off the list, and is why these aren't.

--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -272,29 +272,5 @@
 // leaving reports whether the VM is about to end.
 func (m *member) leaving() bool { return m.Departing() || !m.Listed }
 
-// Unsettled returns the VMs whose next report is awaited, to be probed soon.
-func (p *Planner) Unsettled(now time.Time) []string {
-	var out []string
-	for _, vm := range p.table.All() {
-		if m := p.members[vm.ID]; m != nil && p.unsettled(now, m) {
-			out = append(out, m.ID)
-		}
-	}
-	return out
-}
-
-func (p *Planner) unsettled(now time.Time, m *member) bool {
-	if now.Sub(m.settleAt) < settleFor || p.unheard(m) && now.Sub(p.started) < adoptMost {
-		return true
-	}
-	if m.group == nil {
-		return false
-	}
-	if m.loading != "" && p.traffic {
-		return false
-	}
-	return m.group.Phase != Serving
-}
-
 // Groups returns the groups by epoch, for reports.
 func (p *Planner) Groups() []*Group { return p.sorted() }
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -174,10 +174,9 @@
 }
 
 func (w *world) probeAll() {
-	soon := w.p.Unsettled(w.now)
 	for _, id := range w.ids {
 		vm := w.vms[id]
-		if w.now.Sub(vm.probed) < w.probing && !slices.Contains(soon, id) {
+		if w.now.Sub(vm.probed) < w.probeEvery(id, vm) {
 			continue
 		}
 		vm.probed = w.now
@@ -189,6 +188,38 @@
 	}
 }
 
+// probeEvery is the time between two probes of a VM: as long as the planner
+// bears, but shorter where requests at its group stand still.
+func (w *world) probeEvery(id string, vm *engineVM) time.Duration {
+	switch w.p.Attention(w.now, id) {
+	case Urgent:
+		return 0
+	case Regular:
+		return w.probing
+	}
+	if w.standsStill(vm) {
+		return examining
+	}
+	return background
+}
+
+// standsStill reports whether a VM of the same formation doesn't work.
+func (w *world) standsStill(vm *engineVM) bool {
+	for _, other := range w.vms {
+		if other.state.Formation() == vm.state.Formation() && (other.dead || other.cut) {
+			return true
+		}
+	}
+	return false
+}
+
+// background is the time between two probes of a member of a group that serves,
+// examining that while its group stands still.
+const (
+	background = 3 * time.Second
+	examining  = 500 * time.Millisecond
+)
+
 func (w *world) carry(o Order) {
 	vm := w.vms[o.VM]
 	switch {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,13 +41,14 @@
 	// OrderTimeout bounds an order from sending to answer.
 	OrderTimeout time.Duration
 	// ProbeEvery is the least interval between probes of a VM by the holder,
-	// FastEvery that of VMs whose reports are awaited. ProbesPerSecond bounds
-	// the former over all VMs.
-	ProbeEvery, FastEvery time.Duration
-	ProbesPerSecond       int
-	Log                   *slog.Logger
-	Metrics               metrics.Registry
-	Now                   func() time.Time
+	// FastEvery that of VMs whose reports are awaited, and MemberEvery that of
+	// members of groups that serve. ProbesPerSecond bounds the first over all
+	// VMs.
+	ProbeEvery, FastEvery, MemberEvery time.Duration
+	ProbesPerSecond                    int
+	Log                                *slog.Logger
+	Metrics                            metrics.Registry
+	Now                                func() time.Time
 }
 
 // Coordinator is a candidate for the lease, and the planner while it holds it.
@@ -224,7 +225,7 @@
 	if !c.machine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
-	var vms, unsettled []string
+	watched := make(map[string]replica.Attention)
 	c.state.Locked(func(k entry.Knowledge) {
 		if k.Catalog == nil || !k.Listed {
 			return
@@ -247,13 +248,12 @@
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
-					vms = append(vms, vm.ID)
+					watched[vm.ID] = p.Attention(now, vm.ID)
 				}
 			}
-			unsettled = append(unsettled, p.Unsettled(now)...)
 		}
 	})
-	c.prober.Want(c.pace(vms, unsettled))
+	c.prober.Want(c.pace(watched))
 }
 
 // probed reports whether a VM of a service is to be probed.
@@ -261,17 +261,27 @@
 	return vm.Listed || vm.FailedProbes == 0 || now.Sub(vm.ListedAt) < replica.UnlistedProbed
 }
 
-// pace returns how often each VM is to be probed: where there are many, each the
-// less often, but for those whose reports are awaited.
-func (c *Coordinator) pace(vms, unsettled []string) map[string]time.Duration {
-	every := time.Duration(len(vms)) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
-	every = min(max(every, c.opts.ProbeEvery), probeMost)
-	want := make(map[string]time.Duration, len(vms))
-	for _, id := range vms {
-		want[id] = every
+// pace returns how often each VM is to be probed: where there are many whose
+// reports must be fresh, each of these the less often.
+func (c *Coordinator) pace(watched map[string]replica.Attention) map[string]time.Duration {
+	regular := 0
+	for _, a := range watched {
+		if a == replica.Regular {
+			regular++
+		}
 	}
-	for _, id := range unsettled {
-		want[id] = c.opts.FastEvery
+	every := time.Duration(regular) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
+	every = min(max(every, c.opts.ProbeEvery), probeMost)
+	want := make(map[string]time.Duration, len(watched))
+	for id, a := range watched {
+		switch a {
+		case replica.Urgent:
+			want[id] = c.opts.FastEvery
+		case replica.Regular:
+			want[id] = every
+		default:
+			want[id] = c.opts.MemberEvery
+		}
 	}
 	return want
 }
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -144,6 +144,10 @@
 // quickRetries is how many failed probes are repeated soon.
 const quickRetries = 4
 
+// doubtDoublings bounds how often the interval doubles between probes of a VM
+// that goes on not to answer.
+const doubtDoublings = 2
+
 // paces returns how often each VM is to be probed. p.mu is held.
 func (p *Prober) paces(k Knowledge) map[string]pace {
 	out := make(map[string]pace, len(p.wanted))
@@ -173,7 +177,7 @@
 			continue
 		}
 		if _, ok := out[id]; !ok && vm.FailedProbes > 0 && vm.Listed {
-			out[id] = pace{p.opts.HeadEvery, inDoubt}
+			out[id] = pace{p.opts.HeadEvery << min(vm.FailedProbes/quickRetries, doubtDoublings), inDoubt}
 		}
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 	ownRetry      = 1200 * time.Millisecond
 	probeTimeout  = 200 * time.Millisecond
 	probeEvery    = 450 * time.Millisecond
+	memberEvery   = 3 * time.Second
 	// probesPerSecond bounds the holder's probes where there are many VMs.
 	probesPerSecond = 280
 	headProbeEvery  = 800 * time.Millisecond
@@ -135,7 +136,7 @@
 			OrderTimeout: orderTimeout, Margin: leaseRetry,
 		},
 		Replica:      replica.Options{Stall: set.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: set.Bounds.LoadWindow},
-		OrderTimeout: orderTimeout, ProbeEvery: probeEvery, FastEvery: fastProbeEvery, ProbesPerSecond: probesPerSecond,
+		OrderTimeout: orderTimeout, ProbeEvery: probeEvery, FastEvery: fastProbeEvery, MemberEvery: memberEvery, ProbesPerSecond: probesPerSecond,
 		Log: log, Metrics: registry, Now: boottime.Now,
 	}, b.Table, n.state, b.Orders, n.prober, n.follower)
 	return n, nil
