Stalls by requests that have begun, bounded examinations, aversions in requests

Causes: a node with one request at a group, which waited for its turn for half a second, took the group for stalled: 37 nodes have one request here and there, so that some node suspected some group all the time. A request that had just been sent hid a stall, on the other hand. Where most groups stand still (VMs turn slow) or many VMs fail (a data centre is cut off), all of them were asked several times a second. And what speaks against a group (far away, about to end) was a fixed part of its slots, beside an own request that weighs as if all nodes had as many: nothing with 37 nodes.

Change: a group stands still if no request of the node made progress there for 0.5 s and one has begun, or has waited for 1 s. Examinations and quick retries are at most 150 a second of a node. Aversions are counted in requests of the node.

Tests: TestNewRequestsDoNotHideThatAGroupStandsStill, TestRequestThatWaitsForItsTurnIsNoStall, TestExaminationsOfManyGroupsAreBounded, TestRetriesOfManyVMsAreBounded, TestAversionsHoldWithManyNodes.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -250,7 +250,7 @@
 	s := newSite(1)
 	ticket, _ := s.pick(1)
 	s.now = s.now.Add(time.Second)
-	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond)), 1)
+	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond, time.Second)), 1)
 	assert.Equal(t, len(s.table.Silent(s.now, time.Second, 2*time.Second)), 0)
 	ticket.Begun = true
 	assert.Equal(t, len(s.table.Silent(s.now, time.Second, 2*time.Second)), 1)
@@ -408,3 +408,55 @@
 		s.vms.ProbeFailed(s.now, id)
 	}
 }
+
+// A request that was just sent says nothing of whether a group stands still.
+func TestNewRequestsDoNotHideThatAGroupStandsStill(t *testing.T) {
+	s := newSite(1)
+	begun, _ := s.pick(1)
+	s.table.Progress(s.now, begun)
+	s.now = s.now.Add(550 * time.Millisecond)
+	s.pick(2)
+	assert.DeepEqual(t, s.table.Stalled(s.now, 500*time.Millisecond, time.Second), []string{vmID(0, 0)})
+	s.table.Progress(s.now, begun)
+	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond, time.Second)), 0)
+}
+
+// Load: many nodes with hardly a request each at a group. One that waits for
+// its turn is no sign that the group stands still.
+func TestRequestThatWaitsForItsTurnIsNoStall(t *testing.T) {
+	s := newSite(1)
+	s.pick(1)
+	s.now = s.now.Add(700 * time.Millisecond)
+	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond, time.Second)), 0)
+	s.now = s.now.Add(300 * time.Millisecond)
+	assert.Equal(t, len(s.table.Stalled(s.now, 500*time.Millisecond, time.Second)), 1)
+}
+
+// Load: each of many nodes has hardly a request at each group. What speaks
+// against a group must not be lost beside the weight of one request, which
+// grows with the nodes.
+func TestAversionsHoldWithManyNodes(t *testing.T) {
+	for name, change := range map[string]func(*fleet.Row){
+		"of another data centre": func(r *fleet.Row) { r.DataCentre = "dc-b" },
+		"about to end":           func(r *fleet.Row) { r.Draining = true },
+	} {
+		for _, nodes := range []int{37, 300} {
+			s := newSite(4)
+			s.table.SetNodes(nodes, 0)
+			for g := range 2 {
+				rank := 0
+				if name == "about to end" {
+					rank = 1 // the group's head goes on for a while
+				}
+				s.change(vmID(g, rank), change)
+			}
+			for i := range 4 {
+				ticket, refusal := s.pick(i * 7919)
+				assert.Assert(t, refusal == nil)
+				averse := ticket.Target.ID == vmID(0, 0) || ticket.Target.ID == vmID(1, 0)
+				first := i < 2
+				assert.Assert(t, !first || !averse, "%s, %d nodes: request %d went to %s", name, nodes, i, ticket.Target.ID)
+			}
+		}
+	}
+}
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -15,18 +15,18 @@
 	begunFactor = 2
 	// plainFactor times a plain server's slots is what one node sends it.
 	plainFactor = 3
-	// remotePenalty is what a request to another data centre costs, as a
-	// part of a target's slots.
-	remotePenalty = 0.06
+	// remoteRequests is how many more requests this node has at a target of its
+	// own data centre before it takes one of another.
+	remoteRequests = 0.5
 	// ownWeight is the weight of this node's own requests, as if all nodes had
 	// as many, against what was last reported.
 	ownWeight = 0.8
 	// failurePenalty weighs the share of failed requests.
 	failurePenalty = 2.0
-	// leavingRisk weighs that a VM of a target is about to end, againRisk that
-	// a request could lose a second endpoint.
-	leavingRisk = 0.5
-	againRisk   = 1.0
+	// leavingRequests is the same for targets one of whose VMs is about to end,
+	// againRequests where a request could lose a second endpoint.
+	leavingRequests = 4
+	againRequests   = 8
 	// jitter spreads requests over targets that are about as good.
 	jitter = 0.15
 	// retryAfterFull is when a place is likely to be free again.
@@ -83,7 +83,7 @@
 		if !t.eligible(now, target, q) || !why.takes(t, now, target, q) {
 			continue
 		}
-		score := t.score(target) + risk(target, q.Again) + jitter*spread(q.Draw, i)
+		score := t.score(target) + t.unit(target)*t.aversion(target, q.Again) + jitter*spread(q.Draw, i)
 		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
@@ -154,28 +154,33 @@
 	return len(t.tickets) >= t.allowed
 }
 
+// unit is what one request of this node weighs in a target's score, as if all
+// nodes had as many.
+func (t *Table) unit(target *Target) float64 {
+	return ownWeight * float64(t.nodes) / float64(max(1, target.Slots))
+}
+
 func (t *Table) score(target *Target) float64 {
-	own := (target.own() + 1) * float64(t.nodes)
-	all := float64(target.load() + 1)
-	score := (ownWeight*own + (1-ownWeight)*all) / float64(max(1, target.Slots)) * target.pace
-	if target.DataCentre != t.opts.DataCentre {
-		score += remotePenalty
-	}
-	return score + failurePenalty*target.health.failures
+	own := t.unit(target) * (target.own() + 1)
+	all := (1 - ownWeight) * float64(target.load()+1) / float64(max(1, target.Slots))
+	return (own+all)*target.pace + failurePenalty*target.health.failures
 }
 
-// risk weighs that a target may soon be lost, above all for a request that has
-// lost one already.
-func risk(t *Target, again bool) float64 {
-	switch {
-	case t.leaving && again:
-		return againRisk + leavingRisk
-	case t.leaving:
-		return leavingRisk
-	case t.outdated && again:
-		return againRisk
+// aversion is how many more requests of this node other targets get before this
+// one: it is far away, or may soon be lost, above all for a request that has
+// lost an endpoint already.
+func (t *Table) aversion(target *Target, again bool) float64 {
+	requests := 0.0
+	if target.DataCentre != t.opts.DataCentre {
+		requests += remoteRequests
+	}
+	if target.leaving {
+		requests += leavingRequests
+	}
+	if again && (target.leaving || target.outdated) {
+		requests += againRequests
 	}
-	return 0
+	return requests
 }
 
 // reading returns the length of a request's prompt against the usual one.
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -242,26 +242,29 @@
 	return out
 }
 
-// Stalled returns the heads none of whose requests has made progress for d.
-func (t *Table) Stalled(now time.Time, d time.Duration) []string {
+// Stalled returns the heads at which no request of this node has made progress
+// for d, though one has begun or has waited for first. Others that have just
+// been sent show nothing.
+func (t *Table) Stalled(now time.Time, d, first time.Duration) []string {
 	var out []string
 	for id, target := range t.targets {
-		if target.Group != "" && target.stalled(now, d) {
+		if target.Group != "" && target.stalled(now, d, first) {
 			out = append(out, id)
 		}
 	}
 	return out
 }
 
-func (t *Target) stalled(now time.Time, d time.Duration) bool {
-	waiting := 0
+func (t *Target) stalled(now time.Time, d, first time.Duration) bool {
+	if now.Sub(t.progressAt) < d {
+		return false
+	}
 	for ticket := range t.tickets {
-		if now.Sub(ticket.ProgressAt) < d {
-			return false
+		if ticket.Begun || now.Sub(ticket.sentAt) >= first {
+			return true
 		}
-		waiting++
 	}
-	return waiting > 0
+	return false
 }
 
 // Silent returns the tickets at groups that have made no progress for d, or for
--- a/coord/replica/attention.go
+++ b/coord/replica/attention.go
@@ -26,6 +26,9 @@
 // joinHeldTime is how long a VM takes to join a group of the model that it holds.
 const joinHeldTime = 200 * time.Millisecond
 
+// idleLoadPart is by how much a load is shorter before the first request.
+const idleLoadPart = 10
+
 // Attention returns how soon a VM's next report is needed.
 func (p *Planner) Attention(now time.Time, id string) Attention {
 	m := p.members[id]
@@ -75,7 +78,10 @@
 	case joinStaged:
 		took = model.WarmTime
 	case joinLoad:
-		return !p.traffic // loads are short before traffic, and long and shared later
+		if p.traffic {
+			return false // how long it takes depends on the other loads
+		}
+		took = model.LoadTime / idleLoadPart
 	}
 	return !by.Before(m.settleAt.Add(took))
 }
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -71,6 +71,8 @@
 	given map[string]gift
 	// probing is the time between two probes of a VM.
 	probing time.Duration
+	// probed counts the probes.
+	probed int
 }
 
 // gift is what a VM was given up for.
@@ -180,6 +182,7 @@
 			continue
 		}
 		vm.probed = w.now
+		w.probed++
 		if vm.dead || vm.cut {
 			w.table.ProbeFailed(w.now, id)
 			continue
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -29,16 +29,20 @@
 	ToldHeadEvery time.Duration
 	// FastEvery is the interval between probes of a VM in doubt.
 	FastEvery time.Duration
-	// ExamineEvery is the interval between probes of the VMs of a group at
-	// which requests make no progress.
-	ExamineEvery time.Duration
+	// ExamineEvery is the least interval between probes of the VMs of a group
+	// at which requests make no progress. ExaminePerSecond bounds these probes
+	// over all groups, and quick ones of VMs in doubt: where very many stand
+	// still or fail, it is not these VMs that are lost.
+	ExamineEvery     time.Duration
+	ExaminePerSecond int
 	// Timeout bounds a probe.
 	Timeout time.Duration
 	// StalledAfter is how long none of a group's requests may make progress
-	// before its members are probed; SilentAfter ends a request that alone
-	// makes none, FirstAfter one that never made any.
-	StalledAfter, SilentAfter, FirstAfter time.Duration
-	Metrics                               metrics.Registry
+	// before its members are examined, StalledFirst how long one may wait for
+	// its first; SilentAfter ends a request that alone makes none, FirstAfter
+	// one that never made any.
+	StalledAfter, StalledFirst, SilentAfter, FirstAfter time.Duration
+	Metrics                                             metrics.Registry
 }
 
 // Prober keeps the reports of VMs fresh that this node depends on.
@@ -105,7 +109,7 @@
 func (p *Prober) Tick(ctx context.Context, lost []*dispatch.Ticket) {
 	p.state.Locked(func(k Knowledge) {
 		lost = append(lost, k.Targets.Silent(k.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
-		k.Suspects.Seen(k.Now, k.Targets.Stalled(k.Now, p.opts.StalledAfter))
+		k.Suspects.Seen(k.Now, k.Targets.Stalled(k.Now, p.opts.StalledAfter, p.opts.StalledFirst))
 	})
 	for _, t := range lost {
 		t.Cancel()
@@ -120,14 +124,16 @@
 	p.state.Locked(func(k Knowledge) {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		for id, pace := range p.paces(k) {
+		paces := p.paces(k)
+		retryEvery := p.retryEvery(k, paces)
+		for id, pace := range paces {
 			every := pace.every
 			vm := k.VMs.Get(id)
 			if vm == nil || vm.Address == "" || p.running[id] || p.isPaused(k.Now, vm) {
 				continue
 			}
 			if vm.FailedProbes > 0 && vm.FailedProbes < quickRetries {
-				every = min(every, p.opts.FastEvery)
+				every = min(every, retryEvery)
 				pace.why = inDoubt
 			}
 			if k.Now.Sub(p.lastAt[id]) < every || vm.FailedProbes == 0 && k.Now.Sub(vm.HeardAt) < every {
@@ -141,6 +147,19 @@
 	return out
 }
 
+// retryEvery returns the interval between probes of a VM that has just failed
+// one. Where very many fail, it's the way there that is lost, and there is
+// less to learn from each.
+func (p *Prober) retryEvery(k Knowledge, paces map[string]pace) time.Duration {
+	failing := 0
+	for id := range paces {
+		if vm := k.VMs.Get(id); vm != nil && vm.FailedProbes > 0 {
+			failing++
+		}
+	}
+	return max(p.opts.FastEvery, time.Duration(failing)*time.Second/time.Duration(max(1, p.opts.ExaminePerSecond)))
+}
+
 // quickRetries is how many failed probes are repeated soon.
 const quickRetries = 4
 
@@ -190,11 +209,15 @@
 	if k.ToldAtHome && len(p.wanted) == 0 {
 		return
 	}
+	var vms []string
 	for _, s := range k.Suspects.Down(k.Now) {
-		for _, id := range k.Targets.Members(s.VM) {
-			if have, ok := out[id]; !ok || have.every > p.opts.ExamineEvery {
-				out[id] = pace{p.opts.ExamineEvery, forStalled}
-			}
+		vms = append(vms, k.Targets.Members(s.VM)...)
+	}
+	bound := time.Duration(len(vms)) * time.Second / time.Duration(max(1, p.opts.ExaminePerSecond))
+	every := max(p.opts.ExamineEvery, bound)
+	for _, id := range vms {
+		if have, ok := out[id]; !ok || have.every > every {
+			out[id] = pace{every, forStalled}
 		}
 	}
 }
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
@@ -55,8 +56,8 @@
 		DataCentre: "dc", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
 	s.prober = NewProber(ProbeOptions{
-		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, ExamineEvery: 300 * time.Millisecond, Timeout: time.Second,
-		StalledAfter: 500 * time.Millisecond, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
+		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, ExamineEvery: 300 * time.Millisecond, ExaminePerSecond: 20, Timeout: time.Second,
+		StalledAfter: 500 * time.Millisecond, StalledFirst: time.Second, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
 	}, s.state, s.engines)
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
 	s.state.Operators(s.now, news.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
@@ -140,3 +141,27 @@
 	_, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m"}, func() {})
 	assert.Assert(t, refusal != nil)
 }
+
+// Load: the way to many VMs is lost. They are not all asked again every tenth
+// of a second.
+func TestRetriesOfManyVMsAreBounded(t *testing.T) {
+	const groups, seconds = 20, 4
+	s := newFleetSite(t, groups)
+	s.run(time.Second)
+	before := s.engines.all()
+	s.engines.answer = func(string) (fleet.Report, error) { return fleet.Report{}, errors.New("no answer") }
+	s.run(seconds * time.Second)
+	n := s.engines.all() - before
+	assert.Assert(t, n >= 2*groups, "each is asked again: %d", n)
+	assert.Assert(t, n <= (20+groups)*seconds, "%d", n)
+}
+
+func (f *fakeEngines) all() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, probes := range f.probes {
+		n += probes
+	}
+	return n
+}
--- a/internal/entry/told_test.go
+++ b/internal/entry/told_test.go
@@ -102,12 +102,12 @@
 // others hear what it found.
 func TestOneNodeExaminesAGroupForItsDataCentre(t *testing.T) {
 	c := newChain(t, 4, 2)
-	lost := func(id string) (fleet.Report, error) { return fleet.Report{}, errors.New("no answer") }
+	lost := func() (fleet.Report, error) { return fleet.Report{}, errors.New("no answer") }
 	for _, s := range c.sites {
 		answer := s.engines.answer
 		s.engines.answer = func(id string) (fleet.Report, error) {
 			if id == "a1" {
-				return lost(id)
+				return lost()
 			}
 			return answer(id)
 		}
@@ -149,3 +149,20 @@
 	assert.Assert(t, s.engines.count("a1") >= 3)
 	assert.Assert(t, s.engines.count("a1") <= 7, "not more often than needed: %d", s.engines.count("a1"))
 }
+
+// Where VMs turn slow, requests at most groups stand still at the same time.
+// That is no reason to probe all VMs several times a second.
+func TestExaminationsOfManyGroupsAreBounded(t *testing.T) {
+	const groups, seconds = 20, 5
+	s := newFleetSite(t, groups)
+	for g := range groups {
+		s.stall(string(rune('a' + g)))
+	}
+	s.run(seconds * time.Second)
+	members := 0
+	for g := range groups {
+		members += s.engines.count(string(rune('a'+g)) + "1")
+	}
+	assert.Assert(t, members >= groups, "each is examined: %d", members)
+	assert.Assert(t, members <= 20*seconds, "%d", members)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,9 +59,12 @@
 	askMaxAge      = time.Second
 	fastProbeEvery = 80 * time.Millisecond
 	examineEvery   = 300 * time.Millisecond
-	stalledAfter   = 500 * time.Millisecond
-	silentAfter    = 1200 * time.Millisecond
-	firstAfter     = 2500 * time.Millisecond
+	// examinePerSecond is the VMs of about three groups within examineEvery.
+	examinePerSecond = 150
+	stalledAfter     = 500 * time.Millisecond
+	stalledFirst     = time.Second
+	silentAfter      = 1200 * time.Millisecond
+	firstAfter       = 2500 * time.Millisecond
 	// keysMargin is kept from the time for which keys may be trusted, for a
 	// request's way to its endpoint.
 	keysMargin = 500 * time.Millisecond
@@ -122,8 +125,8 @@
 		RepeatRatio: set.Bounds.RepeatRatio, RepeatSlack: set.Bounds.RepeatSlack, RepeatWindow: set.Bounds.RepeatWindow,
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
-		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, ExamineEvery: examineEvery, Timeout: probeTimeout,
-		StalledAfter: stalledAfter, SilentAfter: silentAfter, FirstAfter: firstAfter, Metrics: registry,
+		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, ExamineEvery: examineEvery, ExaminePerSecond: examinePerSecond, Timeout: probeTimeout,
+		StalledAfter: stalledAfter, StalledFirst: stalledFirst, SilentAfter: silentAfter, FirstAfter: firstAfter, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
 		VM: set.VM, DataCentre: set.DataCentre, Address: set.Listen.Peers, Every: askEvery, Timeout: askTimeout, MaxAge: askMaxAge, Log: log, Metrics: registry,
