Members of few groups are asked more often; aversions at plain servers as before

Change: members of serving groups are asked every 1.5 to 3 s, by how many VMs there are; an aversion at a plain server weighs as it did.

Tried and not kept: nodes that start wait up to 0.5 s for others to tell, feeds that wait 0.7 s for operators and 0.5 s for VMs.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -83,7 +83,7 @@
 		if !t.eligible(now, target, q) || !why.takes(t, now, target, q) {
 			continue
 		}
-		score := t.score(target) + t.unit(target)*t.aversion(target, q.Again) + jitter*spread(q.Draw, i)
+		score := t.score(target) + t.aversionUnit(target)*t.aversion(target, q.Again) + jitter*spread(q.Draw, i)
 		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
@@ -166,6 +166,18 @@
 	return (own+all)*target.pace + failurePenalty*target.health.failures
 }
 
+// aversionUnit is what one request weighs in an aversion. Plain servers have few
+// places, of which a node's request takes a large part.
+func (t *Table) aversionUnit(target *Target) float64 {
+	if target.Group == "" {
+		return plainUnit
+	}
+	return t.unit(target)
+}
+
+// plainUnit is what an aversion of one request weighs at a plain server.
+const plainUnit = 0.125
+
 // aversion is how many more requests of this node other targets get before this
 // one: it is far away, or may soon be lost, above all for a request that has
 // lost an endpoint already.
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -41,9 +41,9 @@
 	// OrderTimeout bounds an order from sending to answer.
 	OrderTimeout time.Duration
 	// ProbeEvery is the least interval between probes of a VM by the holder,
-	// FastEvery that of VMs whose reports are awaited, and MemberEvery that of
-	// members of groups that serve. ProbesPerSecond bounds the first over all
-	// VMs.
+	// FastEvery that of VMs whose reports are awaited, and MemberEvery the least
+	// of members of groups that serve. ProbesPerSecond bounds the probes over
+	// all VMs, as far as they may be put off.
 	ProbeEvery, FastEvery, MemberEvery time.Duration
 	ProbesPerSecond                    int
 	Log                                *slog.Logger
@@ -261,8 +261,8 @@
 	return vm.Listed || vm.FailedProbes == 0 || now.Sub(vm.ListedAt) < replica.UnlistedProbed
 }
 
-// pace returns how often each VM is to be probed: where there are many whose
-// reports must be fresh, each of these the less often.
+// pace returns how often each VM is to be probed: where there are many, each the
+// less often, members of groups that serve least.
 func (c *Coordinator) pace(watched map[string]replica.Attention) map[string]time.Duration {
 	regular := 0
 	for _, a := range watched {
@@ -270,26 +270,35 @@
 			regular++
 		}
 	}
-	every := time.Duration(regular) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
-	every = min(max(every, c.opts.ProbeEvery), probeMost)
 	want := make(map[string]time.Duration, len(watched))
 	for id, a := range watched {
 		switch a {
 		case replica.Urgent:
 			want[id] = c.opts.FastEvery
 		case replica.Regular:
-			want[id] = every
+			want[id] = min(c.spread(regular), probeMost)
 		default:
-			want[id] = c.opts.MemberEvery
+			want[id] = min(max(c.spread(len(watched)), c.opts.MemberEvery), memberMost)
 		}
 	}
 	return want
 }
 
+// spread returns the interval between probes of each of n VMs.
+func (c *Coordinator) spread(n int) time.Duration {
+	every := time.Duration(n) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
+	return max(every, c.opts.ProbeEvery)
+}
+
 // probeMost is less than the age of a report up to which a planner lets a VM
 // join a group.
 const probeMost = 1200 * time.Millisecond
 
+// memberMost bounds the interval between probes of a member of a group that
+// serves, and with it the time until the loss of one is seen at whose group
+// there are no requests.
+const memberMost = 3 * time.Second
+
 // countServing returns how many groups serve, of how many.
 func countServing(groups []*replica.Group) (serving, all int) {
 	for _, g := range groups {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,7 +48,7 @@
 	ownRetry      = 1200 * time.Millisecond
 	probeTimeout  = 200 * time.Millisecond
 	probeEvery    = 450 * time.Millisecond
-	memberEvery   = 3 * time.Second
+	memberEvery   = 1500 * time.Millisecond
 	// probesPerSecond bounds the holder's probes where there are many VMs.
 	probesPerSecond = 280
 	headProbeEvery  = 800 * time.Millisecond
