A takeover counts the loads under way

Cause: a holder of the lease counted the loads that it had begun itself. Ruled out: VMs that can't be used, since all of them answered and said that they were busy.

Change: VMs that say that they carry an order out, and don't just join with weights that they have, count as loading.

Test: TestTakeoverCountsTheLoadsUnderWay failed first with 12 loads at once of 6.

--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -416,3 +416,22 @@
 		}
 	}
 }
+
+// Load: VMs are lost faster than weights are loaded, and the planner changes
+// hands meanwhile. A new one that forgot the loads under way began as many
+// again, so that all took several times as long.
+func TestTakeoverCountsTheLoadsUnderWay(t *testing.T) {
+	w := newWorld(t, 1, 6)
+	w.startTraffic()
+	for range 4 {
+		w.run(5 * time.Second)
+		w.takeover()
+		under := 0
+		for _, vm := range w.vms {
+			if vm.stage != "" {
+				under++
+			}
+		}
+		assert.Assert(t, under <= testEngine().ConcurrentLoads, "%d loads at once", under)
+	}
+}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -27,7 +27,7 @@
 	}
 	under := 0
 	for _, m := range p.members {
-		if m.loading != "" {
+		if m.loads(now) {
 			under++
 		}
 	}
@@ -37,6 +37,21 @@
 	return min(p.engine.ConcurrentLoads-under, rate)
 }
 
+// loads reports whether a VM loads weights, by this planner's order or by that
+// of an earlier one, which its report shows. Loads that run beside more others
+// than the store bears take the longer, all of them.
+func (m *member) loads(now time.Time) bool {
+	switch {
+	case m.loading != "":
+		return true
+	case !m.Busy || m.leaving() || m.silent(now, silentFor):
+		return false
+	case m.Stage == fleet.Joining:
+		return joinCost(m, m.Model) == joinLoad
+	}
+	return m.group == nil || m.group.Phase == Serving
+}
+
 func (p *Planner) beginLoad(now time.Time, m *member, model string) {
 	m.loading, m.loadSince = model, now
 	if p.traffic {
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -307,6 +307,7 @@
 	if vm.stage != "" && !w.now.Before(vm.stages) {
 		vm.state.Staged, vm.stage = []string{vm.stage}, ""
 	}
+	defer func() { vm.state.Busy = vm.stage != "" || vm.state.Stage == fleet.Joining }()
 	key := groupKey{vm.state.Group, vm.state.Epoch}
 	if vm.state.Stage == fleet.Joining && !w.now.Before(vm.ready) {
 		vm.state.Stage = fleet.Ready
