--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 bench: ## compares calls through an entry VM with direct ones, and times the state machines
 	go test -run '^$$' -bench Completion -benchtime 2s -cpu 1 ./internal/daemon
 	go test -run '^$$' -bench . -benchtime 200ms ./coord/...
+	go test -run '^$$' -bench . -benchtime 200ms ./internal/entry
 
 lint: tools ## checks formatting and lints both modules
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -63,6 +63,8 @@
 		{Name: "safe", Host: "h", Prefix: "/safe/", Kind: catalog.Idempotent, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond},
 		{Name: "stream", Host: "h", Prefix: "/stream/", Kind: catalog.Stream, Resumable: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 500 * time.Millisecond},
 		{Name: "fixed", Host: "h", Prefix: "/fixed/", Kind: catalog.Stream, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: 3 * time.Second},
+		{Name: "patient", Host: "h", Prefix: "/patient/", Kind: catalog.Once, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 1, Timeout: time.Minute},
+		{Name: "long", Host: "h", Prefix: "/long/", Kind: catalog.Stream, Resumable: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Minute},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Public: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Second},
 	}
 	s.configure()
