--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -123,6 +124,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return true
 	case Silent:
+		// The end of a connection is noticed only once its request is read.
+		_, _ = io.Copy(io.Discard, r.Body) // it may be cut
 		<-r.Context().Done()
 		return true
 	}
