One watch of the heap for the tests of answers without end

The loop that follows the heap's size stood in internal/upstream and internal/entry alike; it is internal/standin/heap now. The bounds and assertions of both tests are as they were.

--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net/http"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/internal/standin/heap"
 	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
 )
 
@@ -242,21 +242,8 @@
 	for _, a := range endlessAnswers {
 		s.endless(a.beginning, a.piece)
 	}
-	var peak uint64
-	done, watched := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(watched)
-		for {
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			peak = max(peak, m.HeapInuse)
-			select {
-			case <-done:
-				return
-			case <-time.After(5 * time.Millisecond):
-			}
-		}
-	}()
+	watch := heap.NewWatch()
+	defer watch.Stop()
 	var wg sync.WaitGroup
 	for i := range requests {
 		path := "/safe/"
@@ -273,8 +260,7 @@
 		})
 	}
 	wg.Wait()
-	close(done)
-	<-watched
+	peak := watch.Peak()
 	assert.Assert(t, peak < most, "the heap grew to %d MB", peak>>20)
 	assert.Equal(t, s.server.bodies.used.Load(), int64(0), "all memory is given back")
 }
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/internal/standin/heap"
 	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
 )
 
@@ -88,7 +88,8 @@
 	const conns, most = 300, 128 << 20
 	client := New(nil)
 	var wg sync.WaitGroup
-	peak := watchHeap(t)
+	watch := heap.NewWatch()
+	defer watch.Stop()
 	for _, head := range heads {
 		address := endless(t, head[0], head[1]).Address()
 		for range conns / len(heads) {
@@ -99,39 +100,8 @@
 		}
 	}
 	wg.Wait()
-	assert.Assert(t, peak() < most, "the heap grew to %d MB", peak()>>20)
-}
-
-// watchHeap returns a function that returns the largest size of the heap so
-// far, in bytes.
-func watchHeap(t *testing.T) func() uint64 {
-	var mu sync.Mutex
-	var peak uint64
-	done := make(chan struct{})
-	t.Cleanup(func() { close(done) })
-	look := func() {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		mu.Lock()
-		defer mu.Unlock()
-		peak = max(peak, m.HeapInuse)
-	}
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(5 * time.Millisecond):
-				look()
-			}
-		}
-	}()
-	return func() uint64 {
-		look()
-		mu.Lock()
-		defer mu.Unlock()
-		return peak
-	}
+	peak := watch.Peak()
+	assert.Assert(t, peak < most, "the heap grew to %d MB", peak>>20)
 }
 
 func TestDiscardGivesUpOnABodyWithoutEnd(t *testing.T) {
