--- /dev/null
+++ b/internal/paired/paired_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func writePlan(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "plan.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestPlanIsCheckedWhole(t *testing.T) {
+	for text, problem := range map[string]string{
+		`seeds = [1]`:                                    "no deployment",
+		"[[deployment]]\nfile = \"a.toml\"":              "no seeds",
+		"seeds = [1]\n[[deployment]]\nfile = \"a.toml\"": "needs file and days",
+		"seeds = [1]\nseed = 2":                          "unknown key",
+	} {
+		_, err := readPlan(writePlan(t, text))
+		assert.ErrorContains(t, err, problem)
+	}
+}
+
+func TestRunsOfAPairStandSideBySide(t *testing.T) {
+	p, err := readPlan(writePlan(t, "seeds = [1, 2]\n[[deployment]]\nfile = \"x/a.toml\"\ndays = [\"d\", \"e\"]"))
+	assert.NilError(t, err)
+	assert.Equal(t, p.Deployments[0].Name(), "a")
+	runs := p.runs(2)
+	assert.Equal(t, len(runs), 8)
+	for i := 0; i < len(runs); i += 2 {
+		assert.Equal(t, runs[i].pair(), runs[i+1].pair())
+	}
+}
+
+// A difference is taken run by run, so that what all trees have in common of a
+// day and seed doesn't hide it.
+func TestDifferenceIsPaired(t *testing.T) {
+	res := make(results)
+	for seed, worth := range []float64{0.2, 0.6, 0.9} {
+		res.put(run{0, 0, "d", seed}, 2, []figure{{"worth", worth}})
+		res.put(run{1, 0, "d", seed}, 2, []figure{{"worth", worth + 0.05}})
+	}
+	res.put(run{0, 0, "d", 9}, 2, []figure{{"worth", 0.1}}) // the other tree has not played it
+	pairs := res.complete(0, "")
+	assert.Equal(t, len(pairs), 3)
+	diff, stderr := mean(column(pairs, 1, 0, true))
+	assert.Assert(t, math.Abs(diff-0.05) < 1e-9 && stderr < 1e-9, "%v ± %v", diff, stderr)
+
+	var out strings.Builder
+	plan := &Plan{Deployments: []Deployment{{File: "a.toml", Days: []string{"d"}}}}
+	res.print(&out, plan, []tree{{"old", ""}, {"new", ""}})
+	assert.Assert(t, strings.Contains(out.String(), "+0.050 ±0.000"), out.String())
+}
+
+func TestIdleTimeIsReadFromTheHints(t *testing.T) {
+	r := report{Hints: []string{"groups stood still for 3.1 s in all, 0 broke; 905 server-seconds served nobody"}}
+	assert.Equal(t, r.idle(), 905.0)
+}
