--- /dev/null
+++ b/coord/replica/activity_test.go
@@ -0,0 +1,40 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Every listed VM is counted once, whatever happens to the fleet.
+func TestEachListedVMIsCountedOnce(t *testing.T) {
+	w := formed(t)
+	w.vms[w.head(small).list[0]].dead = true
+	w.vms[w.head(large).list[1]].dead = true
+	w.addVM(0)
+	for range 100 {
+		w.run(100 * time.Millisecond)
+		listed, counted := 0, 0
+		for _, vm := range w.table.All() {
+			if vm.Listed {
+				listed++
+			}
+		}
+		for _, n := range w.p.Activities(w.now) {
+			counted += n
+		}
+		assert.Equal(t, counted, listed)
+	}
+}
+
+func TestActivitiesSayWhatVMsWaitFor(t *testing.T) {
+	w := formed(t)
+	assert.DeepEqual(t, w.p.Activities(w.now), map[Activity]int{Serves: 36, IsSpare: 12})
+	vm := w.addVM(0)
+	w.run(time.Second)
+	assert.Equal(t, w.p.Activities(w.now)[Loads], 1)
+	vm.dead = true
+	w.run(2 * time.Second)
+	assert.Equal(t, w.p.Activities(w.now)[IsAway], 1)
+}
--- a/coord/replica/summary.go
+++ b/coord/replica/summary.go
@@ -45,20 +45,28 @@
 }
 
 func (d *DomainSummary) count(now time.Time, m *member) {
-	switch {
-	case m.leaving() || m.silent(now, silentFor):
+	switch m.activity(now) {
+	case IsAway:
 		d.Away++
-	case m.group != nil:
+	case Serves, Joins, Finishes:
 		if m.group.Members[0] == m.ID {
 			d.Groups[m.group.Model]++
 		}
-	case now.Before(m.heldUntil):
+	case CoolsDown:
 		d.Held++
-	case m.loading != "":
+	case Loads:
 		d.Loading[m.loading]++
-	case len(m.Staged) == 0:
+	case HasNoWeights:
 		d.Empty++
-	default:
-		d.Spare[m.Staged[0]]++
+	case IsSpare:
+		d.Spare[m.weights()]++
 	}
 }
+
+// weights names the model whose weights a VM has nearest.
+func (m *member) weights() string {
+	if m.Held != "" {
+		return m.Held
+	}
+	return m.Staged[0]
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -136,6 +136,9 @@
 		}
 	case lease.LostLease:
 		c.opts.Log.Warn("lease lost", "term", e.Term, "reason", string(e.Reason))
+		for service := range c.planners {
+			c.countActivities(service, nil)
+		}
 		c.term, c.planners = 0, nil
 		c.countGroups(0, 0)
 		c.prober.Want(nil)
@@ -240,11 +243,12 @@
 				c.async(func() { c.order(ctx, p, o) })
 			}
 			c.logGroups(p)
+			c.countActivities(svc.Name, p.Activities(now))
 			whole, all := countServing(p.Groups())
 			serving, others = serving+whole, others+all-whole
 			if now.Sub(c.summed) >= summaryEvery {
 				c.summed = now
-				c.opts.Log.Info("VMs", "service", svc.Name, "domains", p.Summary(now), "use", p.Use())
+				c.opts.Log.Info("VMs", "service", svc.Name, "activities", p.Activities(now), "domains", p.Summary(now), "use", p.Use())
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
@@ -314,6 +318,13 @@
 	telemetry.Gauge(c.opts.Metrics, "broken_groups").Update(int64(others))
 }
 
+// countActivities publishes how many VMs of a service do what.
+func (c *Coordinator) countActivities(service string, by map[replica.Activity]int) {
+	for _, a := range replica.AllActivities {
+		telemetry.Gauge(c.opts.Metrics, "endpoint_vms_number", "service", service, "activity", string(a)).Update(int64(by[a]))
+	}
+}
+
 func (c *Coordinator) planner(service string, k entry.Knowledge) *replica.Planner {
 	p := c.planners[service]
 	if p == nil {
