An entry VM that starts again takes the lease of its earlier process over at once

Change: a row that an earlier process of the same VM wrote may be taken over at once. The doc of Options.Incarnation already says that a new process proves the old one dead; late orders of it are refused as those of any earlier term.

--- a/coord/lease/seen_test.go
+++ b/coord/lease/seen_test.go
@@ -74,3 +74,15 @@
 	assert.Equal(t, revision, uint64(0))
 	assert.Assert(t, d.m.read.inFlight)
 }
+
+// Load: all entry VMs are killed at once and start again. The one whose process
+// held the lease need not wait for it to run out.
+func TestRestartedHolderTakesItsOwnLeaseOverAtOnce(t *testing.T) {
+	d := standby(t)
+	own := &Row{Term: 3, Holder: "e2", Incarnation: "e2.0", Duration: 2 * time.Second}
+	d = &driver{t: t, m: New(d.m.opts)}
+	w := d.write(d.read(0, RowsRead{Row: own, Revision: 9}))
+	assert.Equal(t, w.Revision, uint64(9))
+	assert.Equal(t, w.Row.Term, uint64(4))
+	assert.Equal(t, w.Row.Incarnation, "e2.1")
+}
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -2,11 +2,13 @@
 
 import "time"
 
-// takeoverAt returns when a row first seen now may be taken over: at once if
-// it was released, else after its holder's lease has run out on any clock.
+// takeoverAt returns when a row first seen now may be taken over: at once if it
+// was released or an earlier process of this VM wrote it, which is dead, else
+// after its holder's lease has run out on any clock.
 // Candidates are spread over RetryEvery so that few of them collide.
 func (m *Machine) takeoverAt(now time.Time, row Row) time.Time {
-	if row.Released || m.off.takeoverWait {
+	predecessor := row.Holder == m.opts.VM && !row.writtenBy(m.self())
+	if row.Released || predecessor || m.off.takeoverWait {
 		return now
 	}
 	wait := m.opts.stretch(row.wait())
