VMs of a lost group are kept for their model for a while

Cause: since survivors of a large group may serve the small model, they were taken for it at once, and the large model fell behind: four VMs of one domain seldom come together again. Change: a VM that holds a larger model's weights isn't taken for a smaller one for 3 s if the larger model has the smaller part of its groups.

--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -49,6 +49,9 @@
 			byName[m.Domain] = d
 			out = append(out, d)
 		}
+		if m.group != nil || !p.free(now, m) {
+			m.freeSince = time.Time{}
+		}
 		switch {
 		case m.group != nil:
 			d.awaited = d.awaited || m.group.awaits && m.group.Phase == Dissolving && !m.group.ordered
@@ -56,6 +59,9 @@
 				d.groups[m.group.Model]++
 			}
 		case p.free(now, m):
+			if m.freeSince.IsZero() {
+				m.freeSince = now
+			}
 			d.free = append(d.free, m)
 		}
 	}
@@ -122,8 +128,7 @@
 	for i := range p.engine.Models {
 		models = append(models, &p.engine.Models[i])
 	}
-	lack := func(m *catalog.Model) float64 { return (float64(p.running(m.Name)) + 0.5) / math.Max(p.wanted(m), 0.1) }
-	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(lack(a), lack(b)) })
+	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.part(a), p.part(b)) })
 	for _, model := range models {
 		if !p.lacks(model) {
 			continue
@@ -141,6 +146,24 @@
 	return false
 }
 
+// part returns which part of the groups that a model should have it has.
+func (p *Planner) part(m *catalog.Model) float64 {
+	return (float64(p.running(m.Name)) + 0.5) / math.Max(p.wanted(m), 0.1)
+}
+
+// reserved reports whether a VM is kept for a while for a larger model, which
+// it holds and which has a smaller part of its groups.
+func (p *Planner) reserved(now time.Time, m *member, model *catalog.Model) bool {
+	held := p.engine.Model(m.Held)
+	if held == nil || held.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveFor {
+		return false
+	}
+	return p.lacks(held) && p.part(held) < p.part(model)
+}
+
+// reserveFor is how long a VM of a lost group is kept for its model.
+const reserveFor = 3 * time.Second
+
 // bestPlace returns the domain in which a group of a model forms soonest, and
 // its members.
 func (p *Planner) bestPlace(now time.Time, domains []*domain, model *catalog.Model) (*domain, []*member) {
@@ -151,7 +174,7 @@
 		if len(d.free) < model.GroupSize || d.awaited {
 			continue
 		}
-		chosen := cheapest(now, d.free, model)
+		chosen := p.cheapest(now, d.free, model)
 		if len(chosen) < model.GroupSize {
 			continue
 		}
@@ -187,9 +210,9 @@
 
 // cheapest returns the free VMs that join a group of a model soonest, fewer
 // than it takes if there are no more.
-func cheapest(now time.Time, free []*member, model *catalog.Model) []*member {
+func (p *Planner) cheapest(now time.Time, free []*member, model *catalog.Model) []*member {
 	sorted := byCost(free, model.Name)
-	sorted = slices.DeleteFunc(sorted, func(m *member) bool { return m.promisedElsewhere(now, model.Name) })
+	sorted = slices.DeleteFunc(sorted, func(m *member) bool { return m.promisedElsewhere(now, model.Name) || p.reserved(now, m, model) })
 	return sorted[:min(model.GroupSize, len(sorted))]
 }
 
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -137,6 +137,9 @@
 	// not be asked.
 	heldUntil time.Time
 	promise   promise
+	// freeSince is since when the VM could have joined a group, zero if it
+	// can't.
+	freeSince time.Time
 	// loading is the model whose load this planner has started.
 	loading   string
 	loadSince time.Time
--- a/coord/replica/stage_test.go
+++ b/coord/replica/stage_test.go
@@ -62,6 +62,23 @@
 	}
 }
 
+// Load: a member of a large group is lost where no spare is left. The others
+// are kept for the large model, which has the smaller part of its groups, for
+// as long as a spare may come; then the small one may have them.
+func TestSurvivorsAreKeptForTheirModelForAWhile(t *testing.T) {
+	w := formed(t)
+	w.split(0.65)
+	survivor := w.p.members[w.head(large).list[0]]
+	w.loseMembers(large, 1)
+	w.run(2 * time.Second)
+	smallModel := w.p.engine.Model(small)
+	assert.Assert(t, w.p.free(w.now, survivor))
+	assert.Assert(t, w.p.reserved(w.now, survivor, smallModel))
+	assert.Equal(t, len(w.p.cheapest(w.now, []*member{survivor}, smallModel)), 0)
+	w.run(reserveFor)
+	assert.Equal(t, len(w.p.cheapest(w.now, []*member{survivor}, smallModel)), 1)
+}
+
 // Load: a data centre is to get no work. Its groups don't count, so that VMs
 // elsewhere which are kept as spares form groups in their stead.
 func TestGroupsOfAnEvacuatedDataCentreDoNotCount(t *testing.T) {
