A restarted holder takes its own lease over only if all other candidates have restarted too

The holder alone was killed at 12.3 s, started again and took the lease over at 12.8 s. 36 VMs that had lost touch with the store weren't listed then; processes that ran on knew them as members that still answer, the new one didn't, took 13 groups for broken and gave up seven sound ones for them. Change: the successor reads all registrations first, and takes over at once only if each is newer than the lease's row, so that nobody knows more.

--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -10,7 +10,7 @@
 	}
 	m.read.id++
 	m.read.inFlight = true
-	m.read.all = m.mine()
+	m.read.all = m.mine() || m.succeeds()
 	m.emit(ReadRows{
 		ID:  m.read.id,
 		Key: Key(m.opts.DataCentre),
@@ -71,6 +71,9 @@
 		m.presence.update(now, ev.VMs)
 		m.watchHolder(now)
 	}
+	if m.read.all && m.succeeds() {
+		m.succeedAlone(now, ev.Registrations)
+	}
 	m.register(ev.Registrations)
 	m.write(now, ev)
 	m.scheduleRead(now)
@@ -173,7 +176,7 @@
 		m.read.next = now.Add(m.opts.RetryEvery)
 	case m.writing():
 		m.read.next = m.sentAt.Add(m.opts.RenewEvery)
-	case m.mine() || m.attempts.unsettled() || m.seen.revision == 0:
+	case m.mine() || m.succeeds() || m.attempts.unsettled() || m.seen.revision == 0:
 		m.read.next = now.Add(m.opts.RetryEvery)
 	default:
 		m.read.next = now.Add(m.pollEvery(now))
--- a/coord/lease/seen_test.go
+++ b/coord/lease/seen_test.go
@@ -75,14 +75,35 @@
 	assert.Assert(t, d.m.read.inFlight)
 }
 
+// restarted returns a candidate that has read that an earlier process of its VM
+// holds the lease at revision 9.
+func restarted(t *testing.T) (*driver, *Row) {
+	t.Helper()
+	d := &driver{t: t, m: New(standby(t).m.opts)}
+	own := &Row{Term: 3, Holder: "e2", Incarnation: "e2.0", Duration: 2 * time.Second}
+	d.read(0, RowsRead{Row: own, Revision: 9})
+	return d, own
+}
+
 // Load: all entry VMs are killed at once and start again. The one whose process
 // held the lease need not wait for it to run out.
-func TestRestartedHolderTakesItsOwnLeaseOverAtOnce(t *testing.T) {
-	d := standby(t)
-	own := &Row{Term: 3, Holder: "e2", Incarnation: "e2.0", Duration: 2 * time.Second}
-	d = &driver{t: t, m: New(d.m.opts)}
-	w := d.write(d.read(0, RowsRead{Row: own, Revision: 9}))
+func TestRestartedHolderTakesItsOwnLeaseOver(t *testing.T) {
+	d, own := restarted(t)
+	w := d.write(d.read(0.3, RowsRead{Row: own, Revision: 9, Registrations: []Registration{
+		{Candidate: Candidate{VM: "e1", Incarnation: "e1.7"}, Revision: 11}, {Candidate: d.m.self(), Revision: 10},
+	}}))
 	assert.Equal(t, w.Revision, uint64(9))
 	assert.Equal(t, w.Row.Term, uint64(4))
 	assert.Equal(t, w.Row.Incarnation, "e2.1")
 }
+
+// Load: the holder alone is killed. Candidates that go on running know more of
+// the groups, so that its new process leaves the lease to them.
+func TestRestartedHolderLeavesTheLeaseToThoseThatRunOn(t *testing.T) {
+	d, own := restarted(t)
+	effects := d.read(0.3, RowsRead{Row: own, Revision: 9, Registrations: []Registration{
+		{Candidate: Candidate{VM: "e1", Incarnation: "e1.1"}, Revision: 2}, {Candidate: d.m.self(), Revision: 10},
+	}})
+	_, writes := effect[WriteRow](effects)
+	assert.Assert(t, !writes)
+}
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -2,13 +2,11 @@
 
 import "time"
 
-// takeoverAt returns when a row first seen now may be taken over: at once if it
-// was released or an earlier process of this VM wrote it, which is dead, else
-// after its holder's lease has run out on any clock.
+// takeoverAt returns when a row first seen now may be taken over: at once if
+// it was released, else after its holder's lease has run out on any clock.
 // Candidates are spread over RetryEvery so that few of them collide.
 func (m *Machine) takeoverAt(now time.Time, row Row) time.Time {
-	predecessor := row.Holder == m.opts.VM && !row.writtenBy(m.self())
-	if row.Released || predecessor || m.off.takeoverWait {
+	if row.Released || m.off.takeoverWait {
 		return now
 	}
 	wait := m.opts.stretch(row.wait())
@@ -16,6 +14,24 @@
 	return now.Add(wait + spread)
 }
 
+// succeeds reports whether an earlier process of this VM holds the lease. It is
+// dead, so that this one may take over at once; but where other candidates have
+// gone on running, they know more and do better.
+func (m *Machine) succeeds() bool {
+	return m.seen.revision > 0 && m.seen.row.Holder == m.opts.VM && !m.mine() && !m.seen.row.Released
+}
+
+// succeedAlone lets this process take over from an earlier one of its VM if all
+// other candidates have started since the row was written.
+func (m *Machine) succeedAlone(now time.Time, regs []Registration) {
+	for _, r := range regs {
+		if r.VM != m.opts.VM && r.Revision < m.seen.revision {
+			return
+		}
+	}
+	m.seen.takeoverAt = now
+}
+
 // mayTakeOver reports whether the row as last read may be taken over. A row
 // that does not exist may be: there is no earlier holder.
 func (m *Machine) mayTakeOver(now time.Time) bool {
