Terms of the field in dispatch, entry and replica; one bound of asked pauses, one reader of Retry-After

aversion is penalty, heed handleHints, foresee predictLoss, examine verify, attention probe priority, giveWay yield, lacks hasDeficit, held VMs cool down.

--- a/coord/dispatch/leaving.go
+++ b/coord/dispatch/leaving.go
@@ -26,9 +26,9 @@
 	return releases
 }
 
-// foresee notes what makes it likely that a target is soon lost. members are
+// predictLoss notes what makes it likely that a target is soon lost. members are
 // those of the VM's group, none for a plain VM.
-func (t *Target) foresee(now time.Time, vm *fleet.VM, members []*fleet.VM, newest string) {
+func (t *Target) predictLoss(now time.Time, vm *fleet.VM, members []*fleet.VM, newest string) {
 	t.leaving, t.outdated = false, false
 	if vm.Group == "" {
 		members = []*fleet.VM{vm}
--- a/coord/dispatch/pause.go
+++ b/coord/dispatch/pause.go
@@ -1,15 +1,15 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-const (
-	// pauseMost bounds the pause that an endpoint may ask for.
-	pauseMost = 10 * time.Minute
-	// trialMost bounds the wait for the answer to the first request after a
-	// pause, until another one may try.
-	trialMost = time.Second
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
+// trialMost bounds the wait for the answer to the first request after a pause,
+// until another one may try.
+const trialMost = time.Second
+
 // pause is what an endpoint asked for when it turned a request away: no
 // requests from this node until a time. Then one request tries, and the others
 // follow once it is answered, so that they don't all arrive at the same moment.
@@ -62,7 +62,7 @@
 	if target.Born != ticket.born {
 		return 0
 	}
-	d = min(d, pauseMost)
+	d = min(d, fleet.PauseMost)
 	if until := now.Add(d); until.After(target.pause.until) {
 		target.pause.until = until
 	}
--- a/coord/dispatch/pause_test.go
+++ b/coord/dispatch/pause_test.go
@@ -92,7 +92,7 @@
 func TestPauseIsBoundedAndEndsWithARestart(t *testing.T) {
 	s := newSite(1)
 	ticket := s.mustPick(t)
-	assert.Equal(t, s.table.Pause(s.now, ticket, math.MaxInt64), pauseMost)
+	assert.Equal(t, s.table.Pause(s.now, ticket, math.MaxInt64), fleet.PauseMost)
 	s.table.Done(s.now, ticket, Rejected)
 	row := s.rowOf(vmID(0, 0))
 	row.Born = 2
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -83,7 +83,7 @@
 		if !t.eligible(now, target, q) || !why.takes(t, now, target, q) {
 			continue
 		}
-		score := t.score(target) + t.aversionUnit(target)*t.aversion(target, q.Again) + jitter*spread(q.Draw, i)
+		score := t.score(target) + t.penaltyUnit(target)*t.penalty(target, q.Again) + jitter*spread(q.Draw, i)
 		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
@@ -166,22 +166,22 @@
 	return (own+all)*target.pace + failurePenalty*target.health.failures
 }
 
-// aversionUnit is what one request weighs in an aversion. Plain servers have few
+// penaltyUnit is what one request weighs in an penalty. Plain servers have few
 // places, of which a node's request takes a large part.
-func (t *Table) aversionUnit(target *Target) float64 {
+func (t *Table) penaltyUnit(target *Target) float64 {
 	if target.Group == "" {
 		return plainUnit
 	}
 	return t.unit(target)
 }
 
-// plainUnit is what an aversion of one request weighs at a plain server.
+// plainUnit is what an penalty of one request weighs at a plain server.
 const plainUnit = 0.125
 
-// aversion is how many more requests of this node other targets get before this
+// penalty is how many more requests of this node other targets get before this
 // one: it is far away, or may soon be lost, above all for a request that has
 // lost an endpoint already.
-func (t *Table) aversion(target *Target, again bool) float64 {
+func (t *Table) penalty(target *Target, again bool) float64 {
 	requests := 0.0
 	if target.DataCentre != t.opts.DataCentre {
 		requests += remoteRequests
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -57,6 +57,7 @@
 		pools:   make(map[poolKey][]*Target),
 		budgets: make(map[string]*repeats),
 		broken:  make(map[fleet.Formation]bool),
+		told:    make(map[fleet.Formation]bool),
 		groups:  make(map[fleet.Formation][]*fleet.VM),
 	}
 }
@@ -87,7 +88,7 @@
 		target := t.follow(vm)
 		target.observe(vm, t.lag(vm.Service), t.nodes, t.rank)
 		works, serves := t.describe(now, vm, target, groups)
-		target.foresee(now, vm, groups[vm.Formation()], releases[vm.Service])
+		target.predictLoss(now, vm, groups[vm.Formation()], releases[vm.Service])
 		if !works || dead(now, vm) {
 			lost = target.drop(lost)
 			continue
@@ -176,7 +177,7 @@
 // SetTold replaces the groups that another node of the data centre found to
 // lack a VM. Requests that make progress there show this node the opposite.
 func (t *Table) SetTold(broken []fleet.Formation) {
-	t.told = make(map[fleet.Formation]bool, len(broken))
+	clear(t.told)
 	for _, f := range broken {
 		t.told[f] = true
 	}
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -137,6 +137,9 @@
 	Leaving bool `json:",omitempty"`
 }
 
+// PauseMost bounds the pause that a VM may ask for.
+const PauseMost = 10 * time.Minute
+
 // PausedError means that a VM wants no probes and orders for a time. It is no
 // sign that the VM is lost.
 type PausedError struct {
--- a/coord/replica/activity.go
+++ b/coord/replica/activity.go
@@ -39,7 +39,7 @@
 		return Finishes
 	case m.group != nil:
 		return Joins
-	case now.Before(m.heldUntil):
+	case now.Before(m.coolsUntil):
 		return CoolsDown
 	case m.loading != "":
 		return Loads
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -172,7 +172,7 @@
 			continue // its head goes first
 		}
 		if m.Rank > 0 {
-			m.heldUntil = now.Add(p.opts.Stall + stallMargin)
+			m.coolsUntil = now.Add(p.opts.Stall + stallMargin)
 		}
 		p.send(now, m, Order{Action: Leave, Group: m.Group, Epoch: m.Epoch})
 	}
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -31,7 +31,7 @@
 	return m.group == nil && m.idle(now) && m.loading == "" &&
 		m.Listed && !m.Departing() && !p.evacuated[m.DataCentre] &&
 		m.FailedProbes == 0 && now.Sub(m.HeardAt) < freshFor && !m.HeardAt.Before(m.settleAt) &&
-		!now.Before(m.heldUntil) && (m.Group == "" || p.released[keyOf(m)]) && !m.Busy
+		!now.Before(m.coolsUntil) && (m.Group == "" || p.released[keyOf(m)]) && !m.Busy
 }
 
 // domains returns the fabric domains by name.
@@ -80,8 +80,8 @@
 	return float64(alive) * (1 - p.spareShare()) * p.share(model) / float64(model.GroupSize)
 }
 
-// lacks reports whether a model has fewer groups than it should.
-func (p *Planner) lacks(model *catalog.Model) bool {
+// hasDeficit reports whether a model has fewer groups than it should.
+func (p *Planner) hasDeficit(model *catalog.Model) bool {
 	return p.running(model.Name) < max(1, int(p.wanted(model)))
 }
 
@@ -130,7 +130,7 @@
 	}
 	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.part(a), p.part(b)) })
 	for _, model := range models {
-		if !p.lacks(model) {
+		if !p.hasDeficit(model) {
 			continue
 		}
 		d, members := p.bestPlace(now, domains, model)
@@ -158,7 +158,7 @@
 	if held == nil || held.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveFor {
 		return false
 	}
-	return p.lacks(held) && p.part(held) < p.part(model)
+	return p.hasDeficit(held) && p.part(held) < p.part(model)
 }
 
 // reserveFor is how long a VM of a lost group is kept for its model.
--- a/coord/replica/dissolve.go
+++ b/coord/replica/dissolve.go
@@ -90,7 +90,7 @@
 			done = false
 			p.takeAway(now, g, m)
 		default:
-			m.heldUntil = now.Add(p.opts.Stall + stallMargin)
+			m.coolsUntil = now.Add(p.opts.Stall + stallMargin)
 			m.group = nil
 		}
 	}
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -101,9 +101,9 @@
 	g.enter(now, Dissolving)
 }
 
-// giveWay begins to dissolve a sound group, once its work is done, for another
+// yield begins to dissolve a sound group, once its work is done, for another
 // group or model.
-func (g *Group) giveWay(now time.Time, to string) {
+func (g *Group) yield(now time.Time, to string) {
 	g.For = to
 	g.giveUp(now, NeededElsewhere, "", true)
 }
--- a/coord/replica/order.go
+++ b/coord/replica/order.go
@@ -1,6 +1,10 @@
 package replica
 
-import "time"
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
 
 // Action is what an order asks for.
 type Action string
@@ -120,12 +124,9 @@
 	}
 }
 
-// holdMost bounds how long a VM may ask for no orders.
-const holdMost = 10 * time.Minute
-
 // Hold keeps orders from a VM that wants none for d.
 func (p *Planner) Hold(now time.Time, vmID string, d time.Duration) {
 	if m := p.members[vmID]; m != nil {
-		m.retryAt = now.Add(min(d, holdMost))
+		m.retryAt = now.Add(min(d, fleet.PauseMost))
 	}
 }
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -108,8 +108,8 @@
 	started time.Time
 	// rebalancedAt is when groups were last given up for another model's.
 	rebalancedAt time.Time
-	// lackSince is when a model began to have fewer groups than it should.
-	lackSince time.Time
+	// deficitSince is when a model began to have fewer groups than it should.
+	deficitSince time.Time
 	// grewAt is when the newest VM appeared.
 	grewAt    time.Time
 	lastOrder uint64
@@ -133,10 +133,10 @@
 	acceptedOrders uint64
 	acceptedBorn   int64
 	group          *Group
-	// heldUntil is when the VM may join another group, after its head could
+	// coolsUntil is when the VM may join another group, after its head could
 	// not be asked.
-	heldUntil time.Time
-	promise   promise
+	coolsUntil time.Time
+	promise    promise
 	// freeSince is since when the VM could have joined a group, zero if it
 	// can't.
 	freeSince time.Time
@@ -230,7 +230,7 @@
 func (m *member) restarted(born int64) {
 	m.acceptedBorn, m.acceptedOrders = born, 0
 	m.pending = nil
-	m.heldUntil, m.retryAt = time.Time{}, time.Time{}
+	m.coolsUntil, m.retryAt = time.Time{}, time.Time{}
 	m.loading = ""
 }
 
--- a/coord/replica/attention.go
+++ b/coord/replica/probepriority.go
@@ -6,14 +6,14 @@
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
-// Attention is how soon a planner needs a VM's next report.
-type Attention int
+// ProbePriority is how soon a planner needs a VM's next report.
+type ProbePriority int
 
-// Degrees of attention.
+// Degrees of probe priority.
 const (
 	// Background is for members of groups that serve: requests at a group stand
 	// still without any one of them, and whoever sent these finds it out.
-	Background Attention = iota
+	Background ProbePriority = iota
 	// Regular is for VMs whose reports must be fresh for decisions.
 	Regular
 	// Urgent is for VMs whose next report is awaited.
@@ -29,8 +29,8 @@
 // idleLoadPart is by how much a load is shorter before the first request.
 const idleLoadPart = 10
 
-// Attention returns how soon a VM's next report is needed.
-func (p *Planner) Attention(now time.Time, id string) Attention {
+// ProbePriority returns how soon a VM's next report is needed.
+func (p *Planner) ProbePriority(now time.Time, id string) ProbePriority {
 	m := p.members[id]
 	switch {
 	case m == nil:
--- a/coord/replica/attention_test.go
+++ b/coord/replica/probepriority_test.go
@@ -48,9 +48,9 @@
 	w := formed(t)
 	head := w.head(large)
 	member := head.list[1]
-	assert.Equal(t, w.p.Attention(w.now, member), Background)
-	assert.Equal(t, w.p.Attention(w.now, head.list[0]), Regular)
+	assert.Equal(t, w.p.ProbePriority(w.now, member), Background)
+	assert.Equal(t, w.p.ProbePriority(w.now, head.list[0]), Regular)
 	w.vms[member].dead = true
 	w.run(time.Second)
-	assert.Assert(t, w.p.Attention(w.now, head.list[2]) != Background, "survivors are wanted for the next formation")
+	assert.Assert(t, w.p.ProbePriority(w.now, head.list[2]) != Background, "survivors are wanted for the next formation")
 }
--- a/coord/replica/rebalance.go
+++ b/coord/replica/rebalance.go
@@ -27,14 +27,14 @@
 	}
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
-		if !p.lacks(model) {
+		if !p.hasDeficit(model) {
 			continue
 		}
 		donors, free := p.donorsFor(now, model)
 		if len(donors) > 0 {
 			p.rebalancedAt = now
 			for _, g := range donors {
-				g.giveWay(now, model.Name)
+				g.yield(now, model.Name)
 				free = append(free, p.membersOf(g)...)
 			}
 			for _, m := range free {
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -16,10 +16,10 @@
 	if model == nil || len(survivors) == 0 || p.dark(now, survivors[0].DataCentre) {
 		return false
 	}
-	lack := model.GroupSize - len(survivors)
-	spares := p.sparesFor(now, model, survivors[0].Domain, lack)
-	if len(spares) < lack {
-		return p.awaitDonors(now, g, model, survivors[0].Domain, lack-len(spares))
+	missing := model.GroupSize - len(survivors)
+	spares := p.sparesFor(now, model, survivors[0].Domain, missing)
+	if len(spares) < missing {
+		return p.awaitDonors(now, g, model, survivors[0].Domain, missing-len(spares))
 	}
 	for _, id := range g.Members {
 		if m := p.members[id]; m != nil && m.group == g {
@@ -83,7 +83,7 @@
 			return false
 		}
 		for _, donor := range donors {
-			donor.giveWay(now, g.Name)
+			donor.yield(now, g.Name)
 		}
 		g.awaits = true
 		return true
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -71,7 +71,7 @@
 	if p.restageable(now) {
 		p.stageFree(now, domains, func(m *member) bool { return len(m.Staged) > 0 })
 	}
-	if p.traffic && p.lacking() {
+	if p.traffic && p.anyDeficit() {
 		return // loads are few, and VMs without weights need them
 	}
 	for i := range p.engine.Models {
@@ -79,10 +79,10 @@
 	}
 }
 
-// lacking reports whether any model has fewer groups than it should.
-func (p *Planner) lacking() bool {
+// anyDeficit reports whether any model has fewer groups than it should.
+func (p *Planner) anyDeficit() bool {
 	for i := range p.engine.Models {
-		if p.lacks(&p.engine.Models[i]) {
+		if p.hasDeficit(&p.engine.Models[i]) {
 			return true
 		}
 	}
@@ -92,10 +92,10 @@
 // restageable reports whether hosts that have weights may get others: the lack
 // of a group must have lasted, since most are mended without a load.
 func (p *Planner) restageable(now time.Time) bool {
-	if !p.lacking() {
-		p.lackSince = now
+	if !p.anyDeficit() {
+		p.deficitSince = now
 	}
-	return !p.traffic || now.Sub(p.lackSince) >= restageAfter
+	return !p.traffic || now.Sub(p.deficitSince) >= restageAfter
 }
 
 // restageAfter is how long a lack must last.
@@ -222,7 +222,7 @@
 // a VM gives up for them.
 const restageFactor = 1.3
 
-// stageScore tells how much a domain lacks a staged VM of a model, beyond those
+// stageScore tells how much a domain needs a staged VM of a model, beyond those
 // that it has, less some.
 func (p *Planner) stageScore(d *domain, model *catalog.Model, less int) float64 {
 	staged, room := -less, 0
@@ -235,7 +235,7 @@
 			staged++
 		}
 	}
-	if room >= model.GroupSize && staged < model.GroupSize && p.lacks(model) {
+	if room >= model.GroupSize && staged < model.GroupSize && p.hasDeficit(model) {
 		return 2 + float64(staged)/float64(model.GroupSize)
 	}
 	exposed := float64(d.groups[model.Name] * model.GroupSize)
--- a/coord/replica/summary.go
+++ b/coord/replica/summary.go
@@ -14,8 +14,8 @@
 	Groups  map[string]int `json:"groups"`
 	Spare   map[string]int `json:"spare"`
 	Loading map[string]int `json:"loading"`
-	// Held VMs wait until the head of their last group has given up.
-	Held int `json:"held"`
+	// CoolingDown VMs wait until the head of their last group has given up.
+	CoolingDown int `json:"cooling_down"`
 	// Empty VMs hold no weights; Away are silent or leaving.
 	Empty int `json:"empty"`
 	Away  int `json:"away"`
@@ -53,7 +53,7 @@
 			d.Groups[m.group.Model]++
 		}
 	case CoolsDown:
-		d.Held++
+		d.CoolingDown++
 	case Loads:
 		d.Loading[m.loading]++
 	case HasNoWeights:
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -194,14 +194,14 @@
 // probeEvery is the time between two probes of a VM: as long as the planner
 // bears, but shorter where requests at its group stand still.
 func (w *world) probeEvery(id string, vm *engineVM) time.Duration {
-	switch w.p.Attention(w.now, id) {
+	switch w.p.ProbePriority(w.now, id) {
 	case Urgent:
 		return 0
 	case Regular:
 		return w.probing
 	}
 	if w.standsStill(vm) {
-		return examining
+		return verifying
 	}
 	return background
 }
@@ -217,10 +217,10 @@
 }
 
 // background is the time between two probes of a member of a group that serves,
-// examining that while its group stands still.
+// verifying that while its group stands still.
 const (
 	background = 3 * time.Second
-	examining  = 500 * time.Millisecond
+	verifying  = 500 * time.Millisecond
 )
 
 func (w *world) carry(o Order) {
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -228,7 +228,7 @@
 	if !c.machine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
-	watched := make(map[string]replica.Attention)
+	watched := make(map[string]replica.ProbePriority)
 	c.state.Locked(func(k entry.Knowledge) {
 		if k.Catalog == nil || !k.Listed {
 			return
@@ -252,7 +252,7 @@
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
-					watched[vm.ID] = p.Attention(now, vm.ID)
+					watched[vm.ID] = p.ProbePriority(now, vm.ID)
 				}
 			}
 		}
@@ -267,7 +267,7 @@
 
 // pace returns how often each VM is to be probed: where there are many, each the
 // less often, members of groups that serve least.
-func (c *Coordinator) pace(watched map[string]replica.Attention) map[string]time.Duration {
+func (c *Coordinator) pace(watched map[string]replica.ProbePriority) map[string]time.Duration {
 	regular := 0
 	for _, a := range watched {
 		if a == replica.Regular {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -21,7 +21,7 @@
 		5000: {probeMost, 3 * time.Second},
 	} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
-			all := map[string]replica.Attention{"awaited": replica.Urgent, "member": replica.Background}
+			all := map[string]replica.ProbePriority{"awaited": replica.Urgent, "member": replica.Background}
 			for i := range vms {
 				all[fmt.Sprint("i-", i)] = replica.Regular
 			}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -183,22 +183,18 @@
 		resp.Close()
 		return &upstream.BrokenError{Address: a.ticket.Target.Address, Err: errors.Errorf("the answer belongs to request %q", echo)}
 	}
-	s.heed(a, req)
+	s.handleHints(a, req)
 	return nil
 }
 
-// heed takes in what an answer says of its endpoint: that it leaves, or wants
+// handleHints takes in what an answer says of its endpoint: that it leaves, or wants
 // no requests for a time.
-func (s *Server) heed(a *attempt, req *request) {
-	h := a.resp.Header
-	if h.Get(s.proto.Leaving) != "" && s.state.leaving(a.ticket) {
+func (s *Server) handleHints(a *attempt, req *request) {
+	if a.resp.Header.Get(s.proto.Leaving) != "" && s.state.leaving(a.ticket) {
 		s.count("endpoint leaving")
 		s.log.Info("endpoint leaves", "request", req.id, "endpoint", a.ticket.Target.ID, "status", a.resp.Status)
 	}
-	if a.resp.Status != http.StatusServiceUnavailable {
-		return
-	}
-	asked := upstream.RetryAfter(h, time.Now())
+	asked := a.resp.AskedPause(time.Now())
 	if asked <= 0 {
 		return
 	}
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -29,16 +29,16 @@
 	ToldHeadEvery time.Duration
 	// FastEvery is the interval between probes of a VM in doubt.
 	FastEvery time.Duration
-	// ExamineEvery is the least interval between probes of the VMs of a group
-	// at which requests make no progress. ExaminePerSecond bounds these probes
+	// VerifyEvery is the least interval between probes of the VMs of a group
+	// at which requests make no progress. VerifyPerSecond bounds these probes
 	// over all groups, and quick ones of VMs in doubt: where very many stand
 	// still or fail, it is not these VMs that are lost.
-	ExamineEvery     time.Duration
-	ExaminePerSecond int
+	VerifyEvery     time.Duration
+	VerifyPerSecond int
 	// Timeout bounds a probe.
 	Timeout time.Duration
 	// StalledAfter is how long none of a group's requests may make progress
-	// before its members are examined, StalledFirst how long one may wait for
+	// before its members are verified, StalledFirst how long one may wait for
 	// its first; SilentAfter ends a request that alone makes none, FirstAfter
 	// one that never made any.
 	StalledAfter, StalledFirst, SilentAfter, FirstAfter time.Duration
@@ -157,7 +157,7 @@
 			failing++
 		}
 	}
-	return max(p.opts.FastEvery, time.Duration(failing)*time.Second/time.Duration(max(1, p.opts.ExaminePerSecond)))
+	return max(p.opts.FastEvery, time.Duration(failing)*time.Second/time.Duration(max(1, p.opts.VerifyPerSecond)))
 }
 
 // quickRetries is how many failed probes are repeated soon.
@@ -187,7 +187,7 @@
 		}
 		out[id] = pace{every, why}
 	}
-	p.examine(k, out)
+	p.verify(k, out)
 	// A member that has failed a probe is followed until it answers.
 	for id := range p.lastAt {
 		vm := k.VMs.Get(id)
@@ -202,10 +202,10 @@
 	return out
 }
 
-// examine adds the VMs of groups at which requests of some node make no
-// progress. One node of each data centre examines them for the others there,
+// verify adds the VMs of groups at which requests of some node make no
+// progress. One node of each data centre verifies them for the others there,
 // and the holder of the lease for its own decisions. p.mu is held.
-func (p *Prober) examine(k Knowledge, out map[string]pace) {
+func (p *Prober) verify(k Knowledge, out map[string]pace) {
 	if k.ToldAtHome && len(p.wanted) == 0 {
 		return
 	}
@@ -213,8 +213,8 @@
 	for _, s := range k.Suspects.Down(k.Now) {
 		vms = append(vms, k.Targets.Members(s.VM)...)
 	}
-	bound := time.Duration(len(vms)) * time.Second / time.Duration(max(1, p.opts.ExaminePerSecond))
-	every := max(p.opts.ExamineEvery, bound)
+	bound := time.Duration(len(vms)) * time.Second / time.Duration(max(1, p.opts.VerifyPerSecond))
+	every := max(p.opts.VerifyEvery, bound)
 	for _, id := range vms {
 		if have, ok := out[id]; !ok || have.every > every {
 			out[id] = pace{every, forStalled}
@@ -249,13 +249,10 @@
 	defer p.mu.Unlock()
 	delete(p.running, t.id)
 	if asked != nil {
-		p.paused[t.id] = probePause{born: t.born, until: p.state.now().Add(min(asked.For, pauseMost))}
+		p.paused[t.id] = probePause{born: t.born, until: p.state.now().Add(min(asked.For, fleet.PauseMost))}
 	}
 }
 
-// pauseMost bounds the pause that an endpoint may ask a prober for.
-const pauseMost = 10 * time.Minute
-
 // isPaused reports whether a VM wants no probes now. mu is held.
 func (p *Prober) isPaused(now time.Time, vm *fleet.VM) bool {
 	pause, ok := p.paused[vm.ID]
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -54,7 +54,7 @@
 		DataCentre: "dc", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
 	s.prober = NewProber(ProbeOptions{
-		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, ExamineEvery: 300 * time.Millisecond, ExaminePerSecond: 20, Timeout: time.Second,
+		HeadEvery: time.Second, ToldHeadEvery: 2 * time.Second, FastEvery: 100 * time.Millisecond, VerifyEvery: 300 * time.Millisecond, VerifyPerSecond: 20, Timeout: time.Second,
 		StalledAfter: 500 * time.Millisecond, StalledFirst: time.Second, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
 	}, s.state, s.engines)
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
--- a/internal/entry/told_test.go
+++ b/internal/entry/told_test.go
@@ -117,7 +117,7 @@
 		s.stall("a")
 	}
 	c.run(2 * time.Second)
-	assert.Assert(t, c.sites[0].engines.count("a1") >= 2, "the first node examines what others suspect")
+	assert.Assert(t, c.sites[0].engines.count("a1") >= 2, "the first node verifies what others suspect")
 	for i, s := range c.sites {
 		assert.Assert(t, !s.serves("a"), "node %d", i)
 		assert.Assert(t, s.serves("b"), "node %d", i)
@@ -141,7 +141,7 @@
 	assert.Assert(t, c.sites[1].serves("a"))
 }
 
-// A node whose data centre has no other examines by itself.
+// A node whose data centre has no other verifies by itself.
 func TestNodeThatIsToldNothingExamines(t *testing.T) {
 	s := newFleetSite(t, 1)
 	s.stall("a")
@@ -163,7 +163,7 @@
 	for g := range groups {
 		members += s.engines.count(string(rune('a'+g)) + "1")
 	}
-	assert.Assert(t, members >= groups, "each is examined: %d", members)
+	assert.Assert(t, members >= groups, "each is verified: %d", members)
 	assert.Assert(t, members <= 20*seconds, "%d", members)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,13 +58,13 @@
 	// askMaxAge is a little more than twice a read's longest wait and way.
 	askMaxAge      = time.Second
 	fastProbeEvery = 80 * time.Millisecond
-	examineEvery   = 300 * time.Millisecond
-	// examinePerSecond is the VMs of about three groups within examineEvery.
-	examinePerSecond = 150
-	stalledAfter     = 500 * time.Millisecond
-	stalledFirst     = time.Second
-	silentAfter      = 1200 * time.Millisecond
-	firstAfter       = 2500 * time.Millisecond
+	verifyEvery    = 300 * time.Millisecond
+	// verifyPerSecond is the VMs of about three groups within verifyEvery.
+	verifyPerSecond = 150
+	stalledAfter    = 500 * time.Millisecond
+	stalledFirst    = time.Second
+	silentAfter     = 1200 * time.Millisecond
+	firstAfter      = 2500 * time.Millisecond
 	// keysMargin is kept from the time for which keys may be trusted, for a
 	// request's way to its endpoint.
 	keysMargin = 500 * time.Millisecond
@@ -125,7 +125,7 @@
 		RepeatRatio: set.Bounds.RepeatRatio, RepeatSlack: set.Bounds.RepeatSlack, RepeatWindow: set.Bounds.RepeatWindow,
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
-		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, ExamineEvery: examineEvery, ExaminePerSecond: examinePerSecond, Timeout: probeTimeout,
+		HeadEvery: headProbeEvery, ToldHeadEvery: toldProbeEvery, FastEvery: fastProbeEvery, VerifyEvery: verifyEvery, VerifyPerSecond: verifyPerSecond, Timeout: probeTimeout,
 		StalledAfter: stalledAfter, StalledFirst: stalledFirst, SilentAfter: silentAfter, FirstAfter: firstAfter, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -150,7 +150,7 @@
 		now.Add(3 * time.Second).Format(http.TimeFormat):  3 * time.Second,
 		now.Add(-3 * time.Second).Format(http.TimeFormat): 0,
 	} {
-		assert.Equal(t, RetryAfter(http.Header{"Retry-After": {value}}, now), want, value)
+		assert.Equal(t, retryAfter(http.Header{"Retry-After": {value}}, now), want, value)
 	}
 }
 
--- a/internal/upstream/retryafter.go
+++ b/internal/upstream/retryafter.go
@@ -8,10 +8,19 @@
 	"time"
 )
 
-// RetryAfter returns for how long an endpoint asks for no requests: the field
+// AskedPause returns for how long an endpoint that turns a request away asks for
+// no more, 0 if it doesn't.
+func (r *Response) AskedPause(now time.Time) time.Duration {
+	if r.Status != http.StatusServiceUnavailable {
+		return 0
+	}
+	return retryAfter(r.Header, now)
+}
+
+// retryAfter returns for how long an endpoint asks for no requests: the field
 // Retry-After in seconds, whole or broken, or as a date (RFC 9110, 10.2.3). It
 // is 0 if the field is missing, can't be read or names a time that is over.
-func RetryAfter(h http.Header, now time.Time) time.Duration {
+func retryAfter(h http.Header, now time.Time) time.Duration {
 	value := strings.TrimSpace(h.Get("Retry-After"))
 	if value == "" {
 		return 0
