Requests wait for a place as long as their answer can come in time; new processes take a lease over after the others

Change: half of what the objective leaves beyond the usual time to an answer at that model's endpoints, a running mean of each node. Change: a process that has run for less than 20 s comes after the others.

--- a/coord/dispatch/pause.go
+++ b/coord/dispatch/pause.go
@@ -72,6 +72,9 @@
 
 // Progress notes that a request's answer has begun or goes on.
 func (t *Table) Progress(now time.Time, ticket *Ticket) {
+	if !ticket.Begun {
+		t.noteFirst(now, ticket)
+	}
 	ticket.ProgressAt, ticket.Begun = now, true
 	ticket.Target.progressAt = now
 	ticket.Target.pause.answered(ticket)
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -278,6 +278,9 @@
 	ticket.Target.pause.ended(ticket, outcome)
 	switch outcome {
 	case Succeeded:
+		if !ticket.Begun {
+			t.noteFirst(now, ticket)
+		}
 		ticket.Target.health.succeeded()
 	case Failed:
 		ticket.Target.health.failed(now)
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -14,6 +14,9 @@
 	rng  *rand.Rand
 	off  mechanisms
 
+	// startedAt is the time of the first step.
+	startedAt time.Time
+
 	seen     seen
 	read     reading
 	attempts attempts
@@ -88,6 +91,9 @@
 // Step takes one observation in and returns what to do about it. Times must
 // come from one monotonic clock and never fall.
 func (m *Machine) Step(now time.Time, ev Event) []Effect {
+	if m.startedAt.IsZero() {
+		m.startedAt = now
+	}
 	m.expire(now)
 	switch ev := ev.(type) {
 	case RowsRead:
--- a/coord/lease/seen_test.go
+++ b/coord/lease/seen_test.go
@@ -107,3 +107,16 @@
 	_, writes := effect[WriteRow](effects)
 	assert.Assert(t, !writes)
 }
+
+// Load: the holder is lost soon after a VM was added. Any candidate that has run
+// for longer reads, and writes, before the new one does.
+func TestNewProcessTakesOverAfterTheOthers(t *testing.T) {
+	d := standby(t)
+	lapsed := d.m.opts.stretch(2 * time.Second)
+	for range 100 {
+		after := d.m.takeoverAt(at(1), *renewed(1)).Sub(at(1))
+		assert.Assert(t, after >= lapsed+d.m.opts.RetryEvery, "a new process after %v", after)
+		after = d.m.takeoverAt(at(1).Add(newFor), *renewed(1)).Sub(at(1).Add(newFor))
+		assert.Assert(t, after < lapsed+d.m.opts.RetryEvery, "an old one after %v", after)
+	}
+}
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -4,16 +4,23 @@
 
 // takeoverAt returns when a row first seen now may be taken over: at once if
 // it was released, else after its holder's lease has run out on any clock.
-// Candidates are spread over RetryEvery so that few of them collide.
+// Candidates are spread over RetryEvery so that few of them collide. Those that
+// have started lately come after the others, who know more of the endpoints.
 func (m *Machine) takeoverAt(now time.Time, row Row) time.Time {
 	if row.Released || m.off.takeoverWait {
 		return now
 	}
 	wait := m.opts.stretch(row.wait())
 	spread := time.Duration(m.rng.Int64N(int64(m.opts.RetryEvery)))
+	if now.Sub(m.startedAt) < newFor {
+		spread += m.opts.RetryEvery
+	}
 	return now.Add(wait + spread)
 }
 
+// newFor is how long after its start a process may lack what others know.
+const newFor = 20 * time.Second
+
 // succeeds reports whether an earlier process of this VM holds the lease. It is
 // dead, so that this one may take over at once; but where other candidates have
 // gone on running, they know more and do better.
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -23,9 +23,8 @@
 	maxDials = 4
 	// leastLeft is the time below which a request isn't sent any more.
 	leastLeft = 10 * time.Millisecond
-	// waitShare is the part of its objective that a request may wait for a
-	// place, begunWait the time that one may whose answer has begun.
-	waitShare  = 0.12
+	// begunWait is how long a request may wait for a place whose answer has
+	// begun.
 	begunWait  = 4 * time.Second
 	placeRetry = 20 * time.Millisecond
 	// patienceFactor times the objective, patienceLeast at least, is how long
@@ -123,15 +122,19 @@
 	return a, nil
 }
 
-// waitUntil is how long a request may wait for a place: one whose answer has
-// begun as long as its caller bears a pause.
+// waitUntil is how long a request may wait for a place: for half of the time
+// that its objective leaves beyond the usual one to an answer, so that it still
+// comes in time, or, if it has begun, as long as its caller bears a pause.
 func (s *Server) waitUntil(req *request) time.Time {
-	now := s.now()
-	wait := time.Duration(float64(req.route.Objective) * waitShare)
-	if req.begun {
-		wait = begunWait
+	until := s.now().Add(begunWait)
+	if !req.begun {
+		slack := req.route.Objective - s.state.usual(req.service.Name, req.model)
+		until = req.started.Add(slack / 2)
 	}
-	return now.Add(min(wait, req.deadline.Sub(now)))
+	if until.After(req.deadline) {
+		return req.deadline
+	}
+	return until
 }
 
 // mayRun checks what may have changed while the request waited.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -256,6 +256,13 @@
 	return ticket, refusal
 }
 
+// usual returns how long endpoints usually take until an answer begins.
+func (s *State) usual(service, model string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.Usual(service, model)
+}
+
 func (s *State) done(t *dispatch.Ticket, outcome dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
