What domains keep of a model is counted once a tick

Cause, seen on reading: for each member of a large group the planner went through all VMs, which is 900 x 900 on the large fleet. Now a stock by domain is counted at the first need of a tick and kept up to date as loads begin.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -166,7 +166,7 @@
 	return (own+all)*target.pace + failurePenalty*target.health.failures
 }
 
-// penaltyUnit is what one request weighs in an penalty. Plain servers have few
+// penaltyUnit is what one request weighs in a penalty. Plain servers have few
 // places, of which a node's request takes a large part.
 func (t *Table) penaltyUnit(target *Target) float64 {
 	if target.Group == "" {
@@ -175,7 +175,7 @@
 	return t.unit(target)
 }
 
-// plainUnit is what an penalty of one request weighs at a plain server.
+// plainUnit is what a penalty of one request weighs at a plain server.
 const plainUnit = 0.125
 
 // penalty is how many more requests of this node other targets get before this
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -118,14 +118,18 @@
 
 // stageOther loads a model onto the hosts of VMs that hold another one.
 func (p *Planner) stageOther(now time.Time, model *catalog.Model) {
+	stocks := make(map[string]*stock)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || !p.mayHoldToo(m, model) || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining {
+		if m == nil || !p.mayHoldToo(m, model, stocks) || m.FailedProbes > 0 || !m.idle(now) || m.Stage == fleet.Joining {
 			continue
 		}
 		if p.loadRoom(now) <= loadsForFree || !p.stageOn(now, m, model.Name) {
 			return
 		}
+		if s := stocks[m.Held]; s != nil && m.HasStaged(m.Held) {
+			s.kept[m.Domain]--
+		}
 	}
 }
 
@@ -136,7 +140,8 @@
 // the VM holds, so that it can be a member of either. Hosts of a larger model's
 // groups get a smaller one only while their domain keeps enough weights of the
 // larger one to form its groups anew after a restart, which only hosts survive.
-func (p *Planner) mayHoldToo(m *member, model *catalog.Model) bool {
+// stocks holds what domains keep of the larger models.
+func (p *Planner) mayHoldToo(m *member, model *catalog.Model, stocks map[string]*stock) bool {
 	held := p.engine.Model(m.Held)
 	if held == nil || held == model || held.GroupSize == model.GroupSize {
 		return false
@@ -144,34 +149,54 @@
 	if m.loading != "" || m.leaving() || m.HasStaged(model.Name) || p.keepsOther(m) {
 		return false
 	}
-	return held.GroupSize < model.GroupSize || p.keptBeside(m, held) >= p.heldBy(m.Domain, held)
+	if held.GroupSize < model.GroupSize {
+		return true
+	}
+	if stocks[held.Name] == nil {
+		stocks[held.Name] = p.stock(held)
+	}
+	return stocks[held.Name].spares(m, held)
 }
 
-// keptBeside returns how many hosts of a VM's domain, but for its own, have
-// weights of a model or load them.
-func (p *Planner) keptBeside(m *member, model *catalog.Model) int {
-	n := 0
-	for _, other := range p.members {
-		if other == m || other.Domain != m.Domain || other.leaving() || other.FailedProbes > 0 {
-			continue
-		}
-		if other.loading == model.Name || other.loading == "" && other.HasStaged(model.Name) {
-			n++
-		}
+// stock is what fabric domains keep of a model, by name.
+type stock struct {
+	// kept is how many hosts have its weights or load them, used how many VMs
+	// its groups take.
+	kept, used map[string]int
+}
+
+// spares reports whether a VM's domain has enough of a model without its host.
+func (s *stock) spares(m *member, model *catalog.Model) bool {
+	kept := s.kept[m.Domain]
+	if m.keeps(model) {
+		kept--
+	}
+	return kept >= s.used[m.Domain]
+}
+
+// keeps reports whether a VM's host has a model's weights for a restart, or will.
+func (m *member) keeps(model *catalog.Model) bool {
+	if m.leaving() || m.FailedProbes > 0 {
+		return false
 	}
-	return n
+	return m.loading == model.Name || m.loading == "" && m.HasStaged(model.Name)
 }
 
-// heldBy returns how many VMs the groups of a model take in a domain.
-func (p *Planner) heldBy(domain string, model *catalog.Model) int {
-	n := 0
+// stock counts what the domains keep of a model.
+func (p *Planner) stock(model *catalog.Model) *stock {
+	s := &stock{kept: make(map[string]int), used: make(map[string]int)}
+	for _, m := range p.members {
+		if m.keeps(model) {
+			s.kept[m.Domain]++
+		}
+	}
 	for _, g := range p.groups {
 		head := p.members[g.Members[0]]
-		if g.Model == model.Name && g.Phase != Dissolving && head != nil && head.Domain == domain {
-			n += model.GroupSize
+		if g.Model == model.Name && g.Phase != Dissolving && head != nil {
+			s.used[head.Domain] += model.GroupSize
 		}
 	}
-	return n
+	return s
 }
 
 // keepsOther reports whether a VM's host has weights of a model that the VM
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -243,12 +243,13 @@
 				c.async(func() { c.order(ctx, p, o) })
 			}
 			c.logGroups(p)
-			c.countActivities(svc.Name, p.Activities(now))
 			whole, all := countServing(p.Groups())
 			serving, others = serving+whole, others+all-whole
 			if now.Sub(c.summed) >= summaryEvery {
 				c.summed = now
-				c.opts.Log.Info("VMs", "service", svc.Name, "activities", p.Activities(now), "domains", p.Summary(now), "use", p.Use())
+				activities := p.Activities(now)
+				c.countActivities(svc.Name, activities)
+				c.opts.Log.Info("VMs", "service", svc.Name, "activities", activities, "domains", p.Summary(now), "use", p.Use())
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && probed(now, vm) {
