--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -28,11 +28,16 @@
 }
 
 func main() {
+	if err := execute(); err != nil {
+		os.Exit(1) // cobra has printed it
+	}
+}
+
+// execute runs the command line until it's done or interrupted.
+func execute() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
-	if err := command().ExecuteContext(ctx); err != nil {
-		os.Exit(1)
-	}
+	return command().ExecuteContext(ctx)
 }
 
 func command() *cobra.Command {
