--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -83,18 +83,34 @@
 		}
 		defer os.RemoveAll(dir)
 	}
-	for _, t := range o.trees { // one build a tree, before its runs use it
+	if err := o.build(ctx); err != nil {
+		return err
+	}
+	res, err := o.playAll(ctx, plan, dir)
+	res.print(os.Stdout, plan, o.trees)
+	return err
+}
+
+// build builds each tree once, before its runs use it.
+func (o *options) build(ctx context.Context) error {
+	for _, t := range o.trees {
 		if out, err := o.call(ctx, t, "build").CombinedOutput(); err != nil {
 			return errors.Errorf("tree %s doesn't build: %v\n%s", t.name, err, out)
 		}
 	}
+	return nil
+}
+
+// playAll plays the runs, some at a time, and returns the figures of those that
+// were done.
+func (o *options) playAll(ctx context.Context, plan *Plan, dir string) (results, error) {
 	res := make(results)
 	var mu sync.Mutex
-	group, groupCtx := errgroup.WithContext(ctx)
+	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(o.jobs)
 	for _, r := range plan.runs(len(o.trees)) {
 		group.Go(func() error {
-			got, err := o.run(groupCtx, plan, r, dir)
+			got, err := o.run(ctx, plan, r, dir)
 			if err != nil {
 				return err
 			}
@@ -102,14 +118,14 @@
 			defer mu.Unlock()
 			res.put(r, len(o.trees), got.figures())
 			if got.broken() {
-				fmt.Printf("BROKEN: %s on %s, %s, seed %d: %v %v\n", o.trees[r.tree].name, plan.Deployments[r.deployment].Name(), r.day, r.seed, got.Breaks, got.Fault)
+				fmt.Printf("BROKEN: %s on %s, %s, seed %d: %v %v\n",
+					o.trees[r.tree].name, plan.Deployments[r.deployment].Name(), r.day, r.seed, got.Breaks, got.Fault)
 			}
 			return nil
 		})
 	}
-	err = group.Wait()
-	res.print(os.Stdout, plan, o.trees)
-	return err
+	err := group.Wait()
+	return res, err
 }
 
 // run plays one day on the bench.
