Read once more: work done twice, and what stood twice

- Every request took the state's lock for the usual time, though only one that finds no place waits by it.
- The interval of n probes at a rate stood in the prober twice and in the coordinator: entry.Interval. told and toldHome share their check, the two stand-ins that send without end their loop (wire.Flood).
- The usual time is a map of durations, without a type around it; paired's named read one column by a parameter.

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -38,7 +38,7 @@
 	vms     *fleet.Table
 	budgets map[string]*repeats
 	// usuals are the usual times to an answer, by pool.
-	usuals map[poolKey]*usual
+	usuals map[poolKey]time.Duration
 	// broken are the groups that this node found to lack a VM, told those that
 	// another node of its data centre did.
 	broken, told map[fleet.Formation]bool
@@ -58,7 +58,7 @@
 		targets: make(map[string]*Target),
 		pools:   make(map[poolKey][]*Target),
 		budgets: make(map[string]*repeats),
-		usuals:  make(map[poolKey]*usual),
+		usuals:  make(map[poolKey]time.Duration),
 		broken:  make(map[fleet.Formation]bool),
 		told:    make(map[fleet.Formation]bool),
 		groups:  make(map[fleet.Formation][]*fleet.VM),
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -49,7 +49,8 @@
 			byName[m.Domain] = d
 			out = append(out, d)
 		}
-		if m.group != nil || !p.free(now, m) {
+		free := p.free(now, m)
+		if !free {
 			m.freeSince = time.Time{}
 		}
 		switch {
@@ -58,7 +59,7 @@
 			if m.group.Members[0] == m.ID {
 				d.groups[m.group.Model]++
 			}
-		case p.free(now, m):
+		case free:
 			if m.freeSince.IsZero() {
 				m.freeSince = now
 			}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -98,7 +98,7 @@
 	return !p.traffic || now.Sub(p.deficitSince) >= restageAfter
 }
 
-// restageAfter is how long a lack must last.
+// restageAfter is how long a deficit must last.
 const restageAfter = 3 * time.Second
 
 // stageFree loads weights onto those free hosts that match and whose VMs hold
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -291,8 +291,7 @@
 
 // spread returns the interval between probes of each of n VMs.
 func (c *Coordinator) spread(n int) time.Duration {
-	every := time.Duration(n) * time.Second / time.Duration(max(1, c.opts.ProbesPerSecond))
-	return max(every, c.opts.ProbeEvery)
+	return max(entry.Interval(n, c.opts.ProbesPerSecond), c.opts.ProbeEvery)
 }
 
 // probeMost is less than the age of a report up to which a planner lets a VM
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -101,9 +101,12 @@
 		Again: req.mayHaveRun, PromptTokens: req.prompt}
 	began := s.now()
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errLost) })
-	for until := s.waitUntil(req); refusal != nil && refusal.Within(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil; {
-		time.Sleep(placeRetry)
-		ticket, refusal = s.state.pick(q, func() { a.cancel(errLost) })
+	if refusal != nil {
+		until := s.waitUntil(req)
+		for refusal != nil && refusal.Within(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
+			time.Sleep(placeRetry)
+			ticket, refusal = s.state.pick(q, func() { a.cancel(errLost) })
+		}
 	}
 	placed := strconv.FormatBool(refusal == nil)
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -157,7 +157,13 @@
 			failing++
 		}
 	}
-	return max(p.opts.FastEvery, time.Duration(failing)*time.Second/time.Duration(max(1, p.opts.VerifyPerSecond)))
+	return max(p.opts.FastEvery, Interval(failing, p.opts.VerifyPerSecond))
+}
+
+// Interval returns the time between two probes of each of n VMs at which they
+// come to a number of probes a second in all.
+func Interval(n, perSecond int) time.Duration {
+	return time.Duration(n) * time.Second / time.Duration(max(1, perSecond))
 }
 
 // quickRetries is how many failed probes are repeated soon.
@@ -213,8 +219,7 @@
 	for _, s := range k.Suspects.Down(k.Now) {
 		vms = append(vms, k.Targets.Members(s.VM)...)
 	}
-	bound := time.Duration(len(vms)) * time.Second / time.Duration(max(1, p.opts.VerifyPerSecond))
-	every := max(p.opts.VerifyEvery, bound)
+	every := max(p.opts.VerifyEvery, Interval(len(vms), p.opts.VerifyPerSecond))
 	for _, id := range vms {
 		if have, ok := out[id]; !ok || have.every > every {
 			out[id] = pace{every, forStalled}
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -37,15 +37,18 @@
 
 // told reports whether another node tells this one what is new. mu is held.
 func (s *State) told(now time.Time) bool {
-	return !s.toldAt.IsZero() && now.Sub(s.toldAt) < toldFor
+	return toldLately(s.toldAt, now)
 }
 
 // toldHome reports whether another node of the same data centre does. mu is
 // held.
 func (s *State) toldHome(now time.Time) bool {
-	return !s.toldAtHome.IsZero() && now.Sub(s.toldAtHome) < toldFor
+	return toldLately(s.toldAtHome, now)
 }
 
+// toldLately reports whether an answer at a time still stands in for own reads.
+func toldLately(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < toldFor }
+
 // Answer tells another node what it doesn't know yet.
 func (s *State) Answer(after news.Position) news.Answer {
 	s.mu.Lock()
--- a/internal/paired/report.go
+++ b/internal/paired/report.go
@@ -62,13 +62,13 @@
 		figure{"in time", r.All.InTime / owed}, figure{"late", r.All.Late / owed},
 		figure{"refused", r.All.Refused / owed}, figure{"failed", r.All.Failed / owed})
 	for _, part := range r.Parts {
-		if name, value, ok := named(part, 2); ok {
+		if name, value, ok := named(part); ok {
 			out = append(out, figure{name, value})
 		}
 	}
 	charged := 0.0
 	for _, price := range r.Prices {
-		if _, value, ok := named(price, 2); ok {
+		if _, value, ok := named(price); ok {
 			charged += value
 		}
 	}
@@ -83,13 +83,13 @@
 	return out
 }
 
-// named reads an entry whose first element is its name.
-func named(entry []any, at int) (name string, value float64, ok bool) {
-	if len(entry) <= at {
+// named reads an entry of a name, a weight or amount, and a value.
+func named(entry []any) (name string, value float64, ok bool) {
+	if len(entry) <= 2 {
 		return "", 0, false
 	}
 	name, isName := entry[0].(string)
-	value, isNumber := entry[at].(float64)
+	value, isNumber := entry[2].(float64)
 	return name, value, isName && isNumber
 }
 
--- a/internal/standin/cloud/trouble.go
+++ b/internal/standin/cloud/trouble.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strings"
 	"sync"
+
+	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
 )
 
 // Trouble is how an endpoint VM misbehaves towards callers.
@@ -74,9 +76,5 @@
 		return
 	}
 	defer conn.Close()
-	pieces := []byte(strings.Repeat(piece, 1000))
-	_, err = conn.Write([]byte(beginning))
-	for err == nil {
-		_, err = conn.Write(pieces)
-	}
+	wire.Flood(conn, beginning, []byte(strings.Repeat(piece, 1000)))
 }
--- a/internal/standin/wire/endless.go
+++ b/internal/standin/wire/endless.go
@@ -56,9 +56,15 @@
 
 func (e *Endless) write(conn net.Conn) {
 	defer conn.Close()
-	_, err := io.WriteString(conn, e.beginning)
+	Flood(conn, e.beginning, e.pieces)
+	e.closed <- struct{}{}
+}
+
+// Flood writes a beginning and then the same bytes again and again, until the
+// other side closes the connection.
+func Flood(w io.Writer, beginning string, pieces []byte) {
+	_, err := io.WriteString(w, beginning)
 	for err == nil {
-		_, err = conn.Write(e.pieces)
+		_, err = w.Write(pieces)
 	}
-	e.closed <- struct{}{}
 }
