Spares wait with a model's weights in their accelerators

A group that loses a member is down for about 3 s: 1 s until the loss is sure, 1.4 s in which the spare loads the weights from its host, 0.6 s to open. The survivors rejoin in 0.2 s; only the spare is cold.

A free VM whose host has a model's weights joins a standby group: a group of its own that is never told to open. It then holds the model, so that it joins a real group in 0.2 s. Standby VMs stay free for groups, staging and restaging; a new planner recognises them by the group's name; nodes don't probe them as heads to come nor pass their reports on.

Where a test counted VMs without a group as spares, it now counts those on standby too.

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -233,7 +233,7 @@
 
 // isJoiningHead reports whether a VM is about to become the head of a group.
 func isJoiningHead(vm *fleet.VM) bool {
-	return vm.Listed && vm.Group != "" && vm.Rank == 0 && (vm.Stage == fleet.Joining || vm.Stage == fleet.Ready)
+	return vm.Listed && vm.Group != "" && !vm.IsStandby() && vm.Rank == 0 && (vm.Stage == fleet.Joining || vm.Stage == fleet.Ready)
 }
 
 // membersByGroup returns the VMs of each group. The next call reuses the map and
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,17 @@
 	Epoch uint64
 }
 
+// standbyPrefix begins the names of standby groups.
+const standbyPrefix = "standby-"
+
+// StandbyName returns the name of a standby group: a group of one VM that never
+// serves. A VM joins it to load its model's weights into its accelerators, so
+// that it can replace a lost member without a delay.
+func StandbyName(id string) string { return standbyPrefix + id }
+
+// IsStandby reports whether the VM is in a standby group.
+func (m *Membership) IsStandby() bool { return strings.HasPrefix(m.Group, standbyPrefix) }
+
 // Formation returns the formation that the VM is in.
 func (m *Membership) Formation() Formation { return Formation{m.Group, m.Epoch} }
 
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -14,7 +14,7 @@
 	unadopted := make(map[groupKey][]*member)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.group != nil || m.Group == "" || p.released[keyOf(m)] || m.ReportedAt.Before(p.startedAt) {
+		if m == nil || m.group != nil || m.Group == "" || m.IsStandby() || p.released[keyOf(m)] || m.ReportedAt.Before(p.startedAt) {
 			continue
 		}
 		unadopted[keyOf(m)] = append(unadopted[keyOf(m)], m)
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -31,7 +31,7 @@
 	return m.group == nil && m.canTakeOrder(now) && m.loading == "" &&
 		m.Listed && !m.Departing() && !p.evacuated[m.DataCentre] &&
 		m.FailedProbes == 0 && now.Sub(m.ReportedAt) < maxProbeAge && !m.ReportedAt.Before(m.acceptedAt) &&
-		!now.Before(m.cooldownUntil) && (m.Group == "" || p.released[keyOf(m)]) && !m.Busy
+		!now.Before(m.cooldownUntil) && (m.Group == "" || m.IsStandby() || p.released[keyOf(m)]) && (!m.Busy || m.isWarming())
 }
 
 // domains returns the fabric domains, sorted by name.
@@ -156,7 +156,7 @@
 // weights it holds and whose coverage is lower than that of the given model.
 func (p *Planner) isReserved(now time.Time, m *member, model *catalog.Model) bool {
 	loaded := p.engine.Model(m.LoadedModel)
-	if loaded == nil || loaded.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveTime {
+	if loaded == nil || m.IsStandby() || loaded.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveTime {
 		return false
 	}
 	return p.hasDeficit(loaded) && p.coverage(loaded) < p.coverage(model)
--- a/coord/replica/doc.go
+++ b/coord/replica/doc.go
@@ -8,6 +8,9 @@
 // shows its effect. The Planner does no I/O, reads no clock and starts no
 // goroutine.
 //
+// Spares wait with a model's weights in their accelerators: each is the only
+// member of a standby group, which never serves.
+//
 // It maintains these invariants even if messages are lost, delayed or repeated:
 //
 //   - A head is told to serve only after every member was seen ready under the
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -143,6 +143,8 @@
 	donation      donation
 	// freeSince is when the VM became free, or zero if it is not.
 	freeSince time.Time
+	// standbyAt is when the VM was last ordered to join a standby group.
+	standbyAt time.Time
 	// loading is the model that this planner has told the VM to load, or empty.
 	loading   string
 	loadSince time.Time
@@ -187,6 +189,7 @@
 	p.assemble(now)
 	p.rebalance(now)
 	p.stage(now)
+	p.standBy(now)
 	out := p.out
 	p.out = nil
 	return out
--- a/coord/replica/planner_test.go
+++ b/coord/replica/planner_test.go
@@ -24,7 +24,7 @@
 	assert.Equal(t, w.serving(small), 6)
 	spares := map[string]int{}
 	for _, vm := range w.vms {
-		if vm.state.Group == "" {
+		if vm.isSpare() {
 			assert.Equal(t, len(vm.state.Staged), 1, "%s has not exactly one model staged", vm.row.ID)
 			spares[vm.state.Staged[0]]++
 		}
@@ -76,7 +76,7 @@
 	w := newServingWorld(t)
 	domain := w.head(large).row.Domain
 	for _, id := range w.ids {
-		if vm := w.vms[id]; vm.row.Domain == domain && vm.state.Group == "" {
+		if vm := w.vms[id]; vm.row.Domain == domain && vm.isSpare() {
 			vm.dead = true
 		}
 	}
@@ -107,7 +107,7 @@
 	}
 	w.run(3 * time.Second)
 	for id, n := range ordersBefore {
-		if w.vms[id].state.Group != "" {
+		if !w.vms[id].isSpare() {
 			assert.Equal(t, w.vms[id].state.Orders, n, "%s was sent orders", id)
 		}
 	}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -106,11 +106,11 @@
 const restageDelay = 3 * time.Second
 
 // stageFree loads weights onto the hosts of matching free VMs that hold no
-// model.
+// model or are on standby.
 func (p *Planner) stageFree(now time.Time, domains []*domain, match func(*member) bool) {
 	for _, d := range domains {
 		for _, m := range d.free {
-			if m.LoadedModel != "" || !match(m) || m.loading != "" {
+			if m.isCommitted() || !match(m) || m.loading != "" {
 				continue
 			}
 			if model := p.modelToStage(d, m); model != "" && !p.stageOn(now, m, model) {
@@ -149,7 +149,7 @@
 // models by name.
 func (p *Planner) shouldStageSecond(m *member, model *catalog.Model, stocks map[string]*stock) bool {
 	loaded := p.engine.Model(m.LoadedModel)
-	if loaded == nil || loaded == model || loaded.GroupSize == model.GroupSize {
+	if loaded == nil || !m.isCommitted() || loaded == model || loaded.GroupSize == model.GroupSize {
 		return false
 	}
 	if m.loading != "" || m.isLeaving() || m.HasStaged(model.Name) || p.hasOtherStaged(m) {
--- a/coord/replica/stage_test.go
+++ b/coord/replica/stage_test.go
@@ -23,7 +23,7 @@
 		w.vms[id].dead = true
 	}
 	for _, vm := range w.vms {
-		if vm.state.Group == "" && vm.row.Domain == head.row.Domain {
+		if vm.isSpare() && vm.row.Domain == head.row.Domain {
 			vm.dead = true
 		}
 	}
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -442,3 +442,6 @@
 	vm.readyAt, vm.opensAt, vm.staging = time.Time{}, time.Time{}, ""
 	w.applyRow(vm)
 }
+
+// isSpare reports whether a VM belongs to no group that may serve.
+func (vm *engineVM) isSpare() bool { return vm.state.Group == "" || vm.state.IsStandby() }
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -73,7 +73,7 @@
 		a.RegainedAge = &age
 	}
 	for _, vm := range s.vms.All() {
-		if vm.Rank == 0 && vm.Group != "" && vm.Listed && vm.FailedProbes == 0 && vm.ReceivedAt.UnixNano() >= after.Mark {
+		if vm.Rank == 0 && vm.Group != "" && !vm.IsStandby() && vm.Listed && vm.FailedProbes == 0 && vm.ReceivedAt.UnixNano() >= after.Mark {
 			a.Reports = append(a.Reports, news.Report{
 				VM: vm.ID, Age: now.Sub(vm.ReportedAt), Report: fleet.Report{State: vm.State, Load: vm.Load},
 			})
