Package coord/news becomes coord/updates

The package defines the updates of platform data that entry VMs exchange; "news" is no term of the field, and its types read better as updates.Position, updates.Record, updates.Answer. coord/relay would give two packages of one name, since internal/relay imports it.

No code changes besides.

--- a/coord/news/sources_test.go
+++ b/coord/updates/sources_test.go
@@ -1,4 +1,4 @@
-package news
+package updates
 
 import (
 	"testing"
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -15,8 +15,8 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
-	"github.com/pimentoshore/pimentoshore/coord/news"
 	"github.com/pimentoshore/pimentoshore/coord/replica"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/entry"
 	"github.com/pimentoshore/pimentoshore/internal/leasestore"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
@@ -32,7 +32,7 @@
 
 // Peers receives the list of entry VMs.
 type Peers interface {
-	Set(nodes []news.Node)
+	Set(nodes []updates.Node)
 }
 
 // Options configure a Coordinator.
@@ -64,9 +64,9 @@
 
 	mu           sync.Mutex
 	leaseMachine *lease.Machine
-	peerRow      *news.Lease // received from a peer since the last tick, or nil
-	rowRequested bool        // by a peer since the last tick
-	term         uint64      // of the held lease, or 0
+	peerRow      *updates.Lease // received from a peer since the last tick, or nil
+	rowRequested bool           // by a peer since the last tick
+	term         uint64         // of the held lease, or 0
 	epochs       *replica.Epochs
 	planners     map[string]*replica.Planner
 	loggedPhases map[uint64]replica.Phase // last logged phases by epoch
@@ -204,7 +204,7 @@
 
 // ObserveRow records a lease row that a peer has read. The lease state machine
 // processes it at the next tick.
-func (c *Coordinator) ObserveRow(l news.Lease) {
+func (c *Coordinator) ObserveRow(l updates.Lease) {
 	c.updateNodes(l.Row.Candidates)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -222,10 +222,10 @@
 }
 
 // candidateNodes returns the nodes of the lease candidates.
-func candidateNodes(candidates []lease.Candidate) []news.Node {
-	var out []news.Node
+func candidateNodes(candidates []lease.Candidate) []updates.Node {
+	var out []updates.Node
 	for _, c := range candidates {
-		out = append(out, news.Node{VM: c.VM, DataCentre: c.Place, Address: c.Address})
+		out = append(out, updates.Node{VM: c.VM, DataCentre: c.Place, Address: c.Address})
 	}
 	return out
 }
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -11,7 +11,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // benchVMs is the number of VMs that run models in a large fleet, and benchGroup
@@ -26,7 +26,7 @@
 	b.Helper()
 	s := NewState(discardLogger(), time.Now, dispatch.Options{DataCentre: "dc-0", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second})
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 22, Models: []catalog.Model{{Name: "m", GroupSize: benchGroup, Share: 1}}}}
-	s.Operators(s.now(), news.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	s.Operators(s.now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
 	var rows []fleet.Row
 	for i := range benchVMs {
 		rows = append(rows, fleet.Row{
@@ -34,7 +34,7 @@
 			Slots: 22, Engine: true, State: benchVMState(i),
 		})
 	}
-	s.VMs(s.now(), news.VMs{Version: 1, Whole: true, Rows: rows})
+	s.VMs(s.now(), updates.VMs{Version: 1, Whole: true, Rows: rows})
 	s.Tick()
 	return s
 }
@@ -94,7 +94,7 @@
 	applyHeadReports(s)
 	b.ReportAllocs()
 	for b.Loop() {
-		raw, err := json.Marshal(s.Answer(news.Position{Operators: 1, VMs: 1}))
+		raw, err := json.Marshal(s.Answer(updates.Position{Operators: 1, VMs: 1}))
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -105,13 +105,13 @@
 func BenchmarkHear(b *testing.B) {
 	s, peer := benchState(b), benchState(b)
 	applyHeadReports(s)
-	raw, err := json.Marshal(s.Answer(news.Position{Operators: 1, VMs: 1}))
+	raw, err := json.Marshal(s.Answer(updates.Position{Operators: 1, VMs: 1}))
 	if err != nil {
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		var a news.Answer
+		var a updates.Answer
 		if err := json.Unmarshal(raw, &a); err != nil {
 			b.Fatal(err)
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -20,7 +20,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -79,7 +79,7 @@
 func (s *harness) configure() {
 	cat := catalog.New(1, s.routes, []catalog.Service{{Name: "shop"}},
 		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 1000})
-	s.state.Operators(s.state.now(), news.Operators{Version: 1, Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
+	s.state.Operators(s.state.now(), updates.Operators{Version: 1, Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
 }
 
 // add starts and lists an endpoint that responds with the handler.
@@ -99,7 +99,7 @@
 }
 
 func (s *harness) list(id, address string) {
-	s.state.VMs(s.state.now(), news.VMs{Version: 1, Rows: []fleet.Row{{
+	s.state.VMs(s.state.now(), updates.VMs{Version: 1, Rows: []fleet.Row{{
 		ID: id, Service: "shop", Address: address, DataCentre: "dc", Slots: 4, State: fleet.State{Born: 1},
 	}}})
 	s.state.Tick()
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -13,7 +13,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // fakeEngines answers probes and counts them by VM.
@@ -58,7 +58,7 @@
 		StalledAfter: 500 * time.Millisecond, StalledFirst: time.Second, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
 	}, s.state, s.engines)
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
-	s.state.Operators(s.now, news.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	s.state.Operators(s.now, updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
 	var rows []fleet.Row
 	for g := range groups {
 		for rank, stage := range []fleet.Stage{fleet.Open, fleet.Ready} {
@@ -69,7 +69,7 @@
 			})
 		}
 	}
-	s.state.VMs(s.now, news.VMs{Version: 1, Whole: true, Rows: rows})
+	s.state.VMs(s.now, updates.VMs{Version: 1, Whole: true, Rows: rows})
 	s.engines.answer = func(id string) (fleet.Report, error) { return s.report(id), nil }
 	s.state.Tick()
 	return s
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -9,7 +9,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/watch"
 )
 
@@ -26,7 +26,7 @@
 	mu        sync.Mutex
 	vms       *fleet.Table
 	targets   *dispatch.Table
-	record    *news.Record
+	record    *updates.Record
 	cat       *catalog.Catalog
 	evacuated map[string]bool
 	listed    bool // the list of VMs has been received
@@ -49,7 +49,7 @@
 	// peerAnsweredAt is when a peer last answered, and localPeerAnsweredAt when
 	// one in the same data centre did.
 	peerAnsweredAt, localPeerAnsweredAt time.Time
-	suspects                            *news.Suspects
+	suspects                            *updates.Suspects
 
 	// targetsUpdatedAt is when targets was last updated, and updatedChanges the
 	// change count of vms at that time. targetsOutdated reports whether anything
@@ -74,15 +74,15 @@
 // NewState returns the state of a node that has received no data yet.
 func NewState(log *slog.Logger, now func() time.Time, opts dispatch.Options) *State {
 	return &State{
-		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: news.NewRecord(),
-		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: news.NewSuspects(),
+		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: updates.NewRecord(),
+		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: updates.NewSuspects(),
 	}
 }
 
 var _ watch.Observer = (*State)(nil)
 
 // Operators implements watch.Observer.
-func (s *State) Operators(asOf time.Time, n news.Operators) {
+func (s *State) Operators(asOf time.Time, n updates.Operators) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyOperators(asOf, n)
@@ -90,7 +90,7 @@
 
 // applyOperators applies settings of the operators that were read from the
 // platform or received from a peer. s.mu must be held.
-func (s *State) applyOperators(asOf time.Time, n news.Operators) {
+func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
 	if !s.record.PutOperators(n) {
 		return
 	}
@@ -126,7 +126,7 @@
 }
 
 // VMs implements watch.Observer.
-func (s *State) VMs(asOf time.Time, n news.VMs) {
+func (s *State) VMs(asOf time.Time, n updates.VMs) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readFailedAt, s.readAt = time.Time{}, asOf
@@ -135,7 +135,7 @@
 
 // applyVMs applies rows of VMs that were read from the platform or received from
 // a peer. s.mu must be held.
-func (s *State) applyVMs(asOf time.Time, n news.VMs) {
+func (s *State) applyVMs(asOf time.Time, n updates.VMs) {
 	now := s.now()
 	if s.vmReadFailing {
 		s.vmReadFailing = false
@@ -248,7 +248,7 @@
 	HasPeerUpdates bool
 	// HasLocalPeerUpdates reports whether a peer in the same data centre does.
 	HasLocalPeerUpdates bool
-	Suspects            *news.Suspects
+	Suspects            *updates.Suspects
 }
 
 // View returns the newest catalog received, or nil if there is none.
--- a/internal/entry/told.go
+++ b/internal/entry/told.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // peerAnswerTTL is how long an answer from a peer replaces this node's own reads
@@ -12,7 +12,7 @@
 const peerAnswerTTL = 700 * time.Millisecond
 
 // Position returns the versions that this node has already received.
-func (s *State) Position() news.Position {
+func (s *State) Position() updates.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.record.Position()
@@ -54,16 +54,16 @@
 func isRecent(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < peerAnswerTTL }
 
 // Answer returns the updates that a peer at the given position lacks.
-func (s *State) Answer(after news.Position) news.Answer {
+func (s *State) Answer(after updates.Position) updates.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
 	s.suspects.AddFromRequest(now, after.Suspects)
 	view := s.view.Load()
 	if view == nil || !s.listed {
-		return news.Answer{}
+		return updates.Answer{}
 	}
-	a := news.Answer{
+	a := updates.Answer{
 		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
 		Mark: now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
@@ -74,12 +74,12 @@
 	}
 	for _, vm := range s.vms.All() {
 		if vm.Rank == 0 && vm.Group != "" && vm.Listed && vm.FailedProbes == 0 && vm.ReceivedAt.UnixNano() >= after.Mark {
-			a.Reports = append(a.Reports, news.Report{
+			a.Reports = append(a.Reports, updates.Report{
 				VM: vm.ID, Age: now.Sub(vm.ReportedAt), Report: fleet.Report{State: vm.State, Load: vm.Load},
 			})
 		}
 		if vm.Leaving && vm.Listed && vm.LeavingAt.UnixNano() >= after.Mark {
-			a.Leaving = append(a.Leaving, news.Leaving{VM: vm.ID, Born: vm.Born})
+			a.Leaving = append(a.Leaving, updates.Leaving{VM: vm.ID, Born: vm.Born})
 		}
 	}
 	return a
@@ -89,7 +89,7 @@
 // are counted from that time, so that they are never too low. sameDC says whether
 // the peer is in the same data centre; only then do the groups that it finds
 // broken count as broken here too.
-func (s *State) ApplyAnswer(asked time.Time, sameDC bool, a news.Answer) {
+func (s *State) ApplyAnswer(asked time.Time, sameDC bool, a updates.Answer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.Operators != nil {
--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/standin/heap"
 	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
 )
@@ -83,8 +83,8 @@
 	_, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
 	assert.NilError(t, err)
 	asked := peer.state.now()
-	peer.state.ApplyAnswer(asked, true, s.state.Answer(news.Position{}))
-	peer.state.VMs(asked, news.VMs{Version: 2, Rows: []fleet.Row{{
+	peer.state.ApplyAnswer(asked, true, s.state.Answer(updates.Position{}))
+	peer.state.VMs(asked, updates.VMs{Version: 2, Rows: []fleet.Row{{
 		ID: "vm-1", Service: "shop", Address: address, DataCentre: "dc", Slots: 4, State: fleet.State{Born: 1},
 	}}})
 	peer.state.Tick()
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/relay"
 )
 
@@ -13,17 +13,17 @@
 var _ relay.Responder = (*peerServer)(nil)
 
 // Answer implements relay.Responder.
-func (s *peerServer) Answer(after news.Position) news.Answer {
+func (s *peerServer) Answer(after updates.Position) updates.Answer {
 	answer := s.state.Answer(after)
 	s.coord.MarkRowRequested()
 	if row, revision := s.coord.Row(); answer.Known && revision > after.Lease {
-		answer.Lease = &news.Lease{Row: row, Revision: revision}
+		answer.Lease = &updates.Lease{Row: row, Revision: revision}
 	}
 	return answer
 }
 
 // AddRequester implements relay.Responder.
-func (s *peerServer) AddRequester(n news.Node) { s.follower.AddRequester(n) }
+func (s *peerServer) AddRequester(n updates.Node) { s.follower.AddRequester(n) }
 
 // peerListener applies the updates from peers.
 type peerListener Node
@@ -31,14 +31,14 @@
 var _ relay.Listener = (*peerListener)(nil)
 
 // Position implements relay.Listener.
-func (l *peerListener) Position() news.Position {
+func (l *peerListener) Position() updates.Position {
 	p := l.state.Position()
 	_, p.Lease = l.coord.Row()
 	return p
 }
 
 // ApplyAnswer implements relay.Listener.
-func (l *peerListener) ApplyAnswer(asked time.Time, from news.Node, answer news.Answer) {
+func (l *peerListener) ApplyAnswer(asked time.Time, from updates.Node, answer updates.Answer) {
 	l.state.ApplyAnswer(asked, from.DataCentre == l.cfg.DataCentre, answer)
 	if answer.Lease != nil {
 		l.coord.ObserveRow(*answer.Lease)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -15,7 +15,7 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
@@ -24,10 +24,10 @@
 // Listener receives the updates that a Follower fetches from other nodes.
 type Listener interface {
 	// Position returns the position up to which this node has updates.
-	Position() news.Position
+	Position() updates.Position
 	// ApplyAnswer applies an answer of another node. asked is when the request
 	// was sent, on the clock of package boottime.
-	ApplyAnswer(asked time.Time, from news.Node, a news.Answer)
+	ApplyAnswer(asked time.Time, from updates.Node, a updates.Answer)
 	// ClearPeerUpdates is called when no node is left to ask, so that this node
 	// has to read from the platform itself.
 	ClearPeerUpdates()
@@ -56,7 +56,7 @@
 	http     http.Client
 
 	mu      sync.Mutex
-	sources *news.Sources
+	sources *updates.Sources
 	// source is the VM of the node that updates come from, empty if there is none.
 	// sourceMark is the Mark of its last answer and sourceVMsVersion the version
 	// of the last list of VMs that it sent.
@@ -69,7 +69,7 @@
 func NewFollower(opts Options, l Listener) *Follower {
 	dialer := &net.Dialer{Timeout: opts.Timeout, KeepAlive: time.Second}
 	return &Follower{
-		opts: opts, listener: l, sources: news.NewSources(opts.VM, opts.DataCentre),
+		opts: opts, listener: l, sources: updates.NewSources(opts.VM, opts.DataCentre),
 		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout}},
 	}
 }
@@ -78,14 +78,14 @@
 const idleTimeout = 30 * time.Second
 
 // Set replaces the nodes that may be asked.
-func (f *Follower) Set(nodes []news.Node) {
+func (f *Follower) Set(nodes []updates.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources.Set(nodes)
 }
 
 // AddRequester adds a node that has sent a request to this one, as a node to ask.
-func (f *Follower) AddRequester(n news.Node) {
+func (f *Follower) AddRequester(n updates.Node) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.sources.AddRequester(n)
@@ -124,7 +124,7 @@
 		f.mu.Unlock()
 		if !ok {
 			f.listener.ClearPeerUpdates()
-			f.setSource("", news.Answer{})
+			f.setSource("", updates.Answer{})
 			return
 		}
 		a, err := f.askOne(ctx, n, platformDown)
@@ -151,7 +151,7 @@
 
 // setSource records the node that updates come from and the versions in its last
 // answer. An empty vm means that this node reads from the platform itself.
-func (f *Follower) setSource(vm string, a news.Answer) {
+func (f *Follower) setSource(vm string, a updates.Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if vm != "" {
@@ -172,7 +172,7 @@
 }
 
 // newRequest returns the request for updates after a position.
-func (f *Follower) newRequest(p news.Position) *relaypb.AskRequest {
+func (f *Follower) newRequest(p updates.Position) *relaypb.AskRequest {
 	req := &relaypb.AskRequest{
 		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address,
 		Operators: p.Operators, Vms: p.VMs, Reports: p.Mark, Lease: p.Lease, Told: p.ReceivedVMs,
@@ -186,7 +186,7 @@
 // askOne asks a node for updates and passes its answer to the listener. The error
 // says why the node can't serve as the source: it failed, has no data, only
 // passes on data of others or has data that is older than MaxAge.
-func (f *Follower) askOne(ctx context.Context, n news.Node, platformDown bool) (a news.Answer, err error) {
+func (f *Follower) askOne(ctx context.Context, n updates.Node, platformDown bool) (a updates.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
 	position := f.listener.Position()
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -14,7 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 )
 
@@ -22,27 +22,29 @@
 // the requests and answers that it receives.
 type fakeNode struct {
 	mu          sync.Mutex
-	answer      news.Answer
-	requests    []news.Position
-	applied     []news.Answer
+	answer      updates.Answer
+	requests    []updates.Position
+	applied     []updates.Answer
 	askedAt     time.Time
 	cleared     int
-	requesters  []news.Node
+	requesters  []updates.Node
 	unreachable bool
 }
 
-func (n *fakeNode) Answer(after news.Position) news.Answer {
+func (n *fakeNode) Answer(after updates.Position) updates.Answer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.requests = append(n.requests, after)
 	return n.answer
 }
 
-func (n *fakeNode) AddRequester(other news.Node) { n.requesters = append(n.requesters, other) }
+func (n *fakeNode) AddRequester(other updates.Node) { n.requesters = append(n.requesters, other) }
 
-func (n *fakeNode) Position() news.Position { return news.Position{Operators: 1, VMs: 2, Lease: 3} }
+func (n *fakeNode) Position() updates.Position {
+	return updates.Position{Operators: 1, VMs: 2, Lease: 3}
+}
 
-func (n *fakeNode) ApplyAnswer(asked time.Time, _ news.Node, a news.Answer) {
+func (n *fakeNode) ApplyAnswer(asked time.Time, _ updates.Node, a updates.Answer) {
 	n.applied = append(n.applied, a)
 	n.askedAt = asked
 }
@@ -58,7 +60,7 @@
 	return strings.TrimPrefix(server.URL, "http://")
 }
 
-func newTestFollower(listener Listener, nodes ...news.Node) *Follower {
+func newTestFollower(listener Listener, nodes ...updates.Node) *Follower {
 	f := NewFollower(Options{
 		VM: "e9", DataCentre: "a", Address: "10.0.0.9:1", Every: time.Second, Timeout: 300 * time.Millisecond, MaxAge: time.Second,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry(),
@@ -67,24 +69,24 @@
 	return f
 }
 
-var freshAnswer = news.Answer{
+var freshAnswer = updates.Answer{
 	Known: true, OperatorsAge: 300 * time.Millisecond, VMsAge: 200 * time.Millisecond,
-	VMs: &news.VMs{Version: 7, Removed: []string{"i-1"}}, Mark: 77,
+	VMs: &updates.VMs{Version: 7, Removed: []string{"i-1"}}, Mark: 77,
 }
 
 func TestFollowerAppliesTheAnswersOfItsSource(t *testing.T) {
 	responder, listener := &fakeNode{answer: freshAnswer}, &fakeNode{}
-	f := newTestFollower(listener, news.Node{VM: "e1", DataCentre: "a", Address: startServer(t, Handler(responder))})
+	f := newTestFollower(listener, updates.Node{VM: "e1", DataCentre: "a", Address: startServer(t, Handler(responder))})
 	before := boottime.Now()
 	f.ask(context.Background())
 	f.ask(context.Background())
-	assert.DeepEqual(t, listener.applied, []news.Answer{freshAnswer, freshAnswer})
+	assert.DeepEqual(t, listener.applied, []updates.Answer{freshAnswer, freshAnswer})
 	assert.Assert(t, !listener.askedAt.Before(before))
-	assert.DeepEqual(t, responder.requests, []news.Position{
+	assert.DeepEqual(t, responder.requests, []updates.Position{
 		{Operators: 1, VMs: 2, Lease: 3}, {Operators: 1, VMs: 2, Lease: 3, Mark: 77, ReceivedVMs: 7},
 	})
 	assert.Equal(t, listener.cleared, 0)
-	assert.DeepEqual(t, responder.requesters[0], news.Node{VM: "e9", DataCentre: "a", Address: "10.0.0.9:1"})
+	assert.DeepEqual(t, responder.requesters[0], updates.Node{VM: "e9", DataCentre: "a", Address: "10.0.0.9:1"})
 }
 
 // Nodes that have no data or only old or borrowed data, that don't answer or that
@@ -107,14 +109,14 @@
 		"borrowed": Handler(&fakeNode{answer: borrowed}), "silent": silent, "garbage": garbage,
 	} {
 		listener := &fakeNode{}
-		f := newTestFollower(listener, news.Node{VM: "e1", DataCentre: "a", Address: startServer(t, h)})
+		f := newTestFollower(listener, updates.Node{VM: "e1", DataCentre: "a", Address: startServer(t, h)})
 		f.ask(context.Background())
 		assert.Equal(t, len(listener.applied), 0, name)
 		assert.Equal(t, listener.cleared, 1, name)
 
 		responder := &fakeNode{answer: freshAnswer}
-		f = newTestFollower(listener, news.Node{VM: "e1", DataCentre: "a", Address: startServer(t, h)},
-			news.Node{VM: "e2", DataCentre: "a", Address: startServer(t, Handler(responder))})
+		f = newTestFollower(listener, updates.Node{VM: "e1", DataCentre: "a", Address: startServer(t, h)},
+			updates.Node{VM: "e2", DataCentre: "a", Address: startServer(t, Handler(responder))})
 		f.ask(context.Background())
 		assert.Equal(t, len(listener.applied), 1, name)
 	}
@@ -122,7 +124,7 @@
 
 func TestReaderAsksOnlyWhileThePlatformIsUnreachable(t *testing.T) {
 	responder, listener := &fakeNode{answer: freshAnswer}, &fakeNode{}
-	f := newTestFollower(listener, news.Node{VM: "e1", DataCentre: "b", Address: startServer(t, Handler(responder))})
+	f := newTestFollower(listener, updates.Node{VM: "e1", DataCentre: "b", Address: startServer(t, Handler(responder))})
 	assert.Assert(t, f.IsReader())
 	f.ask(context.Background())
 	assert.Equal(t, len(listener.applied), 0)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -8,16 +8,16 @@
 
 	"github.com/juju/errors"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
 )
 
 // Responder answers the requests of other nodes.
 type Responder interface {
 	// Answer returns the updates after a position.
-	Answer(after news.Position) news.Answer
+	Answer(after updates.Position) updates.Answer
 	// AddRequester is called with each node that sends a request.
-	AddRequester(n news.Node)
+	AddRequester(n updates.Node)
 }
 
 // Handler returns the twirp service that answers requests with r.
@@ -28,7 +28,7 @@
 // Ask implements relaypb.Relay.
 func (s service) Ask(_ context.Context, req *relaypb.AskRequest) (*relaypb.AskResponse, error) {
 	if req.Vm != "" && req.Address != "" {
-		s.responder.AddRequester(news.Node{VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address})
+		s.responder.AddRequester(updates.Node{VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address})
 	}
 	answer := s.responder.Answer(decodePosition(req))
 	raw, err := json.Marshal(answer)
@@ -36,10 +36,10 @@
 }
 
 // decodePosition returns the position in a request.
-func decodePosition(req *relaypb.AskRequest) news.Position {
-	p := news.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told}
+func decodePosition(req *relaypb.AskRequest) updates.Position {
+	p := updates.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told}
 	for _, s := range req.Suspects {
-		p.Suspects = append(p.Suspects, news.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
+		p.Suspects = append(p.Suspects, updates.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
 	}
 	return p
 }
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 )
 
@@ -38,14 +38,14 @@
 type Observer interface {
 	// Position returns the versions that the observer has. Each read requests
 	// the changes after them.
-	Position() news.Position
+	Position() updates.Position
 	// HasPeerUpdates reports whether a peer sends updates, so that the platform
 	// need not be read.
 	HasPeerUpdates() bool
 	// Operators and VMs apply an update. asOf is the time at which the read
 	// was sent: the update includes every change confirmed by then.
-	Operators(asOf time.Time, update news.Operators)
-	VMs(asOf time.Time, update news.VMs)
+	Operators(asOf time.Time, update updates.Operators)
+	VMs(asOf time.Time, update updates.VMs)
 	// ReadFailed reports that the platform could not be read.
 	ReadFailed(what string, err error)
 }
--- a/internal/watch/loop_test.go
+++ b/internal/watch/loop_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // fakeSource returns scripted results and records the requested versions and
@@ -24,19 +24,19 @@
 	operatorReads int
 }
 
-func (s *fakeSource) Operators(ctx context.Context, _ uint64, _ time.Duration) (news.Operators, error) {
+func (s *fakeSource) Operators(ctx context.Context, _ uint64, _ time.Duration) (updates.Operators, error) {
 	s.mu.Lock()
 	s.operatorReads++
 	unwritten := s.unwritten
 	s.mu.Unlock()
 	if unwritten {
-		return news.Operators{Whole: true}, nil
+		return updates.Operators{Whole: true}, nil
 	}
 	<-ctx.Done()
-	return news.Operators{}, ctx.Err()
+	return updates.Operators{}, ctx.Err()
 }
 
-func (s *fakeSource) VMs(_ context.Context, after uint64, wait time.Duration) (news.VMs, error) {
+func (s *fakeSource) VMs(_ context.Context, after uint64, wait time.Duration) (updates.VMs, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.after, s.waits = append(s.after, after), append(s.waits, wait)
@@ -44,7 +44,7 @@
 	if len(s.errs) > 0 {
 		err, s.errs = s.errs[0], s.errs[1:]
 	}
-	return news.VMs{Version: after + 5}, err
+	return updates.VMs{Version: after + 5}, err
 }
 
 func (s *fakeSource) reads() int {
@@ -61,10 +61,10 @@
 	failures  int
 }
 
-func (o *fakeObserver) Position() news.Position {
+func (o *fakeObserver) Position() updates.Position {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return news.Position{VMs: o.version}
+	return updates.Position{VMs: o.version}
 }
 
 func (o *fakeObserver) HasPeerUpdates() bool {
@@ -79,9 +79,9 @@
 	o.receiving = receiving
 }
 
-func (o *fakeObserver) Operators(time.Time, news.Operators) {}
+func (o *fakeObserver) Operators(time.Time, updates.Operators) {}
 
-func (o *fakeObserver) VMs(_ time.Time, n news.VMs) {
+func (o *fakeObserver) VMs(_ time.Time, n updates.VMs) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.version = n.Version
--- a/internal/watch/source.go
+++ b/internal/watch/source.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // ErrHistoryGone means that the platform no longer keeps the changes after a
@@ -17,6 +17,6 @@
 // once wait has passed. Errors other than ErrHistoryGone mean that the platform
 // could not be read.
 type Source interface {
-	Operators(ctx context.Context, after uint64, wait time.Duration) (news.Operators, error)
-	VMs(ctx context.Context, after uint64, wait time.Duration) (news.VMs, error)
+	Operators(ctx context.Context, after uint64, wait time.Duration) (updates.Operators, error)
+	VMs(ctx context.Context, after uint64, wait time.Duration) (updates.VMs, error)
 }
