kindAnnouncement and handleAnnouncement, as the message's type

Both stand for a budget.Announcement: a new ledger makes itself known to a node, which answers with its full usage. The verb did not match the type, nor the nouns of the other kinds (kindDigest, kindGrants, kindUsage). The value on the wire stays "budget.announce".

--- a/internal/daemon/budgets.go
+++ b/internal/daemon/budgets.go
@@ -198,7 +198,7 @@
 // held.
 func (n *Node) sendBudgetEffects(l *budget.Ledger, e budget.Effects) {
 	for _, a := range e.Announcements {
-		n.sendBudgetMessage(l, a.Node, kindAnnounce, a)
+		n.sendBudgetMessage(l, a.Node, kindAnnouncement, a)
 	}
 	byNode := map[string][]budget.Grant{}
 	for _, g := range e.Grants {
@@ -250,9 +250,9 @@
 	}
 }
 
-// handleAnnounce handles a ledger's announcement and returns all shares that
+// handleAnnouncement handles a ledger's announcement and returns all shares that
 // this node holds from it. n.mu must be held.
-func (n *Node) handleAnnounce(from string, a budget.Announcement) (budget.Usage, bool) {
+func (n *Node) handleAnnouncement(from string, a budget.Announcement) (budget.Usage, bool) {
 	n.recordLedger(a.Source, from, a.Term)
 	if !n.shares.ApplyAnnouncement(a) {
 		return budget.Usage{}, false
--- a/internal/daemon/exchange.go
+++ b/internal/daemon/exchange.go
@@ -16,13 +16,13 @@
 
 // Kinds of messages between entry VMs.
 const (
-	kindDigest     = "config.digest"   // config.Digest
-	kindPromise    = "lease.promise"   // promiseRequest, answered by lease.PromiseReply
-	kindReleased   = "lease.released"  // name of the lease
-	kindAnnounce   = "budget.announce" // budget.Announcement, answered by budget.Usage
-	kindGrants     = "budget.grants"   // []budget.Grant, answered by budget.Usage
-	kindUsage      = "budget.usage"    // budget.Usage
-	kindClaimQuery = "claim.ask"       // claimQuery, answered by claim.Reply
+	kindDigest       = "config.digest"   // config.Digest
+	kindPromise      = "lease.promise"   // promiseRequest, answered by lease.PromiseReply
+	kindReleased     = "lease.released"  // name of the lease
+	kindAnnouncement = "budget.announce" // budget.Announcement, answered by budget.Usage
+	kindGrants       = "budget.grants"   // []budget.Grant, answered by budget.Usage
+	kindUsage        = "budget.usage"    // budget.Usage
+	kindClaimQuery   = "claim.ask"       // claimQuery, answered by claim.Reply
 )
 
 // messageTimeout bounds a message between entry VMs together with its reply. A
@@ -98,8 +98,8 @@
 			}
 			return nil, false
 		})
-	case kindAnnounce:
-		return handleMessage(m, func(a budget.Announcement) (any, bool) { return n.handleAnnounce(from, a) })
+	case kindAnnouncement:
+		return handleMessage(m, func(a budget.Announcement) (any, bool) { return n.handleAnnouncement(from, a) })
 	case kindGrants:
 		return handleMessage(m, func(g []budget.Grant) (any, bool) { return n.handleGrants(now, g) })
 	case kindUsage:
