Doc comments of claim, group, budget, stream and config read plainer

Some sentences used a word without saying what it means ("place", "marks nothing", "handles of the peers"), left the subject open ("the grace", "or may still be") or, on group.Status, described a function on a type. They now name the option, field or state that they mean, and doc.go of group defines a VM's place. Reasons and numbers stay. Only comments change.

--- a/coord/budget/capacity.go
+++ b/coord/budget/capacity.go
@@ -63,7 +63,7 @@
 }
 
 // allot returns how much of the part can be granted to its node and deducts
-// it. A part that falls needs no capacity, and frees none until the node has
+// it. Lowering a part needs no capacity, and frees none until the node has
 // reported the lower value.
 func (c *capacities) allot(p part, b bound) (limit, cold int) {
 	most, mostCold := c.all.maxGrant(b)
--- a/coord/budget/doc.go
+++ b/coord/budget/doc.go
@@ -14,11 +14,12 @@
 //     rest of the limit.
 //   - A new ledger raises no share until each possible holder has reported
 //     under its term or is known to be gone.
-//   - Each grant contains the node's part of the cold limit. A node that learns
-//     of a new incarnation drops to that part at once. By the same accounting,
+//   - Each grant contains the node's part of the cold limit, which applies right
+//     after an endpoint has started. A node that learns of a new incarnation
+//     drops to that part at once. By the same accounting,
 //     these parts add up to no more than the cold limit.
 //
-// Grants do not expire, so nodes keep serving while the coordinator is away.
+// Grants do not expire, so nodes keep serving while there is no coordinator.
 //
 // The embedding program must drop usages, reports and answers that are more
 // than 10 seconds old. It must also send a full Usage from time to time to
--- a/coord/budget/holding.go
+++ b/coord/budget/holding.go
@@ -126,8 +126,8 @@
 		return false
 	}
 	// If a late message named the first incarnation, that one may not be the
-	// direct predecessor, so a change soon after the endpoint was added proves
-	// nothing.
+	// direct predecessor, so a change soon after the endpoint was added does
+	// not show what earlier ledgers granted.
 	if a.origin != inherited || !now.Before(a.addedAt.Add(maxMessageAge)) {
 		a.origin = observed
 	}
--- a/coord/budget/incarnation.go
+++ b/coord/budget/incarnation.go
@@ -15,7 +15,7 @@
 
 const (
 	nameCurrent  nameStatus = iota // the current incarnation, or no name
-	nameReplaced                   // an earlier one: this message is late, or the one that replaced it was
+	nameReplaced                   // an earlier incarnation: this message is late, or the one that replaced it was
 	nameNew                        // a new incarnation
 )
 
--- a/coord/budget/ledger.go
+++ b/coord/budget/ledger.go
@@ -104,12 +104,12 @@
 // isGrantable reports whether a grant can be addressed to the node's process.
 func (m *holder) isGrantable() bool { return m.synced && m.incarnation != "" }
 
-// origin tells what earlier ledgers may have granted of an incarnation.
+// origin says what earlier ledgers may have granted of an incarnation.
 type origin int
 
 const (
 	inherited origin = iota // unknown: they may have granted any part of the limit
-	observed                // nothing, but nodes drop to the cold parts of earlier grants
+	observed                // nothing, but nodes may use the cold parts of grants of earlier incarnations
 	fresh                   // nothing, so nothing has to be reserved
 )
 
--- a/coord/budget/shares.go
+++ b/coord/budget/shares.go
@@ -148,7 +148,7 @@
 	return Ticket{Endpoint: endpoint, Incarnation: sh.incarnation.current}, true
 }
 
-// Release returns a unit. Completed tells that a complete answer was received,
+// Release returns a unit. completed says whether a complete answer was received,
 // which counts towards the warm-up.
 func (s *Shares) Release(t Ticket, completed bool) {
 	sh, ok := s.table[t.Endpoint]
--- a/coord/claim/arrive.go
+++ b/coord/claim/arrive.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// begin starts processing a new key. lookUp is set for a ticket whose issuer is
-// gone or which has expired; its row is read before anything else.
+// begin starts processing a new key. lookUp is set for a ticket that has expired
+// or whose issuer has ended: the key's row is read before anything else.
 func (s *State) begin(now time.Time, e *entry, lookUp bool) {
 	if !lookUp {
 		s.advance(now, e)
--- a/coord/claim/entry.go
+++ b/coord/claim/entry.go
@@ -17,7 +17,7 @@
 	settled                // the outcome is known, or was lost
 	releasing              // certainly not sent, and no caller waits
 	following              // another node holds the claim; waits for its reply
-	orphaned               // the ticket is expired or its issuer gone; waits for its row
+	orphaned               // the ticket has expired or its issuer has ended; waits for its row
 )
 
 // op is the table operation that is pending for an entry.
@@ -42,7 +42,7 @@
 	fingerprint  string
 	stage        stage
 	waiters      []waiter
-	peerRequests []uint64 // handles of the peers that wait for the outcome
+	peerRequests []uint64 // IDs of the peers' requests that wait for the outcome
 
 	ticket bool // issued by this node and valid
 	expiry time.Time
@@ -55,7 +55,7 @@
 	notSentCount   int // attempts not sent since the waiting calls were last refused
 
 	final     Record // set once settled
-	abandoned bool   // the claim is of another node that has ended
+	abandoned bool   // the claim was made by another node, which has ended
 	trimmed   bool   // the response body is stored only in the table
 
 	foreign     Record // record of another claimant, set while following
@@ -65,11 +65,11 @@
 	op            op
 	pendingStatus Status // status in the write in flight
 	stored        Status // status that the row has under the entry's token, if known
-	mayBeStored   bool   // a write with the token may have been applied, or may still be
+	mayBeStored   bool   // a write with the token may have been applied or may still be applied
 	revision      uint64
-	// lateRelease is the revision on which a write of Released was conditioned
-	// whose answer was lost. While the row is at this revision, the write may
-	// still be applied.
+	// lateRelease is the revision in the condition of a write of Released whose
+	// answer was lost. While the row is at this revision, the write may still
+	// be applied.
 	lateRelease uint64
 }
 
@@ -99,7 +99,7 @@
 	s.callers[call.ID] = e
 }
 
-// drop removes a key from memory, once its state is in the table or no longer
+// drop removes a key from memory. Its state is in the table or is no longer
 // needed.
 func (s *State) drop(e *entry) {
 	s.replyAll(e, Reply{Kind: ReplyNotFound})
@@ -124,7 +124,7 @@
 	s.emit(Answer{Call: w.call, Err: err})
 }
 
-// refuseAll refuses all waiting calls. See refuse for certain.
+// refuseAll refuses all waiting calls. See refuse for the meaning of certain.
 func (s *State) refuseAll(e *entry, certain bool, err *problem.Error) {
 	for _, w := range s.takeWaiters(e) {
 		s.refuse(w, certain, err)
--- a/coord/claim/event.go
+++ b/coord/claim/event.go
@@ -183,8 +183,8 @@
 		Outcome *Outcome
 		Err     *problem.Error
 	}
-	// Stopped reports that all claims are in the table and the node makes no
-	// more.
+	// Stopped reports that all claims are in the table and that the node will
+	// not make any others.
 	Stopped struct{}
 )
 
--- a/coord/claim/follow.go
+++ b/coord/claim/follow.go
@@ -6,9 +6,9 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
-// handleForeignRow handles an entry whose row was read with another token. A
-// delayed write of the entry can no longer be applied, as its condition names an
-// older revision.
+// handleForeignRow handles an entry whose row contains a token other than the
+// entry's. A delayed write of the entry can no longer be applied, as its
+// condition names an older revision.
 func (s *State) handleForeignRow(now time.Time, e *entry, rec Record) {
 	e.stored = ""
 	switch e.stage {
@@ -23,8 +23,8 @@
 	}
 }
 
-// resolve decides what to do with the waiting calls, given the record of another
-// token.
+// resolve decides what to do with the waiting calls when the row contains the
+// given record, which has another token.
 func (s *State) resolve(now time.Time, e *entry, rec Record) {
 	switch {
 	case rec.Status == Released:
--- a/coord/claim/key.go
+++ b/coord/claim/key.go
@@ -42,6 +42,6 @@
 	Incarnation string `json:"incarnation"`
 }
 
-// closedRow returns the key of the closing row, with which a stopped node states
-// that all its claims are in the table.
+// closedRow returns the key of the closing row. A node writes this row when it
+// stops, once all its claims are in the table.
 func (n Node) closedRow() string { return issuerPrefix + n.VM + "/" + n.Incarnation }
--- a/coord/claim/record.go
+++ b/coord/claim/record.go
@@ -13,7 +13,8 @@
 type Status string
 
 // Statuses of a claim. Rows are not deleted before their retention ends, and a
-// released row still has a revision, so a delayed insert cannot be applied.
+// released row still has a revision. So a delayed insert, whose condition is that
+// the row does not exist, cannot be applied.
 const (
 	Claimed  Status = "claimed"  // the claimant may dispatch
 	Finished Status = "done"     // the outcome is recorded
--- a/coord/claim/state.go
+++ b/coord/claim/state.go
@@ -7,7 +7,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
-// State is the state machine that runs the keyed calls of one node.
+// State is the state machine that runs one node's calls with idempotency keys.
 //
 // A call is dispatched only by the node whose token is in the key's row, or by
 // the issuer of the key's ticket. A row can change to another token only from
--- a/coord/claim/ticket.go
+++ b/coord/claim/ticket.go
@@ -8,8 +8,8 @@
 )
 
 // Ticket is an idempotency key that names its issuer. While the issuer runs, only
-// it may dispatch the call, so it does not need the table to exclude a run on
-// another node. A ticket that was never used takes no state anywhere.
+// it may dispatch the call, so it can rule out a run on another node without the
+// table. No state is kept for a ticket that has not been used.
 type Ticket struct {
 	Issuer Node
 	// Age is how long the issuer had been running when it issued the ticket.
--- a/coord/claim/unkeyed.go
+++ b/coord/claim/unkeyed.go
@@ -16,7 +16,7 @@
 )
 
 // Unkeyed decides whether to retry one call without an idempotency key. The zero
-// value is for a call that is not idempotent and has a single attempt.
+// value allows a single attempt of a call that is not idempotent.
 type Unkeyed struct {
 	// Idempotent allows retries after the call may have been sent.
 	Idempotent bool
--- a/coord/config/proposal.go
+++ b/coord/config/proposal.go
@@ -169,7 +169,8 @@
 }
 
 // handleReadBack determines whether the commit whose answer was lost took
-// effect. If that is still open, it rewrites the head to cancel the commit.
+// effect. If the commit may still take effect later, it rewrites the head to
+// cancel it.
 func (p *Proposal) handleReadBack(head headRow, written Change) []ProposalEffect {
 	switch {
 	case written.Token == p.change.Token:
--- a/coord/config/state.go
+++ b/coord/config/state.go
@@ -10,11 +10,11 @@
 // State is the state machine by which one node follows the sequence of
 // configurations.
 //
-// The number in force never decreases. A change is adopted only if it has the
-// next number and contains the token of the change in force, a snapshot only if
-// its number is higher. Two nodes at the same number therefore have the same
-// document, unless the platform itself returned two different histories, which
-// is reported as a Conflict.
+// The number of the configuration in force never decreases. A change is adopted
+// only if it has the next number and contains the token of the change in force,
+// a snapshot only if its number is higher. Two nodes at the same number therefore
+// have the same document, unless the platform itself returned two different
+// histories, which is reported as a Conflict.
 type State struct {
 	opts   Options
 	rng    *rand.Rand
--- a/coord/group/assemble.go
+++ b/coord/group/assemble.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Values of one more group of a model. They decide which model gets a group
+// Values of adding a group to a model. They decide which model gets a group
 // first and whether a regrouping is worthwhile.
 const (
 	firstGroupValue  = 4 // the model's only group
@@ -92,8 +92,8 @@
 	return n
 }
 
-// hasDeparting reports whether former members of a dissolved group are not
-// idle yet.
+// hasDeparting reports whether former members of a dissolved group of the domain
+// are not idle yet.
 func (m *Manager) hasDeparting(d *domain, now time.Time) bool {
 	for len(d.departing) > 0 {
 		v := d.departing[0]
--- a/coord/group/assess.go
+++ b/coord/group/assess.go
@@ -5,8 +5,8 @@
 // faults counts the members that keep a group from being whole, by kind.
 type faults struct {
 	cold       int // present, but not in place
-	dead       int // silent for longer than the grace, or not to be used before vm.skipUntil
-	paused     int // silent within the grace
+	dead       int // silent for too long (see countSilent), or not to be used before vm.skipUntil
+	paused     int // silent, but may return in time; see also countOutOfPlace
 	ineligible int // removed, or present and out, leaving or stopping
 	// due is the earliest time at which a paused or excluded member has to be
 	// assessed again.
@@ -51,8 +51,8 @@
 	m.emit(Progress{Notice: NoticeWhole, Group: g.ID, Generation: g.Generation})
 }
 
-// repairWhenDue repairs a group that is not whole, once none of its members
-// may merely be paused.
+// repairWhenDue repairs a group that is not whole, but not while it still awaits
+// the return of a member that may only be paused.
 func (m *Manager) repairWhenDue(g *groupState, now time.Time) {
 	if m.dcOut {
 		m.beginDrain(g, causeOut, actionHold, now)
@@ -85,10 +85,10 @@
 	m.repair(g, now)
 }
 
-// awaitReturnUntil returns until when the domain's silent members are awaited
-// after an outage, because other VMs have just returned. It returns zero if
-// the domain had no outage, and ends the outage when no VM has returned for
-// RepairGrace.
+// awaitReturnUntil returns the time before which silent members in the domain
+// are not replaced after an outage: as long as VMs keep returning, others may
+// follow. It returns zero if the domain has no outage. The outage ends when no
+// VM has returned for RepairGrace.
 func (m *Manager) awaitReturnUntil(d *domain, now time.Time) time.Time {
 	settled := d.returnedAt.Add(m.opts.RepairGrace)
 	if !now.Before(settled) {
@@ -124,8 +124,8 @@
 }
 
 // countOutOfPlace counts a present member that is not in place. A member that
-// reports another generation counts as paused as long as silent VMs may still
-// show that generation to be running.
+// reports another generation counts as paused as long as reports of VMs that are
+// silent now may still show that this generation is running.
 func (m *Manager) countOutOfPlace(f *faults, g *groupState, v *vm, now time.Time) {
 	if v.isInPlace() || (!v.wasInPlace && g.phase != phaseBroken) {
 		return
--- a/coord/group/doc.go
+++ b/coord/group/doc.go
@@ -1,9 +1,10 @@
 // Package group decides which VMs of one data centre form the groups that
-// serve models, and whether a group is whole.
+// serve models, and whether a group is whole, that is, able to serve.
 //
-// Reports runs on every node that routes requests and answers whether a group
-// may get work: only while the fresh report of each of its members is Ready
-// and names the group, its generation and its model at the member's rank.
+// The group, generation, model and rank that are assigned to a VM are its
+// place. A group may get work only while it is whole: the fresh report of each
+// of its members is Ready and names the member's place. Reports, which runs on
+// every node that routes requests, tells whether this is so.
 //
 // Manager runs on the node that holds the coordinator lease of the data
 // centre. It assembles, repairs, drains and dissolves groups. It is a state
--- a/coord/group/drain.go
+++ b/coord/group/drain.go
@@ -16,7 +16,7 @@
 type drainCause uint8
 
 const (
-	causeOut        drainCause = iota + 1 // the data centre is out
+	causeOut        drainCause = iota + 1 // operators marked the data centre out
 	causeIneligible                       // members are out, leaving or stopping
 	causeStraggler                        // a member is slow or pauses often
 	causeSurplus                          // more groups than wanted
@@ -78,8 +78,8 @@
 	return n
 }
 
-// canFinishDrain reports whether no work is in flight, the grace has passed,
-// or the group is not whole, in which case its work is already lost.
+// canFinishDrain reports whether no work is in flight, DrainSettle and DrainGrace
+// have passed, or the group is not whole, in which case its work is already lost.
 func (m *Manager) canFinishDrain(g *groupState, now time.Time) bool {
 	allReported := now.Sub(m.listeningSince) >= m.opts.ReportTTL
 	if (allReported && g.ready < len(g.members)) || !m.opts.enabled(GracefulDrain) {
--- a/coord/group/effect.go
+++ b/coord/group/effect.go
@@ -36,7 +36,7 @@
 	NoticeDissolved Notice = "dissolved" // the group no longer exists
 	NoticeReleased  Notice = "released"  // the VM may be stopped
 	NoticeReady     Notice = "ready"     // the coordinator has reconciled and starts to decide
-	NoticeDeposed   Notice = "deposed"   // the row has a later term
+	NoticeDeposed   Notice = "deposed"   // the row has a later term, so there is a newer coordinator
 )
 
 // Progress tells routers and operators about a change of a group or a VM.
--- a/coord/group/event.go
+++ b/coord/group/event.go
@@ -10,8 +10,9 @@
 // Event is an input of Manager.Step.
 type Event interface{ event() }
 
-// Tick triggers whatever has become due. Send one at least every second: a
-// manager that gets no event for ReportTTL assumes that it was paused itself.
+// Tick makes the manager act on what has become due. Send one at least every
+// second: a manager that gets no event for ReportTTL assumes that it was paused
+// itself.
 type Tick struct{}
 
 // Configuration carries the accepted inventory. A configuration whose number
--- a/coord/group/freshness.go
+++ b/coord/group/freshness.go
@@ -10,8 +10,8 @@
 // oldest first, so that expiry visits only the VMs whose report has expired.
 type ageList struct{ oldest, newest *vm }
 
-// push inserts a VM. Reports arrive nearly in order, so that it takes few
-// steps.
+// push inserts a VM. It searches from the newest report, which takes few steps
+// since reports arrive nearly in order.
 func (l *ageList) push(v *vm) {
 	after := l.newest
 	for after != nil && after.sentAt.After(v.sentAt) {
@@ -46,8 +46,8 @@
 	v.older, v.newer = nil, nil
 }
 
-// handleReport stores a report. A report that changes nothing costs a constant
-// number of steps and marks nothing.
+// handleReport stores a report. A report that changes nothing takes a constant
+// number of steps and schedules no reevaluation.
 func (m *Manager) handleReport(now time.Time, ev *Reported) {
 	v := m.vms[ev.Report.VM]
 	if v == nil || (v.hasReport && ev.SentAt.Before(later(v.sentAt, v.refusedAt))) {
--- a/coord/group/manager.go
+++ b/coord/group/manager.go
@@ -171,8 +171,8 @@
 	}
 }
 
-// decide evaluates everything that is marked until nothing is, for at most
-// maxRounds rounds, and then sends orders.
+// decide runs rounds of decisions until nothing is marked for evaluation, at most
+// maxRounds of them, and then sends the marked VMs the orders that they need.
 func (m *Manager) decide(now time.Time) {
 	for range maxRounds {
 		if !m.decideOnce(now) {
--- a/coord/group/options.go
+++ b/coord/group/options.go
@@ -48,7 +48,7 @@
 	OrderMaxDelay time.Duration
 	// LoadTimeout is how long a group may take to become whole.
 	LoadTimeout time.Duration
-	// LoadBackoff is how long a VM that failed to load is not used.
+	// LoadBackoff is how long a VM is not used after it failed to load.
 	LoadBackoff time.Duration
 	// DrainSettle is how long routers may take to learn of a drain. DrainGrace
 	// is how long the work in flight may take to finish.
--- a/coord/group/plan.go
+++ b/coord/group/plan.go
@@ -96,7 +96,7 @@
 }
 
 // dissolveUnfinished dissolves the model's groups that do not serve, except
-// broken groups with a member that may merely be paused.
+// broken groups with a member that may only be paused.
 func (m *Manager) dissolveUnfinished(s *modelState, now time.Time) {
 	for i := len(s.groups) - 1; i >= 0; i-- {
 		g := s.groups[i]
--- a/coord/group/status.go
+++ b/coord/group/status.go
@@ -31,9 +31,8 @@
 	Reason Reason
 }
 
-// Status returns the groups sorted by ID and the VMs in no group sorted by
-// name. It visits every VM and is therefore meant for operators' requests
-// only.
+// Status describes the manager, its groups sorted by ID and the VMs in no group
+// sorted by name, for operators.
 type Status struct {
 	Coordinating bool
 	Term         uint64
@@ -67,8 +66,8 @@
 	return m.view
 }
 
-// Status returns the groups by ID and the VMs in no group by name. It looks
-// at every VM, so it is meant for operators' requests only.
+// Status returns the current status. It visits every VM and is therefore meant
+// for operators' requests only.
 func (m *Manager) Status(now time.Time) Status {
 	s := Status{
 		Coordinating: m.stage == stageActive,
--- a/coord/group/stray.go
+++ b/coord/group/stray.go
@@ -21,8 +21,8 @@
 	dirty   bool
 }
 
-// updateStray maintains the index of VMs that report a place other than their
-// own.
+// updateStray maintains the index of VMs that report a place other than the one
+// assigned to them.
 func (m *Manager) updateStray(v *vm, now time.Time) {
 	key := groupKey{v.report.Group, v.report.Generation}
 	isStray := v.hasReport && !v.removed && v.report.Group != "" && !reportMatchesPlace(v)
--- a/coord/group/table.go
+++ b/coord/group/table.go
@@ -40,7 +40,8 @@
 	// A later incarnation is not part of the group that the members formed.
 	placeIncarnation string
 	stray            *stray
-	// revoked is the last place that this coordinator withdrew from the VM.
+	// revoked is the last group and generation that this coordinator ended while
+	// the VM was a member.
 	revoked groupKey
 
 	lastOrder    sentOrder
--- a/coord/stream/backlog.go
+++ b/coord/stream/backlog.go
@@ -14,7 +14,8 @@
 	if len(b.queued) == 0 {
 		b.first = id
 	}
-	// An empty event counts as one byte, for its place in the queue.
+	// An empty event counts as one byte, since it also takes a place in the
+	// queue.
 	size = max(size, 1)
 	b.queued = append(b.queued, size)
 	b.bytes += size
