--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -14,7 +14,7 @@
 	unadopted := make(map[groupKey][]*member)
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.group != nil || m.Group == "" || m.IsStandby() || p.released[keyOf(m)] || m.ReportedAt.Before(p.startedAt) {
+		if m == nil || !p.isUnadopted(m) {
 			continue
 		}
 		unadopted[keyOf(m)] = append(unadopted[keyOf(m)], m)
@@ -43,6 +43,12 @@
 	}
 }
 
+// isUnadopted reports whether a VM has told this planner that it belongs to a
+// group which the planner does not know.
+func (p *Planner) isUnadopted(m *member) bool {
+	return m.group == nil && m.Group != "" && !m.IsStandby() && !p.released[keyOf(m)] && !m.ReportedAt.Before(p.startedAt)
+}
+
 // isAdopting reports whether groups of earlier planners may still have to be
 // adopted.
 func (p *Planner) isAdopting(now time.Time) bool {
