One send dials at most maxDials endpoints

The check compared the number of dials before the current one with the limit, so a fifth endpoint was dialled. It now counts the current dial. TestDialsAreBounded counts the failed attempts of one request: 5 before, 4 now.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -88,7 +88,7 @@
 		if errors.As(err, &notSent) {
 			s.endAttempt(a, dispatch.Failed)
 			s.log.Info("endpoint not reached", "request", req.id, "endpoint", a.ticket.Target.ID, "error", err.Error())
-			if dials < maxDials {
+			if dials+1 < maxDials {
 				continue
 			}
 			return nil, s.finalFault(req, problem.New(problem.EndpointFailed, "no endpoint could be reached", "retry").WithRetryAfter(time.Second))
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/news"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -173,6 +174,18 @@
 	assert.Equal(t, b.runs.Load(), int32(5))
 }
 
+// One send dials maxDials endpoints and no more, and answers that none was reached.
+func TestDialsAreBounded(t *testing.T) {
+	s := newHarness(t)
+	for i := range 2 * maxDials {
+		s.list(fmt.Sprint("vm-dead-", i), fmt.Sprint("127.0.0.1:", i+1))
+	}
+	status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Equal(t, telemetry.Counter(s.server.opts.Metrics, "attempts_total", "outcome", dispatch.Failed.String()).Count(), int64(maxDials))
+}
+
 func TestRefusalHasRetryAfterAndNoSeal(t *testing.T) {
 	s := newHarness(t)
 	s.add(refuseBusy)
