Each engine service gets its summary of VMs

The first service's summary reset the interval, so the others had neither a VMs log line nor their gauges of VMs. Whether a summary is due is now decided once for all services. TestEachServiceHasItsSummary runs a coordinator with two services; it saw no line of the second before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -244,6 +244,10 @@
 		if k.Catalog == nil || !k.Listed {
 			return
 		}
+		summaryDue := now.Sub(c.lastSummary) >= summaryInterval
+		if summaryDue {
+			c.lastSummary = now
+		}
 		for _, svc := range k.Catalog.Engines() {
 			p := c.plannerFor(svc.Name, k)
 			p.Configure(svc.Engine, k.Evacuated)
@@ -256,11 +260,8 @@
 			c.logGroups(p)
 			servingGroups, all := countServingGroups(p.Groups())
 			serving, notServing = serving+servingGroups, notServing+all-servingGroups
-			if now.Sub(c.lastSummary) >= summaryInterval {
-				c.lastSummary = now
-				activities := p.Activities(now)
-				c.setActivityGauges(svc.Name, activities)
-				c.opts.Log.Info("VMs", "service", svc.Name, "activities", activities, "domains", p.Summary(now), "use", p.SlotUse())
+			if summaryDue {
+				c.summarise(now, svc.Name, p)
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && shouldProbe(now, vm) {
@@ -272,6 +273,13 @@
 	c.prober.SetIntervals(c.probeIntervals(priorities))
 }
 
+// summarise logs and publishes the numbers of a service's VMs.
+func (c *Coordinator) summarise(now time.Time, service string, p *replica.Planner) {
+	activities := p.Activities(now)
+	c.setActivityGauges(service, activities)
+	c.opts.Log.Info("VMs", "service", service, "activities", activities, "domains", p.Summary(now), "use", p.SlotUse())
+}
+
 // shouldProbe reports whether a VM is probed. A VM that is no longer listed and
 // doesn't respond is only probed for replica.UnlistedProbed.
 func shouldProbe(now time.Time, vm *fleet.VM) bool {
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -1,15 +1,115 @@
 package coordinator
 
 import (
+	"bytes"
+	"context"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/news"
 	"github.com/pimentoshore/pimentoshore/coord/replica"
+	"github.com/pimentoshore/pimentoshore/internal/entry"
+	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
+	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
+// harness is the only candidate for a lease in a table in memory, with a fake
+// clock and two engine services that have a serving group each.
+type harness struct {
+	*Coordinator
+	now      time.Time
+	log      bytes.Buffer
+	registry metrics.Registry
+	store    *memtable.Table
+}
+
+func newHarness(t *testing.T) *harness {
+	t.Helper()
+	h := &harness{now: time.Unix(1000, 0), registry: metrics.NewRegistry(), store: memtable.New(memtable.Options{})}
+	clock := func() time.Time { return h.now }
+	log := slog.New(slog.NewTextHandler(&h.log, nil))
+	state := entry.NewState(log, clock, dispatch.Options{DataCentre: "dc"})
+	prober := entry.NewProber(entry.ProbeOptions{Metrics: h.registry}, state, nil)
+	h.Coordinator = New(Options{
+		Lease: lease.Options{
+			DataCentre: "all", VM: "e-1", Incarnation: "1", WithoutPromises: true, Duration: 2 * time.Second, RenewEvery: 700 * time.Millisecond,
+			PollEvery: 700 * time.Millisecond, RetryEvery: 300 * time.Millisecond, OrderTimeout: 500 * time.Millisecond, Margin: 300 * time.Millisecond,
+		},
+		Replica: replica.Options{Stall: 5 * time.Second, LoadWindow: 5 * time.Second}, OrderTimeout: 500 * time.Millisecond,
+		Log: log, Metrics: h.registry, Now: clock,
+	}, h.store, state, h, prober, h)
+	h.store.SetVMs([]platform.VMStatus{{Name: "e-1"}})
+	h.listGroups(state, "llm-1", "llm-2")
+	return h
+}
+
+// listGroups gives each service a group of one VM that serves.
+func (h *harness) listGroups(state *entry.State, services ...string) {
+	var list []catalog.Service
+	var rows []fleet.Row
+	for _, name := range services {
+		list = append(list, catalog.Service{Name: name, Engine: &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "m", GroupSize: 1, Share: 1}}}})
+		rows = append(rows, fleet.Row{ID: "vm-" + name, Service: name, Address: name + ":1", DataCentre: "dc", Slots: 4, Engine: true, State: servingState(name)})
+	}
+	state.Operators(h.now, news.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, list, nil, catalog.Limits{})})
+	state.VMs(h.now, news.VMs{Version: 1, Whole: true, Rows: rows})
+}
+
+func servingState(service string) fleet.State {
+	return fleet.State{
+		Born: 1, Model: "m", Staged: []string{"m"}, Domain: "d-1",
+		Membership: fleet.Membership{Group: "g-" + service, Epoch: 1, Stage: fleet.Open},
+	}
+}
+
+// run advances the clock by d in steps of the tick interval of a node.
+func (h *harness) run(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(step) {
+		h.state.Locked(func(st entry.LockedState) {
+			for _, vm := range st.VMs.All() {
+				st.VMs.ApplyReport(h.now, h.now, vm.ID, fleet.Report{State: servingState(vm.Service), Load: fleet.Load{Pace: 1}})
+			}
+		})
+		h.Tick(context.Background())
+		h.tasks.Wait()
+	}
+}
+
+func (h *harness) gauge(metric string, labels ...string) int64 {
+	return telemetry.Gauge(h.registry, metric, labels...).Value()
+}
+
+// Order implements Orderer.
+func (h *harness) Order(context.Context, replica.Order) (replica.Outcome, error) {
+	return replica.Accepted, nil
+}
+
+// Set implements Peers.
+func (h *harness) Set([]news.Node) {}
+
+// With two engine services, only the first one was summarised.
+func TestEachServiceHasItsSummary(t *testing.T) {
+	h := newHarness(t)
+	h.run(2 * summaryInterval)
+	for _, service := range []string{"llm-1", "llm-2"} {
+		lines := strings.Count(h.log.String(), "msg=VMs service="+service+" ")
+		assert.Equal(t, lines, 2, "%s: %s", service, h.log.String())
+		assert.Equal(t, h.gauge("endpoint_vms_number", "service", service, "activity", string(replica.ActivityServing)), int64(1), service)
+	}
+}
+
 // The probe interval grows with the number of VMs that need fresh reports. Urgent
 // probes keep their interval, and members of serving groups have the longest.
 func TestProbeRateIsBounded(t *testing.T) {
