Gauges of groups last as long as the lease

While the holder may give no orders because its lease ends soon, plan returned early and set the gauges of groups to 0, though the groups served on and no other node counted them. They now keep their values until the lease is renewed, and go to 0 when it is lost, so that the sum over all nodes is right. TestGaugesLastAsLongAsTheLease saw 0 instead of 2 before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -234,8 +234,6 @@
 // held.
 func (c *Coordinator) plan(ctx context.Context) {
 	now := c.opts.Now()
-	serving, notServing := 0, 0
-	defer func() { c.setGroupGauges(serving, notServing) }()
 	if !c.leaseMachine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
@@ -248,6 +246,7 @@
 		if summaryDue {
 			c.lastSummary = now
 		}
+		serving, notServing := 0, 0
 		for _, svc := range k.Catalog.Engines() {
 			p := c.plannerFor(svc.Name, k)
 			p.Configure(svc.Engine, k.Evacuated)
@@ -269,6 +268,7 @@
 				}
 			}
 		}
+		c.setGroupGauges(serving, notServing)
 	})
 	c.prober.SetIntervals(c.probeIntervals(priorities))
 }
@@ -335,13 +335,17 @@
 	return serving, len(groups)
 }
 
-// setGroupGauges publishes the numbers of serving and other groups.
+// setGroupGauges publishes the numbers of serving and other groups. The gauges are
+// 0 on a node that doesn't hold the lease, so that the sum over all nodes counts
+// each group once. A holder that may give no orders, because its lease ends soon,
+// keeps the last values until the lease is renewed or lost.
 func (c *Coordinator) setGroupGauges(serving, notServing int) {
 	telemetry.Gauge(c.opts.Metrics, "whole_groups").Update(int64(serving))
 	telemetry.Gauge(c.opts.Metrics, "broken_groups").Update(int64(notServing))
 }
 
-// setActivityGauges publishes the number of a service's VMs by activity.
+// setActivityGauges publishes the number of a service's VMs by activity. Like the
+// gauges of groups, these are 0 on a node that doesn't hold the lease.
 func (c *Coordinator) setActivityGauges(service string, counts map[replica.Activity]int) {
 	for _, a := range replica.AllActivities {
 		telemetry.Gauge(c.opts.Metrics, "endpoint_vms_number", "service", service, "activity", string(a)).Update(int64(counts[a]))
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// While the holder can't renew its lease it gives no orders, but its groups still
+// serve. Once the lease has lapsed, they are for another node to count.
+func TestGaugesLastAsLongAsTheLease(t *testing.T) {
+	h := newHarness(t)
+	h.run(3 * time.Second)
+	assert.Equal(t, h.gauge("whole_groups"), int64(2), h.log.String())
+	h.store.SetFaults(memtable.Faults{Down: true})
+	noOrders := 0
+	for i := 0; h.term != 0; i++ {
+		assert.Assert(t, i < 100, "the lease never lapsed")
+		assert.Equal(t, h.gauge("whole_groups"), int64(2))
+		if !h.leaseMachine.MayOrder(h.now, h.opts.OrderTimeout) {
+			noOrders++
+		}
+		h.run(50 * time.Millisecond)
+	}
+	assert.Assert(t, noOrders > 2)
+	assert.Equal(t, h.gauge("whole_groups"), int64(0))
+	assert.Equal(t, h.gauge("endpoint_vms_number", "service", "llm-1", "activity", string(replica.ActivityServing)), int64(0))
+}
+
 // The probe interval grows with the number of VMs that need fresh reports. Urgent
 // probes keep their interval, and members of serving groups have the longest.
 func TestProbeRateIsBounded(t *testing.T) {
