Groups of several services are logged once each

logGroups forgot the phases of all groups that its one planner didn't have. With two engine services, each group was logged as gone and as new in every tick. It now gets the groups of all services. TestUnchangedGroupsAreLoggedOnce counted 118 lines instead of 2 before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -246,7 +246,7 @@
 		if summaryDue {
 			c.lastSummary = now
 		}
-		serving, notServing := 0, 0
+		var groups []*replica.Group
 		for _, svc := range k.Catalog.Engines() {
 			p := c.plannerFor(svc.Name, k)
 			p.Configure(svc.Engine, k.Evacuated)
@@ -256,9 +256,7 @@
 			for _, o := range p.Tick(now) {
 				c.runAsync(func() { c.sendOrder(ctx, p, o) })
 			}
-			c.logGroups(p)
-			servingGroups, all := countServingGroups(p.Groups())
-			serving, notServing = serving+servingGroups, notServing+all-servingGroups
+			groups = append(groups, p.Groups()...)
 			if summaryDue {
 				c.summarise(now, svc.Name, p)
 			}
@@ -268,7 +266,9 @@
 				}
 			}
 		}
-		c.setGroupGauges(serving, notServing)
+		c.logGroups(groups)
+		serving := countServingGroups(groups)
+		c.setGroupGauges(serving, len(groups)-serving)
 	})
 	c.prober.SetIntervals(c.probeIntervals(priorities))
 }
@@ -325,14 +325,15 @@
 // group without requests.
 const maxMemberProbeInterval = 3 * time.Second
 
-// countServingGroups returns the number of serving groups and of all groups.
-func countServingGroups(groups []*replica.Group) (serving, all int) {
+// countServingGroups returns the number of serving groups.
+func countServingGroups(groups []*replica.Group) int {
+	serving := 0
 	for _, g := range groups {
 		if g.Phase == replica.Serving {
 			serving++
 		}
 	}
-	return serving, len(groups)
+	return serving
 }
 
 // setGroupGauges publishes the numbers of serving and other groups. The gauges are
@@ -386,10 +387,11 @@
 	})
 }
 
-// logGroups logs the changes of the groups' phases. c.mu must be held.
-func (c *Coordinator) logGroups(p *replica.Planner) {
+// logGroups logs the changes of the phases of all services' groups. c.mu must be
+// held.
+func (c *Coordinator) logGroups(groups []*replica.Group) {
 	seen := make(map[uint64]bool)
-	for _, g := range p.Groups() {
+	for _, g := range groups {
 		seen[g.Epoch] = true
 		if c.loggedPhases[g.Epoch] == g.Phase {
 			continue
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -34,6 +34,9 @@
 	store    *memtable.Table
 }
 
+// epochs are the epochs of the services' groups.
+var epochs = map[string]uint64{"llm-1": 1, "llm-2": 2}
+
 func newHarness(t *testing.T) *harness {
 	t.Helper()
 	h := &harness{now: time.Unix(1000, 0), registry: metrics.NewRegistry(), store: memtable.New(memtable.Options{})}
@@ -69,7 +72,7 @@
 func servingState(service string) fleet.State {
 	return fleet.State{
 		Born: 1, Model: "m", Staged: []string{"m"}, Domain: "d-1",
-		Membership: fleet.Membership{Group: "g-" + service, Epoch: 1, Stage: fleet.Open},
+		Membership: fleet.Membership{Group: "g-" + service, Epoch: epochs[service], Stage: fleet.Open},
 	}
 }
 
@@ -110,6 +113,14 @@
 	}
 }
 
+// The groups of one service were logged as gone when those of another were logged.
+func TestUnchangedGroupsAreLoggedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.run(3 * time.Second)
+	assert.Equal(t, strings.Count(h.log.String(), `msg="group serving"`), 2, h.log.String())
+	assert.Equal(t, strings.Count(h.log.String(), `msg="group gone"`), 0, h.log.String())
+}
+
 // While the holder can't renew its lease it gives no orders, but its groups still
 // serve. Once the lease has lapsed, they are for another node to count.
 func TestGaugesLastAsLongAsTheLease(t *testing.T) {
