A short grace period leaves time for the last requests

A stopping node accepted connections for 3 s whatever its grace period. With one of 3.7 s or less, the time for requests to complete was then over: those still running were aborted at once, and a stop with less than 3 s of grace overran it. The notice period and the margin now shrink with the grace period; from 5.2 s on they are unchanged. TestStopCompletesAcceptedRequestsWithinGrace stops a server under load on a fake clock for seven grace periods; all but that of 8 s failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,9 +92,15 @@
 	// stopNoticePeriod is how long a stopping node still accepts connections,
 	// until the platform no longer sends callers to it.
 	stopNoticePeriod = 3 * time.Second
-	// stopMargin is subtracted from the grace period for stopping.
-	stopMargin     = 700 * time.Millisecond
-	maxHeaderBytes = 64 << 10
+	// stopMargin is subtracted from the grace period for stopping, but at most the
+	// grace period divided by stopMarginDivisor.
+	stopMargin        = 700 * time.Millisecond
+	stopMarginDivisor = 4
+	// lastRequestsDivisor sets the least time for the requests that run when a
+	// stopping node no longer accepts connections: the time for stopping divided
+	// by it.
+	lastRequestsDivisor = 3
+	maxHeaderBytes      = 64 << 10
 	// bodyMemoryDivisor sets the memory for response bodies that are buffered
 	// whole: the memory limit divided by it.
 	bodyMemoryDivisor = 4
@@ -291,15 +297,23 @@
 	n.log.Info("stopping", "grace", n.cfg.Bounds.StopGrace)
 	close(n.stopping)
 	n.coord.Stop(ctx)
-	time.Sleep(stopNoticePeriod)
-	remaining := n.cfg.Bounds.StopGrace - stopMargin - time.Since(started)
-	ctx, cancel := context.WithTimeout(ctx, remaining)
+	notice, total := stopPeriods(n.cfg.Bounds.StopGrace)
+	time.Sleep(notice)
+	ctx, cancel := context.WithTimeout(ctx, total-time.Since(started))
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were aborted by the shutdown", "left", n.activeRequests.Load(), "error", err)
 	}
 }
 
+// stopPeriods returns how long a node still accepts connections after the beginning
+// of a shutdown, and how long the shutdown may take in all. With a short grace
+// period, both are shortened so that the last requests still have time to complete.
+func stopPeriods(grace time.Duration) (notice, total time.Duration) {
+	total = grace - min(stopMargin, grace/stopMarginDivisor)
+	return min(stopNoticePeriod, total-total/lastRequestsDivisor), total
+}
+
 // callerServer returns the server for callers.
 func (n *Node) callerServer() *http.Server {
 	handler := entry.NewServer(entry.Options{
