A reload can remove the memory limit

limitMemory did nothing for a limit of 0, so the limit set before stayed in force until a restart. It now restores the limit with which the process started, which GOMEMLIMIT may set.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,12 +189,18 @@
 	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", cfg.Memory.LimitMB)
 }
 
+// initialMemoryLimit is the Go runtime's memory limit at the start of the process.
+var initialMemoryLimit = debug.SetMemoryLimit(-1)
+
 // limitMemory sets the Go runtime's memory limit to three quarters of the
-// process's limit, to keep the heap well below it.
+// process's limit, to keep the heap well below it. Without a limit it restores the
+// initial one.
 func limitMemory(m settings.EntryMemory) {
-	if m.LimitMB > 0 {
-		debug.SetMemoryLimit(m.LimitMB << 20 * 3 / 4)
+	if m.LimitMB <= 0 {
+		debug.SetMemoryLimit(initialMemoryLimit)
+		return
 	}
+	debug.SetMemoryLimit(m.LimitMB << 20 * 3 / 4)
 }
 
 // Run serves until the context ends, and then shuts down gracefully.
