A node waits for the coordinator's calls

The coordinator counted its running calls in tasks, but nothing waited on it: calls to the table and orders could outlive the node's run, and log to a writer that was already closed. The node's ticks, which start the calls, now end with Coordinator.Wait. TestNodeWaitsForTheCoordinatorsCalls found a call running after the ticks had ended before.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -111,6 +111,10 @@
 	c.step(ctx, lease.Stop{})
 }
 
+// Wait waits until the calls to the table and to endpoint VMs have ended. It must
+// be called after the last Tick; the calls end soon after the context of Tick does.
+func (c *Coordinator) Wait() { c.tasks.Wait() }
+
 // step passes an event to the lease state machine and executes its effects. c.mu
 // must be held.
 func (c *Coordinator) step(ctx context.Context, ev lease.Event) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -276,8 +276,10 @@
 	return errors.Trace(err)
 }
 
-// tick runs the periodic tasks until the context ends.
+// tick runs the periodic tasks until the context ends, and waits for the
+// coordinator's calls.
 func (n *Node) tick(ctx context.Context) {
+	defer n.coord.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	lastSweep := time.Now()
