The Keep-Alive timeout is found wherever it stands

Only a header that began with timeout= was understood: with "max=9, timeout=5" connections were kept for the default time. All parameters of all lines are now looked at, whatever their case.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -184,16 +185,18 @@
 // to the timeout parameter of the Keep-Alive header, or defaultIdleTimeout if
 // there is none.
 func keepAliveTimeout(h http.Header) time.Duration {
-	const parameter = "timeout="
-	value := h.Get("Keep-Alive")
-	if len(value) <= len(parameter) || value[:len(parameter)] != parameter {
-		return defaultIdleTimeout
-	}
-	n, err := strconv.Atoi(leadingDigits(value[len(parameter):]))
-	if err != nil {
-		return defaultIdleTimeout
+	for _, line := range h.Values("Keep-Alive") {
+		for parameter := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			if n, err := strconv.Atoi(leadingDigits(value)); err == nil {
+				return time.Duration(n)*time.Second - idleTimeoutMargin
+			}
+		}
 	}
-	return time.Duration(n)*time.Second - idleTimeoutMargin
+	return defaultIdleTimeout
 }
 
 // leadingDigits returns the decimal digits that s starts with.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
 )
 
 // startScriptedServer starts a server that answers the n-th request of each
@@ -135,7 +136,15 @@
 		"timeout=5":        5*time.Second - idleTimeoutMargin,
 		"timeout=5, max=9": 5*time.Second - idleTimeoutMargin,
 		"timeout=x":        defaultIdleTimeout,
+		"max=9, timeout=5": 5*time.Second - idleTimeoutMargin,
+		"max=9,timeout=5":  5*time.Second - idleTimeoutMargin,
+		"max=9, Timeout=5": 5*time.Second - idleTimeoutMargin,
+		"max=9":            defaultIdleTimeout,
+		"xtimeout=5":       defaultIdleTimeout,
+		"timeout":          defaultIdleTimeout,
 	} {
-		assert.Equal(t, keepAliveTimeout(http.Header{"Keep-Alive": {value}}), want, value)
+		assert.Check(t, is.Equal(keepAliveTimeout(http.Header{"Keep-Alive": {value}}), want), value)
 	}
+	twoLines := http.Header{"Keep-Alive": {"max=9", "timeout=5"}}
+	assert.Check(t, is.Equal(keepAliveTimeout(twoLines), 5*time.Second-idleTimeoutMargin))
 }
