--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,16 +101,6 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an address.
-func (c *Client) CloseIdle(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cn := range c.idle[address] {
-		cn.Close()
-	}
-	delete(c.idle, address)
-}
-
 // isReusable reports whether the endpoint has neither closed the connection nor
 // sent unsolicited bytes while it was idle.
 func (cn *conn) isReusable() bool {
