The trace file is always closed

It was left open if the exporter couldn't be made, and if the provider's shutdown failed, for instance because no time was left.

--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
 	"gotest.tools/v3/assert"
 )
 
@@ -45,6 +47,40 @@
 	assert.Assert(t, strings.Contains(string(raw), `"hop"`), string(raw))
 }
 
+// isOpen reports whether this process has the file open.
+func isOpen(t *testing.T, file string) bool {
+	t.Helper()
+	links, err := filepath.Glob("/proc/self/fd/*")
+	assert.NilError(t, err)
+	for _, link := range links {
+		if target, err := os.Readlink(link); err == nil && target == file {
+			return true
+		}
+	}
+	return false
+}
+
+func TestTraceFileIsClosedWithoutExporter(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "spans.json")
+	_, _, err := newFileExporter(file, func(...stdouttrace.Option) (*stdouttrace.Exporter, error) { return nil, errors.New("no exporter") })
+	assert.ErrorContains(t, err, "no exporter")
+	assert.Assert(t, !isOpen(t, file))
+}
+
+// A shutdown that has no time left to write the last spans still closes the file.
+func TestTraceFileIsClosedAfterLateShutdown(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "spans.json")
+	tracer, shutdown, err := NewTracer(t.Context(), TraceOptions{File: file})
+	assert.NilError(t, err)
+	_, span := tracer.Start(t.Context(), "hop")
+	span.End()
+	assert.Assert(t, isOpen(t, file))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.ErrorIs(t, shutdown(ended), context.Canceled)
+	assert.Assert(t, !isOpen(t, file))
+}
+
 func TestWriteMetrics(t *testing.T) {
 	r := metrics.NewRegistry()
 	Counter(r, "requests_total", "outcome", "ok").Inc(2)
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -45,27 +45,39 @@
 		}
 		opts = append(opts, sdktrace.WithBatcher(exp))
 	case o.File != "":
-		f, err := os.OpenFile(o.File, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		exp, f, err := newFileExporter(o.File, stdouttrace.New)
 		if err != nil {
-			return nil, nil, errors.Annotate(err, "opening the trace file; check the trace.file setting")
-		}
-		exp, err := stdouttrace.New(stdouttrace.WithWriter(f))
-		if err != nil {
-			return nil, nil, errors.Trace(err)
+			return nil, nil, err
 		}
 		closeFile = f.Close
 		opts = append(opts, sdktrace.WithBatcher(exp))
 	}
 	provider := sdktrace.NewTracerProvider(opts...)
 	shutdown := func(ctx context.Context) error {
-		if err := provider.Shutdown(ctx); err != nil {
-			return errors.Trace(err)
+		err := provider.Shutdown(ctx)
+		if closeErr := closeFile(); err == nil {
+			err = closeErr
 		}
-		return errors.Trace(closeFile())
+		return errors.Trace(err)
 	}
 	return provider.Tracer("github.com/pimentoshore/pimentoshore"), shutdown, nil
 }
 
+// newFileExporter opens the file and returns it with the exporter that newExporter
+// returns for it.
+func newFileExporter(name string, newExporter func(...stdouttrace.Option) (*stdouttrace.Exporter, error)) (*stdouttrace.Exporter, *os.File, error) {
+	f, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "opening the trace file; check the trace.file setting")
+	}
+	exp, err := newExporter(stdouttrace.WithWriter(f))
+	if err != nil {
+		f.Close()
+		return nil, nil, errors.Trace(err)
+	}
+	return exp, f, nil
+}
+
 // tracesPath is the default path at which collectors receive spans by OTLP over
 // HTTP.
 const tracesPath = "/v1/traces"
