--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -87,6 +87,7 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	quit    chan struct{}
+	stop    sync.Once // closes quit
 	done    chan struct{}
 }
 
@@ -143,9 +144,9 @@
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
 // Close stops the writer and waits at most d for the queued lines to be written.
-// Lines written afterwards are lost.
+// Lines written afterwards are lost. It may be called more than once.
 func (a *AsyncWriter) Close(d time.Duration) {
-	close(a.quit)
+	a.stop.Do(func() { close(a.quit) })
 	select {
 	case <-a.done:
 	case <-time.After(d):
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -57,6 +57,16 @@
 	a.Close(time.Second)
 }
 
+func TestWriterCanBeClosedTwice(t *testing.T) {
+	var out bytes.Buffer
+	a := NewAsyncWriter(&out)
+	_, err := a.Write([]byte("line\n"))
+	assert.NilError(t, err)
+	a.Close(10 * time.Second)
+	a.Close(10 * time.Second)
+	assert.Equal(t, out.String(), "line\n")
+}
+
 func BenchmarkLine(b *testing.B) {
 	log := slog.New(NewRateLimitedHandler(slog.NewJSONHandler(NewAsyncWriter(io.Discard), nil)))
 	for b.Loop() {
