Log lines with braces before the JSON are read

The JSON of a line was looked for only at its first brace, so lines with a brace in what a log collector prepends were skipped. Now up to maxBraces are tried, and the outermost object is taken. TestTextBeforeTheJSONMayHaveBraces skipped the line after the first such prefix before.

--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -35,6 +35,10 @@
 // maxLineBytes is the maximum length of a line.
 const maxLineBytes = 1 << 20
 
+// maxBraces is the maximum number of braces in a line at which its JSON is looked
+// for. It bounds the work on lines that are none of ours.
+const maxBraces = 64
+
 // Read parses a log. skipped is the number of lines that aren't log lines in JSON.
 // Text before the JSON of a line is ignored, as log collectors prepend times and
 // names. A line over maxLineBytes is an error.
@@ -53,12 +57,8 @@
 }
 
 func parse(raw []byte) (Line, bool) {
-	start := bytes.IndexByte(raw, '{')
-	if start < 0 {
-		return Line{}, false
-	}
-	var fields map[string]any
-	if json.Unmarshal(raw[start:], &fields) != nil {
+	fields := parseObject(raw)
+	if fields == nil {
 		return Line{}, false
 	}
 	text := func(key string) string {
@@ -74,6 +74,23 @@
 	return Line{Time: at, Level: text(levelKey), VM: text(vmKey), Message: text(messageKey), Fields: fields}, true
 }
 
+// parseObject returns the outermost JSON object at the end of a line, or nil if
+// there is none.
+func parseObject(raw []byte) map[string]any {
+	for range maxBraces {
+		start := bytes.IndexByte(raw, '{')
+		if start < 0 {
+			return nil
+		}
+		var fields map[string]any
+		if json.Unmarshal(raw[start:], &fields) == nil {
+			return fields
+		}
+		raw = raw[start+1:]
+	}
+	return nil
+}
+
 // Query says which lines to select.
 type Query struct {
 	// Request, Endpoint and Group select the lines that name any of them.
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -30,6 +30,20 @@
 	return append(a, b...)
 }
 
+func TestTextBeforeTheJSONMayHaveBraces(t *testing.T) {
+	const line = `{"time":"2026-06-12T11:35:10.2Z","level":"INFO","msg":"VMs","vm":"e-a","use":{"m":{"time":"2020-01-01T00:00:00Z"}}}`
+	for _, prefix := range []string{"", "{app} ", `{"source":"e-a"} `, "{{{ ", "{", `{"a":`, strings.Repeat("{", maxBraces-1)} {
+		lines, skipped, err := Read(strings.NewReader(prefix + line + "\n"))
+		assert.NilError(t, err)
+		assert.Equal(t, skipped, 0, prefix)
+		assert.Equal(t, lines[0].Message, "VMs", prefix)
+	}
+	// An object inside of another one is no log line.
+	_, skipped, err := Read(strings.NewReader(`{"x":` + line + "}\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, skipped, 1)
+}
+
 func TestSelect(t *testing.T) {
 	for _, test := range []struct {
 		q    Query
