Rows of the stand-in are written in the order of their changes

PlainService.Advertise changed the row without the lock under which Restart did. An engine copied its row under the lock but wrote it after, so that the older of two rows could be written last, and encoded the map of its group while orders changed it. Rows are now changed and written under one lock.

--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -28,9 +28,9 @@
 	// Ledger, if set before the first request, records runs.
 	Ledger *Ledger
 	store  *Store
-	row    map[string]any
 
 	mu     sync.Mutex
+	row    map[string]any
 	orders uint64
 	model  string
 	group  map[string]any
@@ -55,12 +55,12 @@
 	return e, e.writeRow()
 }
 
-// writeRow writes the engine's row to the store. The caller must not hold mu.
+// writeRow writes the engine's row to the store. It holds mu throughout, so that
+// rows are written in the order of the changes. The caller must not hold mu.
 func (e *Engine) writeRow() error {
 	e.mu.Lock()
-	row := e.state()
-	e.mu.Unlock()
-	return e.store.Put("servers", e.ID, row)
+	defer e.mu.Unlock()
+	return e.store.Put("servers", e.ID, e.state())
 }
 
 // state returns the engine's report, which is also its row in the store. The
@@ -284,9 +284,10 @@
 	RequestTime time.Duration
 	id          string
 	store       *Store
-	row         map[string]any
-	mu          sync.Mutex
-	runs        int
+
+	mu   sync.Mutex
+	row  map[string]any
+	runs int
 }
 
 // NewPlainService starts a plain service and writes its row to the store.
@@ -295,27 +296,28 @@
 	s.next = http.HandlerFunc(s.serve)
 	s.Server = httptest.NewServer(&s.faultyHandler)
 	s.row = map[string]any{
-		"service": service, "address": strings.TrimPrefix(s.Server.URL, "http://"), "zone": dataCentre, "slots": 6,
-		"state": "ready", "born": time.Now().UnixMilli(),
+		"service": service, "zone": dataCentre, "slots": 6, "state": "ready", "born": time.Now().UnixMilli(),
 	}
-	return s, store.Put("servers", id, s.row)
+	return s, s.set("address", strings.TrimPrefix(s.Server.URL, "http://"))
 }
 
-// Advertise changes the address in the service's row, for example to that of a
-// proxy.
-func (s *PlainService) Advertise(address string) error {
-	s.row["address"] = address
+// set sets a value of the service's row and writes the row to the store.
+func (s *PlainService) set(key string, value any) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.row[key] = value
 	return s.store.Put("servers", s.id, s.row)
 }
 
+// Advertise changes the address in the service's row, for example to that of a
+// proxy.
+func (s *PlainService) Advertise(address string) error { return s.set("address", address) }
+
 // Restart simulates an immediate restart: the service's connections are closed
 // and its row gets a new start time.
 func (s *PlainService) Restart() error {
-	s.mu.Lock()
-	s.row["born"] = time.Now().UnixMilli()
-	s.mu.Unlock()
 	s.Server.CloseClientConnections()
-	return s.store.Put("servers", s.id, s.row)
+	return s.set("born", time.Now().UnixMilli())
 }
 
 func (s *PlainService) serve(w http.ResponseWriter, r *http.Request) {
