The proxy's Reset misses no connection

A connection that was accepted just before Set(Reset) and tracked just after it stayed open. Connections are now tracked when they are accepted, with the check of the fault under the same lock.

--- a/internal/standin/wire/proxy.go
+++ b/internal/standin/wire/proxy.go
@@ -99,51 +99,49 @@
 		if err != nil {
 			return
 		}
-		if p.currentFault() == Reset {
-			reset(c)
-			continue
+		if p.track(c) {
+			go p.serve(c)
 		}
-		go p.serve(c)
 	}
 }
 
-// serve connects a client with the target and forwards data until both directions
-// have ended.
+// serve connects a tracked client with the target and forwards data until both
+// directions have ended.
 func (p *Proxy) serve(client net.Conn) {
+	defer p.end(client)
 	server, err := net.Dial("tcp", p.target)
-	if err != nil {
-		reset(client)
-		return
-	}
-	if !p.track(client, server) {
+	if err != nil || !p.track(server) {
 		reset(client)
-		reset(server)
 		return
 	}
+	defer p.end(server)
 	var directions sync.WaitGroup
 	directions.Go(func() { p.forward(server, client, true) })
 	directions.Go(func() { p.forward(client, server, false) })
 	directions.Wait()
-	client.Close()
-	server.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.open, client)
-	delete(p.open, server)
 }
 
-// track adds the two connections to the open ones. It returns false if the proxy
-// has been closed.
-func (p *Proxy) track(client, server net.Conn) bool {
+// track adds a connection to the open ones. If the proxy has been closed or resets
+// its connections, it resets the new one instead and returns false.
+func (p *Proxy) track(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.fault == Reset {
+		reset(c)
 		return false
 	}
-	p.open[client], p.open[server] = struct{}{}, struct{}{}
+	p.open[c] = struct{}{}
 	return true
 }
 
+// end closes a connection and removes it from the open ones.
+func (p *Proxy) end(c net.Conn) {
+	c.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.open, c)
+}
+
 // forward copies data in one direction, including the end of the stream. After a
 // read error it resets the destination.
 func (p *Proxy) forward(to, from net.Conn, toServer bool) {
--- a/internal/standin/wire/proxy_test.go
+++ b/internal/standin/wire/proxy_test.go
@@ -61,3 +61,22 @@
 	_, err = c.Read(make([]byte, 1))
 	assert.ErrorContains(t, err, "reset")
 }
+
+// Connections that are accepted at the moment at which the fault is set are reset,
+// too.
+func TestResetMissesNoConnection(t *testing.T) {
+	target := echo(t)
+	for i := range 300 {
+		p, err := New("127.0.0.1", target)
+		assert.NilError(t, err)
+		c, err := net.Dial("tcp", p.Address())
+		assert.NilError(t, err)
+		time.Sleep(time.Duration(i) * time.Microsecond)
+		p.Set(Reset)
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = c.Read(make([]byte, 1))
+		assert.ErrorContains(t, err, "reset", "round %d", i)
+		c.Close()
+		p.Close()
+	}
+}
