Endless doesn't wait for a reader of Closed

After 1,000 values that nobody received, each closed connection kept its goroutine and its socket. Further values are now dropped. Before, TestEndlessServesManyConnections ended at its limit of 10 s.

--- a/internal/standin/wire/endless.go
+++ b/internal/standin/wire/endless.go
@@ -39,7 +39,7 @@
 func (e *Endless) Address() string { return e.listener.Addr().String() }
 
 // Closed returns a channel that receives a value for each connection closed by the
-// peer.
+// peer. It keeps at most maxClosed values that aren't received.
 func (e *Endless) Closed() <-chan struct{} { return e.closed }
 
 // Close stops accepting connections. Open ones continue until the peer closes them.
@@ -58,7 +58,10 @@
 func (e *Endless) write(conn net.Conn) {
 	defer conn.Close()
 	Flood(conn, e.beginning, e.pieces)
-	e.closed <- struct{}{}
+	select {
+	case e.closed <- struct{}{}:
+	default:
+	}
 }
 
 // Flood writes beginning and then repeats pieces until a write fails, usually
