--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -111,6 +111,10 @@
 	c.step(ctx, lease.Stop{})
 }
 
+// Wait waits until the calls to the table and to endpoint VMs have ended. It must
+// be called after the last Tick; the calls end soon after the context of Tick does.
+func (c *Coordinator) Wait() { c.tasks.Wait() }
+
 // step passes an event to the lease state machine and executes its effects. c.mu
 // must be held.
 func (c *Coordinator) step(ctx context.Context, ev lease.Event) {
@@ -234,8 +238,6 @@
 // held.
 func (c *Coordinator) plan(ctx context.Context) {
 	now := c.opts.Now()
-	serving, notServing := 0, 0
-	defer func() { c.setGroupGauges(serving, notServing) }()
 	if !c.leaseMachine.MayOrder(now, c.opts.OrderTimeout) {
 		return
 	}
@@ -244,6 +246,11 @@
 		if k.Catalog == nil || !k.Listed {
 			return
 		}
+		summaryDue := now.Sub(c.lastSummary) >= summaryInterval
+		if summaryDue {
+			c.lastSummary = now
+		}
+		var groups []*replica.Group
 		for _, svc := range k.Catalog.Engines() {
 			p := c.plannerFor(svc.Name, k)
 			p.Configure(svc.Engine, k.Evacuated)
@@ -253,14 +260,9 @@
 			for _, o := range p.Tick(now) {
 				c.runAsync(func() { c.sendOrder(ctx, p, o) })
 			}
-			c.logGroups(p)
-			servingGroups, all := countServingGroups(p.Groups())
-			serving, notServing = serving+servingGroups, notServing+all-servingGroups
-			if now.Sub(c.lastSummary) >= summaryInterval {
-				c.lastSummary = now
-				activities := p.Activities(now)
-				c.setActivityGauges(svc.Name, activities)
-				c.opts.Log.Info("VMs", "service", svc.Name, "activities", activities, "domains", p.Summary(now), "use", p.SlotUse())
+			groups = append(groups, p.Groups()...)
+			if summaryDue {
+				c.summarise(now, svc.Name, p)
 			}
 			for _, vm := range k.VMs.All() {
 				if vm.Engine && vm.Service == svc.Name && shouldProbe(now, vm) {
@@ -268,10 +270,20 @@
 				}
 			}
 		}
+		c.logGroups(groups)
+		serving := countServingGroups(groups)
+		c.setGroupGauges(serving, len(groups)-serving)
 	})
 	c.prober.SetIntervals(c.probeIntervals(priorities))
 }
 
+// summarise logs and publishes the numbers of a service's VMs.
+func (c *Coordinator) summarise(now time.Time, service string, p *replica.Planner) {
+	activities := p.Activities(now)
+	c.setActivityGauges(service, activities)
+	c.opts.Log.Info("VMs", "service", service, "activities", activities, "domains", p.Summary(now), "use", p.SlotUse())
+}
+
 // shouldProbe reports whether a VM is probed. A VM that is no longer listed and
 // doesn't respond is only probed for replica.UnlistedProbed.
 func shouldProbe(now time.Time, vm *fleet.VM) bool {
@@ -317,23 +329,28 @@
 // group without requests.
 const maxMemberProbeInterval = 3 * time.Second
 
-// countServingGroups returns the number of serving groups and of all groups.
-func countServingGroups(groups []*replica.Group) (serving, all int) {
+// countServingGroups returns the number of serving groups.
+func countServingGroups(groups []*replica.Group) int {
+	serving := 0
 	for _, g := range groups {
 		if g.Phase == replica.Serving {
 			serving++
 		}
 	}
-	return serving, len(groups)
+	return serving
 }
 
-// setGroupGauges publishes the numbers of serving and other groups.
+// setGroupGauges publishes the numbers of serving and other groups. The gauges are
+// 0 on a node that doesn't hold the lease, so that the sum over all nodes counts
+// each group once. A holder that may give no orders, because its lease ends soon,
+// keeps the last values until the lease is renewed or lost.
 func (c *Coordinator) setGroupGauges(serving, notServing int) {
 	telemetry.Gauge(c.opts.Metrics, "whole_groups").Update(int64(serving))
 	telemetry.Gauge(c.opts.Metrics, "broken_groups").Update(int64(notServing))
 }
 
-// setActivityGauges publishes the number of a service's VMs by activity.
+// setActivityGauges publishes the number of a service's VMs by activity. Like the
+// gauges of groups, these are 0 on a node that doesn't hold the lease.
 func (c *Coordinator) setActivityGauges(service string, counts map[replica.Activity]int) {
 	for _, a := range replica.AllActivities {
 		telemetry.Gauge(c.opts.Metrics, "endpoint_vms_number", "service", service, "activity", string(a)).Update(int64(counts[a]))
@@ -374,10 +391,11 @@
 	})
 }
 
-// logGroups logs the changes of the groups' phases. c.mu must be held.
-func (c *Coordinator) logGroups(p *replica.Planner) {
+// logGroups logs the changes of the phases of all services' groups. c.mu must be
+// held.
+func (c *Coordinator) logGroups(groups []*replica.Group) {
 	seen := make(map[uint64]bool)
-	for _, g := range p.Groups() {
+	for _, g := range groups {
 		seen[g.Epoch] = true
 		if c.loggedPhases[g.Epoch] == g.Phase {
 			continue
