A site of the demo holds its addresses until its daemons start

Change: a site keeps a listener on each address of a daemon until that daemon starts; the hangup test holds both listeners until both addresses are chosen.

--- a/cmd/pimentoshored/entry_test.go
+++ b/cmd/pimentoshored/entry_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -38,19 +39,32 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n different free loopback addresses. It holds every
+// listener until all addresses are chosen.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
+
+func TestFreeAddressesDiffer(t *testing.T) {
+	free := freeAddresses(t, 500)
+	slices.Sort(free)
+	assert.Equal(t, len(slices.Compact(free)), 500)
 }
 
 // SIGHUP, sent when the settings file has changed, once ended the process.
 func TestHangupKeepsDaemonServing(t *testing.T) {
-	ready := freeAddress(t)
+	free := freeAddresses(t, 2)
+	callers, ready := free[0], free[1]
 	file := filepath.Join(t.TempDir(), "settings.toml")
-	content := fmt.Sprintf("vm = \"a\"\ndata_centre = \"d\"\nstore = \"127.0.0.1:1\"\n[listen]\ncallers = %q\nready = %q\n", freeAddress(t), ready)
+	content := fmt.Sprintf("vm = \"a\"\ndata_centre = \"d\"\nstore = \"127.0.0.1:1\"\n[listen]\ncallers = %q\nready = %q\n", callers, ready)
 	assert.NilError(t, os.WriteFile(file, []byte(content), 0o600))
 	set, err := settings.LoadEntry(file)
 	assert.NilError(t, err)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -126,6 +126,7 @@
 
 func (r *run) startDaemons(ctx context.Context) error {
 	for _, s := range r.site.entries {
+		r.site.release(s.VM)
 		address, stop, err := r.opts.StartDaemon(ctx, s)
 		if err != nil {
 			return errors.Annotatef(err, "starting daemon %s", s.VM)
--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -157,3 +157,27 @@
 		assert.Equal(t, err == nil, tc.ran == "no")
 	}
 }
+
+// TestSiteAddressesDiffer adds data centres to a site, as equal addresses of two
+// VMs are rare in a small one.
+func TestSiteAddressesDiffer(t *testing.T) {
+	const addedDataCentres, entriesEach = 40, 4
+	s, err := newSite()
+	defer s.close()
+	assert.NilError(t, err)
+	for i := range addedDataCentres {
+		assert.NilError(t, s.addDataCentre(fmt.Sprintf("dc%d", i), entriesEach))
+	}
+	users := map[string]string{strings.TrimPrefix(s.platformURL, "http://"): "platform"}
+	use := func(address, user string) {
+		assert.Check(t, users[address] == "", "%s is an address of %s and of %s", address, users[address], user)
+		users[address] = user
+	}
+	for _, vm := range s.document.VMs {
+		use(vm.Address, vm.Name)
+	}
+	for _, entry := range s.entries {
+		use(entry.Listen.Callers, entry.VM+" callers")
+		use(entry.Listen.Operators, entry.VM+" operators")
+	}
+}
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -57,12 +57,17 @@
 	engines     map[string]*engine.Engine // by VM
 	servers     []*http.Server
 	entries     []settings.Settings
+	// reserved holds, by entry VM, the listeners that keep its addresses from all
+	// others until its daemon starts.
+	reserved map[string][]net.Listener
 }
 
 // newSite starts the stand-ins and prepares the daemons' settings. On an error it
 // still returns the site, so that the caller can close it.
 func newSite() (*site, error) {
-	s := &site{table: table.New(table.Options{Lag: vmListLag}), engines: map[string]*engine.Engine{}}
+	s := &site{
+		table: table.New(table.Options{Lag: vmListLag}), engines: map[string]*engine.Engine{}, reserved: map[string][]net.Listener{},
+	}
 	address, err := s.serve(s.table)
 	if err != nil {
 		return s, err
@@ -79,8 +84,11 @@
 	return s, nil
 }
 
-// close stops the stand-ins.
+// close stops the stand-ins and frees the reserved addresses.
 func (s *site) close() {
+	for vm := range s.reserved {
+		s.release(vm)
+	}
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -175,11 +183,10 @@
 	d.Platform.URLs = []string{s.platformURL}
 	d.Log.Level = "warn"
 	for _, address := range []*string{&d.Listen.Callers, &d.Listen.Peers, &d.Listen.Operators} {
-		free, err := freeAddress()
-		if err != nil {
+		var err error
+		if *address, err = s.reserve(d.VM); err != nil {
 			return err
 		}
-		*address = free
 	}
 	s.entries = append(s.entries, d)
 	s.document.VMs = append(s.document.VMs, inventory.VM{
@@ -188,17 +195,26 @@
 	return nil
 }
 
-// freeAddress returns a loopback address with a port that is currently free.
-// Another process may take the port before the daemon listens on it.
-func freeAddress() (string, error) {
+// reserve returns a loopback address that nothing else gets until release is
+// called for the entry VM.
+func (s *site) reserve(vm string) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", errors.Annotate(err, "finding a free port")
 	}
-	defer listener.Close()
+	s.reserved[vm] = append(s.reserved[vm], listener)
 	return listener.Addr().String(), nil
 }
 
+// release frees the addresses of an entry VM, so that its daemon can listen on
+// them. Another process may take one before the daemon does.
+func (s *site) release(vm string) {
+	for _, listener := range s.reserved[vm] {
+		_ = listener.Close()
+	}
+	delete(s.reserved, vm)
+}
+
 // addPeers adds to each daemon's settings all other daemons as peers.
 func (s *site) addPeers() {
 	for i := range s.entries {
