The platform client leaves a URL that gave no answer

Cause: Client kept a URL as current after a call whose outcome is unknown (no response, error status, not JSON), and after one whose time ran out before a connection, so each later call went to it first and failed too. Change: after such a call the next one begins with the following URL; a call whose time is up tries no other URL.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -36,7 +37,9 @@
 	urls    []string
 	timeout time.Duration
 	http    *http.Client
-	// current is the index in urls of the URL that last accepted a request.
+	// current is the index in urls, modulo their number, of the URL that last
+	// answered a request, or of the one after the URL that last left a request
+	// without an answer.
 	current atomic.Uint64
 }
 
@@ -103,7 +106,7 @@
 }
 
 // call tries the URLs, beginning with the current one, until one may have
-// processed the request.
+// processed the request or the time is up.
 func (c *Client) call(ctx context.Context, path string, request, answer any) error {
 	body, err := json.Marshal(request)
 	if err != nil {
@@ -117,7 +120,11 @@
 		index := (start + i) % uint64(len(c.urls))
 		var notWritten bool
 		notWritten, err = c.post(ctx, c.urls[index]+path, body, answer)
-		if !notWritten {
+		switch {
+		case errors.Is(err, ErrUnknown), notWritten && ctx.Err() != nil:
+			c.current.Store(index + 1) // the next call does not wait for this URL again
+			return err
+		case !notWritten:
 			c.current.Store(index)
 			return err
 		}
