The platform's age counts every answered call

Cause: only reads of the configuration and of leases set the time of the platform's last answer, so status and metric showed an age although reads of groups, claims, old claims and the VM list, and writes, were answered. Change: the node's table notes each answered call, also a conflict.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -46,7 +46,6 @@
 			n.stepConfig(now, config.ReadFailed{})
 			return
 		}
-		n.platformAnsweredAt = now
 		n.stepConfig(now, ev)
 	})
 }
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -89,7 +89,6 @@
 			n.stepLease(now, c, lease.ReadFailed{Read: e.ID})
 			return
 		}
-		n.platformAnsweredAt = now
 		n.stepLease(now, c, ev)
 	})
 }
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -98,8 +98,7 @@
 	keyedCalls
 	started  time.Time
 	stopping bool
-	// platformAnsweredAt is the time of the platform's last answer to a read of
-	// the configuration or of a lease.
+	// platformAnsweredAt is the time of the platform's last answer to any call.
 	platformAnsweredAt time.Time
 	digests            map[string]config.Digest
 }
@@ -113,7 +112,7 @@
 	probes := o.wrapClient(transport.New(nil))
 	n := &Node{
 		settings: set, incarnation: incarnation,
-		log: o.Logger, registry: o.Registry, tracer: o.Tracer, platform: o.Platform,
+		log: o.Logger, registry: o.Registry, tracer: o.Tracer,
 		endpoints: endpoint.NewClient(o.wrapClient(transport.New(nil))),
 		forwards:  endpoint.NewClient(o.wrapClient(newPeerTransport(o.TLS))),
 		tls:       o.TLS,
@@ -133,6 +132,7 @@
 		started:      time.Now(),
 		digests:      map[string]config.Digest{},
 	}
+	n.platform = answeredTable{o.Platform, func() { n.locked(func(now time.Time) { n.platformAnsweredAt = now }) }}
 	n.initOperatorInterface()
 	n.lease = n.newCandidacy(set.DataCentre, seed)
 	n.lease.onGained, n.lease.onLost = n.becomeCoordinator, n.stopCoordinating
