A wait that ends says whether the caller left

Cause: cancel, and a keyed call's Next, said that the deadline passed also if the caller had closed the connection; logs and explain showed it. Change: both name the reason why the context ended. The kind stays deadline-exceeded, as the kinds are a published list.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -150,7 +151,7 @@
 	select {
 	case <-w.decided:
 	case <-ctx.Done():
-		n.cancel(w)
+		n.cancel(ctx, w)
 	}
 	if w.problem != nil {
 		return nil, w.problem
@@ -226,15 +227,23 @@
 
 // cancel withdraws a waiting request whose context has ended, unless it was
 // decided in the meantime.
-func (n *Node) cancel(w *waiter) {
+func (n *Node) cancel(ctx context.Context, w *waiter) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, ok := n.waiting[w.id]; !ok {
 		return
 	}
 	n.admission.Cancel(w.id, routeTarget(w.need))
-	n.finishWait(w, problem.New(problem.DeadlineExceeded, "the deadline passed before the request could start",
-		"allow more time in Request-Timeout"))
+	n.finishWait(w, waitEnded(ctx, "the request could start", "allow more time in Request-Timeout"))
+}
+
+// waitEnded returns the error of a request whose context ended before what it
+// waited for. The remedy is for a deadline that passed.
+func waitEnded(ctx context.Context, awaited, remedy string) *problem.Error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return problem.New(problem.DeadlineExceeded, "the caller closed the connection before "+awaited, "no action is needed")
+	}
+	return problem.New(problem.DeadlineExceeded, "the deadline passed before "+awaited, remedy)
 }
 
 func routeTarget(need gateway.Requirements) string {
--- a/internal/daemon/claims.go
+++ b/internal/daemon/claims.go
@@ -225,8 +225,7 @@
 		k.attempt = s.attempt
 		return s.step, s.err
 	case <-ctx.Done():
-		return gateway.Step{}, problem.New(problem.DeadlineExceeded,
-			"the deadline passed before the outcome of the key was known", "repeat the call with the same key").WithRanUnknown()
+		return gateway.Step{}, waitEnded(ctx, "the outcome of the key was known", "repeat the call with the same key").WithRanUnknown()
 	}
 }
 
