The claims' rate counts each transaction, and only those

Cause: the rate was charged before it was known whether the batch has an entry to write, so a batch of cancelled calls used it for nothing; the closing row was written without asking the rate. Change: commit charges the rate for whatever it sends; flush and close ask it first.

--- a/coord/claim/scripted_test.go
+++ b/coord/claim/scripted_test.go
@@ -222,6 +222,36 @@
 	assert.Equal(t, got.duplicated+got.falseNotRun, 0)
 }
 
+// TestRateCountsOnlyTransactions checks that a batch that turns out empty uses
+// nothing of the rate.
+func TestRateCountsOnlyTransactions(t *testing.T) {
+	s := newReadyState(Options{CommitsPerSecond: 1, CommitBurst: 2})
+	first := singleEffect[Commit](t, s.Step(epoch, Arrived{newCall(1, "k")}))
+	s.Step(epoch, Arrived{newCall(2, "l")})
+	s.Step(epoch, Cancelled{Call: 2})
+	effects := s.Step(epoch, Committed{Batch: first.Batch, Outcome: table.Applied, Revision: 7})
+	singleEffect[Dispatch](t, effects)
+	assert.Equal(t, len(effects), 1, "the cancelled call needs no transaction")
+	singleEffect[Commit](t, s.Step(epoch, Arrived{newCall(3, "m")}))
+	s.Step(epoch, Committed{Batch: 2, Outcome: table.Applied, Revision: 8})
+	assert.Equal(t, len(s.Step(epoch, Arrived{newCall(4, "n")})), 0, "two transactions are the burst")
+}
+
+// TestClosingRowKeepsToRate checks that the closing row waits for the rate limit
+// as other rows do.
+func TestClosingRowKeepsToRate(t *testing.T) {
+	s := newReadyState(Options{CommitsPerSecond: 1, CommitBurst: 1})
+	d := dispatchCall(t, s, newCall(1, "k"))
+	now := epoch.Add(time.Second)
+	record := singleEffect[Commit](t, s.Step(now, Answered{Key: d.Key, Attempt: d.Attempt}))
+	s.Step(now, Stop{})
+	assert.Equal(t, len(s.Step(now, Committed{Batch: record.Batch, Outcome: table.Applied, Revision: 8})), 0)
+	assert.Equal(t, len(s.Step(now.Add(time.Second-1), Tick{})), 0)
+	closing := singleEffect[Commit](t, s.Step(now.Add(time.Second), Tick{}))
+	assert.Equal(t, closing.Txn.Writes[0].Key, self.closedRow())
+	singleEffect[Stopped](t, s.Step(now.Add(time.Second), Committed{Batch: closing.Batch, Outcome: table.Applied, Revision: 9}))
+}
+
 func TestTicketsDuringOutage(t *testing.T) {
 	s := newReadyState(Options{})
 	ticket := s.IssueTicket(epoch)
--- a/coord/claim/stop.go
+++ b/coord/claim/stop.go
@@ -28,7 +28,7 @@
 	if !s.stopping || s.closed || s.down || len(s.entries) > len(s.usedTickets) || w.batch != 0 {
 		return
 	}
-	if now.Before(w.nextCloseAt) {
+	if now.Before(w.nextCloseAt) || !s.mayCommit(now) {
 		return
 	}
 	w.closing = true
--- a/coord/claim/write.go
+++ b/coord/claim/write.go
@@ -69,7 +69,7 @@
 		s.probe(now)
 		return
 	}
-	if len(w.queue) < s.opts.MaxBatch && now.Sub(w.queuedAt) < s.opts.BatchWindow || !s.allowCommit(now) {
+	if len(w.queue) < s.opts.MaxBatch && now.Sub(w.queuedAt) < s.opts.BatchWindow || !s.mayCommit(now) {
 		return
 	}
 	entries := s.takeBatch(now)
@@ -87,25 +87,23 @@
 	s.commit(now, txn, entries)
 }
 
-// commit starts a transaction for the given entries.
+// commit starts a transaction for the given entries and counts it in the rate.
 func (s *State) commit(now time.Time, txn table.Txn, entries []*entry) {
 	w := &s.writer
 	w.batchCount++
 	w.batch, w.inFlight, w.commitSentAt = w.batchCount, entries, now
+	w.theoreticalTime = latest(w.theoreticalTime, now).Add(s.commitInterval())
 	s.emit(Commit{Batch: w.batch, Txn: txn})
 }
 
-// allowCommit reports whether the rate limit allows a transaction now, and counts
-// it if so.
-func (s *State) allowCommit(now time.Time) bool {
-	w := &s.writer
-	interval := time.Duration(float64(time.Second) / s.opts.CommitsPerSecond)
-	theoretical := latest(w.theoreticalTime, now)
-	if theoretical.Sub(now) > time.Duration(s.opts.CommitBurst-1)*interval {
-		return false
-	}
-	w.theoreticalTime = theoretical.Add(interval)
-	return true
+// mayCommit reports whether the rate limit allows a transaction now.
+func (s *State) mayCommit(now time.Time) bool {
+	return s.writer.theoreticalTime.Sub(now) <= time.Duration(s.opts.CommitBurst-1)*s.commitInterval()
+}
+
+// commitInterval is the time between transactions at Options.CommitsPerSecond.
+func (s *State) commitInterval() time.Duration {
+	return time.Duration(float64(time.Second) / s.opts.CommitsPerSecond)
 }
 
 // takeBatch removes up to Options.MaxBatch entries that still need a write from
