An answered transaction ends a claim's outage, as a read does

Cause: only an answered read cleared down. If a read failed while a transaction was in flight and that one was then applied or conflicted, plain keys were refused until the next probe. Change: an applied or conflicting transaction clears down.

--- a/coord/claim/scripted_test.go
+++ b/coord/claim/scripted_test.go
@@ -252,6 +252,24 @@
 	singleEffect[Stopped](t, s.Step(now.Add(time.Second), Committed{Batch: closing.Batch, Outcome: table.Applied, Revision: 9}))
 }
 
+// TestAnsweredTransactionEndsOutage checks that an answer to a transaction shows
+// that the table can be reached, as an answer to a read does.
+func TestAnsweredTransactionEndsOutage(t *testing.T) {
+	for outcome, down := range map[table.Outcome]bool{
+		table.Applied: false, table.Conflict: false, table.NotWritten: true, table.Unknown: true,
+	} {
+		s := newReadyState(Options{})
+		s.writer.epochKnown = false
+		probe := singleEffect[Read](t, s.Step(epoch, Arrived{newCall(1, "k")}))
+		s.writer.epochKnown = true
+		commit := singleEffect[Commit](t, s.Step(epoch, Tick{}))
+		s.Step(epoch, ReadFailed{Read: probe.Read})
+		assert.Assert(t, s.Down())
+		s.Step(epoch, Committed{Batch: commit.Batch, Outcome: outcome, Revision: 7})
+		assert.Equal(t, s.Down(), down, "%v", outcome)
+	}
+}
+
 func TestTicketsDuringOutage(t *testing.T) {
 	s := newReadyState(Options{})
 	ticket := s.IssueTicket(epoch)
--- a/coord/claim/write.go
+++ b/coord/claim/write.go
@@ -150,6 +150,9 @@
 	}
 	entries := s.writer.inFlight
 	s.writer.batch, s.writer.inFlight = 0, nil
+	if ev.Outcome == table.Applied || ev.Outcome == table.Conflict {
+		s.down = false
+	}
 	if s.writer.closing {
 		s.handleCloseCommitted(now, ev.Outcome)
 		return
