The owner model drops a field that was never set

Cause: ownerAttempt.runAt stayed 0, so two branches of the test's model could not be reached: an order that has run is counted at once and not sent again. Change: field and branches go. The table of TestOutageStrategies is the same, line by line.

--- a/coord/claim/ownermodel_test.go
+++ b/coord/claim/ownermodel_test.go
@@ -47,7 +47,6 @@
 	first time.Duration
 	at    time.Duration
 	last  orderState
-	runAt time.Duration // 0 if it has not run
 }
 
 // run replays the schedule and returns the totals.
@@ -130,14 +129,7 @@
 	a.at = s.now.Sub(epoch)
 	site := m.homeSite(a.order, a.at)
 	switch {
-	case a.runAt > 0 && m.uncertainUntil[site] > 0:
-		a.last = unresolved
-	case m.leaseLapsed[site]:
-		a.last = refused
-		if a.runAt > 0 {
-			a.last = unresolved
-		}
-	case a.at < m.takeoverAt[site] || !m.canReachHome(site, a.at):
+	case m.leaseLapsed[site], a.at < m.takeoverAt[site] || !m.canReachHome(site, a.at):
 		a.last = refused
 	case m.isTableUp(site, a.at) && a.at < m.uncertainUntil[site]:
 		a.last = unresolved // it may have run on the holder that was killed
