Gossip: an unknown VM counts as never heard

Cause: Silence was 0, that is, just heard, for a VM that the table does not know. The daemon asks only about listed VMs, so no status was wrong. Change: unknown VMs get what VMs never heard already get, the longest duration; only the node itself gets 0.

--- a/coord/gossip/gossip.go
+++ b/coord/gossip/gossip.go
@@ -10,6 +10,7 @@
 package gossip
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -295,11 +296,15 @@
 }
 
 // Silence returns the time since a node's counter was last seen to advance. It
-// is 0 for this node and for unknown nodes.
+// is 0 for this node, and the longest duration for nodes that are unknown or were
+// never heard.
 func (t *Table) Silence(now time.Time, vm string) time.Duration {
-	p, ok := t.peers[vm]
-	if !ok {
+	if vm == t.opts.VM {
 		return 0
 	}
+	p, ok := t.peers[vm]
+	if !ok || p.advancedAt.IsZero() {
+		return math.MaxInt64
+	}
 	return now.Sub(p.advancedAt)
 }
--- a/coord/gossip/gossip_test.go
+++ b/coord/gossip/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -103,6 +104,19 @@
 	assert.Equal(t, len(b.Live(now, "praha")), 2)
 }
 
+func TestSilence(t *testing.T) {
+	now := time.Unix(0, 0)
+	a, b := newTable("a", "praha", "1"), newTable("b", "praha", "1")
+	b.Seed("c", "praha", "c")
+	pull(now, b, a)
+	now = now.Add(time.Second)
+	for vm, want := range map[string]time.Duration{
+		"a": time.Second, "b": 0, "c": math.MaxInt64, "unknown": math.MaxInt64,
+	} {
+		assert.Equal(t, b.Silence(now, vm), want, vm)
+	}
+}
+
 // TestSpreadInFewRounds checks that a value reaches all nodes of a data centre of
 // the size assumed in the design within the number of rounds that fit into 5 s.
 func TestSpreadInFewRounds(t *testing.T) {
