Configuration: the jitter keeps to MaxBackoff

Cause: the jitter lengthened a delay of MaxBackoff by up to half. Change: the delay before jitter is at most two thirds of MaxBackoff, so that delays at the limit still spread over two thirds of it.

--- a/coord/config/options.go
+++ b/coord/config/options.go
@@ -21,8 +21,8 @@
 	// StaleAfter is the age of the newest known read of the platform from
 	// which nodes other than the readers start to poll, one after the other.
 	StaleAfter time.Duration
-	// MaxBackoff limits the backoff after failed polls by a node that is not
-	// a reader. Jitter may lengthen a delay to 1.5 times this limit.
+	// MaxBackoff limits the backoff, with its jitter, after failed polls by a
+	// node that is not a reader.
 	MaxBackoff time.Duration
 	// DigestInterval is the time between a node's periodic digests.
 	DigestInterval time.Duration
--- a/coord/config/poll.go
+++ b/coord/config/poll.go
@@ -98,7 +98,7 @@
 	for range min(s.poll.failures, maxDoublings) {
 		wait *= 2
 	}
-	wait = min(wait, s.opts.MaxBackoff)
+	wait = min(wait, s.opts.MaxBackoff*2/3) // jitter adds up to half
 	return wait/2 + time.Duration(s.rng.Int64N(int64(wait)))
 }
 
--- a/coord/config/state_test.go
+++ b/coord/config/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"reflect"
 	"testing"
 	"time"
@@ -16,6 +17,21 @@
 
 var epoch = time.Unix(1000, 0)
 
+// TestBackoffKeepsToLimit checks that no delay passes MaxBackoff and that delays
+// at the limit still differ by half of it.
+func TestBackoffKeepsToLimit(t *testing.T) {
+	s := New(Options{Seed: 1})
+	s.rank = s.opts.Readers // not a reader
+	s.poll.failures = maxDoublings
+	shortest, longest := time.Duration(math.MaxInt64), time.Duration(0)
+	for range 1000 {
+		d := s.pollBackoff()
+		shortest, longest = min(shortest, d), max(longest, d)
+	}
+	assert.Assert(t, longest <= s.opts.MaxBackoff, "%v", longest)
+	assert.Assert(t, longest-shortest >= s.opts.MaxBackoff/2, "%v to %v", shortest, longest)
+}
+
 // changeLog is a history of changes: changes[n-1] is the change with number n
 // and snapshots[n-1] the configuration after it.
 type changeLog struct {
