--- a/coord/route/sim_test.go
+++ b/coord/route/sim_test.go
@@ -44,9 +44,8 @@
 	table  route.Options
 	warmup budget.Warmup
 	// unbounded lets every node use all endpoints without shares or admission.
-	unbounded      bool
-	noRetryBudget  bool
-	holdToDeadline bool
+	unbounded     bool
+	noRetryBudget bool
 }
 
 // outcome counts the results of the requests of one run.
@@ -173,7 +172,7 @@
 	opts.Seed = seed + uint64(i)
 	n.table = route.NewTable(opts, n.shares)
 	n.admit = admit.New(admit.Options{
-		Seed: seed + uint64(i), Source: simSources[3], HoldToDeadline: s.policy.holdToDeadline,
+		Seed: seed + uint64(i), Source: simSources[3],
 	}, n.table, n.shares)
 	for a := range simAccounts {
 		n.admit.SetAccount(admit.Account{Name: fmt.Sprint("c", a), MaxInFlight: 400})
--- a/coord/route/table.go
+++ b/coord/route/table.go
@@ -74,13 +74,6 @@
 	return 0
 }
 
-// HasTarget reports whether the table has a candidate for the target, whether it
-// is serving or not.
-func (t *Table) HasTarget(targetName string) bool {
-	tg, ok := t.targets[targetName]
-	return ok && tg.total > 0
-}
-
 // Steps counts the candidates examined by all decisions so far.
 func (t *Table) Steps() uint64 { return t.steps }
 
