TestCommonFailuresLeaveHalf checks the half

Cause: it only checked that some endpoint is left; a table that avoided all but one, or fewer than half, passed. Change: never more than half are avoided, half are in the end, and both others are chosen.

--- a/coord/route/table_test.go
+++ b/coord/route/table_test.go
@@ -316,16 +316,25 @@
 	assert.Equal(t, f.Free("m"), 4)
 }
 
-// TestCommonFailuresLeaveHalf checks that some endpoints stay available if every
-// attempt fails. Avoiding all of them would leave none to choose.
+// TestCommonFailuresLeaveHalf checks that half of the endpoints stay available
+// if every attempt fails, and that both of them are chosen.
 func TestCommonFailuresLeaveHalf(t *testing.T) {
+	const endpoints, attempts = 4, 200
 	f := newFixture(Options{})
-	for i := range 4 {
+	for i := range endpoints {
 		f.add(fmt.Sprint("g", i), 100)
 	}
-	for range 200 {
-		f.Step(start, Failed{Choice: f.pick(t, start, Request{}), Reason: Broken})
+	chosen := map[string]int{}
+	for i := range attempts {
+		c := f.pick(t, start, Request{})
+		if i >= attempts/2 {
+			chosen[c.Endpoint]++
+		}
+		f.Step(start, Failed{Choice: c, Reason: Broken})
+		assert.Assert(t, f.target("m").avoided <= endpoints/2)
 	}
+	assert.Equal(t, f.target("m").avoided, endpoints/2)
+	assert.Equal(t, len(chosen), endpoints/2, "%v", chosen)
 }
 
 func TestBrokenConnectionLimitsToColdShare(t *testing.T) {
