--- a/coord/stream/relay_test.go
+++ b/coord/stream/relay_test.go
@@ -14,19 +14,6 @@
 
 var epoch = time.Unix(1000, 0)
 
-func TestMatcher(t *testing.T) {
-	m := NewMatcher()
-	m.Expect(Attempt{"a", "i1"})
-	m.Expect(Attempt{"b", "i1"})
-	assert.Equal(t, m.Match(Attempt{"c", "i1"}), Stale, "crossed")
-	assert.Equal(t, m.Match(Attempt{"a", "i2"}), WrongIncarnation)
-	assert.Equal(t, m.Match(Attempt{"a", "i1"}), Accept)
-	assert.Equal(t, m.Match(Attempt{"a", "i1"}), Stale, "doubled")
-	m.Forget("b")
-	assert.Equal(t, m.Match(Attempt{"b", "i1"}), Stale, "late")
-	assert.Equal(t, m.Open(), 0)
-}
-
 // newOpenedRelay returns a relay with its first attempt open, and the attempt.
 func newOpenedRelay(opts Options) (*Relay, Attempt) {
 	opts.Stream = "s"
