Load: a complete order answer that isn't JSON is wrong, not short

Cause: every answer that didn't decode counted as short, and reading stopped at the end of the first JSON value, so an answer without its end or with text after the receipt counted as whole. Change: the answer is read to its end; only one that ends early is short.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"net/http/httptest"
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -52,6 +54,36 @@
 	assert.Equal(t, len(Schedule(w)), 7)
 }
 
+// TestReceiptOutcomes checks that only an answer that ends early counts as short.
+func TestReceiptOutcomes(t *testing.T) {
+	whole := `{"order_id":"o-1"}`
+	for _, tc := range []struct {
+		name, body string
+		end        error // of the body, nil if it is complete
+		outcome    Outcome
+		reason     string
+	}{
+		{"whole", whole, nil, Whole, ""},
+		{"another order's", `{"order_id":"o-2"}`, nil, Wrong, ""},
+		{"a page", "<html>ok</html>", nil, Wrong, "not JSON"},
+		{"other JSON", `["o-1"]`, nil, Wrong, "not JSON"},
+		{"text after the receipt", whole + "x", nil, Wrong, "not JSON"},
+		{"empty", "", nil, Short, ""},
+		{"ends within the receipt", whole[:9], nil, Short, ""},
+		{"receipt cut", whole[:9], io.ErrUnexpectedEOF, Short, ""},
+		{"page cut", "<html>", io.ErrUnexpectedEOF, Short, ""},
+		{"no end", whole, io.ErrUnexpectedEOF, Short, ""},
+	} {
+		var body io.Reader = strings.NewReader(tc.body)
+		if tc.end != nil {
+			body = io.MultiReader(body, iotest.ErrReader(tc.end))
+		}
+		var r Result
+		r.readReceipt(body, Arrival{OrderID: "o-1"})
+		assert.Check(t, r.Outcome == tc.outcome && r.Reason == tc.reason, "%s: %s, %q", tc.name, r.Outcome, r.Reason)
+	}
+}
+
 func TestScheduleKeepsMeanRate(t *testing.T) {
 	steady := len(Schedule(newWorkload(func(w *Workload) { w.Arrivals.Rate = 500 })))
 	assert.Assert(t, math.Abs(float64(steady)-5000) < 4*math.Sqrt(5000), "%d", steady)
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -150,10 +151,16 @@
 	}
 }
 
+// readReceipt reads the answer to an order up to its end.
 func (r *Result) readReceipt(body io.Reader, a Arrival) {
 	var receipt service.Receipt
-	err := json.NewDecoder(io.LimitReader(body, maxAnswerBytes)).Decode(&receipt)
+	raw, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes))
+	if err == nil {
+		err = decodeWhole(raw, &receipt)
+	}
 	switch {
+	case errors.Is(err, errNotJSON):
+		r.Outcome, r.Reason = Wrong, errNotJSON.Error()
 	case err != nil:
 		r.Outcome = Short
 	case receipt.OrderID != a.OrderID:
@@ -163,6 +170,22 @@
 	}
 }
 
+var errNotJSON = errors.New("not JSON")
+
+// decodeWhole decodes raw, which must be one JSON value, into v. The error is
+// errNotJSON unless raw ends early.
+func decodeWhole(raw []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	err := decoder.Decode(v)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return err
+	}
+	if _, after := decoder.Token(); err != nil || !errors.Is(after, io.EOF) {
+		return errNotJSON
+	}
+	return nil
+}
+
 // readStream reads a streamed answer up to its end mark and compares its text
 // with the expected one.
 func (r *Result) readStream(body io.Reader, a Arrival, due time.Time) {
@@ -231,7 +254,7 @@
 func parseToken(data string) (string, error) {
 	var ev event
 	if err := json.Unmarshal([]byte(data), &ev); err != nil {
-		return "", &streamError{kind: "not JSON"}
+		return "", &streamError{kind: errNotJSON.Error()}
 	}
 	switch {
 	case ev.Error != nil:
