--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -129,11 +130,15 @@
 }
 
 // runDay runs one day on the bench and returns its report. The exit status of
-// the bench is ignored if it has written a report.
+// the bench is ignored if it has written a report. The report of an earlier run
+// is removed first.
 func (o *options) runDay(ctx context.Context, plan *Plan, r run, dir string) (*report, error) {
 	d := plan.Deployments[r.deployment]
 	t := o.trees[r.tree]
 	path := filepath.Join(dir, fmt.Sprintf("%s-%s-%s-%d.json", t.name, d.Name(), r.day, r.seed))
+	if err := os.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, errors.Annotate(err, "removing the report of an earlier run")
+	}
 	args := []string{"run", filepath.Join(o.deploymentsDir, d.File), r.day, "--seed", strconv.Itoa(r.seed), "--report", path,
 		"--why", fmt.Sprintf("%s (%s)", o.reason, t.name)}
 	if d.Vary {
--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -59,6 +59,32 @@
 	assert.Assert(t, strings.Contains(out.String(), "+0.050 ±0.000"), out.String())
 }
 
+// TestOldReportIsNotRead checks that a run that wrote no report fails although
+// an earlier run left one.
+func TestOldReportIsNotRead(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "old-a-d-1.json")
+	assert.NilError(t, os.WriteFile(path, []byte(`{"G":0.5}`), 0o600))
+	o := options{bench: "false", reportsDir: dir, trees: []tree{{"old", dir}}}
+	_, err := o.runDay(t.Context(), &Plan{Deployments: []Deployment{{File: "a.toml"}}}, run{day: "d", seed: 1}, dir)
+	assert.ErrorContains(t, err, "d, seed 1 on old: reading the report of the bench")
+
+	// A bench that fails after it has written its report is no failed run.
+	bench := filepath.Join(dir, "bench")
+	const script = `#!/bin/sh
+while [ "$1" != --report ]; do shift; done
+echo '{"G":0.7}' > "$2"
+exit 1
+`
+	assert.NilError(t, os.WriteFile(bench, []byte(script), 0o700))
+	o.bench = bench
+	for range 2 {
+		got, err := o.runDay(t.Context(), &Plan{Deployments: []Deployment{{File: "a.toml"}}}, run{day: "d", seed: 1}, dir)
+		assert.NilError(t, err)
+		assert.Equal(t, got.Worth, 0.7)
+	}
+}
+
 func TestIdleTimeIsParsedFromHints(t *testing.T) {
 	r := report{Hints: []string{"groups stood still for 3.1 s in all, 0 broke; 905 server-seconds served nobody"}}
 	assert.Equal(t, r.idleSeconds(), 905.0)
