A spare on standby holds one model, its host has the other's weights

VMs on standby get second weights like members of groups do, so that a spare can complete a group of either model. Spares that hold the larger model are reserved for it like survivors are.

Tests: the spares hold both models, six each, and all hosts have the large one's weights (stricter than before: it counted staged weights alone); VMs on standby get the weights of a model in deficit (failed without the restaging: no group of the small model in the domain).

--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -156,7 +156,7 @@
 // weights it holds and whose coverage is lower than that of the given model.
 func (p *Planner) isReserved(now time.Time, m *member, model *catalog.Model) bool {
 	loaded := p.engine.Model(m.LoadedModel)
-	if loaded == nil || m.IsStandby() || loaded.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveTime {
+	if loaded == nil || loaded.GroupSize <= model.GroupSize || now.Sub(m.freeSince) >= reserveTime {
 		return false
 	}
 	return p.hasDeficit(loaded) && p.coverage(loaded) < p.coverage(model)
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -69,9 +69,9 @@
 		return
 	}
 	domains := p.domains(now)
-	p.stageFree(now, domains, func(m *member) bool { return len(m.Staged) == 0 })
+	p.stageFree(now, domains, func(m *member) bool { return m.LoadedModel == "" && len(m.Staged) == 0 })
 	if p.canRestage(now) {
-		p.stageFree(now, domains, func(m *member) bool { return len(m.Staged) > 0 })
+		p.stageFree(now, domains, p.mayRestage)
 	}
 	if p.hasTraffic && p.anyDeficit() {
 		return // loads are scarce and needed for VMs without weights
@@ -105,12 +105,19 @@
 // replaced.
 const restageDelay = 3 * time.Second
 
-// stageFree loads weights onto the hosts of matching free VMs that hold no
-// model or are on standby.
+// mayRestage reports whether a free VM's host may get other weights than it has.
+// VMs that hold the model of a group they were in keep theirs, so that the group
+// can form again. Before the first request, standby VMs get a second model like
+// the members of groups do.
+func (p *Planner) mayRestage(m *member) bool {
+	return len(m.Staged) > 0 && (m.LoadedModel == "" || p.hasTraffic && m.IsStandby())
+}
+
+// stageFree loads weights onto the hosts of matching free VMs.
 func (p *Planner) stageFree(now time.Time, domains []*domain, match func(*member) bool) {
 	for _, d := range domains {
 		for _, m := range d.free {
-			if m.isCommitted() || !match(m) || m.loading != "" {
+			if !match(m) || m.loading != "" {
 				continue
 			}
 			if model := p.modelToStage(d, m); model != "" && !p.stageOn(now, m, model) {
@@ -149,7 +156,7 @@
 // models by name.
 func (p *Planner) shouldStageSecond(m *member, model *catalog.Model, stocks map[string]*stock) bool {
 	loaded := p.engine.Model(m.LoadedModel)
-	if loaded == nil || !m.isCommitted() || loaded == model || loaded.GroupSize == model.GroupSize {
+	if loaded == nil || loaded == model || loaded.GroupSize == model.GroupSize {
 		return false
 	}
 	if m.loading != "" || m.isLeaving() || m.HasStaged(model.Name) || p.hasOtherStaged(m) {
@@ -196,7 +203,7 @@
 			best, bestScore = model.Name, score
 		}
 	}
-	if best == "" || m.HasStaged(best) {
+	if best == "" || m.HasStaged(best) || m.LoadedModel == best {
 		return ""
 	}
 	if len(m.Staged) > 0 && !p.canReplaceStaged(d, m, best, bestScore) {
--- a/coord/replica/standby.go
+++ b/coord/replica/standby.go
@@ -17,11 +17,11 @@
 func (p *Planner) standBy(now time.Time) {
 	for _, vm := range p.table.All() {
 		m := p.members[vm.ID]
-		if m == nil || m.isCommitted() || !p.isFree(now, m) || now.Sub(m.standbyAt) < standbyRetryInterval {
+		if m == nil || p.engine.Model(m.LoadedModel) != nil || !p.isFree(now, m) || now.Sub(m.standbyAt) < standbyRetryInterval {
 			continue
 		}
 		model := p.stagedModel(m)
-		if model == "" || model == m.LoadedModel {
+		if model == "" {
 			continue
 		}
 		m.standbyAt = now
@@ -42,11 +42,6 @@
 	return ""
 }
 
-// isCommitted reports whether the VM holds the model of a group that it was a
-// member of. A VM that holds a model only because it is in a standby group can
-// be given another one.
-func (m *member) isCommitted() bool { return m.LoadedModel != "" && !m.IsStandby() }
-
 // isWarming reports whether the VM is joining a standby group with weights that
 // its host has. It may be ordered to join another group meanwhile.
 func (m *member) isWarming() bool {
