--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -63,7 +63,7 @@
 	flags.StringVar(&o.deploymentsDir, "sites", "", "directory of the deployment files that the plan lists")
 	flags.StringVar(&o.plan, "plan", "", "plan file")
 	flags.StringVar(&o.reason, "why", "paired comparison", "reason that the bench records for each run")
-	flags.StringVar(&o.reportsDir, "reports", "", "directory to keep the reports of the bench in; if empty, they are not kept")
+	flags.StringVar(&o.reportsDir, "reports", "", "directory to keep the reports of the bench in, created if missing; if empty, they are not kept")
 	flags.IntVar(&o.jobs, "jobs", 5, "number of runs in parallel")
 	flags.BoolVar(&o.chargeCPU, "charged", false, "charge processor time, which makes runs less reproducible")
 	return cmd
@@ -83,6 +83,9 @@
 		}
 		defer os.RemoveAll(dir)
 	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.Trace(err)
+	}
 	if err := o.buildTrees(ctx); err != nil {
 		return err
 	}
--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -63,3 +63,22 @@
 	r := report{Hints: []string{"groups stood still for 3.1 s in all, 0 broke; 905 server-seconds served nobody"}}
 	assert.Equal(t, r.idleSeconds(), 905.0)
 }
+
+// A run whose report can't be written is lost, after the time that it took.
+func TestMissingReportsDirectoryIsCreated(t *testing.T) {
+	dir := t.TempDir()
+	reports := filepath.Join(dir, "new", "reports")
+	bench := filepath.Join(dir, "bench")
+	script := `#!/bin/sh
+while [ $# -gt 0 ]; do
+	if [ "$1" = --report ]; then echo '{"G": 0.5}' > "$2"; fi
+	shift
+done
+`
+	assert.NilError(t, os.WriteFile(bench, []byte(script), 0o700))
+	plan := writePlan(t, "seeds = [1]\n[[deployment]]\nfile = \"a.toml\"\ndays = [\"d\"]")
+	o := options{bench: bench, plan: plan, reportsDir: reports, jobs: 1, trees: []tree{{"old", dir}}}
+	assert.NilError(t, o.compare(t.Context()))
+	_, err := readReport(filepath.Join(reports, "old-a-d-1.json"))
+	assert.NilError(t, err)
+}
