upstream: a client's connections come from a function

Cause: tests of internal/upstream dialled with the timeout of production, 300 ms. Beside load it ran out, nothing was sent, and a test that asks for a response failed (TestDiscardStopsAtALongBody, once in a run of 60 s beside four busy loops: could not be reached, i/o timeout). Change: New takes the function that opens connections, in place of a hook that nobody used; nil means TCP as before. The tests dial without a timeout, with the same assertions. That TCP_USER_TIMEOUT is set on the connections of production has a test of its own.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -74,15 +74,22 @@
 // Client sends requests to endpoints and keeps idle connections for reuse. It is
 // safe for concurrent use.
 type Client struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	onDial func(address string)
+	mu   sync.Mutex
+	idle map[string][]*conn
+	dial DialFunc
 }
 
-// New returns a client. onDial, if not nil, is called with the address before
-// each new connection is dialled.
-func New(onDial func(address string)) *Client {
-	return &Client{idle: make(map[string][]*conn), onDial: onDial}
+// DialFunc opens a connection to the address of an endpoint. Its error means that
+// nothing was sent.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// New returns a client that opens its connections by dial. Nil means TCP with
+// dialTimeout and tcpUserTimeout.
+func New(dial DialFunc) *Client {
+	if dial == nil {
+		dial = dialTCP
+	}
+	return &Client{idle: make(map[string][]*conn), dial: dial}
 }
 
 // conn is a connection to one endpoint.
--- a/internal/upstream/limits_test.go
+++ b/internal/upstream/limits_test.go
@@ -42,7 +42,7 @@
 	for name, head := range endlessHeads {
 		t.Run(name, func(t *testing.T) {
 			e := startEndlessServer(t, head[0], head[1])
-			_, err := post(New(nil), e.Address())
+			_, err := post(New(dialPatiently), e.Address())
 			var broken *BrokenError
 			assert.Assert(t, errors.As(err, &broken), "%v", err)
 			<-e.Closed()
@@ -53,7 +53,7 @@
 func TestHeadWithinTheLimitIsRead(t *testing.T) {
 	long := strings.Repeat("x", maxHeadBytes/2)
 	address, _ := startScriptedServer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nA: "+long+"\r\nContent-Length: 2\r\n\r\nok")
-	body, err := post(New(nil), address)
+	body, err := post(New(dialPatiently), address)
 	assert.NilError(t, err)
 	assert.Equal(t, body, "ok")
 }
@@ -62,7 +62,7 @@
 func TestBodyMayExceedTheHeadLimit(t *testing.T) {
 	body := strings.Repeat("x", 3*maxHeadBytes)
 	address, _ := startScriptedServer(t, "HTTP/1.1 200 OK\r\n\r\n"+body)
-	got, err := post(New(nil), address)
+	got, err := post(New(dialPatiently), address)
 	assert.NilError(t, err)
 	assert.Equal(t, len(got), len(body))
 }
@@ -77,7 +77,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startEndlessServer(t, framing[0], framing[1])
-			_, err := post(New(nil), e.Address())
+			_, err := post(New(dialPatiently), e.Address())
 			assert.Assert(t, err != nil)
 			<-e.Closed()
 		})
@@ -88,7 +88,7 @@
 // entry VM.
 func TestManyEndlessHeadsUseLittleMemory(t *testing.T) {
 	const conns, maxHeap = 300, 128 << 20
-	client := New(nil)
+	client := New(dialPatiently)
 	var wg sync.WaitGroup
 	watch := heap.NewWatch()
 	defer watch.Stop()
@@ -108,7 +108,7 @@
 
 func TestDiscardStopsAtALongBody(t *testing.T) {
 	e := startEndlessServer(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 100000000\r\n\r\n", "x")
-	resp, err := New(nil).Send(context.Background(), e.Address(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	resp, err := New(dialPatiently).Send(context.Background(), e.Address(), &Request{Method: http.MethodGet, Target: "/", Host: "h"})
 	assert.NilError(t, err)
 	resp.Discard()
 	resp.Close()
@@ -117,7 +117,7 @@
 
 func TestDiscardStopsAtAStalledBody(t *testing.T) {
 	address, _ := startScriptedServer(t, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\nab", completeResponse)
-	resp, err := New(nil).Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
+	resp, err := New(dialPatiently).Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
 	assert.NilError(t, err)
 	resp.Discard()
 	resp.Close()
@@ -125,7 +125,7 @@
 
 func TestDiscardKeepsTheConnectionAfterAShortResponse(t *testing.T) {
 	address, conns := startScriptedServer(t, completeResponse, completeResponse)
-	c := New(nil)
+	c := New(dialPatiently)
 	for range 2 {
 		resp, err := c.Send(context.Background(), address, &Request{Method: http.MethodGet, Target: "/", Host: "h"})
 		assert.NilError(t, err)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -22,17 +22,21 @@
 		}
 		cn.Close()
 	}
-	if c.onDial != nil {
-		c.onDial(address)
-	}
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
-	nc, err := dialer.DialContext(ctx, "tcp", address)
+	nc, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return newConn(nc, address), nil
 }
 
+// tcpDialer opens the connections of clients without a DialFunc.
+var tcpDialer = net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
+
+// dialTCP implements DialFunc.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return tcpDialer.DialContext(ctx, "tcp", address)
+}
+
 func newConn(nc net.Conn, address string) *conn {
 	raw := &headReader{Conn: nc}
 	return &conn{Conn: nc, address: address, raw: raw, r: bufio.NewReaderSize(raw, readBufferBytes), idleTimeout: defaultIdleTimeout}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,9 +8,11 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 )
@@ -60,11 +62,18 @@
 	return string(body), err
 }
 
+// dialPatiently opens a TCP connection however long that takes, so that a busy
+// machine doesn't turn a request into one that wasn't sent.
+func dialPatiently(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 const completeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 func TestConnectionsAreReused(t *testing.T) {
 	address, conns := startScriptedServer(t, completeResponse, completeResponse)
-	c := New(nil)
+	c := New(dialPatiently)
 	for range 2 {
 		body, err := post(c, address)
 		assert.NilError(t, err)
@@ -77,7 +86,7 @@
 // reused.
 func TestConnectionWithExtraBytesIsClosed(t *testing.T) {
 	address, conns := startScriptedServer(t, completeResponse+completeResponse, completeResponse)
-	c := New(nil)
+	c := New(dialPatiently)
 	for range 2 {
 		_, err := post(c, address)
 		assert.NilError(t, err)
@@ -88,7 +97,7 @@
 
 func TestClosedIdleConnectionIsNotReused(t *testing.T) {
 	address, conns := startScriptedServer(t, completeResponse)
-	c := New(nil)
+	c := New(dialPatiently)
 	for range 3 {
 		_, err := post(c, address)
 		assert.NilError(t, err)
@@ -98,12 +107,12 @@
 }
 
 func TestErrorTypeShowsWhetherTheRequestWasSent(t *testing.T) {
-	_, err := post(New(nil), "127.0.0.1:1")
+	_, err := post(New(dialPatiently), "127.0.0.1:1")
 	var notSent *NotSentError
 	assert.Assert(t, errors.As(err, &notSent), "%v", err)
 
 	address, _ := startScriptedServer(t, "")
-	_, err = post(New(nil), address)
+	_, err = post(New(dialPatiently), address)
 	var broken *BrokenError
 	assert.Assert(t, errors.As(err, &broken), "%v", err)
 }
@@ -114,7 +123,7 @@
 		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
 	} {
 		address, _ := startScriptedServer(t, response)
-		_, err := post(New(nil), address)
+		_, err := post(New(dialPatiently), address)
 		assert.Assert(t, err != nil, name)
 	}
 }
@@ -130,6 +139,24 @@
 	assert.Assert(t, errors.Is(err, cause), "%v", err)
 }
 
+func TestConnectionsHaveAUserTimeout(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	dialer := tcpDialer
+	dialer.Timeout = 0
+	nc, err := dialer.DialContext(t.Context(), "tcp", l.Addr().String())
+	assert.NilError(t, err)
+	defer nc.Close()
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) {
+		milliseconds, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		assert.Check(t, err)
+		assert.Check(t, is.Equal(int64(milliseconds), tcpUserTimeout.Milliseconds()))
+	}))
+}
+
 func TestKeepAlive(t *testing.T) {
 	for value, want := range map[string]time.Duration{
 		"":                 defaultIdleTimeout,
