entry: a slow response is tested on a fake clock

Cause: on a busy machine the 200 ms of TestSlowResponseEndsAtDeadline ran out before the request was sent, and it got 503 instead of 504. A pause of 250 ms before the dial (trial) shows it each time. Change: the test runs in a bubble of testing/synctest, on a network in memory, so that only the endpoint's pauses take time. Same assertions.

--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -214,17 +214,19 @@
 
 // A body that arrives slowly is abandoned at the deadline.
 func TestSlowResponseEndsAtDeadline(t *testing.T) {
-	s := newHarness(t)
-	s.add(func(w http.ResponseWriter, r *http.Request) {
-		for r.Context().Err() == nil {
-			_, _ = w.Write([]byte("x"))
-			_ = http.NewResponseController(w).Flush() // the client may have disconnected
-			time.Sleep(10 * time.Millisecond)
-		}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				_, _ = w.Write([]byte("x"))
+				_ = http.NewResponseController(w).Flush() // the client may have disconnected
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		status, _, _, err := s.do(s.request(http.MethodPost, "/once/", "X-Deadline", "200"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusGatewayTimeout)
 	})
-	status, _, _, err := s.do(s.request(http.MethodPost, "/once/", "X-Deadline", "200"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusGatewayTimeout)
 }
 
 // A refusal is forwarded at once, even if its body is endless.
