--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -76,15 +76,12 @@
 	if err != nil {
 		return err
 	}
-	dir := o.reportsDir
-	if dir == "" {
-		if dir, err = os.MkdirTemp("", "paired"); err != nil {
-			return errors.Trace(err)
-		}
-		defer os.RemoveAll(dir)
+	dir, err := o.makeReportsDir()
+	if err != nil {
+		return err
 	}
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return errors.Trace(err)
+	if o.reportsDir == "" {
+		defer os.RemoveAll(dir)
 	}
 	if err := o.buildTrees(ctx); err != nil {
 		return err
@@ -94,6 +91,21 @@
 	return err
 }
 
+// makeReportsDir creates the directory of the reports if it is missing, or a
+// temporary one if none is given. It returns the absolute path, because the bench
+// runs in the directories of the trees.
+func (o *options) makeReportsDir() (string, error) {
+	if o.reportsDir == "" {
+		dir, err := os.MkdirTemp("", "paired")
+		return dir, errors.Trace(err)
+	}
+	dir, err := filepath.Abs(o.reportsDir)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	return dir, errors.Trace(os.MkdirAll(dir, 0o755))
+}
+
 // buildTrees builds each tree once before the runs.
 func (o *options) buildTrees(ctx context.Context) error {
 	for _, t := range o.trees {
--- a/internal/paired/paired_test.go
+++ b/internal/paired/paired_test.go
@@ -64,21 +64,40 @@
 	assert.Equal(t, r.idleSeconds(), 905.0)
 }
 
-// A run whose report can't be written is lost, after the time that it took.
-func TestMissingReportsDirectoryIsCreated(t *testing.T) {
-	dir := t.TempDir()
-	reports := filepath.Join(dir, "new", "reports")
-	bench := filepath.Join(dir, "bench")
-	script := `#!/bin/sh
+// writeBench writes a bench that only writes a report, and returns its path.
+func writeBench(t *testing.T) string {
+	const script = `#!/bin/sh
 while [ $# -gt 0 ]; do
 	if [ "$1" = --report ]; then echo '{"G": 0.5}' > "$2"; fi
 	shift
 done
 `
-	assert.NilError(t, os.WriteFile(bench, []byte(script), 0o700))
+	path := filepath.Join(t.TempDir(), "bench")
+	assert.NilError(t, os.WriteFile(path, []byte(script), 0o700))
+	return path
+}
+
+// A run whose report can't be written is lost, after the time that it took.
+func TestMissingReportsDirectoryIsCreated(t *testing.T) {
+	reports := filepath.Join(t.TempDir(), "new", "reports")
+	checkReportIsKept(t, reports, reports)
+}
+
+// The bench runs in the directory of a tree, but the directory of the reports is
+// relative to the caller's.
+func TestReportsDirectoryMayBeRelative(t *testing.T) {
+	cwd := t.TempDir()
+	t.Chdir(cwd)
+	checkReportIsKept(t, "reports", filepath.Join(cwd, "reports"))
+}
+
+// checkReportIsKept makes a run with the option --reports set to arg, and checks
+// that its report is in dir.
+func checkReportIsKept(t *testing.T, arg, dir string) {
+	t.Helper()
 	plan := writePlan(t, "seeds = [1]\n[[deployment]]\nfile = \"a.toml\"\ndays = [\"d\"]")
-	o := options{bench: bench, plan: plan, reportsDir: reports, jobs: 1, trees: []tree{{"old", dir}}}
+	o := options{bench: writeBench(t), plan: plan, reportsDir: arg, jobs: 1, trees: []tree{{"old", t.TempDir()}}}
 	assert.NilError(t, o.compare(t.Context()))
-	_, err := readReport(filepath.Join(reports, "old-a-d-1.json"))
+	_, err := readReport(filepath.Join(dir, "old-a-d-1.json"))
 	assert.NilError(t, err)
 }
