entry: four more tests run on a fake clock

Cause: as in TestOldCatalogRefusesKeysButNotPublicRoutes, 300 ms for an attempt that may be repeated, or the route's second for a request, run out on a busy machine. With a pause of 350 ms before each dial (trial) TestDialsAreBounded, TestIdempotentRequestIsRepeatedElsewhere, TestAttemptsAreBounded and TestRefusalsByEntryVM failed; none was seen to fail beside load. Change: they run in a bubble of testing/synctest, on a network in memory, and pass with the same pause. Same assertions.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -183,14 +183,16 @@
 
 // One send dials maxDials endpoints and no more, and answers that none was reached.
 func TestDialsAreBounded(t *testing.T) {
-	s := newHarness(t)
-	for i := range 2 * maxDials {
-		s.list(fmt.Sprint("vm-dead-", i), fmt.Sprint("127.0.0.1:", i+1))
-	}
-	status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Equal(t, telemetry.Counter(s.server.opts.Metrics, "attempts_total", "outcome", dispatch.Failed.String()).Count(), int64(maxDials))
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		for i := range 2 * maxDials {
+			s.list(fmt.Sprint("vm-dead-", i), fmt.Sprint("127.0.0.1:", i+1))
+		}
+		status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, telemetry.Counter(s.server.opts.Metrics, "attempts_total", "outcome", dispatch.Failed.String()).Count(), int64(maxDials))
+	})
 }
 
 func TestRefusalHasRetryAfterAndNoSeal(t *testing.T) {
@@ -206,31 +208,35 @@
 }
 
 func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
-	s := newHarness(t)
-	s.add(abort)
-	s.add(answerOK)
-	for range 4 {
-		status, body, _, err := s.do(s.request(http.MethodGet, "/safe/"))
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, body, "done")
-	}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(abort)
+		s.add(answerOK)
+		for range 4 {
+			status, body, _, err := s.do(s.request(http.MethodGet, "/safe/"))
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, "done")
+		}
+	})
 }
 
 func TestAttemptsAreBounded(t *testing.T) {
-	s := newHarness(t)
-	var all []*endpoint
-	for range 4 {
-		all = append(all, s.add(abort))
-	}
-	status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusBadGateway)
-	runs := int32(0)
-	for _, e := range all {
-		runs += e.runs.Load()
-	}
-	assert.Equal(t, runs, int32(2))
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		var all []*endpoint
+		for range 4 {
+			all = append(all, s.add(abort))
+		}
+		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway)
+		runs := int32(0)
+		for _, e := range all {
+			runs += e.runs.Load()
+		}
+		assert.Equal(t, runs, int32(2))
+	})
 }
 
 func TestInvalidResponsesAreNotDelivered(t *testing.T) {
@@ -263,21 +269,23 @@
 }
 
 func TestRefusalsByEntryVM(t *testing.T) {
-	s := newHarness(t)
-	s.add(answerOK)
-	for name, c := range map[string]struct {
-		req  *http.Request
-		want int
-	}{
-		"no route":    {s.request(http.MethodGet, "/none/"), http.StatusNotFound},
-		"unknown key": {s.request(http.MethodGet, "/safe/", "Authorization", "Bearer other"), http.StatusUnauthorized},
-		"no id":       {s.request(http.MethodGet, "/safe/", "X-Id", ""), http.StatusBadRequest},
-		"public":      {s.request(http.MethodGet, "/open/", "Authorization", ""), http.StatusOK},
-	} {
-		status, _, _, err := s.do(c.req)
-		assert.NilError(t, err)
-		assert.Equal(t, status, c.want, name)
-	}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(answerOK)
+		for name, c := range map[string]struct {
+			req  *http.Request
+			want int
+		}{
+			"no route":    {s.request(http.MethodGet, "/none/"), http.StatusNotFound},
+			"unknown key": {s.request(http.MethodGet, "/safe/", "Authorization", "Bearer other"), http.StatusUnauthorized},
+			"no id":       {s.request(http.MethodGet, "/safe/", "X-Id", ""), http.StatusBadRequest},
+			"public":      {s.request(http.MethodGet, "/open/", "Authorization", ""), http.StatusOK},
+		} {
+			status, _, _, err := s.do(c.req)
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.want, name)
+		}
+	})
 }
 
 // A node whose catalog is too old may not have learned that a key was withdrawn, so
