gateway: the unreachable target of the tests keeps its port

Cause: the target was the address of a closed server. Another process got the port, beside load and other tests often (20 failures in a run of 45 s, with 404 of a stand-in of another package, or 502 in place of 503). Change: the socket is bound and doesn't listen, so that connections are refused until the test ends. Same assertions.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"go.opentelemetry.io/otel/trace/noop"
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
@@ -127,11 +129,16 @@
 	return Target{Endpoint: "s1", Address: strings.TrimPrefix(srv.URL, "http://")}
 }
 
-// newUnreachableTarget returns a target that refuses connections.
-func newUnreachableTarget() Target {
-	srv := httptest.NewServer(http.NotFoundHandler())
-	srv.Close()
-	return Target{Endpoint: "dead", Address: strings.TrimPrefix(srv.URL, "http://")}
+// newUnreachableTarget returns a target that refuses connections. Its socket is bound
+// but doesn't listen, so that nobody else gets the port before the test ends.
+func newUnreachableTarget(t *testing.T) Target {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	assert.NilError(t, err)
+	t.Cleanup(func() { unix.Close(fd) })
+	assert.NilError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := unix.Getsockname(fd)
+	assert.NilError(t, err)
+	return Target{Endpoint: "dead", Address: fmt.Sprint("127.0.0.1:", address.(*unix.SockaddrInet4).Port)}
 }
 
 // newAbortingTarget returns a target that accepts a call and closes the connection
@@ -152,13 +159,13 @@
 		ran                string
 		outcomes           []Outcome
 	}{
-		{"not sent", http.MethodPost, "/orders", []Target{newUnreachableTarget(), good}, http.StatusOK, "", []Outcome{NotSent, Succeeded}},
+		{"not sent", http.MethodPost, "/orders", []Target{newUnreachableTarget(t), good}, http.StatusOK, "", []Outcome{NotSent, Succeeded}},
 		{"refused", http.MethodPost, "/orders", []Target{refusing, good}, http.StatusOK, "", []Outcome{Refused, Succeeded}},
 		{"broken", http.MethodPost, "/orders", []Target{newAbortingTarget(t), good}, http.StatusBadGateway, "unknown", []Outcome{Failed}},
 		{"broken but idempotent", http.MethodPost, "/orders/quote", []Target{newAbortingTarget(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
 		{"broken read", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
-		{"broken, then not sent", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), newUnreachableTarget(), newUnreachableTarget()}, http.StatusServiceUnavailable, "unknown", []Outcome{Failed, NotSent, NotSent}},
-		{"never sent", http.MethodPost, "/orders", []Target{newUnreachableTarget(), newUnreachableTarget(), newUnreachableTarget(), good}, http.StatusServiceUnavailable, "no", []Outcome{NotSent, NotSent, NotSent}},
+		{"broken, then not sent", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), newUnreachableTarget(t), newUnreachableTarget(t)}, http.StatusServiceUnavailable, "unknown", []Outcome{Failed, NotSent, NotSent}},
+		{"never sent", http.MethodPost, "/orders", []Target{newUnreachableTarget(t), newUnreachableTarget(t), newUnreachableTarget(t), good}, http.StatusServiceUnavailable, "no", []Outcome{NotSent, NotSent, NotSent}},
 		{"nowhere", http.MethodPost, "/orders", nil, http.StatusServiceUnavailable, "no", nil},
 	}
 	for _, tc := range tests {
