--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -42,20 +43,30 @@
 	t           *testing.T
 	state       *State
 	server      *Server
+	network     network
 	front       *httptest.Server
+	client      *http.Transport
 	clockOffset atomic.Int64 // added to the clock, in nanoseconds
 	vms         int
 	routes      []catalog.Route
 }
 
-func newHarness(t *testing.T) *harness { return newHarnessWithMemory(t, 0) }
+func newHarness(t *testing.T) *harness { return newHarnessWith(t, loopback{}, 0) }
 
 // newHarnessWithMemory returns a harness whose entry VM may use bodyBytes of memory
 // for buffered responses.
 func newHarnessWithMemory(t *testing.T, bodyBytes int64) *harness {
-	s := &harness{t: t}
+	return newHarnessWith(t, loopback{}, bodyBytes)
+}
+
+func newHarnessWith(t *testing.T, n network, bodyBytes int64) *harness {
+	return newHarnessWithClock(t, n, time.Now, bodyBytes)
+}
+
+func newHarnessWithClock(t *testing.T, n network, now func() time.Time, bodyBytes int64) *harness {
+	s := &harness{t: t, network: n}
 	log := discardLogger()
-	clock := func() time.Time { return time.Now().Add(time.Duration(s.clockOffset.Load())) }
+	clock := func() time.Time { return now().Add(time.Duration(s.clockOffset.Load())) }
 	s.state = NewState(log, clock, dispatch.Options{
 		DataCentre: "dc", ColdOverage: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
@@ -71,9 +82,10 @@
 	s.configure()
 	s.server = NewServer(Options{
 		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, BodyBytes: bodyBytes, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
-	}, testProtocol, s.state, upstream.New(nil), make(chan struct{}))
-	s.front = httptest.NewServer(s.server)
-	t.Cleanup(s.front.Close)
+	}, testProtocol, s.state, upstream.New(n.dial), make(chan struct{}))
+	s.front = serve(t, n, s.server)
+	s.client = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, address) }}
+	t.Cleanup(s.client.CloseIdleConnections)
 	return s
 }
 
@@ -88,13 +100,12 @@
 	e := &endpoint{}
 	s.vms++
 	id := fmt.Sprint("vm-", s.vms)
-	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e.Server = serve(s.t, s.network, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.runs.Add(1)
 		w.Header().Set("X-Id", r.Header.Get("X-Id"))
 		w.Header().Set("X-Seal", "seal-of-"+id)
 		handler(w, r)
 	}))
-	s.t.Cleanup(e.Close)
 	s.list(id, strings.TrimPrefix(e.URL, "http://"))
 	return e
 }
@@ -119,7 +130,7 @@
 }
 
 func (s *harness) do(req *http.Request) (status int, body string, header http.Header, err error) {
-	resp, err := http.DefaultTransport.RoundTrip(req)
+	resp, err := s.client.RoundTrip(req)
 	assert.NilError(s.t, err)
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
@@ -176,14 +187,16 @@
 
 // One send dials maxDials endpoints and no more, and answers that none was reached.
 func TestDialsAreBounded(t *testing.T) {
-	s := newHarness(t)
-	for i := range 2 * maxDials {
-		s.list(fmt.Sprint("vm-dead-", i), fmt.Sprint("127.0.0.1:", i+1))
-	}
-	status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusServiceUnavailable)
-	assert.Equal(t, telemetry.Counter(s.server.opts.Metrics, "attempts_total", "outcome", dispatch.Failed.String()).Count(), int64(maxDials))
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		for i := range 2 * maxDials {
+			s.list(fmt.Sprint("vm-dead-", i), fmt.Sprint("127.0.0.1:", i+1))
+		}
+		status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+		assert.Equal(t, telemetry.Counter(s.server.opts.Metrics, "attempts_total", "outcome", dispatch.Failed.String()).Count(), int64(maxDials))
+	})
 }
 
 func TestRefusalHasRetryAfterAndNoSeal(t *testing.T) {
@@ -199,31 +212,35 @@
 }
 
 func TestIdempotentRequestIsRepeatedElsewhere(t *testing.T) {
-	s := newHarness(t)
-	s.add(abort)
-	s.add(answerOK)
-	for range 4 {
-		status, body, _, err := s.do(s.request(http.MethodGet, "/safe/"))
-		assert.NilError(t, err)
-		assert.Equal(t, status, http.StatusOK)
-		assert.Equal(t, body, "done")
-	}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(abort)
+		s.add(answerOK)
+		for range 4 {
+			status, body, _, err := s.do(s.request(http.MethodGet, "/safe/"))
+			assert.NilError(t, err)
+			assert.Equal(t, status, http.StatusOK)
+			assert.Equal(t, body, "done")
+		}
+	})
 }
 
 func TestAttemptsAreBounded(t *testing.T) {
-	s := newHarness(t)
-	var all []*endpoint
-	for range 4 {
-		all = append(all, s.add(abort))
-	}
-	status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusBadGateway)
-	runs := int32(0)
-	for _, e := range all {
-		runs += e.runs.Load()
-	}
-	assert.Equal(t, runs, int32(2))
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		var all []*endpoint
+		for range 4 {
+			all = append(all, s.add(abort))
+		}
+		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway)
+		runs := int32(0)
+		for _, e := range all {
+			runs += e.runs.Load()
+		}
+		assert.Equal(t, runs, int32(2))
+	})
 }
 
 func TestInvalidResponsesAreNotDelivered(t *testing.T) {
@@ -256,42 +273,46 @@
 }
 
 func TestRefusalsByEntryVM(t *testing.T) {
-	s := newHarness(t)
-	s.add(answerOK)
-	for name, c := range map[string]struct {
-		req  *http.Request
-		want int
-	}{
-		"no route":    {s.request(http.MethodGet, "/none/"), http.StatusNotFound},
-		"unknown key": {s.request(http.MethodGet, "/safe/", "Authorization", "Bearer other"), http.StatusUnauthorized},
-		"no id":       {s.request(http.MethodGet, "/safe/", "X-Id", ""), http.StatusBadRequest},
-		"public":      {s.request(http.MethodGet, "/open/", "Authorization", ""), http.StatusOK},
-	} {
-		status, _, _, err := s.do(c.req)
-		assert.NilError(t, err)
-		assert.Equal(t, status, c.want, name)
-	}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(answerOK)
+		for name, c := range map[string]struct {
+			req  *http.Request
+			want int
+		}{
+			"no route":    {s.request(http.MethodGet, "/none/"), http.StatusNotFound},
+			"unknown key": {s.request(http.MethodGet, "/safe/", "Authorization", "Bearer other"), http.StatusUnauthorized},
+			"no id":       {s.request(http.MethodGet, "/safe/", "X-Id", ""), http.StatusBadRequest},
+			"public":      {s.request(http.MethodGet, "/open/", "Authorization", ""), http.StatusOK},
+		} {
+			status, _, _, err := s.do(c.req)
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.want, name)
+		}
+	})
 }
 
 // A node whose catalog is too old may not have learned that a key was withdrawn, so
 // it must not accept keys.
 func TestOldCatalogRefusesKeysButNotPublicRoutes(t *testing.T) {
-	s := newHarness(t)
-	s.add(answerOK)
-	s.clockOffset.Store(int64(5 * time.Second))
-	for path, want := range map[string]int{
-		"/safe/": http.StatusServiceUnavailable,
-		"/none/": http.StatusServiceUnavailable,
-		"/open/": http.StatusOK,
-	} {
-		status, _, _, err := s.do(s.request(http.MethodGet, path))
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(answerOK)
+		s.clockOffset.Store(int64(5 * time.Second))
+		for path, want := range map[string]int{
+			"/safe/": http.StatusServiceUnavailable,
+			"/none/": http.StatusServiceUnavailable,
+			"/open/": http.StatusOK,
+		} {
+			status, _, _, err := s.do(s.request(http.MethodGet, path))
+			assert.NilError(t, err)
+			assert.Equal(t, status, want, path)
+		}
+		s.configure()
+		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
 		assert.NilError(t, err)
-		assert.Equal(t, status, want, path)
-	}
-	s.configure()
-	status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, status, http.StatusOK)
+	})
 }
 
 // writeEvents writes the events with IDs from through to. It then ends the stream
--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -214,17 +214,19 @@
 
 // A body that arrives slowly is abandoned at the deadline.
 func TestSlowResponseEndsAtDeadline(t *testing.T) {
-	s := newHarness(t)
-	s.add(func(w http.ResponseWriter, r *http.Request) {
-		for r.Context().Err() == nil {
-			_, _ = w.Write([]byte("x"))
-			_ = http.NewResponseController(w).Flush() // the client may have disconnected
-			time.Sleep(10 * time.Millisecond)
-		}
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(func(w http.ResponseWriter, r *http.Request) {
+			for r.Context().Err() == nil {
+				_, _ = w.Write([]byte("x"))
+				_ = http.NewResponseController(w).Flush() // the client may have disconnected
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+		status, _, _, err := s.do(s.request(http.MethodPost, "/once/", "X-Deadline", "200"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusGatewayTimeout)
 	})
-	status, _, _, err := s.do(s.request(http.MethodPost, "/once/", "X-Deadline", "200"))
-	assert.NilError(t, err)
-	assert.Equal(t, status, http.StatusGatewayTimeout)
 }
 
 // A refusal is forwarded at once, even if its body is endless.
@@ -254,7 +256,7 @@
 			path = "/stream/"
 		}
 		wg.Go(func() {
-			resp, err := http.DefaultTransport.RoundTrip(s.request(http.MethodPost, path))
+			resp, err := s.client.RoundTrip(s.request(http.MethodPost, path))
 			if err != nil {
 				return
 			}
@@ -271,19 +273,20 @@
 // An endpoint that sent an endless response is excluded for a while and then tried
 // again.
 func TestEndpointWithEndlessResponseIsExcludedTemporarily(t *testing.T) {
-	s := newHarness(t)
+	began := time.Now()
+	s := newHarnessWithClock(t, loopback{}, func() time.Time { return began }, 0)
 	e := s.addEndless("HTTP/1.1 200 ", "O")
 	for range 2 {
-		_, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
+		_, _, _, err := s.do(s.request(http.MethodPost, "/patient/"))
 		assert.NilError(t, err)
 		<-e.Closed()
 	}
-	status, _, _, err := s.do(s.request(http.MethodPost, "/once/"))
+	status, _, _, err := s.do(s.request(http.MethodPost, "/patient/"))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable, "the endpoint should be excluded")
 	s.clockOffset.Add(int64(3 * time.Second))
 	s.configure()
-	status, _, _, err = s.do(s.request(http.MethodPost, "/once/"))
+	status, _, _, err = s.do(s.request(http.MethodPost, "/patient/"))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway, "the endpoint should be tried again")
 }
--- a/internal/paired/main.go
+++ b/internal/paired/main.go
@@ -64,7 +64,7 @@
 	flags.StringVar(&o.deploymentsDir, "sites", "", "directory of the deployment files that the plan lists")
 	flags.StringVar(&o.plan, "plan", "", "plan file")
 	flags.StringVar(&o.reason, "why", "paired comparison", "reason that the bench records for each run")
-	flags.StringVar(&o.reportsDir, "reports", "", "directory to keep the reports of the bench in; if empty, they are not kept")
+	flags.StringVar(&o.reportsDir, "reports", "", "directory to keep the reports of the bench in, created if missing; if empty, they are not kept")
 	flags.IntVar(&o.jobs, "jobs", 5, "number of runs in parallel")
 	flags.BoolVar(&o.chargeCPU, "charged", false, "charge processor time, which makes runs less reproducible")
 	return cmd
@@ -77,11 +77,11 @@
 	if err != nil {
 		return err
 	}
-	dir := o.reportsDir
-	if dir == "" {
-		if dir, err = os.MkdirTemp("", "paired"); err != nil {
-			return errors.Trace(err)
-		}
+	dir, err := o.makeReportsDir()
+	if err != nil {
+		return err
+	}
+	if o.reportsDir == "" {
 		defer os.RemoveAll(dir)
 	}
 	if err := o.buildTrees(ctx); err != nil {
@@ -92,6 +92,21 @@
 	return err
 }
 
+// makeReportsDir creates the directory of the reports if it is missing, or a
+// temporary one if none is given. It returns the absolute path, because the bench
+// runs in the directories of the trees.
+func (o *options) makeReportsDir() (string, error) {
+	if o.reportsDir == "" {
+		dir, err := os.MkdirTemp("", "paired")
+		return dir, errors.Trace(err)
+	}
+	dir, err := filepath.Abs(o.reportsDir)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	return dir, errors.Trace(os.MkdirAll(dir, 0o755))
+}
+
 // buildTrees builds each tree once before the runs.
 func (o *options) buildTrees(ctx context.Context) error {
 	for _, t := range o.trees {
