A remnant of a group takes no VMs from whole groups

Other groups give up VMs for a broken group only if it lacks no more VMs than it has left. Else its survivors become free.

--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -10,6 +10,9 @@
 // have the model's weights. The survivors and the spares join the group's next
 // formation, whatever the state of the old head. If the old head still runs, it
 // stalls without its members until it gives up.
+//
+// Other groups give up VMs for it only if it lacks no more than it has left:
+// otherwise more VMs would stop serving than survivors are put to use.
 func (p *Planner) reform(now time.Time, g *Group) bool {
 	model := p.engine.Model(g.Model)
 	survivors := p.survivors(now, g)
@@ -18,8 +21,8 @@
 	}
 	missing := model.GroupSize - len(survivors)
 	spares := p.findSpares(now, model, survivors[0].Domain, missing)
-	if len(spares) < missing {
-		return p.awaitDonors(now, g, model, survivors[0].Domain, missing-len(spares))
+	if lacking := missing - len(spares); lacking > 0 {
+		return lacking <= len(survivors) && p.awaitDonors(now, g, model, survivors[0].Domain, lacking)
 	}
 	for _, id := range g.Members {
 		if m := p.members[id]; m != nil && m.group == g {
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -93,6 +93,10 @@
 }
 
 func newWorld(t *testing.T, seed uint64, domains int) *world {
+	return newWorldOfSize(t, seed, domains, domainVMs)
+}
+
+func newWorldOfSize(t *testing.T, seed uint64, domains, domainVMs int) *world {
 	w := &world{
 		t: t, now: time.Unix(1000, 0), vms: make(map[string]*engineVM), table: fleet.NewTable(),
 		rng: rand.New(rand.NewPCG(seed, seed)), epochs: NewEpochs(1), donated: make(map[string]donationRecord), probeInterval: probeInterval,
