Loads are counted by what loads; a takeover adopts joining groups

A VM does not report a model while it joins. VMs that were lost while they loaded counted too, until they had started again. And a new lease holder could not adopt a group whose members were still joining: it sent them away after 0.8 s. The stand-in of the tests reported the model at once, so no test showed it.

A joining VM that has weights is no load; one that doesn't answer is none; a group is adopted by the model that any member reports, and not judged before one does. A VM that warms up on standby is free for other groups.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -26,7 +26,7 @@
 	}
 	allProbed := p.allProbed(now)
 	for key, members := range unadopted {
-		if p.adoptGroup(now, members) {
+		if modelOf(members) == "" || p.adoptGroup(now, members) {
 			continue
 		}
 		since, seen := p.incompleteSince[key]
@@ -98,10 +98,10 @@
 	}
 	head := byRank[0]
 	if head.Stage != fleet.Open && head.Stage != fleet.Closing {
-		p.newGroup(now, head.Group, head.Model, byRank)
+		p.newGroup(now, head.Group, modelOf(members), byRank)
 		return true
 	}
-	g := p.addAdopted(head.Membership, head.Model, byRank)
+	g := p.addAdopted(head.Membership, modelOf(members), byRank)
 	g.setPhase(now, Serving)
 	if head.Stage == fleet.Closing {
 		g.startDissolving(now, HeadClosing, "", true)
@@ -118,7 +118,7 @@
 	if byRank == nil || p.hasFormation(members[0].Group) {
 		return false
 	}
-	g := p.addAdopted(members[0].Membership, members[0].Model, byRank)
+	g := p.addAdopted(members[0].Membership, modelOf(members), byRank)
 	g.startDissolving(now, MemberGone, "", false)
 	return true
 }
@@ -138,13 +138,13 @@
 // for members that have not reported. It returns nil if the reports contradict
 // each other.
 func (p *Planner) byRank(members []*member) []*member {
-	model := p.engine.Model(members[0].Model)
+	model := p.engine.Model(modelOf(members))
 	if model == nil {
 		return nil
 	}
 	byRank := make([]*member, model.GroupSize)
 	for _, m := range members {
-		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Model != model.Name {
+		if m.Rank < 0 || m.Rank >= len(byRank) || byRank[m.Rank] != nil || m.Model != "" && m.Model != model.Name {
 			return nil
 		}
 		byRank[m.Rank] = m
@@ -152,6 +152,17 @@
 	return byRank
 }
 
+// modelOf returns the model of a group, or "" if no member reports it: a VM
+// doesn't report the model while it joins.
+func modelOf(members []*member) string {
+	for _, m := range members {
+		if m.Model != "" {
+			return m.Model
+		}
+	}
+	return ""
+}
+
 // addAdopted adds a group of an earlier planner to the table.
 func (p *Planner) addAdopted(membership fleet.Membership, model string, byRank []*member) *Group {
 	g := &Group{Name: membership.Group, Epoch: membership.Epoch, Model: model}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -40,19 +40,27 @@
 
 // isLoading reports whether a VM is loading weights, on an order of this
 // planner or, judging by the VM's report, of an earlier one. If more loads run
-// at once than the store can sustain, all of them slow down.
+// at once than the store can sustain, all of them slow down. A VM that doesn't
+// answer is not counted, since it has most likely stopped.
 func (m *member) isLoading(now time.Time) bool {
 	switch {
+	case m.isLeaving() || m.isSilent(now, silenceTimeout):
+		return false
 	case m.loading != "":
 		return true
-	case !m.Busy || m.isLeaving() || m.isSilent(now, silenceTimeout):
+	case !m.Busy:
 		return false
 	case m.Stage == fleet.Joining:
-		return joinCost(m, m.Model) == joinLoad
+		return !m.hasWeights()
 	}
 	return m.group == nil || m.group.Phase == Serving
 }
 
+// hasWeights reports whether the VM holds a model or its host has weights of
+// one. A VM that joins a group does not report the group's model, but with
+// weights it has most likely no need to load any.
+func (m *member) hasWeights() bool { return m.LoadedModel != "" || len(m.Staged) > 0 }
+
 func (p *Planner) startLoad(now time.Time, m *member, model string) {
 	m.loading, m.loadSince = model, now
 	if p.hasTraffic {
--- a/coord/replica/standby.go
+++ b/coord/replica/standby.go
@@ -45,5 +45,5 @@
 // isWarming reports whether the VM is joining a standby group with weights that
 // its host has. It may be ordered to join another group meanwhile.
 func (m *member) isWarming() bool {
-	return m.IsStandby() && m.Stage == fleet.Joining && m.HasStaged(m.Model)
+	return m.IsStandby() && m.Stage == fleet.Joining && len(m.Staged) > 0
 }
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -298,7 +298,7 @@
 		duration = warmTime
 	}
 	vm.lastModel, vm.members = o.Model, o.Members
-	vm.state.Model = o.Model
+	vm.state.Model = "" // an engine reports the model once it is ready
 	vm.state.Staged = []string{o.Model}
 	vm.state.Membership = fleet.Membership{
 		Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, vm.row.ID), Stage: fleet.Joining,
@@ -317,7 +317,7 @@
 	defer func() { vm.state.Busy = vm.staging != "" || vm.state.Stage == fleet.Joining }()
 	key := groupKey{vm.state.Group, vm.state.Epoch}
 	if vm.state.Stage == fleet.Joining && !w.now.Before(vm.readyAt) {
-		vm.state.Stage = fleet.Ready
+		vm.state.Stage, vm.state.Model = fleet.Ready, vm.lastModel
 		vm.readyIn[key] = true
 	}
 	if vm.state.Stage == fleet.Ready && !vm.opensAt.IsZero() && !w.now.Before(vm.opensAt) {
