--- a/internal/entry/peerupdates_test.go
+++ b/internal/entry/peerupdates_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
 // chain is a sequence of entry VMs, each of which polls its predecessor.
@@ -188,3 +189,22 @@
 	s.state.Tick()
 	assert.Assert(t, s.state.targetsUpdatedAt.After(at), "should be updated after maxUpdateInterval")
 }
+
+// A VM on standby heads a group that never serves. Its reports are of use to the
+// lease holder alone, so nodes neither probe it as a head nor pass its reports on.
+func TestVMsOnStandbyAreNoHeads(t *testing.T) {
+	s := newFleetHarness(t, 1)
+	standby := fleet.Membership{Group: fleet.StandbyName("spare"), Epoch: 9, Stage: fleet.Ready}
+	s.state.Locked(func(st LockedState) {
+		row := fleet.Row{ID: "spare", Service: "llm", Address: "10.0.0.9:1", Engine: true, State: fleet.State{Born: 1, Membership: standby}}
+		st.VMs.ApplyRow(s.clock(), row)
+		st.VMs.ApplyReport(s.clock(), s.clock(), "spare", fleet.Report{State: row.State})
+	})
+	s.run(time.Second)
+	s.state.Locked(func(st LockedState) {
+		assert.DeepEqual(t, st.Targets.Heads(), []string{"a0"})
+	})
+	for _, r := range s.state.Answer(updates.Position{}).Reports {
+		assert.Assert(t, r.VM != "spare")
+	}
+}
