--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -26,7 +26,10 @@
 	}
 	allProbed := p.allProbed(now)
 	for key, members := range unadopted {
-		if modelOf(members) == "" || p.adoptGroup(now, members) {
+		if modelOf(members) == "" {
+			continue // all are still joining
+		}
+		if p.adoptGroup(now, members) {
 			continue
 		}
 		since, seen := p.incompleteSince[key]
