--- a/coord/replica/activity.go
+++ b/coord/replica/activity.go
@@ -45,7 +45,7 @@
 		return ActivityCoolingDown
 	case m.loading != "":
 		return ActivityLoading
-	case len(m.Staged) == 0 && m.LoadedModel == "":
+	case !m.hasWeights():
 		return ActivityEmpty
 	}
 	return ActivitySpare
