--- a/coord/replica/activity.go
+++ b/coord/replica/activity.go
@@ -45,7 +45,7 @@
 		return ActivityCoolingDown
 	case m.loading != "":
 		return ActivityLoading
-	case !m.hasWeights():
+	case len(m.Staged) == 0 && m.LoadedModel == "":
 		return ActivityEmpty
 	}
 	return ActivitySpare
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -49,13 +49,7 @@
 // isUnadopted reports whether a VM has told this planner that it belongs to a
 // group which the planner does not know.
 func (p *Planner) isUnadopted(m *member) bool {
-	return m.group == nil && p.reportsGroup(m) && !m.ReportedAt.Before(p.startedAt)
-}
-
-// reportsGroup reports whether a VM belongs, by its report, to a group that it
-// has not been freed from. Standby groups keep no VM from joining another.
-func (p *Planner) reportsGroup(m *member) bool {
-	return m.Group != "" && !m.IsStandby() && !p.released[keyOf(m)]
+	return m.group == nil && m.Group != "" && !m.IsStandby() && !p.released[keyOf(m)] && !m.ReportedAt.Before(p.startedAt)
 }
 
 // isAdopting reports whether groups of earlier planners may still have to be
--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -31,7 +31,7 @@
 	return m.group == nil && m.canTakeOrder(now) && m.loading == "" &&
 		m.Listed && !m.Departing() && !p.evacuated[m.DataCentre] &&
 		m.FailedProbes == 0 && now.Sub(m.ReportedAt) < maxProbeAge && !m.ReportedAt.Before(m.acceptedAt) &&
-		!now.Before(m.cooldownUntil) && !p.reportsGroup(m) && (!m.Busy || m.isWarming())
+		!now.Before(m.cooldownUntil) && (m.Group == "" || m.IsStandby() || p.released[keyOf(m)]) && (!m.Busy || m.isWarming())
 }
 
 // domains returns the fabric domains, sorted by name.
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -77,7 +77,7 @@
 		return
 	}
 	domains := p.domains(now)
-	p.stageFree(now, domains, func(m *member) bool { return !m.hasWeights() })
+	p.stageFree(now, domains, func(m *member) bool { return m.LoadedModel == "" && len(m.Staged) == 0 })
 	if p.canRestage(now) {
 		p.stageFree(now, domains, p.mayRestage)
 	}
