--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -21,7 +21,10 @@
 	Model string
 	// Tokens contains the number of prompt tokens and the maximum number of
 	// output tokens.
-	Tokens      string
+	Tokens string
+	// PromptParts lists the parts of the prompt in order, as comma-separated
+	// entries of an ID and a number of tokens.
+	PromptParts string
 	LastEventID string
 	// Faulty identifies the VM that caused a group to fail.
 	Faulty string
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -31,6 +32,7 @@
 	service        *catalog.Service
 	model          string
 	promptTokens   int
+	parts          []quarantine.Part // the parts of the prompt that others may share
 	catalogVersion int64
 	outgoing       upstream.Request
 	draw           uint64
@@ -79,6 +81,7 @@
 	}
 	if req.service.Engine != nil {
 		req.model = r.Header.Get(s.proto.Model)
+		req.parts = sharedParts(r.Header.Get(s.proto.PromptParts))
 		prompt, _, _ := strings.Cut(r.Header.Get(s.proto.Tokens), ",")
 		if n, err := strconv.Atoi(prompt); err == nil && n > 0 {
 			req.promptTokens = n
