--- /dev/null
+++ b/internal/entry/quarantine_test.go
@@ -0,0 +1,337 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
+)
+
+// deadlyPart is the part of a prompt that ends each endpoint which begins to
+// answer it.
+const deadlyPart = "dead"
+
+// crashSite has entry VMs that poll the first one, in front of groups of one VM
+// that end under deadlyPart and are back after a while.
+type crashSite struct {
+	t       *testing.T
+	network *pipes
+	nodes   []*crashNode
+	engines *crashEngines
+
+	mu      sync.Mutex
+	version uint64
+	started int
+	running map[string]*httptest.Server // by VM
+	// ends are the times at which endpoints ended, and deadly those at which
+	// requests with the deadly part reached endpoints.
+	ends, deadly []time.Time
+}
+
+// crashNode is one entry VM.
+type crashNode struct {
+	state  *State
+	prober *Prober
+	front  *httptest.Server
+	mark   int64
+}
+
+// crashEngines reports that the running endpoints serve, and refuses probes of the
+// others.
+type crashEngines struct{ site *crashSite }
+
+// Report implements Engines.
+func (e *crashEngines) Report(ctx context.Context, address, id string) (fleet.Report, error) {
+	conn, err := e.site.network.dial(ctx, address)
+	if err != nil {
+		return fleet.Report{}, &upstream.NotSentError{Address: address, Err: err}
+	}
+	conn.Close()
+	return fleet.Report{State: openGroup(id)}, nil
+}
+
+func openGroup(id string) fleet.State {
+	return fleet.State{Born: 1, Model: "m", Membership: fleet.Membership{Group: "g-" + id, Epoch: 1, Stage: fleet.Open}}
+}
+
+const (
+	crashSlots     = 16
+	crashFirst     = 80 * time.Millisecond // from a request to the first event
+	crashPause     = 40 * time.Millisecond // between events
+	crashEvents    = 20
+	crashBackAfter = 3 * time.Second
+)
+
+func newCrashSite(t *testing.T, nodes, endpoints int) *crashSite {
+	s := &crashSite{t: t, network: newPipes(), running: make(map[string]*httptest.Server)}
+	s.engines = &crashEngines{s}
+	for range nodes {
+		s.addNode()
+	}
+	for range endpoints {
+		s.startEndpoint()
+	}
+	return s
+}
+
+// addNode starts an entry VM that knows the configuration and no endpoint yet.
+func (s *crashSite) addNode() *crashNode {
+	n := &crashNode{}
+	n.state = NewState(discardLogger(), time.Now, dispatch.Options{
+		DataCentre: "dc", ColdOverage: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
+	})
+	n.prober = NewProber(ProbeOptions{
+		HeadEvery: 800 * time.Millisecond, RelayedHeadEvery: 1600 * time.Millisecond, FastEvery: 80 * time.Millisecond, VerifyEvery: 300 * time.Millisecond,
+		VerifyPerSecond: 150, Timeout: 200 * time.Millisecond, StalledAfter: 500 * time.Millisecond, StalledFirst: time.Second,
+		SilentAfter: 1200 * time.Millisecond, FirstAfter: 2500 * time.Millisecond, Metrics: metrics.NewRegistry(),
+	}, n.state, s.engines)
+	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: crashSlots, Models: []catalog.Model{{Name: "m", GroupSize: 1, Share: 1}}}}
+	route := catalog.Route{
+		Name: "ask", Host: "h", Prefix: "/ask/", Kind: catalog.Stream, Resumable: true, Public: true,
+		Backends: []catalog.Backend{{Service: "llm"}}, MaxAttempts: 2, Timeout: 6 * time.Second, Objective: 500 * time.Millisecond,
+	}
+	n.state.Operators(time.Now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, []catalog.Route{route}, []catalog.Service{service}, nil, catalog.Limits{})})
+	server := NewServer(Options{
+		KeysValidFor: time.Hour, UnknownAfter: time.Hour, Log: discardLogger(), Metrics: metrics.NewRegistry(), Now: time.Now,
+	}, testProtocol, n.state, upstream.New(s.network.dial), make(chan struct{}))
+	n.front = serve(s.t, s.network, server)
+	s.nodes = append(s.nodes, n)
+	for _, other := range s.nodes {
+		other.state.Locked(func(st LockedState) { st.Targets.SetNodes(len(s.nodes), 0) })
+	}
+	return n
+}
+
+// startEndpoint starts an endpoint and lists it at all entry VMs.
+func (s *crashSite) startEndpoint() {
+	s.mu.Lock()
+	s.started++
+	id := fmt.Sprintf("vm-%03d", s.started)
+	s.mu.Unlock()
+	server := serve(s.t, s.network, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.answer(id, w, r) }))
+	s.mu.Lock()
+	s.running[id] = server
+	s.mu.Unlock()
+	s.publish(fleet.Row{
+		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "dc", Slots: crashSlots, Engine: true, State: openGroup(id),
+	}, "")
+}
+
+// publish lists a VM at all entry VMs, or removes one.
+func (s *crashSite) publish(row fleet.Row, removed string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	u := updates.VMs{Version: s.version}
+	if removed != "" {
+		u.Removed = []string{removed}
+	} else {
+		u.Rows = []fleet.Row{row}
+	}
+	for _, n := range s.nodes {
+		n.state.VMs(time.Now(), u)
+	}
+}
+
+// answer streams events, or ends the endpoint if the prompt has the deadly part.
+func (s *crashSite) answer(id string, w http.ResponseWriter, r *http.Request) {
+	deadly := strings.Contains(r.Header.Get("X-Parts"), deadlyPart)
+	if deadly {
+		s.mu.Lock()
+		s.deadly = append(s.deadly, time.Now())
+		s.mu.Unlock()
+	}
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Seal", "seal-of-"+id)
+	out := http.NewResponseController(w)
+	_ = out.Flush()
+	time.Sleep(crashFirst)
+	if deadly {
+		s.crash(id, true)
+		return
+	}
+	for i := 1; i <= crashEvents; i++ {
+		fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i)
+		if out.Flush() != nil {
+			return
+		}
+		time.Sleep(crashPause)
+	}
+}
+
+// crash ends an endpoint at once. It is removed from the list later, and another
+// one starts.
+func (s *crashSite) crash(id string, counts bool) {
+	s.mu.Lock()
+	server := s.running[id]
+	delete(s.running, id)
+	if server != nil && counts {
+		s.ends = append(s.ends, time.Now())
+	}
+	s.mu.Unlock()
+	if server == nil {
+		panic(http.ErrAbortHandler)
+	}
+	server.Listener.Close()
+	server.CloseClientConnections()
+	time.AfterFunc(crashBackAfter, func() {
+		s.publish(fleet.Row{}, id)
+		s.startEndpoint()
+	})
+	if counts {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// crashRunning ends n running endpoints at the same moment.
+func (s *crashSite) crashRunning(n int) {
+	s.mu.Lock()
+	var ids []string
+	for id := range s.running {
+		ids = append(ids, id)
+	}
+	s.mu.Unlock()
+	for _, id := range ids[:min(n, len(ids))] {
+		s.crash(id, false)
+	}
+}
+
+// run lets the entry VMs tick and poll the first of them until the context ends.
+func (s *crashSite) run(ctx context.Context) {
+	const tick, poll = 50 * time.Millisecond, 4 // polls every 4 ticks
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(tick)
+		for j, n := range s.nodes {
+			n.prober.Tick(ctx, n.state.Tick())
+			if j > 0 && i%poll == j%poll {
+				n.poll(s.nodes[0])
+			}
+		}
+	}
+}
+
+// poll asks another entry VM for updates.
+func (n *crashNode) poll(from *crashNode) {
+	after := n.state.Position()
+	after.Mark = n.mark
+	a := from.state.Answer(after)
+	n.mark = a.Mark
+	n.state.ApplyAnswer(time.Now(), true, a)
+}
+
+// outcomes counts the responses to requests by status; 0 counts broken streams.
+type outcomes struct {
+	mu sync.Mutex
+	by map[int]int
+}
+
+func (o *outcomes) add(status int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.by == nil {
+		o.by = make(map[int]int)
+	}
+	o.by[status]++
+}
+
+func (o *outcomes) total() int {
+	n := 0
+	for _, count := range o.by {
+		n += count
+	}
+	return n
+}
+
+// send sends requests with the given parts, each followed by a part of its own, to
+// the entry VMs in turn. It returns once all are answered.
+func (s *crashSite) send(rate int, d time.Duration, parts func(i int) string) *outcomes {
+	out := &outcomes{}
+	client := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return s.network.dial(ctx, address) }}
+	defer client.CloseIdleConnections()
+	var wg sync.WaitGroup
+	for i := range int(d.Seconds() * float64(rate)) {
+		time.Sleep(time.Second / time.Duration(rate))
+		req, err := http.NewRequest(http.MethodPost, s.nodes[i%len(s.nodes)].front.URL+"/ask/", nil)
+		assert.NilError(s.t, err)
+		id := fmt.Sprintf("%s-%d-%d", parts(i), time.Now().UnixNano(), i)
+		req.Host = "h"
+		req.Header.Set("X-Id", id)
+		req.Header.Set("X-Model", "m")
+		req.Header.Set("X-Parts", parts(i)+fmt.Sprintf(",%x:200", 1<<32+i))
+		wg.Go(func() { out.add(s.roundTrip(client, req)) })
+	}
+	wg.Wait()
+	return out
+}
+
+func (s *crashSite) roundTrip(client *http.Transport, req *http.Request) int {
+	resp, err := client.RoundTrip(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// soundParts returns the first part that sound requests share, also with deadly
+// ones.
+func soundParts(i int) string { return fmt.Sprintf("f%d:40", i%6) }
+
+// deadlyParts returns the parts of a deadly request.
+func deadlyParts(i int) string { return soundParts(i) + "," + deadlyPart + ":30" }
+
+// contact is the time in which entry VMs in touch hear of each other.
+const contact = 3 * time.Second
+
+func TestPartThatEndsEndpointsIsNotSentOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCrashSite(t, 4, 12)
+		ctx, cancel := context.WithCancel(t.Context())
+		var ticks sync.WaitGroup
+		ticks.Go(func() { s.run(ctx) })
+		time.Sleep(time.Second)
+		before := s.send(40, 4*time.Second, soundParts)
+
+		var deadly, sound, recovered *outcomes
+		var wg sync.WaitGroup
+		wg.Go(func() { deadly = s.send(7, 20*time.Second, deadlyParts) })
+		wg.Go(func() {
+			sound = s.send(40, 10*time.Second, soundParts)
+			recovered = s.send(40, 10*time.Second, soundParts)
+		})
+		wg.Wait()
+		cancel()
+		ticks.Wait()
+
+		late := 0
+		for _, at := range s.deadly {
+			if len(s.ends) >= 5 && at.After(s.ends[4].Add(contact)) {
+				late++
+			}
+		}
+		t.Logf("%d endpoints ended; deadly: %v, before: %v, during: %v, afterwards: %v", len(s.ends), deadly.by, before.by, sound.by, recovered.by)
+		assert.Assert(t, late <= 3, "%d requests with the part reached endpoints later than %s after the fifth end", late, contact)
+		for status := range deadly.by {
+			assert.Assert(t, status == 0 || status >= http.StatusInternalServerError, "a deadly request was answered %d", status)
+		}
+		assert.Assert(t, 2*recovered.by[http.StatusOK] >= recovered.total(), "sound requests with the same first parts: %v", recovered.by)
+	})
+}
