quarantine: a part of prompts under which endpoints end is kept from them

Cause: an end was counted against its endpoint alone. Nothing compared the requests that ended endpoints had held, so an input that ends endpoints reached the next one, without bound, and was sent again by us as well. Class: a query of death; failures are attributed to the server and never to the input.

coord/quarantine compares the prompts that endpoints were about to answer when they ended. An end counts once a VM of the group refuses connections or has started anew (a reset connection or a cut counts nothing, nor does a VM that leaves); ends at one moment count as one. An answer that goes on for half a second, or is complete, clears the parts of its prompt. Three ends since its last answer quarantine a part that was never answered, five one that was, after a second in which other nodes can clear it; the part that explains most ends goes first, and the ends that it explains count against no other. Ends, answers and quarantined parts travel with the questions and answers between entry VMs; ends that aren't confirmed go up only, to the node that probes for the others. A quarantined part is refused at once (503, not run) for ten minutes after its last end, then one request at one node tries it. A request that two endpoints broke off without an event is not sent to a third, parts or not; one whose unanswered part another end shares is not sent again.

--- a/coord/dispatch/leaving.go
+++ b/coord/dispatch/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
 
 // newestReleases returns the release of the most recently started listed VM of
@@ -56,3 +57,35 @@
 	vm := t.vms.Get(target.ID)
 	return vm == nil || vm.Born != ticket.born || !vm.Listed && vm.FailedProbes >= deadProbes
 }
+
+// RunsOf returns the starts of the VMs that serve the request of a ticket: of the
+// one that received it, and of the other members of its group. It returns nil if
+// one of them is about to stop.
+func (t *Table) RunsOf(ticket *Ticket) []quarantine.Start {
+	if t.vms == nil {
+		return nil
+	}
+	target := ticket.Target
+	runs := []quarantine.Start{{VM: target.ID, Born: ticket.born}}
+	if vm := t.vms.Get(target.ID); vm == nil || vm.Departing() {
+		return nil
+	}
+	for _, id := range target.Members {
+		vm := t.vms.Get(id)
+		if vm == nil || id == target.ID {
+			continue
+		}
+		if vm.Departing() {
+			return nil
+		}
+		runs = append(runs, quarantine.Start{VM: id, Born: vm.Born})
+	}
+	return runs
+}
+
+// RecordRefusal records that the endpoint of a ticket refused a connection.
+func (t *Table) RecordRefusal(ticket *Ticket) {
+	if t.vms != nil {
+		t.vms.RecordRefusal(ticket.Target.ID, ticket.born)
+	}
+}
--- a/coord/dispatch/pause.go
+++ b/coord/dispatch/pause.go
@@ -78,6 +78,7 @@
 func (t *Table) RecordProgress(now time.Time, ticket *Ticket) {
 	if !ticket.Begun {
 		t.recordFirstByte(now, ticket)
+		ticket.BegunAt = now
 	}
 	ticket.ProgressAt, ticket.Begun = now, true
 	ticket.Target.progressAt = now
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
 
 const (
@@ -44,6 +45,8 @@
 	Model   string // empty for a plain service
 	// Exclude lists the IDs of targets at which the request has failed.
 	Exclude []string
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []quarantine.Part
 	// PromptTokens is the length of the prompt, 0 if there is none.
 	PromptTokens int
 	// Draw is a random number drawn for the request.
@@ -61,11 +64,21 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Detail says more than Reason, if it is not empty.
+	Detail string
 }
 
 // MayClearWithin reports whether a slot may become free within d, so that waiting
 // for one is worthwhile.
-func (r *Refusal) MayClearWithin(d time.Duration) bool { return r.Reason != Paused || r.RetryAfter < d }
+func (r *Refusal) MayClearWithin(d time.Duration) bool {
+	switch r.Reason {
+	case Paused:
+		return r.RetryAfter < d
+	case Quarantined:
+		return false
+	}
+	return true
+}
 
 // Reason is why a request can't be placed.
 type Reason string
@@ -76,6 +89,8 @@
 	AllFull  Reason = "all endpoints full"
 	AllCold  Reason = "endpoints warm up"
 	Paused   Reason = "endpoints asked for a pause"
+	// Quarantined requests hold a part of a prompt that ends endpoints.
+	Quarantined Reason = "endpoints ended under a part of the prompt"
 )
 
 // Pick chooses a target for a request and counts the request there until Done is
@@ -97,7 +112,7 @@
 		return nil, reasons.refusal(q.Draw)
 	}
 	best.cold.record(now)
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts}
 	best.add(now, ticket)
 	best.pause.recordSend(now, ticket)
 	return ticket, nil
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
 
 // Target is an endpoint that may receive requests.
@@ -53,8 +54,15 @@
 	Cancel func()
 	// ProgressAt is when the request was sent or last received bytes.
 	ProgressAt time.Time
-	// Begun is whether any bytes of the answer have arrived.
-	Begun bool
+	// Begun is whether any bytes of the answer have arrived, and BegunAt when the
+	// first did.
+	Begun   bool
+	BegunAt time.Time
+	// Parts are the parts of the prompt that other requests may share.
+	Parts []quarantine.Part
+	// Proven is set once the endpoint has gone on for a while after it began to
+	// answer, which shows that the request does not end endpoints.
+	Proven bool
 	// promptWork is the length of the request's prompt relative to the mean.
 	// It counts as load until the answer has begun.
 	promptWork float64
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -92,7 +92,7 @@
 	vm.LoadedModel = ""
 	vm.pendingState = nil
 	vm.ReportedAt = time.Time{}
-	vm.FailedProbes = 0
+	vm.FailedProbes, vm.Refused = 0, false
 	vm.Leaving, vm.LeavingAt = false, time.Time{}
 }
 
@@ -137,7 +137,7 @@
 	}
 	vm.ReportedAt, vm.ReceivedAt = sent, now
 	vm.pendingState = nil
-	vm.FailedProbes = 0
+	vm.FailedProbes, vm.Refused = 0, false
 	vm.Load = r.Load
 	vm.setState(r.State)
 	if r.Leaving {
@@ -181,6 +181,15 @@
 	t.changes++
 }
 
+// RecordRefusal records that the host of a start of a VM has refused a connection.
+func (t *Table) RecordRefusal(id string, born int64) {
+	vm := t.vms[id]
+	if vm == nil || vm.Born != born {
+		return
+	}
+	vm.Refused = true
+}
+
 // Sweep removes VMs that have been unlisted and have not answered for
 // unlistedRetention. It also applies rows that arrived shortly after a report, once
 // that report's precedence has ended, because an unchanged row is not sent again.
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -137,6 +137,9 @@
 	FailedProbes int
 	// FailedSince is when the first of them was sent.
 	FailedSince time.Time
+	// Refused is whether the VM's host has refused a connection since
+	// ReportedAt: it is reachable, but this start has ended.
+	Refused bool
 }
 
 // Departing reports whether the VM is about to stop, according to its row or to
--- a/coord/problem/problem.go
+++ b/coord/problem/problem.go
@@ -22,6 +22,7 @@
 	AccountLimit      Kind = "account-limit"
 	Overloaded        Kind = "overloaded"
 	NoEndpoint        Kind = "no-endpoint"
+	Quarantined       Kind = "quarantined"
 	DeadlineExceeded  Kind = "deadline-exceeded"
 	EndpointFailed    Kind = "endpoint-failed"
 	KeyReused         Kind = "idempotency-key-reused"
--- /dev/null
+++ b/coord/quarantine/block.go
@@ -0,0 +1,176 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// blockTerm is how long a part is quarantined after the newest end under it,
+	// until one request is sent to find out whether it still ends endpoints.
+	blockTerm = 10 * time.Minute
+	// trialTimeout is how long the outcome of that request is awaited.
+	trialTimeout = 30 * time.Second
+	// maxBlocks limits the quarantined parts. The one whose last end is longest ago
+	// gives way to a new one.
+	maxBlocks = 64
+	// maxEndsListed limits the endpoints that are listed with a quarantined part.
+	maxEndsListed = 8
+	// suspectEnds is the number of ends, confirmed or not, from which a request
+	// that broke off is not sent again.
+	suspectEnds = 2
+)
+
+// block is a quarantined part.
+type block struct {
+	at        time.Time
+	lastEndAt time.Time
+	ends      []string // VMs that ended, oldest first
+	trialAt   time.Time
+	changedAt time.Time
+}
+
+// Verdict says why a request may not be sent.
+type Verdict struct {
+	// Quarantined is the part that rules the request out.
+	Quarantined
+	// RetryAfter is the time until the part may be tried again.
+	RetryAfter time.Duration
+	// Certain reports whether the part is quarantined. Otherwise it is suspected,
+	// and only requests that have lost an endpoint are ruled out.
+	Certain bool
+}
+
+// Query describes a request that is about to be sent.
+type Query struct {
+	Parts []Part
+	// Repeat is whether an endpoint broke the request off before.
+	Repeat bool
+	// MayTry is whether this node is the one that tries quarantined parts again.
+	MayTry bool
+}
+
+// Check returns why a request may not be sent, or nil if it may. A request that is
+// let through although its part is quarantined counts as the trial of that part.
+func (r *Record) Check(now time.Time, q Query) *Verdict {
+	if len(r.blocks) == 0 && (!q.Repeat || len(r.ends) == 0) {
+		return nil
+	}
+	var trials []*block
+	for _, p := range q.Parts {
+		b := r.blocks[p]
+		if b == nil {
+			continue
+		}
+		if !q.MayTry || !b.isDue(now) {
+			return &Verdict{Quarantined: b.message(now, p), RetryAfter: b.retryAfter(now), Certain: true}
+		}
+		trials = append(trials, b)
+	}
+	for _, b := range trials {
+		b.trialAt = now
+	}
+	if q.Repeat {
+		return r.checkRepeat(now, q.Parts)
+	}
+	return nil
+}
+
+// checkRepeat rules out a request that has lost an endpoint if one of its parts
+// was never answered and other endpoints ended under it too.
+func (r *Record) checkRepeat(now time.Time, parts []Part) *Verdict {
+	for _, p := range parts {
+		if r.wasAnswered(p) {
+			continue
+		}
+		ends := r.endsUnder(p)
+		if countCauses(ends) >= suspectEnds {
+			return &Verdict{Quarantined: Quarantined{Part: p, Ends: vmsOf(ends), EndAge: now.Sub(ends[len(ends)-1].at)}, RetryAfter: confirmTimeout}
+		}
+	}
+	return nil
+}
+
+// endsUnder returns the ends with a part, confirmed or not, oldest first.
+func (r *Record) endsUnder(p Part) []*end {
+	var out []*end
+	for _, e := range r.ends {
+		if _, held := e.depths[p]; held {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b *end) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// vmsOf returns the VMs that received the requests of the newest maxEndsListed ends.
+func vmsOf(ends []*end) []string {
+	ends = ends[max(0, len(ends)-maxEndsListed):]
+	out := make([]string, len(ends))
+	for i, e := range ends {
+		out[i] = e.vms[0].VM
+	}
+	return out
+}
+
+// isDue reports whether the part may be tried again.
+func (b *block) isDue(now time.Time) bool {
+	return now.Sub(b.lastEndAt) >= blockTerm && now.Sub(b.trialAt) >= trialTimeout
+}
+
+// retryAfter returns the time until the part may be tried again.
+func (b *block) retryAfter(now time.Time) time.Duration {
+	return max(trialTimeout, b.lastEndAt.Add(blockTerm).Sub(now))
+}
+
+func (b *block) message(now time.Time, p Part) Quarantined {
+	return Quarantined{Part: p, Age: now.Sub(b.at), EndAge: now.Sub(b.lastEndAt), Ends: slices.Clone(b.ends)}
+}
+
+// block quarantines a suspect.
+func (r *Record) block(now time.Time, s *suspect) {
+	r.addBlock(s.part, &block{at: now, lastEndAt: s.ends[len(s.ends)-1].at, ends: vmsOf(s.ends), changedAt: now})
+}
+
+// extendBlocks adds the ends that have been confirmed since to quarantined parts.
+func (r *Record) extendBlocks(now time.Time) {
+	for p, b := range r.blocks {
+		for _, e := range r.endsUnder(p) {
+			if !e.confirmed || !e.at.After(b.lastEndAt) {
+				continue
+			}
+			b.lastEndAt, b.changedAt = e.at, now
+			if len(b.ends) < maxEndsListed {
+				b.ends = append(b.ends, e.vms[0].VM)
+			}
+		}
+	}
+}
+
+// addBlock quarantines a part, in place of the one whose last end is longest ago
+// if there are too many.
+func (r *Record) addBlock(p Part, b *block) {
+	delete(r.candidates, p)
+	if len(r.blocks) >= maxBlocks {
+		r.dropOldestBlock()
+	}
+	r.blocks[p] = b
+}
+
+func (r *Record) dropOldestBlock() {
+	oldest := slices.MinFunc(r.Blocked(), func(a, b Part) int {
+		return cmp.Or(r.blocks[a].lastEndAt.Compare(r.blocks[b].lastEndAt), cmp.Compare(a, b))
+	})
+	delete(r.blocks, oldest)
+}
+
+// Blocked returns the quarantined parts, sorted.
+func (r *Record) Blocked() []Part {
+	out := make([]Part, 0, len(r.blocks))
+	for p := range r.blocks {
+		out = append(out, p)
+	}
+	slices.Sort(out)
+	return out
+}
--- /dev/null
+++ b/coord/quarantine/decide.go
@@ -0,0 +1,156 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// endsToBlock is the number of ends that quarantine a part which was never
+	// answered, and provenEndsToBlock that for one which was.
+	endsToBlock       = 3
+	provenEndsToBlock = 5
+	// minEndGap separates ends with causes of their own. VMs that end closer
+	// together, as those of a rack, count as one end.
+	minEndGap = 100 * time.Millisecond
+	// hearing is how long answers at other nodes can clear a part that was
+	// answered before, from when its ends are enough to quarantine it.
+	hearing = time.Second
+)
+
+// suspect is a part with the ends that count against it.
+type suspect struct {
+	part   Part
+	ends   []*end // oldest first
+	causes int    // number of ends apart from each other
+	depth  int
+	proven bool // whether the part was ever answered
+}
+
+// Tick decides which parts to quarantine and returns those that were added. It
+// also drops what is out of date.
+func (r *Record) Tick(now time.Time) []Quarantined {
+	r.expire(now)
+	if !r.pending && len(r.candidates) == 0 {
+		return nil
+	}
+	r.pending = false
+	r.extendBlocks(now)
+	var added []Quarantined
+	for {
+		s := r.primeSuspect(now)
+		if s == nil {
+			break
+		}
+		r.block(now, s)
+		added = append(added, r.blocks[s.part].message(now, s.part))
+	}
+	return added
+}
+
+// primeSuspect returns the part that explains most ends, if these are enough to
+// quarantine it. A part that was never answered goes before one that was: the
+// ends that it explains don't count against the other parts of the same prompts.
+func (r *Record) primeSuspect(now time.Time) *suspect {
+	suspects := r.suspects()
+	r.updateCandidates(now, suspects)
+	for _, s := range suspects {
+		if !s.proven && s.causes >= endsToBlock {
+			return s
+		}
+		if since, ok := r.candidates[s.part]; ok && now.Sub(since) >= hearing {
+			return s
+		}
+	}
+	return nil
+}
+
+// updateCandidates records which parts that were answered before have enough ends
+// to be quarantined, and since when.
+func (r *Record) updateCandidates(now time.Time, suspects []*suspect) {
+	enough := make(map[Part]bool)
+	for _, s := range suspects {
+		if !s.proven || s.causes < provenEndsToBlock {
+			continue
+		}
+		enough[s.part] = true
+		if _, ok := r.candidates[s.part]; !ok {
+			r.candidates[s.part] = now
+		}
+	}
+	for p := range r.candidates {
+		if !enough[p] {
+			delete(r.candidates, p)
+		}
+	}
+}
+
+// suspects returns the parts that are not cleared of the confirmed ends, the prime
+// one first. Ends under a quarantined part are explained and don't count.
+func (r *Record) suspects() []*suspect {
+	byPart := make(map[Part]*suspect)
+	for _, e := range r.ends {
+		if !e.confirmed || r.isExplained(e) {
+			continue
+		}
+		for p, depth := range e.depths {
+			if !e.at.After(r.answeredAt(p)) {
+				continue
+			}
+			s := byPart[p]
+			if s == nil {
+				s = &suspect{part: p, proven: r.wasAnswered(p)}
+				byPart[p] = s
+			}
+			s.ends = append(s.ends, e)
+			s.depth = max(s.depth, depth)
+		}
+	}
+	out := make([]*suspect, 0, len(byPart))
+	for _, s := range byPart {
+		slices.SortFunc(s.ends, func(a, b *end) int {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.vms[0].VM, b.vms[0].VM))
+		})
+		s.causes = countCauses(s.ends)
+		out = append(out, s)
+	}
+	slices.SortFunc(out, compareSuspects)
+	return out
+}
+
+// compareSuspects orders parts that were never answered before others, then by the
+// ends that they explain. Of parts that explain the same ends the last one of the
+// prompts goes first: fewest sound requests share it.
+func compareSuspects(a, b *suspect) int {
+	if a.proven != b.proven {
+		if b.proven {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.causes, a.causes), cmp.Compare(len(b.ends), len(a.ends)), cmp.Compare(b.depth, a.depth), cmp.Compare(a.part, b.part))
+}
+
+// countCauses returns the number of ends that are minEndGap or more apart.
+func countCauses(ends []*end) int {
+	n := 0
+	var last time.Time
+	for _, e := range ends {
+		if n == 0 || e.at.Sub(last) >= minEndGap {
+			n++
+			last = e.at
+		}
+	}
+	return n
+}
+
+// isExplained reports whether a quarantined part accounts for an end.
+func (r *Record) isExplained(e *end) bool {
+	for p := range r.blocks {
+		if _, held := e.depths[p]; held {
+			return true
+		}
+	}
+	return false
+}
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -6,6 +6,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
 
 // Operators is an update of the settings that operators have put in force.
@@ -65,10 +66,15 @@
 	ReceivedVMs uint64
 	// Suspects are the heads of groups at which requests make no progress.
 	Suspects []Suspect
+	// Quarantine is what the requesting node has learned of ended endpoints since
+	// its last request.
+	Quarantine *quarantine.Update
 }
 
 // Answer is a node's answer to another node's request.
 type Answer struct {
+	// VM is the name of the node that answers.
+	VM string `json:",omitempty"`
 	// Known reports whether the node has the data of operators and VMs at all;
 	// if not, no other field is set.
 	Known bool
@@ -95,6 +101,9 @@
 	// Broken are the groups with a missing VM, as seen from the node's data
 	// centre.
 	Broken []fleet.Formation `json:",omitempty"`
+	// Quarantine is what the node has learned of ended endpoints since the mark in
+	// the request.
+	Quarantine *quarantine.Update `json:",omitempty"`
 	// Lease is the row of the planner's lease, or nil if it is not newer than
 	// the requester's.
 	Lease *Lease `json:",omitempty"`
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,6 +20,9 @@
 const (
 	// maxSends limits the sends of a request, including refused ones.
 	maxSends = 4
+	// maxUnansweredBreaks limits the endpoints that break a request off without an
+	// event of its answer: the request itself may end them.
+	maxUnansweredBreaks = 2
 	// maxDials limits the endpoints that are dialled for one send.
 	maxDials = 4
 	// minTimeLeft is the least time before the deadline at which a request is
@@ -86,7 +90,7 @@
 		req.exclude = append(req.exclude, a.ticket.Target.ID)
 		var notSent *upstream.NotSentError
 		if errors.As(err, &notSent) {
-			s.endAttempt(a, dispatch.Failed)
+			s.endNotSent(a, err)
 			s.log.Info("endpoint not reached", "request", req.id, "endpoint", a.ticket.Target.ID, "error", err.Error())
 			if dials+1 < maxDials {
 				continue
@@ -97,13 +101,22 @@
 	}
 }
 
+// endNotSent ends an attempt of which nothing was sent.
+func (s *Server) endNotSent(a *attempt, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.state.recordRefusal(a.ticket)
+	}
+	a.ticket.Parts = nil // the endpoint never held the request
+	s.endAttempt(a, dispatch.Failed)
+}
+
 // place chooses an endpoint for the request, waiting for a free place if that
 // can still meet the objective, and returns a new attempt there.
 func (s *Server) place(ctx context.Context, req *request) (*attempt, *problem.Error) {
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens}
+		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts}
 	began := s.now()
 	ticket, refusal := s.state.pick(q, func() { a.cancel(errEndpointLost) })
 	if refusal != nil {
@@ -117,11 +130,7 @@
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
 	if refusal != nil {
 		a.cancel(nil)
-		kind := problem.NoEndpoint
-		if refusal.Reason != dispatch.NoTarget {
-			kind = problem.Overloaded
-		}
-		return nil, s.finalFault(req, problem.New(kind, string(refusal.Reason), "retry later").WithRetryAfter(refusal.RetryAfter))
+		return nil, s.finalFault(req, problemOf(refusal))
 	}
 	a.ticket = ticket
 	a.sentAt = s.now()
@@ -130,6 +139,22 @@
 	return a, nil
 }
 
+// problemOf returns the problem of a request for which no endpoint was chosen.
+func problemOf(r *dispatch.Refusal) *problem.Error {
+	kind, remedy := problem.Overloaded, "retry later"
+	switch r.Reason {
+	case dispatch.NoTarget:
+		kind = problem.NoEndpoint
+	case dispatch.Quarantined:
+		kind, remedy = problem.Quarantined, "leave the part out, or retry later"
+	}
+	message := string(r.Reason)
+	if r.Detail != "" {
+		message += ": " + r.Detail
+	}
+	return problem.New(kind, message, remedy).WithRetryAfter(r.RetryAfter)
+}
+
 // placeDeadline returns the time until which a request may wait for a place. A
 // request may spend half of the difference between its objective and the typical
 // latency on waiting, so that its response still meets the objective. One whose
@@ -232,6 +257,9 @@
 // endBroken ends an attempt whose response was lost and returns the problem.
 func (s *Server) endBroken(ctx context.Context, a *attempt, req *request, err error) *problem.Error {
 	req.countRun()
+	if !a.ticket.Begun {
+		req.unansweredBreaks++
+	}
 	if s.state.hasEnded(a.ticket) {
 		req.attempts-- // the request is certainly no longer running there
 	}
@@ -263,7 +291,7 @@
 // canRepeat reports whether the request may be sent again after a send that may
 // have run.
 func (req *request) canRepeat() bool {
-	return req.route.Repeatable() && req.attempts < req.route.MaxAttempts && req.sends < maxSends
+	return req.route.Repeatable() && req.attempts < req.route.MaxAttempts && req.sends < maxSends && req.unansweredBreaks < maxUnansweredBreaks
 }
 
 // copyHeader copies an endpoint's headers to the response for the caller.
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -17,6 +17,7 @@
 	defer s.mu.Unlock()
 	p := s.record.Position()
 	p.Suspects = s.suspects.ForRequest(s.now())
+	p.Quarantine = s.quarantineUpdate(s.reportedSince, true)
 	return p
 }
 
@@ -59,6 +60,7 @@
 	defer s.mu.Unlock()
 	now := s.now()
 	s.suspects.AddFromRequest(now, after.Suspects)
+	s.applyQuarantine(now, after.Quarantine)
 	view := s.view.Load()
 	if view == nil || !s.listed {
 		return updates.Answer{}
@@ -67,6 +69,7 @@
 		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
 		Mark: now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
+		Quarantine: s.quarantineUpdate(time.Unix(0, after.Mark), false),
 	}
 	if !s.vmReadRecoveredAt.IsZero() {
 		age := now.Sub(s.vmReadRecoveredAt)
@@ -110,6 +113,8 @@
 		s.vms.MarkLeaving(s.now(), l.VM, l.Born)
 	}
 	s.suspects.AddFromAnswer(asked, a.Suspects)
+	s.applyQuarantine(asked, a.Quarantine)
+	s.recordReported(asked, a.VM)
 	s.peerAnsweredAt = s.now()
 	if sameDC {
 		s.localPeerAnsweredAt = s.peerAnsweredAt
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -94,6 +95,7 @@
 	reasonAwaited = "awaited" // the lease holder awaits the effect of an order
 	reasonDoubt   = "doubt"   // the last probe failed
 	reasonStalled = "stalled" // requests at the VM's group make no progress
+	reasonBroken  = "broken"  // the VM's group broke off requests
 )
 
 // schedule is the interval between probes of a VM and the reason for them.
@@ -217,7 +219,7 @@
 }
 
 // scheduleVerification adds probes of the VMs of groups at which requests of any
-// node make no progress. One node of each data centre runs these probes for the
+// node make no progress, or that broke requests off. One node of each data centre runs these probes for the
 // others there, and the lease holder runs them for its own decisions. p.mu must
 // be held.
 func (p *Prober) scheduleVerification(st LockedState, out map[string]schedule) {
@@ -228,10 +230,17 @@
 	for _, s := range st.Suspects.ForAnswer(st.Now) {
 		vms = append(vms, st.Targets.Members(s.VM)...)
 	}
-	interval := max(p.opts.VerifyEvery, Interval(len(vms), p.opts.VerifyPerSecond))
+	p.scheduleEach(out, vms, p.opts.VerifyEvery, reasonStalled)
+	p.scheduleEach(out, st.Quarantine.Unconfirmed(), p.opts.FastEvery, reasonBroken)
+}
+
+// scheduleEach adds probes of VMs at the given interval, or a longer one if all of
+// them would get more than VerifyPerSecond probes a second.
+func (p *Prober) scheduleEach(out map[string]schedule, vms []string, interval time.Duration, reason string) {
+	interval = max(interval, Interval(len(vms), p.opts.VerifyPerSecond))
 	for _, id := range vms {
 		if current, ok := out[id]; !ok || current.interval > interval {
-			out[id] = schedule{interval, reasonStalled}
+			out[id] = schedule{interval, reason}
 		}
 	}
 }
@@ -257,6 +266,9 @@
 			p.state.log.Info("endpoint wants no probes", "endpoint", t.id, "for", pause.For)
 		case !late && ctx.Err() != context.Canceled:
 			st.VMs.RecordProbeFailure(sent, t.id)
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				st.VMs.RecordRefusal(t.id, t.born)
+			}
 			p.state.log.Info("probe failed", "endpoint", t.id, "error", err.Error())
 		}
 	})
--- /dev/null
+++ b/internal/entry/quarantine.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
+)
+
+// provenAfter is how long an endpoint must go on after it began to answer a
+// request, to show that the request does not end endpoints.
+const provenAfter = 500 * time.Millisecond
+
+// SetTriesQuarantined sets whether this node is the one that tries quarantined
+// parts of prompts again.
+func (s *State) SetTriesQuarantined(tries bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.triesQuarantined = tries
+}
+
+// checkQuarantine returns why a request may not be sent because of its prompt, or
+// nil. s.mu must be held.
+func (s *State) checkQuarantine(now time.Time, q dispatch.Query) *dispatch.Refusal {
+	v := s.quarantine.Check(now, quarantine.Query{Parts: q.Parts, Repeat: q.Repeat, MayTry: s.triesQuarantined})
+	if v == nil {
+		return nil
+	}
+	detail := v.Part.String() + " at " + strings.Join(v.Ends, ", ")
+	return &dispatch.Refusal{Reason: dispatch.Quarantined, RetryAfter: v.RetryAfter, Detail: detail}
+}
+
+// recordOutcome records what the end of a request says about its prompt. s.mu must
+// be held.
+func (s *State) recordOutcome(now time.Time, t *dispatch.Ticket, outcome dispatch.Outcome) {
+	switch {
+	case t.Proven || len(t.Parts) == 0:
+	case outcome == dispatch.Succeeded && t.Begun:
+		s.recordProven(now, t)
+	case outcome == dispatch.Failed:
+		s.quarantine.RecordBreak(now, s.targets.RunsOf(t), t.Parts)
+	}
+}
+
+// recordProven records that the request of a ticket does not end endpoints. s.mu
+// must be held.
+func (s *State) recordProven(now time.Time, t *dispatch.Ticket) {
+	t.Proven = true
+	s.logReleased(s.quarantine.RecordAnswered(now, t.BegunAt, t.Parts))
+}
+
+// recordRefusal records that the endpoint of a ticket refused a connection.
+func (s *State) recordRefusal(t *dispatch.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.targets.RecordRefusal(t)
+}
+
+// tickQuarantine finds out which endpoints have ended, and quarantines the parts of
+// prompts under which they did. s.mu must be held.
+func (s *State) tickQuarantine(now time.Time) {
+	for _, vm := range s.quarantine.Confirm(now, s.statusSince) {
+		s.log.Info("endpoint ended under requests", "endpoint", vm, "parts", partIDs(s.quarantine.PartsOf(vm)))
+	}
+	s.logQuarantined(s.quarantine.Tick(now), "")
+}
+
+// statusSince returns what is known of a start of a VM since a time. s.mu must be
+// held.
+func (s *State) statusSince(start quarantine.Start, since time.Time) quarantine.Status {
+	vm := s.vms.Get(start.VM)
+	switch {
+	case vm == nil:
+		return quarantine.Unknown
+	case vm.Born > start.Born || vm.Address == "":
+		return quarantine.Ended
+	case vm.Refused && !vm.Departing():
+		return quarantine.Ended
+	case vm.FailedProbes == 0 && vm.ReportedAt.After(since):
+		return quarantine.Answered
+	}
+	return quarantine.Unknown
+}
+
+// quarantineUpdate returns what this node has learned since a time, or nil if that
+// is nothing. s.mu must be held.
+func (s *State) quarantineUpdate(since time.Time, unconfirmed bool) *quarantine.Update {
+	u := s.quarantine.UpdateSince(s.now(), since, unconfirmed)
+	if u.IsEmpty() {
+		return nil
+	}
+	return &u
+}
+
+// applyQuarantine applies what a peer has learned, with ages from asOf. s.mu must
+// be held.
+func (s *State) applyQuarantine(asOf time.Time, u *quarantine.Update) {
+	if u == nil {
+		return
+	}
+	added, released := s.quarantine.Apply(s.now(), asOf, *u)
+	s.logQuarantined(added, "peer")
+	s.logReleased(released)
+}
+
+// recordReported records that a peer has answered a request sent at asked. It has
+// then heard of what this node had learned by that time, unless another peer
+// answered before: then it gets everything with the next request. s.mu must be
+// held.
+func (s *State) recordReported(asked time.Time, peer string) {
+	s.reportedSince = asked
+	if peer != s.reportedTo {
+		s.reportedTo, s.reportedSince = peer, time.Time{}
+	}
+}
+
+func (s *State) logQuarantined(added []quarantine.Quarantined, from string) {
+	for _, q := range added {
+		s.log.Warn("part of prompts quarantined", "part", q.Part.String(), "endpoints", strings.Join(q.Ends, ","), "newest_end_age", q.EndAge, "from", from)
+	}
+}
+
+func (s *State) logReleased(released []quarantine.Part) {
+	for _, p := range released {
+		s.log.Warn("part of prompts released", "part", p.String())
+	}
+}
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -335,3 +335,28 @@
 		assert.Assert(t, 2*recovered.by[http.StatusOK] >= recovered.total(), "sound requests with the same first parts: %v", recovered.by)
 	})
 }
+
+// Endpoints that end for other causes, several at a time, rule out no requests.
+func TestCrashesOfOtherCausesQuarantineNothing(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCrashSite(t, 4, 12)
+		ctx, cancel := context.WithCancel(t.Context())
+		var ticks, wg sync.WaitGroup
+		ticks.Go(func() { s.run(ctx) })
+		time.Sleep(time.Second)
+		var sound *outcomes
+		wg.Go(func() { sound = s.send(40, 20*time.Second, soundParts) })
+		for range 6 {
+			time.Sleep(3 * time.Second)
+			s.crashRunning(4)
+		}
+		wg.Wait()
+		cancel()
+		ticks.Wait()
+		for _, n := range s.nodes {
+			n.state.Locked(func(st LockedState) { assert.Equal(t, len(st.Quarantine.Blocked()), 0) })
+		}
+		t.Logf("answers: %v", sound.by)
+		assert.Assert(t, 2*sound.by[http.StatusOK] >= sound.total(), "answers: %v", sound.by)
+	})
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -40,6 +40,9 @@
 	// attempts is the number of sends that may have run, sends the number of
 	// all.
 	attempts, sends int
+	// unansweredBreaks is the number of endpoints that broke the request off
+	// without an event of its answer.
+	unansweredBreaks int
 	// mayHaveRun reports whether any send may have run.
 	mayHaveRun bool
 	// responseBegun reports whether part of the response was sent to the caller.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -9,6 +9,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/watch"
 )
@@ -51,6 +52,15 @@
 	peerAnsweredAt, localPeerAnsweredAt time.Time
 	suspects                            *updates.Suspects
 
+	quarantine *quarantine.Record
+	// triesQuarantined reports whether this node is the one that tries parts of
+	// prompts again after their quarantine.
+	triesQuarantined bool
+	// reportedTo is the peer that answered last, and reportedSince the time up to
+	// which it has heard of what this node learned.
+	reportedTo    string
+	reportedSince time.Time
+
 	// targetsUpdatedAt is when targets was last updated, and updatedChanges the
 	// change count of vms at that time. targetsOutdated reports whether anything
 	// else that targets depends on has changed since.
@@ -76,6 +86,7 @@
 	return &State{
 		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: updates.NewRecord(),
 		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: updates.NewSuspects(),
+		quarantine: quarantine.NewRecord(),
 	}
 }
 
@@ -208,6 +219,7 @@
 		}
 	}
 	s.vms.Sweep(now)
+	s.tickQuarantine(now)
 	if !s.hasLocalPeerUpdates(now) {
 		s.targets.SetReportedBroken(nil)
 	}
@@ -232,6 +244,7 @@
 	f(LockedState{
 		Now: now, VMs: s.vms, Targets: s.targets, Catalog: s.cat, Evacuated: s.evacuated, Listed: s.listed,
 		HasPeerUpdates: s.hasPeerUpdates(now), HasLocalPeerUpdates: s.hasLocalPeerUpdates(now), Suspects: s.suspects,
+		Quarantine: s.quarantine,
 	})
 }
 
@@ -249,6 +262,7 @@
 	// HasLocalPeerUpdates reports whether a peer in the same data centre does.
 	HasLocalPeerUpdates bool
 	Suspects            *updates.Suspects
+	Quarantine          *quarantine.Record
 }
 
 // View returns the newest catalog received, or nil if there is none.
@@ -261,7 +275,11 @@
 func (s *State) pick(q dispatch.Query, cancel func()) (*dispatch.Ticket, *dispatch.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ticket, refusal := s.targets.Pick(s.now(), q)
+	now := s.now()
+	if refusal := s.checkQuarantine(now, q); refusal != nil {
+		return nil, refusal
+	}
+	ticket, refusal := s.targets.Pick(now, q)
 	if ticket != nil {
 		ticket.Cancel = cancel
 	}
@@ -278,7 +296,9 @@
 func (s *State) finish(t *dispatch.Ticket, outcome dispatch.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targets.Done(s.now(), t, outcome)
+	now := s.now()
+	s.targets.Done(now, t, outcome)
+	s.recordOutcome(now, t, outcome)
 }
 
 // hasEnded reports whether the VM that ran the request of a ticket has ended.
@@ -291,7 +311,11 @@
 func (s *State) recordProgress(t *dispatch.Ticket) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.targets.RecordProgress(s.now(), t)
+	now := s.now()
+	s.targets.RecordProgress(now, t)
+	if !t.Proven && now.Sub(t.BegunAt) >= provenAfter {
+		s.recordProven(now, t)
+	}
 }
 
 // pause records that the endpoint of a ticket asked for a pause of d. It returns
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -27,6 +27,7 @@
 	problem.BodyTooLarge:     http.StatusRequestEntityTooLarge,
 	problem.AccountLimit:     http.StatusTooManyRequests,
 	problem.Overloaded:       http.StatusServiceUnavailable,
+	problem.Quarantined:      http.StatusServiceUnavailable,
 	problem.NoEndpoint:       http.StatusServiceUnavailable,
 	problem.PlatformDown:     http.StatusServiceUnavailable,
 	problem.NotReady:         http.StatusServiceUnavailable,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,6 +211,7 @@
 			return
 		case <-ticker.C:
 		}
+		n.state.SetTriesQuarantined(n.follower.IsReader())
 		n.prober.Tick(ctx, n.state.Tick())
 		n.coord.Tick(ctx)
 		if time.Since(lastSweep) >= sweepInterval {
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -172,7 +172,7 @@
 }
 
 // newRequest returns the request for updates after a position.
-func (f *Follower) newRequest(p updates.Position) *relaypb.AskRequest {
+func (f *Follower) newRequest(p updates.Position) (*relaypb.AskRequest, error) {
 	req := &relaypb.AskRequest{
 		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address,
 		Operators: p.Operators, Vms: p.VMs, Reports: p.Mark, Lease: p.Lease, Told: p.ReceivedVMs,
@@ -180,7 +180,12 @@
 	for _, s := range p.Suspects {
 		req.Suspects = append(req.Suspects, &relaypb.Suspect{Vm: s.VM, AgeNs: s.Age.Nanoseconds()})
 	}
-	return req
+	if p.Quarantine == nil {
+		return req, nil
+	}
+	raw, err := json.Marshal(p.Quarantine)
+	req.Quarantine = raw
+	return req, errors.Trace(err)
 }
 
 // askOne asks a node for updates and passes its answer to the listener. The error
@@ -189,13 +194,17 @@
 func (f *Follower) askOne(ctx context.Context, n updates.Node, platformDown bool) (a updates.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
+	asked := boottime.Now() // before Position: what this node learns later is told with the next request
 	position := f.listener.Position()
 	if n.VM == f.source {
 		position.Mark, position.ReceivedVMs = f.sourceMark, f.sourceVMsVersion
 	}
-	asked := boottime.Now()
+	req, err := f.newRequest(position)
+	if err != nil {
+		return a, err
+	}
 	client := relaypb.NewRelayProtobufClient("http://"+n.Address, &f.http)
-	resp, err := client.Ask(ctx, f.newRequest(position))
+	resp, err := client.Ask(ctx, req)
 	if err != nil {
 		return a, errors.Trace(err)
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
 
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
 )
@@ -30,16 +32,24 @@
 	if req.Vm != "" && req.Address != "" {
 		s.responder.AddRequester(updates.Node{VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address})
 	}
-	answer := s.responder.Answer(decodePosition(req))
+	position, err := decodePosition(req)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("quarantine", err.Error())
+	}
+	answer := s.responder.Answer(position)
 	raw, err := json.Marshal(answer)
 	return &relaypb.AskResponse{Answer: raw}, errors.Trace(err)
 }
 
 // decodePosition returns the position in a request.
-func decodePosition(req *relaypb.AskRequest) updates.Position {
+func decodePosition(req *relaypb.AskRequest) (updates.Position, error) {
 	p := updates.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told}
 	for _, s := range req.Suspects {
 		p.Suspects = append(p.Suspects, updates.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
 	}
-	return p
+	if len(req.Quarantine) == 0 {
+		return p, nil
+	}
+	p.Quarantine = &quarantine.Update{}
+	return p, json.Unmarshal(req.Quarantine, p.Quarantine)
 }
