quarantine: the platform keeps quarantined parts

The node that reads the platform for the others writes one row a part to a table of its own and removes it with the release; nodes that read the platform themselves (at their start, or cut off) wait for changes there, with one call in 10 s.

Test: TestQuarantineOutlastsAllNodes, nodes over the stand-in platform, engines that start anew under a part.

--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -67,7 +67,7 @@
 	})
 	engines := platform.NewEngines(client)
 	n, err := node.New(set, log, registry, client, node.Backends{
-		Table: store, Source: store.Published(), Engines: engines, Orders: engines,
+		Table: store, Source: store.Published(), Quarantine: store, Engines: engines, Orders: engines,
 		Protocol: platform.Protocol(), ReadyPath: platform.ReadyPath,
 	})
 	if err != nil {
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -32,6 +32,17 @@
 	Removed []string    `json:",omitempty"`
 }
 
+// Quarantine is an update of the quarantined parts that the platform keeps.
+type Quarantine struct {
+	// Version is the version from which the next read continues.
+	Version uint64
+	// Whole reports whether Rows contains all parts; otherwise it contains only
+	// the changed ones.
+	Whole   bool
+	Rows    []quarantine.Row
+	Removed []quarantine.Part
+}
+
 // Report is a VM's answer to a probe.
 type Report struct {
 	VM string
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -56,6 +56,9 @@
 	// triesQuarantined reports whether this node is the one that tries parts of
 	// prompts again after their quarantine.
 	triesQuarantined bool
+	// savedQuarantine contains the time of the newest end of each row of the
+	// platform, in Unix milliseconds. It is nil until the rows have been read.
+	savedQuarantine map[quarantine.Part]int64
 	// reportedTo is the peer that answered last, and reportedSince the time up to
 	// which it has heard of what this node learned.
 	reportedTo    string
--- a/internal/node/constants.go
+++ b/internal/node/constants.go
@@ -32,8 +32,12 @@
 	vmStartupPeriod        = 3 * time.Second
 	readRetryPause         = 350 * time.Millisecond
 	followerReadRetryPause = 1200 * time.Millisecond
-	peerPollInterval       = 200 * time.Millisecond
-	peerPollTimeout        = 250 * time.Millisecond
+	// quarantineReadWait is well below the time for which the platform keeps
+	// changes.
+	quarantineReadWait   = 10 * time.Second
+	quarantineRetryPause = 2 * time.Second
+	peerPollInterval     = 200 * time.Millisecond
+	peerPollTimeout      = 250 * time.Millisecond
 	// peerMaxAge is slightly more than twice the longest wait and round trip of
 	// a read.
 	peerMaxAge = time.Second
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,11 +32,13 @@
 
 // Backends are the platform interfaces that a node uses.
 type Backends struct {
-	Table    platform.Table
-	Source   watch.Source
-	Engines  entry.Engines
-	Orders   coordinator.Orderer
-	Protocol entry.Protocol
+	Table   platform.Table
+	Source  watch.Source
+	Engines entry.Engines
+	// Quarantine keeps the quarantined parts of prompts.
+	Quarantine entry.QuarantineStore
+	Orders     coordinator.Orderer
+	Protocol   entry.Protocol
 	// ReadyPath is the path of the readiness check: the platform sends callers
 	// only to VMs that are ready.
 	ReadyPath string
@@ -155,7 +157,7 @@
 		g.Go(func() error { return n.serveMetrics(runCtx) })
 	}
 	g.Go(func() error {
-		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor}
+		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor, QuarantineWait: quarantineReadWait, QuarantineRetryPause: quarantineRetryPause}
 		return watch.Run(runCtx, n.backends.Source, n.state, opts)
 	})
 	g.Go(func() error { n.tick(runCtx); return nil })
@@ -204,6 +206,7 @@
 	defer n.coord.Wait()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	keeper := entry.NewQuarantineKeeper(n.state, n.backends.Quarantine)
 	lastSweep := time.Now()
 	for {
 		select {
@@ -211,8 +214,12 @@
 			return
 		case <-ticker.C:
 		}
-		n.state.SetTriesQuarantined(n.follower.IsReader())
+		isReader := n.follower.IsReader()
+		n.state.SetTriesQuarantined(isReader)
 		n.prober.Tick(ctx, n.state.Tick())
+		if isReader {
+			keeper.Tick(ctx)
+		}
 		n.coord.Tick(ctx)
 		if time.Since(lastSweep) >= sweepInterval {
 			lastSweep = time.Now()
--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -36,6 +36,8 @@
 	group  map[string]any
 	runs   int
 	events int // number of events in each answer
+	// deadlyPart is a part of prompts that restarts the engine, or empty.
+	deadlyPart string
 }
 
 // NewEngine starts an engine of a service in a data centre and writes its row
@@ -115,6 +117,21 @@
 	e.events = n
 }
 
+// SetDeadlyPart makes the engine restart when it begins to answer a prompt with the
+// given part.
+func (e *Engine) SetDeadlyPart(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deadlyPart = id
+}
+
+// isDeadly reports whether a prompt contains the deadly part.
+func (e *Engine) isDeadly(r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.deadlyPart != "" && strings.Contains(r.Header.Get("Pimentoshore-Prefix-Hash"), e.deadlyPart)
+}
+
 // Runs returns the number of requests the engine has run.
 func (e *Engine) Runs() int {
 	e.mu.Lock()
@@ -259,6 +276,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is absent
 	out := http.NewResponseController(w)
+	if e.isDeadly(r) {
+		_ = out.Flush() // the caller may have disconnected
+		_ = e.Restart() // the row can always be encoded as JSON
+		panic(http.ErrAbortHandler)
+	}
 	for id := from + 1; id <= events; id++ {
 		select {
 		case <-stalled:
--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -92,6 +92,19 @@
 	return nil
 }
 
+// Rows returns the rows of a table.
+func (s *Store) Rows(table string) []Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Row
+	for _, r := range s.rows {
+		if r.Table == table {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // Delete removes a row. Like Put, it works in every failure mode.
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -32,6 +32,9 @@
 	// reader waits for FollowerRetryPause instead, because it gets updates from
 	// its peers once they can read again.
 	RetryPause, FollowerRetryPause time.Duration
+	// QuarantineWait is the maximum time that a read of quarantined parts waits
+	// for a change, and QuarantineRetryPause the pause after a failed one.
+	QuarantineWait, QuarantineRetryPause time.Duration
 }
 
 // Observer receives the results of the reads.
@@ -46,6 +49,8 @@
 	// was sent: the update includes every change confirmed by then.
 	Operators(asOf time.Time, update updates.Operators)
 	VMs(asOf time.Time, update updates.VMs)
+	// Quarantine applies an update of the quarantined parts.
+	Quarantine(update updates.Quarantine)
 	// ReadFailed reports that the platform could not be read.
 	ReadFailed(what string, err error)
 }
@@ -56,6 +61,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { w.readRepeatedly(ctx, w.readOperators); return nil })
 	g.Go(func() error { w.readRepeatedly(ctx, w.readVMs); return nil })
+	g.Go(func() error { w.readRepeatedly(ctx, w.readQuarantine); return nil })
 	return g.Wait()
 }
 
@@ -65,6 +71,8 @@
 	obs     Observer
 	opts    Options
 	started time.Time
+	// quarantineVersion is the version of the last read of quarantined parts.
+	quarantineVersion uint64
 }
 
 // readRepeatedly repeats a read, except while a peer sends updates. read returns
@@ -123,6 +131,31 @@
 	return pause - boottime.Now().Sub(sent), nil
 }
 
+// readQuarantine reads the rows of quarantined parts once.
+func (w *watcher) readQuarantine(ctx context.Context, full bool) (time.Duration, error) {
+	after := w.quarantineVersion
+	if full {
+		after = 0
+	}
+	update, err := w.src.Quarantine(ctx, after, w.opts.QuarantineWait)
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	if err != nil {
+		pause := w.handleFailure("quarantined parts", err)
+		if pause > 0 {
+			pause = w.opts.QuarantineRetryPause
+		}
+		return pause, err
+	}
+	w.quarantineVersion = update.Version
+	w.obs.Quarantine(update)
+	if update.Version == 0 {
+		return w.opts.QuarantineWait, nil // a read doesn't wait for changes if the store is empty
+	}
+	return 0, nil
+}
+
 // handleFailure reports a failed read and returns the pause until the next one.
 // If the history is gone, all rows are read again at once.
 func (w *watcher) handleFailure(what string, err error) time.Duration {
--- a/internal/watch/source.go
+++ b/internal/watch/source.go
@@ -19,4 +19,5 @@
 type Source interface {
 	Operators(ctx context.Context, after uint64, wait time.Duration) (updates.Operators, error)
 	VMs(ctx context.Context, after uint64, wait time.Duration) (updates.VMs, error)
+	Quarantine(ctx context.Context, after uint64, wait time.Duration) (updates.Quarantine, error)
 }
