gateway: a call that two endpoints failed without an answer is not sent to a third

The product's own gate sent a call that may be repeated to up to four endpoints, whatever it did to them. The case 'broken twice' failed before (200 from a third endpoint). The bound in internal/entry gets a test of its own: without it, four endpoints ended (checked with the bound at 20).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -477,3 +477,26 @@
 }
 
 func discardLogger() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
+// Guards against a request that ends its endpoints, without parts that others
+// share, going on to further ones because ended endpoints are no attempts.
+func TestRequestThatEndsTwoEndpointsIsNotSentOn(t *testing.T) {
+	for _, path := range []string{"/safe/", "/stream/"} {
+		s := newHarness(t)
+		var all []*endpoint
+		for range 4 {
+			all = append(all, s.add(func(w http.ResponseWriter, r *http.Request) {
+				s.endEndpoint(r)
+				abort(w, r)
+			}))
+		}
+		status, _, _, err := s.do(s.request(http.MethodPost, path))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusBadGateway, path)
+		runs := 0
+		for _, e := range all {
+			runs += int(e.runs.Load())
+		}
+		assert.Equal(t, runs, maxUnansweredBreaks, path)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,6 +63,8 @@
 	outcome Outcome
 	// err is set unless the outcome is Succeeded.
 	err *problem.Error
+	// progressed is set once the caller has received a part of it.
+	progressed bool
 }
 
 // finish closes the response and ends the attempt with the outcome.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -165,6 +165,7 @@
 		{"refused", http.MethodPost, "/orders", []Target{refusing, good}, http.StatusOK, "", []Outcome{Refused, Succeeded}},
 		{"broken", http.MethodPost, "/orders", []Target{newAbortingTarget(t), good}, http.StatusBadGateway, "unknown", []Outcome{Failed}},
 		{"broken but idempotent", http.MethodPost, "/orders/quote", []Target{newAbortingTarget(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
+		{"broken twice", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), newAbortingTarget(t), good}, http.StatusBadGateway, "unknown", []Outcome{Failed, Failed}},
 		{"broken read", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), good}, http.StatusOK, "", []Outcome{Failed, Succeeded}},
 		{"broken, then not sent", http.MethodGet, "/orders/1", []Target{newAbortingTarget(t), newUnreachableTarget(t), newUnreachableTarget(t)}, http.StatusServiceUnavailable, "unknown", []Outcome{Failed, NotSent, NotSent}},
 		{"never sent", http.MethodPost, "/orders", []Target{newUnreachableTarget(t), newUnreachableTarget(t), newUnreachableTarget(t), good}, http.StatusServiceUnavailable, "no", []Outcome{NotSent, NotSent, NotSent}},
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -8,6 +8,10 @@
 // the answer was incomplete and another attempt may continue it.
 type attemptFunc func(ans *answer) *problem.Error
 
+// maxUnanswered limits the endpoints that may fail a request without delivering
+// any part of an answer: the request itself may end them.
+const maxUnanswered = 2
+
 // canRetry reports whether an attempt with the outcome may be repeated. An
 // idempotent request may also be repeated after a failure.
 func canRetry(outcome Outcome, idempotent bool) bool {
@@ -25,6 +29,7 @@
 // outcome and error say so.
 func (s *Server) dispatchAttempts(req *request, need Requirements, next func() call, idempotent bool, deliver attemptFunc) (Outcome, *problem.Error) {
 	outcome := NotSent
+	unanswered := 0
 	var last *problem.Error
 	for n := 0; n <= s.maxRetries; n++ {
 		need.Retry = n > 0
@@ -45,7 +50,10 @@
 		last = ans.err
 		outcome = worseOutcome(outcome, ans.outcome)
 		need.addFailure(a.Target(), ans.outcome)
-		if req.ctx().Err() != nil || !canRetry(ans.outcome, idempotent) {
+		if ans.outcome.mayHaveRun() && !ans.progressed {
+			unanswered++
+		}
+		if req.ctx().Err() != nil || !canRetry(ans.outcome, idempotent) || unanswered >= maxUnanswered {
 			break
 		}
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,9 +80,11 @@
 		if err != nil {
 			break
 		}
+		delivered := r.state.Delivered()
 		if p := r.deliver(attempt, event); p != nil {
 			return p
 		}
+		ans.progressed = ans.progressed || r.state.Delivered() > delivered
 		if r.ended {
 			return nil
 		}
