--- a/internal/cli/logs.go
+++ b/internal/cli/logs.go
@@ -16,15 +16,15 @@
 	var q timeline.Query
 	cmd := &cobra.Command{
 		Use:   "logs FILE...",
-		Short: "Follow a request, an endpoint or a group through saved logs of entry VMs",
-		Long: "Follow a request, an endpoint or a group through saved logs of entry VMs, in order of time.\n" +
+		Short: "Follow a request, an endpoint, a group or a part of prompts through saved logs of entry VMs",
+		Long: "Follow a request, an endpoint, a group or a part of prompts through saved logs of entry VMs, in order of time.\n" +
 			"A file named - is standard input. With --context, changes in what the nodes believed around that time are added.",
 		Example: "  pimentoshore logs --request 77c187d485e8d005 entry-*.log\n" +
 			"  pimentoshore logs --endpoint i-2dc44d14cc --context 2s entry-*.log",
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(_ *cobra.Command, files []string) error {
-			if q.Request == "" && q.Endpoint == "" && q.Group == "" {
-				return &usageError{message: "nothing to follow; name it with --request, --endpoint or --group"}
+			if q.Request == "" && q.Endpoint == "" && q.Group == "" && q.Part == "" {
+				return &usageError{message: "nothing to follow; name it with --request, --endpoint, --group or --part"}
 			}
 			return a.followLogs(files, q)
 		},
@@ -32,6 +32,7 @@
 	cmd.Flags().StringVar(&q.Request, "request", "", "ID of a request")
 	cmd.Flags().StringVar(&q.Endpoint, "endpoint", "", "ID of an endpoint VM")
 	cmd.Flags().StringVar(&q.Group, "group", "", "name of a group")
+	cmd.Flags().StringVar(&q.Part, "part", "", "ID of a part of prompts")
 	cmd.Flags().DurationVar(&q.Context, "context", 0, "how long before and after to add changes in what nodes believed")
 	a.outputFlag(cmd)
 	return cmd
--- a/internal/node/quarantine_test.go
+++ b/internal/node/quarantine_test.go
@@ -72,4 +72,13 @@
 	})
 	time.Sleep(time.Second)
 	assert.Assert(t, s.isQuarantined(n))
+
+	for _, e := range s.engines {
+		e.SetDeadlyPart("")
+	}
+	s.store.Delete("pimentoshore-quarantine", "dead")
+	s.eventually("release by an operator", func() bool {
+		status, _ := s.callWith(n, deadlyParts)
+		return status == http.StatusOK
+	})
 }
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -54,6 +54,9 @@
 	e.HideBanner, e.HidePort = true, true
 	e.GET("/metrics", func(c echo.Context) error {
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
+		n.state.Locked(func(st entry.LockedState) {
+			telemetry.Gauge(n.registry, "quarantined_parts_number").Update(int64(len(st.Quarantine.Blocked())))
+		})
 		if view := n.state.View(); view != nil {
 			telemetry.Gauge(n.registry, "configuration_number").Update(view.Catalog.Version)
 			telemetry.Gauge(n.registry, "configuration_age_seconds").Update(int64(boottime.Now().Sub(view.AsOf).Seconds()))
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -95,6 +95,10 @@
 type Query struct {
 	// Request, Endpoint and Group select the lines that name any of them.
 	Request, Endpoint, Group string
+	// Part selects the lines about a part of prompts: the requests with it that
+	// broke off, the endpoints that ended and its quarantine. Requests that were
+	// refused because of it are left out.
+	Part string
 	// Context, if not 0, adds the lines about changes of a node's state from this
 	// long before the first selected line until this long after the last one.
 	Context time.Duration
@@ -137,7 +141,14 @@
 func (q Query) matches(l Line) bool {
 	return q.Request != "" && l.Fields["request"] == q.Request ||
 		q.Endpoint != "" && (l.Fields["endpoint"] == q.Endpoint || l.hasMember(q.Endpoint)) ||
-		q.Group != "" && l.Fields["group"] == q.Group
+		q.Group != "" && l.Fields["group"] == q.Group ||
+		q.Part != "" && (l.Fields["part"] == q.Part || l.hasPart(q.Part) && l.Message != "request failed")
+}
+
+// hasPart reports whether the line is about prompts with the part.
+func (l Line) hasPart(part string) bool {
+	parts, _ := l.Fields["parts"].(string)
+	return slices.Contains(strings.Split(parts, ","), part)
 }
 
 // hasMember reports whether the line is about a group with the VM as a member.
