--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -84,8 +84,8 @@
 
 // Answer is a node's answer to another node's request.
 type Answer struct {
-	// VM is the name of the node that answers.
-	VM string `json:",omitempty"`
+	// Process identifies the process that answers. It changes with a restart.
+	Process string `json:",omitempty"`
 	// Known reports whether the node has the data of operators and VMs at all;
 	// if not, no other field is set.
 	Known bool
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -114,7 +114,7 @@
 	}
 	s.suspects.AddFromAnswer(asked, a.Suspects)
 	s.applyQuarantine(asked, a.Quarantine)
-	s.recordReported(asked, a.VM)
+	s.recordReported(asked, a.Process)
 	s.peerAnsweredAt = s.now()
 	if sameDC {
 		s.localPeerAnsweredAt = s.peerAnsweredAt
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -105,13 +105,13 @@
 }
 
 // recordReported records that a peer has answered a request sent at asked. It has
-// then heard of what this node had learned by that time, unless another peer
-// answered before: then it gets everything with the next request. s.mu must be
+// then heard of what this node had learned by that time, unless another
+// process answered before: then it gets everything with the next request. s.mu must be
 // held.
-func (s *State) recordReported(asked time.Time, peer string) {
+func (s *State) recordReported(asked time.Time, process string) {
 	s.reportedSince = asked
-	if peer != s.reportedTo {
-		s.reportedTo, s.reportedSince = peer, time.Time{}
+	if process != s.reportedTo {
+		s.reportedTo, s.reportedSince = process, time.Time{}
 	}
 }
 
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +23,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
+	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
@@ -38,17 +44,30 @@
 	version uint64
 	started int
 	running map[string]*httptest.Server // by VM
-	// ends are the times at which endpoints ended, and deadly those at which
-	// requests with the deadly part reached endpoints.
-	ends, deadly []time.Time
+	// ends are the times at which endpoints ended under the deadly part, and
+	// deadly the requests with it that reached endpoints.
+	ends   []time.Time
+	deadly []deadlySend
+	// rows are what the platform keeps of quarantined parts.
+	rows map[quarantine.Part]quarantine.Row
+}
+
+// deadlySend is a request with the deadly part that reached an endpoint.
+type deadlySend struct {
+	at     time.Time
+	passed *crashNode // the entry VM that sent it
 }
 
 // crashNode is one entry VM.
 type crashNode struct {
-	state  *State
-	prober *Prober
-	front  *httptest.Server
-	mark   int64
+	name      string
+	state     *State
+	prober    *Prober
+	front     *httptest.Server
+	mark      int64
+	startedAt time.Time
+	// cut is whether it is cut off from the others, but not from the platform.
+	cut atomic.Bool
 }
 
 // crashEngines reports that the running endpoints serve, and refuses probes of the
@@ -78,10 +97,10 @@
 )
 
 func newCrashSite(t *testing.T, nodes, endpoints int) *crashSite {
-	s := &crashSite{t: t, network: newPipes(), running: make(map[string]*httptest.Server)}
+	s := &crashSite{t: t, network: newPipes(), running: make(map[string]*httptest.Server), rows: make(map[quarantine.Part]quarantine.Row)}
 	s.engines = &crashEngines{s}
-	for range nodes {
-		s.addNode()
+	for i := range nodes {
+		s.nodes = append(s.nodes, s.startNode(i))
 	}
 	for range endpoints {
 		s.startEndpoint()
@@ -89,9 +108,10 @@
 	return s
 }
 
-// addNode starts an entry VM that knows the configuration and no endpoint yet.
-func (s *crashSite) addNode() *crashNode {
-	n := &crashNode{}
+// startNode starts the entry VM with the given index. It knows the configuration
+// and the endpoints that run.
+func (s *crashSite) startNode(i int) *crashNode {
+	n := &crashNode{name: fmt.Sprint("node-", i), startedAt: time.Now()}
 	n.state = NewState(discardLogger(), time.Now, dispatch.Options{
 		DataCentre: "dc", ColdOverage: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
@@ -110,13 +130,28 @@
 		KeysValidFor: time.Hour, UnknownAfter: time.Hour, Log: discardLogger(), Metrics: metrics.NewRegistry(), Now: time.Now,
 	}, testProtocol, n.state, upstream.New(s.network.dial), make(chan struct{}))
 	n.front = serve(s.t, s.network, server)
-	s.nodes = append(s.nodes, n)
-	for _, other := range s.nodes {
-		other.state.Locked(func(st LockedState) { st.Targets.SetNodes(len(s.nodes), 0) })
-	}
+	n.state.Locked(func(st LockedState) { st.Targets.SetNodes(4, 0) })
+	n.state.VMs(time.Now(), updates.VMs{Version: s.version, Whole: true, Rows: s.listed()})
 	return n
 }
 
+// listed returns the rows of the endpoints that run.
+func (s *crashSite) listed() []fleet.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []fleet.Row
+	for id, server := range s.running {
+		rows = append(rows, crashRow(id, server))
+	}
+	return rows
+}
+
+func crashRow(id string, server *httptest.Server) fleet.Row {
+	return fleet.Row{
+		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "dc", Slots: crashSlots, Engine: true, State: openGroup(id),
+	}
+}
+
 // startEndpoint starts an endpoint and lists it at all entry VMs.
 func (s *crashSite) startEndpoint() {
 	s.mu.Lock()
@@ -127,9 +162,7 @@
 	s.mu.Lock()
 	s.running[id] = server
 	s.mu.Unlock()
-	s.publish(fleet.Row{
-		ID: id, Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "dc", Slots: crashSlots, Engine: true, State: openGroup(id),
-	}, "")
+	s.publish(crashRow(id, server), "")
 }
 
 // publish lists a VM at all entry VMs, or removes one.
@@ -153,7 +186,7 @@
 	deadly := strings.Contains(r.Header.Get("X-Parts"), deadlyPart)
 	if deadly {
 		s.mu.Lock()
-		s.deadly = append(s.deadly, time.Now())
+		s.deadly = append(s.deadly, deadlySend{time.Now(), s.nodeNamed(r.Header.Get("X-Node"))})
 		s.mu.Unlock()
 	}
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
@@ -174,6 +207,52 @@
 	}
 }
 
+// nodeNamed returns the entry VM with a name. s.mu must be held.
+func (s *crashSite) nodeNamed(name string) *crashNode {
+	for _, n := range s.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// node returns the entry VM with the given index, modulo their number.
+func (s *crashSite) node(i int) *crashNode {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[i%len(s.nodes)]
+}
+
+func (s *crashSite) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.nodes)
+}
+
+// restart replaces an entry VM by one that knows nothing of before.
+func (s *crashSite) restart(i int) {
+	n := s.startNode(i)
+	s.mu.Lock()
+	old := s.nodes[i]
+	s.nodes[i] = n
+	s.mu.Unlock()
+	old.front.CloseClientConnections()
+	old.front.Listener.Close()
+}
+
+// late returns the number of deadly requests that reached endpoints later than
+// contact after the fifth end, from entry VMs in touch.
+func (s *crashSite) late() int {
+	late := 0
+	for _, d := range s.deadly {
+		if len(s.ends) >= 5 && d.at.After(s.ends[4].Add(contact)) && d.at.Sub(d.passed.startedAt) >= contact {
+			late++
+		}
+	}
+	return late
+}
+
 // crash ends an endpoint at once. It is removed from the list later, and another
 // one starts.
 func (s *crashSite) crash(id string, counts bool) {
@@ -214,22 +293,47 @@
 // run lets the entry VMs tick and poll the first of them until the context ends.
 func (s *crashSite) run(ctx context.Context) {
 	const tick, poll = 50 * time.Millisecond, 4 // polls every 4 ticks
+	nodes := s.size()
 	for i := 0; ctx.Err() == nil; i++ {
 		time.Sleep(tick)
-		for j, n := range s.nodes {
+		for j := range nodes {
+			n := s.node(j)
 			n.prober.Tick(ctx, n.state.Tick())
-			if j > 0 && i%poll == j%poll {
-				n.poll(s.nodes[0])
+			switch {
+			case i%poll != j%poll:
+			case j == 0 || n.cut.Load():
+				s.syncRows(n)
+			default:
+				n.poll(s.node(0))
 			}
 		}
 	}
 }
 
+// syncRows reads the quarantined parts from the platform and writes those that it
+// lacks, as a node that reads there does.
+func (s *crashSite) syncRows(n *crashNode) {
+	s.mu.Lock()
+	u := updates.Quarantine{Version: 1, Whole: true, Rows: slices.Collect(maps.Values(s.rows))}
+	s.mu.Unlock()
+	n.state.Quarantine(u)
+	rows, removed := n.state.unsavedQuarantine()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		s.rows[row.Part] = row
+	}
+	for _, p := range removed {
+		delete(s.rows, p)
+	}
+}
+
 // poll asks another entry VM for updates.
 func (n *crashNode) poll(from *crashNode) {
 	after := n.state.Position()
 	after.Mark = n.mark
 	a := from.state.Answer(after)
+	a.Process = fmt.Sprint(from.name, from.startedAt)
 	n.mark = a.Mark
 	n.state.ApplyAnswer(time.Now(), true, a)
 }
@@ -266,11 +370,13 @@
 	var wg sync.WaitGroup
 	for i := range int(d.Seconds() * float64(rate)) {
 		time.Sleep(time.Second / time.Duration(rate))
-		req, err := http.NewRequest(http.MethodPost, s.nodes[i%len(s.nodes)].front.URL+"/ask/", nil)
+		n := s.node(i)
+		req, err := http.NewRequest(http.MethodPost, n.front.URL+"/ask/", nil)
 		assert.NilError(s.t, err)
 		id := fmt.Sprintf("%s-%d-%d", parts(i), time.Now().UnixNano(), i)
 		req.Host = "h"
 		req.Header.Set("X-Id", id)
+		req.Header.Set("X-Node", n.name)
 		req.Header.Set("X-Model", "m")
 		req.Header.Set("X-Parts", parts(i)+fmt.Sprintf(",%x:200", 1<<32+i))
 		wg.Go(func() { out.add(s.roundTrip(client, req)) })
@@ -321,12 +427,7 @@
 		cancel()
 		ticks.Wait()
 
-		late := 0
-		for _, at := range s.deadly {
-			if len(s.ends) >= 5 && at.After(s.ends[4].Add(contact)) {
-				late++
-			}
-		}
+		late := s.late()
 		t.Logf("%d endpoints ended; deadly: %v, before: %v, during: %v, afterwards: %v", len(s.ends), deadly.by, before.by, sound.by, recovered.by)
 		assert.Assert(t, late <= 3, "%d requests with the part reached endpoints later than %s after the fifth end", late, contact)
 		for status := range deadly.by {
@@ -360,3 +461,62 @@
 		assert.Assert(t, 2*sound.by[http.StatusOK] >= sound.total(), "answers: %v", sound.by)
 	})
 }
+
+// firstSeed and seeds select the days of TestDeadlyPartAmongOtherTrouble.
+var (
+	firstSeed = flag.Uint64("first", 1, "first seed of the days with a deadly part")
+	seeds     = flag.Uint64("seeds", 4, "number of days with a deadly part")
+)
+
+// Days with a deadly part on which entry VMs restart, are cut off from the others,
+// and endpoints end for other causes too.
+func TestDeadlyPartAmongOtherTrouble(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { playDeadlyDay(t, seed) })
+		})
+	}
+}
+
+func playDeadlyDay(t *testing.T, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	s := newCrashSite(t, 2+rng.IntN(6), 8+rng.IntN(16))
+	deadlyRate := 2 + rng.IntN(12)
+	ctx, cancel := context.WithCancel(t.Context())
+	var ticks, wg sync.WaitGroup
+	ticks.Go(func() { s.run(ctx) })
+	time.Sleep(time.Second)
+	before := s.send(40, 4*time.Second, soundParts)
+	var sound, recovered *outcomes
+	wg.Go(func() { s.send(deadlyRate, 30*time.Second, deadlyParts) })
+	wg.Go(func() {
+		sound = s.send(40, 20*time.Second, soundParts)
+		recovered = s.send(40, 10*time.Second, soundParts)
+	})
+	wg.Go(func() { s.makeTrouble(rng, 18*time.Second) })
+	wg.Wait()
+	cancel()
+	ticks.Wait()
+	t.Logf("%d nodes, %d a second deadly: %d ended, %d late; sound before %v, during %v, afterwards %v",
+		len(s.nodes), deadlyRate, len(s.ends), s.late(), before.by, sound.by, recovered.by)
+	assert.Assert(t, s.late() <= 3, "%d requests with the part reached endpoints later than %s after the fifth end", s.late(), contact)
+	assert.Assert(t, 2*recovered.by[http.StatusOK] >= recovered.total(), "sound requests with the same first parts: %v", recovered.by)
+}
+
+// makeTrouble restarts entry VMs, cuts them off and ends endpoints at random.
+func (s *crashSite) makeTrouble(rng *rand.Rand, d time.Duration) {
+	nodes := s.size()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(500+rng.IntN(4000)) * time.Millisecond)
+		i := rng.IntN(nodes)
+		switch rng.IntN(4) {
+		case 0:
+			s.restart(i)
+		case 1:
+			n := s.node(i)
+			n.cut.Store(!n.cut.Load())
+		default:
+			s.crashRunning(1 + rng.IntN(3))
+		}
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -59,7 +59,7 @@
 	// savedQuarantine contains the time of the newest end of each row of the
 	// platform, in Unix milliseconds. It is nil until the rows have been read.
 	savedQuarantine map[quarantine.Part]int64
-	// reportedTo is the peer that answered last, and reportedSince the time up to
+	// reportedTo is the process that answered last, and reportedSince the time up to
 	// which it has heard of what this node learned.
 	reportedTo    string
 	reportedSince time.Time
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,16 +46,18 @@
 
 // Node is the process of an entry VM.
 type Node struct {
-	cfg            settings.Entry
-	log            *slog.Logger
-	registry       metrics.Registry
-	state          *entry.State
-	client         *upstream.Client
-	prober         *entry.Prober
-	coord          *coordinator.Coordinator
-	follower       *relay.Follower
-	backends       Backends
-	stopping       chan struct{}
+	cfg      settings.Entry
+	log      *slog.Logger
+	registry metrics.Registry
+	state    *entry.State
+	client   *upstream.Client
+	prober   *entry.Prober
+	coord    *coordinator.Coordinator
+	follower *relay.Follower
+	backends Backends
+	stopping chan struct{}
+	// process identifies this start of the process.
+	process        string
 	activeRequests atomic.Int64
 }
 
@@ -65,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, log: log, registry: registry, client: client, backends: b, stopping: make(chan struct{})}
+	n := &Node{cfg: cfg, log: log, registry: registry, client: client, backends: b, stopping: make(chan struct{}), process: incarnation}
 	n.state = entry.NewState(log, boottime.Now, dispatch.Options{
 		DataCentre: cfg.DataCentre, ColdOverage: cfg.Bounds.ColdOverage, ColdSlack: cfg.Bounds.ColdSlack,
 		RepeatRatio: cfg.Bounds.RepeatRatio, RepeatSlack: cfg.Bounds.RepeatSlack, RepeatWindow: cfg.Bounds.RepeatWindow,
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -15,7 +15,7 @@
 // Answer implements relay.Responder.
 func (s *peerServer) Answer(after updates.Position) updates.Answer {
 	answer := s.state.Answer(after)
-	answer.VM = s.cfg.VM
+	answer.Process = s.process
 	s.coord.MarkRowRequested()
 	if row, revision := s.coord.Row(); answer.Known && revision > after.Lease {
 		answer.Lease = &updates.Lease{Row: row, Revision: revision}
