entry: a line says that an endpoint limits its requests

The limit is kept with the VM, as its leaving is, and logged when it changes. No decision uses it yet.

--- a/coord/dispatch/pause.go
+++ b/coord/dispatch/pause.go
@@ -92,6 +92,12 @@
 	return t.vms != nil && t.vms.MarkLeaving(now, ticket.Target.ID, ticket.born)
 }
 
+// SetLimit records the requests a second that the endpoint of a ticket named in an
+// answer as its limit, 0 for none. It reports whether the limit has changed.
+func (t *Table) SetLimit(now time.Time, ticket *Ticket, perSecond float64) bool {
+	return t.vms != nil && t.vms.SetLimit(now, now, ticket.Target.ID, ticket.born, perSecond)
+}
+
 // isLeaving reports whether a target's VM has announced that it is leaving. The
 // pools don't reflect an announcement until the next Update.
 func (t *Table) isLeaving(target *Target) bool {
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -94,6 +94,7 @@
 	vm.ReportedAt = time.Time{}
 	vm.FailedProbes, vm.Refused = 0, false
 	vm.Leaving, vm.LeavingAt = false, time.Time{}
+	vm.Limit = Limit{}
 }
 
 func (vm *VM) setState(s State) {
@@ -158,6 +159,22 @@
 	return true
 }
 
+// SetLimit records the limit that a start of a VM named in an answer which arrived
+// at the given time, 0 for none. Answers that arrived before the newest known one
+// are ignored. SetLimit reports whether the limit has changed.
+func (t *Table) SetLimit(now, at time.Time, id string, born int64, perSecond float64) bool {
+	vm := t.vms[id]
+	if vm == nil || vm.Born != born || at.Before(vm.Limit.At) {
+		return false
+	}
+	vm.Limit.At = at
+	if vm.Limit.PerSecond == perSecond {
+		return false
+	}
+	vm.Limit.PerSecond, vm.Limit.ChangedAt = perSecond, now
+	return true
+}
+
 // ApplyRelayed applies a report that another node received from a VM. It is
 // ignored while this node's own probes of the VM fail.
 func (t *Table) ApplyRelayed(now, sent time.Time, id string, r Report) {
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -114,6 +114,8 @@
 	Leaving bool
 	// LeavingAt is when this node received that announcement.
 	LeavingAt time.Time
+	// Limit is what this start has announced that it takes.
+	Limit Limit
 	// ColdUntil is when the VM can take its full load.
 	ColdUntil time.Time
 	// ListedAt is when the newest row arrived, or when the VM was unlisted.
@@ -142,6 +144,17 @@
 	Refused bool
 }
 
+// Limit is the rate of requests that a VM takes from all nodes together. It holds
+// until the VM answers without naming one.
+type Limit struct {
+	// PerSecond is 0 if there is no limit.
+	PerSecond float64
+	// At is when the newest answer that named it, or named none any more, arrived.
+	At time.Time
+	// ChangedAt is when this node learned of the value.
+	ChangedAt time.Time
+}
+
 // Departing reports whether the VM is about to stop, according to its row or to
 // its own answers.
 func (vm *VM) Departing() bool { return vm.Draining || vm.Leaving }
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"slices"
 	"strconv"
@@ -228,8 +229,11 @@
 }
 
 // handleHints processes the response headers by which an endpoint announces that
-// it is leaving or asks for a pause in requests.
+// it is leaving, limits its requests or asks for a pause in them.
 func (s *Server) handleHints(a *attempt, req *request) {
+	if limit := parseLimit(a.resp.Header.Get(s.proto.Limit)); s.state.setLimit(a.ticket, limit) {
+		s.log.Info("endpoint limits its requests", "request", req.id, "endpoint", a.ticket.Target.ID, "per_second", limit)
+	}
 	if a.resp.Header.Get(s.proto.Leaving) != "" && s.state.markLeaving(a.ticket) {
 		s.count("endpoint leaving")
 		s.log.Info("endpoint leaves", "request", req.id, "endpoint", a.ticket.Target.ID, "status", a.resp.Status)
@@ -244,6 +248,19 @@
 	s.log.Info("endpoint asks for a pause", "request", req.id, "endpoint", a.ticket.Target.ID, "asked", asked, "kept", kept)
 }
 
+// parseLimit returns the requests a second that a response header names as the
+// limit of its endpoint, or 0 if it names none.
+func parseLimit(value string) float64 {
+	limit, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(limit > 0) || math.IsInf(limit, 0) {
+		return 0
+	}
+	return max(limit, minLimit)
+}
+
+// minLimit is the lowest limit, in requests a second, that is told apart from none.
+const minLimit = 0.001
+
 // failureOutcome returns the outcome of an attempt that failed at its endpoint.
 // It is Neutral if the endpoint asked for a pause, as that endpoint is healthy
 // otherwise.
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -30,4 +30,7 @@
 	Faulty string
 	// Leaving marks all responses of a VM that is about to shut down.
 	Leaving string
+	// Limit is the number of requests a second, a decimal number, that a VM takes
+	// from all nodes together.
+	Limit string
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -337,6 +337,14 @@
 	return s.targets.MarkLeaving(s.now(), t)
 }
 
+// setLimit records the requests a second that the endpoint of a ticket takes, 0 if
+// it named no limit. It reports whether that has changed.
+func (s *State) setLimit(t *dispatch.Ticket, perSecond float64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.SetLimit(s.now(), t, perSecond)
+}
+
 func (s *State) countRequest(service string) {
 	s.traffic.Add(1)
 	s.mu.Lock()
