--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -48,10 +48,21 @@
 	// deadly the requests with it that reached endpoints.
 	ends   []time.Time
 	deadly []deadlySend
+	// limits are the requests a second that endpoints name in their answers, and
+	// arrivals the requests that reached each endpoint.
+	limits   map[string]float64
+	arrivals map[string][]arrival
 	// rows are what the platform keeps of quarantined parts.
 	rows map[quarantine.Part]quarantine.Row
 }
 
+// arrival is a request that reached an endpoint. passed is the entry VM that sent
+// it, and told when that had first passed on an answer with the endpoint's limit,
+// or zero.
+type arrival struct {
+	at, told time.Time
+}
+
 // deadlySend is a request with the deadly part that reached an endpoint.
 type deadlySend struct {
 	at     time.Time
@@ -68,6 +79,8 @@
 	startedAt time.Time
 	// cut is whether it is cut off from the others, but not from the platform.
 	cut atomic.Bool
+	// told is when it first passed on an answer with the limit of an endpoint.
+	told map[string]time.Time
 }
 
 // crashEngines reports that the running endpoints serve, and refuses probes of the
@@ -97,7 +110,8 @@
 )
 
 func newCrashSite(t *testing.T, nodes, endpoints int) *crashSite {
-	s := &crashSite{t: t, network: newPipes(), running: make(map[string]*httptest.Server), rows: make(map[quarantine.Part]quarantine.Row)}
+	s := &crashSite{t: t, network: newPipes(), running: make(map[string]*httptest.Server), rows: make(map[quarantine.Part]quarantine.Row),
+		limits: make(map[string]float64), arrivals: make(map[string][]arrival)}
 	s.engines = &crashEngines{s}
 	for i := range nodes {
 		s.nodes = append(s.nodes, s.startNode(i))
@@ -111,7 +125,7 @@
 // startNode starts the entry VM with the given index. It knows the configuration
 // and the endpoints that run.
 func (s *crashSite) startNode(i int) *crashNode {
-	n := &crashNode{name: fmt.Sprint("node-", i), startedAt: time.Now()}
+	n := &crashNode{name: fmt.Sprint("node-", i), startedAt: time.Now(), told: make(map[string]time.Time)}
 	n.state = NewState(discardLogger(), time.Now, dispatch.Options{
 		DataCentre: "dc", ColdOverage: 1.5, ColdSlack: 5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second,
 	})
@@ -191,6 +205,7 @@
 	}
 	w.Header().Set("X-Id", r.Header.Get("X-Id"))
 	w.Header().Set("X-Seal", "seal-of-"+id)
+	s.countArrival(id, w, r)
 	out := http.NewResponseController(w)
 	_ = out.Flush()
 	time.Sleep(crashFirst)
