dispatch: nodes share a named limit by their demand

Cause: equal shares waste what a node with few callers doesn't use (the balancer's share of callers per node is uneven). Each node tells the rate of its requests upwards with its questions and hears the total with the answers: one number each. A limit too small for all nodes is shared as before. Where the total isn't known, all count alike.

--- a/coord/dispatch/limit.go
+++ b/coord/dispatch/limit.go
@@ -14,6 +14,9 @@
 	// that a node gets. Of a limit that is too small for all nodes, only some have a
 	// share, other ones for each endpoint.
 	minNodeRate = 0.5
+	// minDemandShare times its equal share is what a node gets of a limit when it
+	// had hardly any requests so far.
+	minDemandShare = 0.25
 	// limiterBurst is the time whose share a node may use at once.
 	limiterBurst = time.Second
 )
@@ -60,16 +63,28 @@
 	return target.limiter.wait(now, t.nodeRate(vm))
 }
 
-// nodeRate returns this node's share of a VM's limit in requests a second.
+// SetDemandShare sets which part of all nodes' requests this node gets, from 0 to 1.
+// If known is false, all nodes are taken to get the same.
+func (t *Table) SetDemandShare(share float64, known bool) {
+	t.demandShare, t.demandKnown = share, known
+}
+
+// nodeRate returns this node's share of a VM's limit in requests a second. Nodes
+// share a limit by their demand, or, if it is too small for all, some share it
+// equally.
 func (t *Table) nodeRate(vm *fleet.VM) float64 {
 	if !t.nodesKnown {
 		return 0
 	}
-	sharers := min(max(1, int(vm.Limit.PerSecond/minNodeRate)), t.nodes)
-	if t.turn(vm.ID, t.nodes) >= sharers {
+	limit := vm.Limit.PerSecond
+	sharers := min(max(1, int(limit/minNodeRate)), t.nodes)
+	switch {
+	case sharers == t.nodes && t.demandKnown:
+		return limit * max(t.demandShare, minDemandShare/float64(t.nodes))
+	case t.turn(vm.ID, t.nodes) >= sharers:
 		return 0
 	}
-	return vm.Limit.PerSecond / float64(sharers)
+	return limit / float64(sharers)
 }
 
 // turn returns this node's place, from 0, in an order of n nodes that differs from
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -32,11 +32,15 @@
 	nodes      int  // number of live nodes, including this one
 	rank       int  // index of this node among them
 	nodesKnown bool // whether SetNodes has been called
-	targets    map[string]*Target
-	pools      map[poolKey][]*Target
-	catalog    *catalog.Catalog
-	vms        *fleet.Table
-	budgets    map[string]*repeatCounter
+	// demandShare is this node's part of all nodes' requests, from 0 to 1. It counts
+	// only if demandKnown is set.
+	demandShare float64
+	demandKnown bool
+	targets     map[string]*Target
+	pools       map[poolKey][]*Target
+	catalog     *catalog.Catalog
+	vms         *fleet.Table
+	budgets     map[string]*repeatCounter
 	// firstByteTimes are the mean times to the first byte, by pool.
 	firstByteTimes map[poolKey]time.Duration
 	// broken contains the groups that this node found to be missing a VM,
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -101,6 +101,10 @@
 	Suspects []Suspect
 	// Learned is what the requesting node has learned since its last request.
 	Learned Learned
+	// VM is the name of the requesting node, and Demand the rate of its requests
+	// and of those of the nodes that ask it, per second.
+	VM     string
+	Demand float64
 }
 
 // Answer is a node's answer to another node's request.
@@ -126,6 +130,8 @@
 	Reports     []Report       `json:",omitempty"`
 	// Learned is what the node has learned since the mark in the request.
 	Learned Learned
+	// Demand is the rate of all nodes' requests, per second.
+	Demand float64 `json:",omitempty"`
 	// Suspects are the heads of groups at which some node's requests make no
 	// progress.
 	Suspects []Suspect `json:",omitempty"`
--- a/internal/entry/limit_test.go
+++ b/internal/entry/limit_test.go
@@ -119,6 +119,7 @@
 	var ticks, wg sync.WaitGroup
 	ticks.Go(func() { s.run(ctx) })
 	time.Sleep(time.Second)
+	s.skewed = rng.IntN(2) == 0
 	limited, perSecond := 1+rng.IntN(12), 0.3+5*rng.Float64()
 	s.limit(limited, perSecond)
 	named := time.Now()
@@ -132,7 +133,7 @@
 	after := s.send(60, 4*time.Second, soundParts)
 	cancel()
 	ticks.Wait()
-	t.Logf("%d nodes, %d endpoints take %.1f a second: %d over; during %v, afterwards %v", s.total, limited, perSecond, over, during.by, after.by)
+	t.Logf("%d nodes, skewed %t, %d endpoints take %.1f a second: %d over; during %v, afterwards %v", s.total, s.skewed, limited, perSecond, over, during.by, after.by)
 	assert.Assert(t, over <= 0, "an endpoint got %d requests more than its limit allows in 4 s", over)
 	assert.Assert(t, 10*after.by[http.StatusOK] >= 9*after.total(), "answers afterwards: %v", after.by)
 }
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -18,6 +18,7 @@
 	p := s.record.Position()
 	p.Suspects = s.suspects.ForRequest(s.now())
 	p.Learned = s.learnedSince(s.now(), s.reportedSince, true)
+	p.Demand = s.demand.Below(s.now())
 	return p
 }
 
@@ -61,6 +62,7 @@
 	now := s.now()
 	s.suspects.AddFromRequest(now, after.Suspects)
 	s.applyLearned(now, after.Learned)
+	s.demand.Told(now, after.VM, after.Demand)
 	view := s.view.Load()
 	if view == nil || !s.listed {
 		return updates.Answer{}
@@ -70,6 +72,7 @@
 		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
 		Mark: now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
 		Learned: s.learnedSince(now, time.Unix(0, after.Mark), false),
+		Demand:  s.demand.Total(now),
 	}
 	if !s.vmReadRecoveredAt.IsZero() {
 		age := now.Sub(s.vmReadRecoveredAt)
@@ -108,6 +111,7 @@
 	}
 	s.suspects.AddFromAnswer(asked, a.Suspects)
 	s.applyLearned(asked, a.Learned)
+	s.demand.Heard(s.now(), a.Demand)
 	s.recordReported(asked, a.Process)
 	s.peerAnsweredAt = s.now()
 	if sameDC {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -38,6 +38,8 @@
 	t       *testing.T
 	network *pipes
 	total   int // number of entry VMs
+	// skewed makes every other request go to the second entry VM.
+	skewed  bool
 	nodes   []*crashNode
 	engines *crashEngines
 
@@ -347,7 +349,7 @@
 // poll asks another entry VM for updates.
 func (n *crashNode) poll(from *crashNode) {
 	after := n.state.Position()
-	after.Mark = n.mark
+	after.Mark, after.VM = n.mark, n.name
 	a := from.state.Answer(after)
 	a.Process = fmt.Sprint(from.name, from.startedAt)
 	n.mark = a.Mark
@@ -387,6 +389,9 @@
 	for i := range int(d.Seconds() * float64(rate)) {
 		time.Sleep(time.Second / time.Duration(rate))
 		n := s.node(i)
+		if s.skewed && i%2 == 0 {
+			n = s.node(1)
+		}
 		req, err := http.NewRequest(http.MethodPost, n.front.URL+"/ask/", nil)
 		assert.NilError(s.t, err)
 		id := fmt.Sprintf("%s-%d-%d", parts(i), time.Now().UnixNano(), i)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -52,6 +52,9 @@
 	peerAnsweredAt, localPeerAnsweredAt time.Time
 	suspects                            *updates.Suspects
 
+	// demand knows which part of all requests this node gets.
+	demand *updates.Demand
+
 	quarantine *quarantine.Record
 	// triesQuarantined reports whether this node is the one that tries parts of
 	// prompts again after their quarantine.
@@ -89,7 +92,7 @@
 	return &State{
 		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: updates.NewRecord(),
 		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: updates.NewSuspects(),
-		quarantine: quarantine.NewRecord(),
+		quarantine: quarantine.NewRecord(), demand: updates.NewDemand(),
 	}
 }
 
@@ -223,6 +226,8 @@
 	}
 	s.vms.Sweep(now)
 	s.tickQuarantine(now)
+	s.demand.Count(now, s.traffic.Load())
+	s.targets.SetDemandShare(s.demand.Share(now))
 	if !s.hasLocalPeerUpdates(now) {
 		s.targets.SetReportedBroken(nil)
 	}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -176,6 +176,7 @@
 	req := &relaypb.AskRequest{
 		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address,
 		Operators: p.Operators, Vms: p.VMs, Reports: p.Mark, Lease: p.Lease, Told: p.ReceivedVMs,
+		Demand: p.Demand,
 	}
 	for _, s := range p.Suspects {
 		req.Suspects = append(req.Suspects, &relaypb.Suspect{Vm: s.VM, AgeNs: s.Age.Nanoseconds()})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -42,7 +42,7 @@
 
 // decodePosition returns the position in a request.
 func decodePosition(req *relaypb.AskRequest) (updates.Position, error) {
-	p := updates.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told}
+	p := updates.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told, VM: req.Vm, Demand: req.Demand}
 	for _, s := range req.Suspects {
 		p.Suspects = append(p.Suspects, updates.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
 	}
