entry: an unframed stream without any event is broken off

One of which no event came was delivered as a complete, empty answer: an endpoint that ends before its first event, or whose part is deadly, looked like a success. It is now broken off as other streams are, so that it may go on elsewhere and counts as evidence. Framed streams without events stay complete.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -40,11 +40,12 @@
 	minAttemptTimeout    = 300 * time.Millisecond
 )
 
-// Causes for cancelling an attempt.
+// Causes for cancelling an attempt, or for taking its response as broken off.
 var (
 	errDeadline     = errors.New("the request's deadline has passed")
 	errEndpointLost = errors.New("the endpoint was lost")
 	errNoProgress   = errors.New("the endpoint made no progress")
+	errNoEvents     = errors.New("the connection ended before the first event")
 )
 
 // attempt is one send of a request to an endpoint.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -500,3 +500,40 @@
 		assert.Equal(t, runs, maxUnansweredBreaks, path)
 	}
 }
+
+// unframed makes a handler's response end with its connection.
+func unframed(handler http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Transfer-Encoding", "identity")
+		handler(w, r)
+	}
+}
+
+func TestUnframedStreamsEndWithTheirConnection(t *testing.T) {
+	for name, first := range map[string]http.HandlerFunc{
+		"complete": func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 5, true) },
+		"ends inside an event": func(w http.ResponseWriter, _ *http.Request) {
+			writeEvents(w, 1, 2, true)
+			_, _ = io.WriteString(w, "id: 3\ndata: pie")
+		},
+		"ends without events": func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 0, true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newHarness(t)
+			var sends atomic.Int32
+			handler := unframed(func(w http.ResponseWriter, r *http.Request) {
+				if sends.Add(1) == 1 {
+					first(w, r)
+					return
+				}
+				writeEvents(w, lastEvent(r)+1, 5, true)
+			})
+			s.add(handler)
+			s.add(handler)
+			_, body, _, err := s.do(s.request(http.MethodPost, "/stream/"))
+			assert.NilError(t, err)
+			assert.Equal(t, strings.Count(body, "data: piece-"), 5)
+			assert.Equal(t, strings.Count(body, "data: pie\n"), 0)
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -126,6 +126,9 @@
 	events := &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}
 	for {
 		ev, err := events.next()
+		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
+			return errNoEvents // a stream of which nothing came is no answer
+		}
 		if errors.Is(err, io.EOF) {
 			return rl.finish(a)
 		}
