--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -120,7 +120,15 @@
 	for i := range 10 {
 		start := Start{VM: fmt.Sprint("vm-", i), Born: 1}
 		s.nodes[0].RecordBreak(s.now, []Start{start, {VM: "member", Born: 1}}, []Part{deadly})
+		s.nodes[0].Confirm(s.now, s.status)
 		assert.DeepEqual(t, s.nodes[0].Unconfirmed(), []string{"member", start.VM})
+		s.nodes[0].Confirm(s.now, func(x Start, _ time.Time) Status {
+			if x == start {
+				return Answered
+			}
+			return Unknown
+		})
+		assert.DeepEqual(t, s.nodes[0].Unconfirmed(), []string{"member"})
 		s.nodes[0].Confirm(s.now, func(Start, time.Time) Status { return Answered })
 		assert.Equal(t, len(s.nodes[0].Unconfirmed()), 0)
 		assert.Equal(t, len(s.pass(time.Second)), 0)
--- a/coord/quarantine/record.go
+++ b/coord/quarantine/record.go
@@ -44,7 +44,9 @@
 	vms       []Start
 	at        time.Time
 	confirmed bool
-	depths    map[Part]int
+	// unknown are the VMs of which it is not known whether they have ended.
+	unknown []string
+	depths  map[Part]int
 	// addedAt is when this node heard of it, changedAt when it last changed.
 	addedAt, changedAt time.Time
 }
@@ -194,15 +196,13 @@
 	delete(r.ends, oldest)
 }
 
-// Unconfirmed returns the VMs of the ends that are not confirmed yet, sorted.
+// Unconfirmed returns the VMs of which it is not known, as of the last Confirm,
+// whether they have ended, sorted.
 func (r *Record) Unconfirmed() []string {
 	var out []string
 	for _, e := range r.ends {
-		if e.confirmed {
-			continue
-		}
-		for _, s := range e.vms {
-			out = append(out, s.VM)
+		if !e.confirmed {
+			out = append(out, e.unknown...)
 		}
 	}
 	slices.Sort(out)
@@ -245,17 +245,20 @@
 // status returns Ended if one of the end's VMs has ended, and Answered if all have
 // answered since.
 func (e *end) status(status func(s Start, since time.Time) Status) Status {
-	out := Answered
+	e.unknown = e.unknown[:0]
 	for _, s := range e.vms {
 		switch status(s, e.at) {
 		case Ended:
 			return Ended
 		case Unknown:
-			out = Unknown
+			e.unknown = append(e.unknown, s.VM)
 		case Answered:
 		}
 	}
-	return out
+	if len(e.unknown) > 0 {
+		return Unknown
+	}
+	return Answered
 }
 
 // PartsOf returns the parts of the end of a VM, sorted.
