--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -81,9 +81,39 @@
 	for _, dc := range dataCentres {
 		c.addDataCentre(dc)
 	}
+	logDelays(t)
 	return c
 }
 
+// logDelays logs, if the test fails, for how long the process was not scheduled: the
+// daemons' leases and reports last for a real time.
+func logDelays(t testing.TB) {
+	const interval = 10 * time.Millisecond
+	stop, done := make(chan struct{}), make(chan struct{})
+	var longest, total time.Duration
+	go func() {
+		defer close(done)
+		for last := time.Now(); ; last = time.Now() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(interval):
+			}
+			late := time.Since(last) - interval
+			longest = max(longest, late)
+			total += late
+		}
+	}()
+	started := time.Now()
+	t.Cleanup(func() {
+		close(stop)
+		<-done
+		if t.Failed() {
+			t.Logf("of %s the process came late by %s in all, by %s at most", time.Since(started), total, longest)
+		}
+	})
+}
+
 func (c *cluster) addDataCentre(dc string) {
 	c.doc.DataCentres = append(c.doc.DataCentres, inventory.DataCentre{Name: dc, Region: "cz"})
 	for i := range 3 {
