--- a/internal/node/reader_test.go
+++ b/internal/node/reader_test.go
@@ -34,7 +34,10 @@
 		}
 		store.Server.Config.Handler.ServeHTTP(w, r)
 	}))
-	t.Cleanup(p.server.Close)
+	t.Cleanup(func() {
+		p.server.CloseClientConnections() // a node that stops gracefully still waits for changes
+		p.server.Close()
+	})
 	return p
 }
 
