--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -61,7 +61,7 @@
 
 func vmID(group, rank int) string { return fmt.Sprintf("i-%d%d", group, rank) }
 
-func (s *scenario) update() []*Ticket { return s.table.Update(s.now, s.vms, testCatalog(), nil) }
+func (s *scenario) update() []Loss { return s.table.Update(s.now, s.vms, testCatalog(), nil) }
 
 func (s *scenario) report(id string, running int) {
 	vm := s.vms.Get(id)
@@ -138,7 +138,8 @@
 	}
 	lost := s.update()
 	assert.DeepEqual(t, len(lost), 1)
-	assert.Assert(t, lost[0] == ticket)
+	assert.Assert(t, lost[0].Ticket == ticket)
+	assert.Equal(t, lost[0].Reason, MemberUnanswered)
 	_, refusal := s.pick(2)
 	assert.Equal(t, refusal.Reason, NoTarget)
 }
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -77,15 +77,15 @@
 }
 
 // Update rebuilds the targets and pools from the VMs, the catalog and the
-// evacuated data centres. It returns the tickets whose targets are lost.
-func (t *Table) Update(now time.Time, vms *fleet.Table, cat *catalog.Catalog, evacuated map[string]bool) []*Ticket {
+// evacuated data centres. It returns the requests whose answers may not go on.
+func (t *Table) Update(now time.Time, vms *fleet.Table, cat *catalog.Catalog, evacuated map[string]bool) []Loss {
 	t.vms, t.catalog = vms, cat
 	groups := t.membersByGroup(vms)
 	releases := newestReleases(vms)
 	clear(t.pools)
 	clear(t.broken)
 	t.joiningHeads = t.joiningHeads[:0]
-	var lost []*Ticket
+	var losses []Loss
 	for _, vm := range vms.All() {
 		if isJoiningHead(vm) {
 			t.joiningHeads = append(t.joiningHeads, vm.ID)
@@ -95,10 +95,13 @@
 		}
 		target := t.ensureTarget(vm)
 		target.applyReport(vm, t.reportLag(vm.Service), t.nodes, t.rank)
-		alive, accepting := t.updateGroup(now, vm, target, groups)
+		lossReason, accepting := t.updateGroup(now, vm, target, groups)
 		target.predictLoss(now, vm, groups[vm.Formation()], releases[vm.Service])
-		if !alive || isDead(now, vm) {
-			lost = target.appendTickets(lost)
+		if lossReason == "" && isDead(now, vm) {
+			lossReason = Unanswered
+		}
+		if lossReason != "" {
+			losses = target.appendLosses(losses, lossReason)
 			continue
 		}
 		if accepting && vm.Listed && !vm.Departing() && !evacuated[vm.DataCentre] {
@@ -108,11 +111,11 @@
 	}
 	for id := range t.targets {
 		if vms.Get(id) == nil {
-			lost = t.targets[id].appendTickets(lost)
+			losses = t.targets[id].appendLosses(losses, Gone)
 			delete(t.targets, id)
 		}
 	}
-	return lost
+	return losses
 }
 
 // reportLag returns the age of the figures in the reports of a service's VMs.
@@ -139,17 +142,17 @@
 	return target
 }
 
-// updateGroup updates the group of a target. alive reports whether requests
-// already at the VM may still succeed, and accepting whether it accepts new ones.
+// updateGroup updates the group of a target. loss is why requests already at the VM
+// may not succeed, or "", and accepting whether it accepts new ones.
 // The target's health and quota are reset when it becomes the head of another
 // group.
-func (t *Table) updateGroup(now time.Time, vm *fleet.VM, target *Target, groups map[fleet.Formation][]*fleet.VM) (alive, accepting bool) {
+func (t *Table) updateGroup(now time.Time, vm *fleet.VM, target *Target, groups map[fleet.Formation][]*fleet.VM) (loss LossReason, accepting bool) {
 	if !vm.Engine {
-		return true, true
+		return "", true
 	}
 	if vm.Rank != 0 || vm.Stage != fleet.Open && vm.Stage != fleet.Closing {
 		target.Group, target.Model = "", ""
-		return false, false
+		return LeftGroup, false
 	}
 	if target.Group != vm.Group || target.Epoch != vm.Epoch {
 		target.Group, target.Epoch = vm.Group, vm.Epoch
@@ -165,11 +168,15 @@
 			t.broken[vm.Formation()] = true
 		}
 	}
-	if t.broken[vm.Formation()] || t.reportedBroken[vm.Formation()] && !target.hasRecentProgress(now) {
-		return false, false
+	switch {
+	case t.broken[vm.Formation()]:
+		return MemberUnanswered, false
+	case t.reportedBroken[vm.Formation()] && !target.hasRecentProgress(now):
+		return ReportedBroken, false
+	case !t.isComplete(vm, len(members)):
+		return Incomplete, false
 	}
-	alive = t.isComplete(vm, len(members))
-	return alive, alive && vm.Stage == fleet.Open
+	return "", vm.Stage == fleet.Open
 }
 
 // Broken returns the groups that this node, or another node that reports to it,
@@ -224,14 +231,6 @@
 	return vm.FailedProbes >= deadProbes && now.Sub(vm.FailedSince) >= deadAfter
 }
 
-// appendTickets appends the target's tickets to lost.
-func (t *Target) appendTickets(lost []*Ticket) []*Ticket {
-	for ticket := range t.tickets {
-		lost = append(lost, ticket)
-	}
-	return lost
-}
-
 // isMember reports whether a VM belongs to a group but is not its head.
 func isMember(vm *fleet.VM) bool { return vm.Engine && vm.Group != "" && vm.Rank != 0 }
 
@@ -298,10 +297,10 @@
 	return false
 }
 
-// Silent returns the tickets at groups that have made no progress for d, or for
+// Silent returns the requests at groups that have made no progress for d, or for
 // first if their answer has not begun.
-func (t *Table) Silent(now time.Time, d, first time.Duration) []*Ticket {
-	var out []*Ticket
+func (t *Table) Silent(now time.Time, d, first time.Duration) []Loss {
+	var out []Loss
 	for _, target := range t.targets {
 		if target.Group == "" {
 			continue
@@ -312,7 +311,7 @@
 				limit = d
 			}
 			if now.Sub(ticket.ProgressAt) >= limit {
-				out = append(out, ticket)
+				out = append(out, Loss{ticket, NoProgress})
 			}
 		}
 	}
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -52,7 +52,7 @@
 	Target *Target
 	// Cancel aborts the request. The embedding program sets it, and calls it
 	// when the target is lost.
-	Cancel func()
+	Cancel func(LossReason)
 	// ProgressAt is when the request was sent or last received bytes.
 	ProgressAt time.Time
 	// Begun is whether any bytes of the answer have arrived, and BegunAt when the
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -42,12 +42,17 @@
 
 // Causes for cancelling an attempt, or for taking its response as broken off.
 var (
-	errDeadline     = errors.New("the request's deadline has passed")
-	errEndpointLost = errors.New("the endpoint was lost")
-	errNoProgress   = errors.New("the endpoint made no progress")
-	errNoEvents     = errors.New("the connection ended before the first event")
+	errDeadline   = errors.New("the request's deadline has passed")
+	errNoProgress = errors.New("the endpoint made no progress")
+	errNoEvents   = errors.New("the connection ended before the first event")
 )
 
+// lostError is the cause for cancelling an attempt whose answer may not go on.
+type lostError struct{ reason dispatch.LossReason }
+
+// Error implements error.
+func (e *lostError) Error() string { return "the endpoint was lost: " + string(e.reason) }
+
 // attempt is one send of a request to an endpoint.
 type attempt struct {
 	ticket *dispatch.Ticket
@@ -120,12 +125,13 @@
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
 		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts}
 	began := s.now()
-	ticket, refusal := s.state.pick(q, func() { a.cancel(errEndpointLost) })
+	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
+	ticket, refusal := s.state.pick(q, cancel)
 	if refusal != nil {
 		until := s.placeDeadline(req)
 		for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
 			time.Sleep(placeRetryInterval)
-			ticket, refusal = s.state.pick(q, func() { a.cancel(errEndpointLost) })
+			ticket, refusal = s.state.pick(q, cancel)
 		}
 	}
 	placed := strconv.FormatBool(refusal == nil)
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -111,15 +111,15 @@
 	reason      string
 }
 
-// Tick starts the probes that are due. It cancels the lost tickets, whose targets
-// are gone, and those of requests that make no progress.
-func (p *Prober) Tick(ctx context.Context, lost []*dispatch.Ticket) {
+// Tick starts the probes that are due. It cancels the requests whose targets are
+// lost, and those that make no progress.
+func (p *Prober) Tick(ctx context.Context, losses []dispatch.Loss) {
 	p.state.Locked(func(st LockedState) {
-		lost = append(lost, st.Targets.Silent(st.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
+		losses = append(losses, st.Targets.Silent(st.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
 		st.Suspects.AddOwn(st.Now, st.Targets.Stalled(st.Now, p.opts.StalledAfter, p.opts.StalledFirst))
 	})
-	for _, t := range lost {
-		t.Cancel()
+	for _, l := range losses {
+		l.Ticket.Cancel(l.Reason)
 	}
 	for _, t := range p.takeDue() {
 		go p.probe(ctx, t)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -116,6 +116,13 @@
 		"elapsed", s.now().Sub(req.started))
 }
 
+// recordCallerGone counts and logs a caller that left before its answer was complete.
+func (s *Server) recordCallerGone(req *request, events int) {
+	s.count("caller gone")
+	s.log.Info("caller left", "request", req.id, "route", req.route.Name, "events", events, "sends", req.sends,
+		"endpoint", req.lastEndpoint, "elapsed", s.now().Sub(req.started))
+}
+
 // recordAnswered counts a delivered response and records its latency.
 func (s *Server) recordAnswered(req *request) {
 	s.count("answered")
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -212,8 +212,8 @@
 }
 
 // Tick updates the targets if anything that they depend on has changed, and
-// returns the tickets whose targets were lost.
-func (s *State) Tick() []*dispatch.Ticket {
+// returns the requests whose answers may not go on.
+func (s *State) Tick() []dispatch.Loss {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -280,7 +280,7 @@
 func (s *State) Traffic() int64 { return s.traffic.Load() }
 
 // pick chooses a target for a request. cancel is called if that target is lost.
-func (s *State) pick(q dispatch.Query, cancel func()) (*dispatch.Ticket, *dispatch.Refusal) {
+func (s *State) pick(q dispatch.Query, cancel func(dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -263,6 +263,7 @@
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.activeRequests.Add(1)
 		defer n.activeRequests.Add(-1)
+		defer n.logPanic(r)
 		handler.ServeHTTP(w, r)
 	})
 	return &http.Server{
@@ -270,3 +271,16 @@
 		ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 }
+
+// logPanic logs a panic of a request's handler, which ends the connection without
+// an answer. http.ErrAbortHandler is logged by the handler itself.
+func (n *Node) logPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		n.log.Error("request's handler failed", "request", r.Header.Get(n.backends.Protocol.RequestID), "cause", cause, "stack", string(debug.Stack()))
+	}
+	panic(cause)
+}
