entry: failing tests of answers at silent and reconfigured endpoints

A stream at the only group, at an endpoint of a route that can't be resumed, or at endpoints that all fall silent for 1 to 2.5 s is broken off (502 before its first event).

--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -57,6 +58,8 @@
 	arrivals map[string][]arrival
 	// rows are what the platform keeps of quarantined parts.
 	rows map[quarantine.Part]quarantine.Row
+	// silentUntil is when endpoints that answer nothing go on, by VM.
+	silentUntil map[string]time.Time
 }
 
 // arrival is a request that reached an endpoint. passed is the entry VM that sent
@@ -97,6 +100,9 @@
 		return fleet.Report{}, &upstream.NotSentError{Address: address, Err: err}
 	}
 	conn.Close()
+	if err := e.site.waitWhileSilent(ctx, id); err != nil {
+		return fleet.Report{}, err
+	}
 	return fleet.Report{State: openGroup(id)}, nil
 }
 
@@ -114,7 +120,7 @@
 
 func newCrashSite(t *testing.T, nodes, endpoints int) *crashSite {
 	s := &crashSite{t: t, network: newPipes(), total: nodes, running: make(map[string]*httptest.Server), rows: make(map[quarantine.Part]quarantine.Row),
-		limits: make(map[string]float64), arrivals: make(map[string][]arrival)}
+		limits: make(map[string]float64), arrivals: make(map[string][]arrival), silentUntil: make(map[string]time.Time)}
 	s.engines = &crashEngines{s}
 	for i := range nodes {
 		s.nodes = append(s.nodes, s.startNode(i))
@@ -216,7 +222,11 @@
 		s.crash(id, true)
 		return
 	}
-	for i := 1; i <= crashEvents; i++ {
+	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is absent
+	for i := from + 1; i <= crashEvents; i++ {
+		if s.waitWhileSilent(r.Context(), id) != nil {
+			return
+		}
 		fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i)
 		if out.Flush() != nil {
 			return
