dispatch: a configuration ends no answer that has begun

What callers saw: beside a change of the configuration, a stream that had begun ended without its rest, and one that waited for its first event got 502.

Cause: whether a group is whole was looked up in the configuration in force at each update, also for the answers that the group had begun under an earlier one. A configuration without the service, its engine or the model, or with another group size, made the group incomplete and cancelled all its answers.

The class: what a request in flight stands on is looked up again. The size that the formation had when it was last whole is now kept with it and decides for what has begun; the configuration in force decides for new requests alone.

--- a/coord/dispatch/loss.go
+++ b/coord/dispatch/loss.go
@@ -14,8 +14,7 @@
 	// LeftGroup means that the VM has restarted or no longer serves as the head
 	// of its group.
 	LeftGroup LossReason = "the VM serves no group any more"
-	// Incomplete means that a VM of the group has left it or restarted, or that the
-	// configuration requires more.
+	// Incomplete means that a VM of the group has left it or restarted.
 	Incomplete LossReason = "the group has fewer VMs than its model needs"
 	// Gone means that the VM was removed from the table.
 	Gone LossReason = "the VM is gone"
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -157,6 +157,7 @@
 	if target.Group != vm.Group || target.Epoch != vm.Epoch {
 		target.Group, target.Epoch = vm.Group, vm.Epoch
 		target.health = health{}
+		target.groupSize = 0
 		target.quota = target.roundRandomly(float64(vm.Slots)/float64(t.nodes), vm.Epoch, t.rank)
 	}
 	target.Model = vm.Model
@@ -168,15 +169,20 @@
 			t.broken[vm.Formation()] = true
 		}
 	}
+	required := t.requiredSize(vm)
+	complete := required > 0 && len(members) >= required
+	if complete {
+		target.groupSize = required
+	}
 	switch {
 	case t.broken[vm.Formation()]:
 		return MemberUnanswered, false
 	case t.reportedBroken[vm.Formation()] && !target.hasRecentProgress(now):
 		return ReportedBroken, false
-	case !t.isComplete(vm, len(members)):
+	case target.groupSize == 0 || len(members) < target.groupSize:
 		return Incomplete, false
 	}
-	return "", vm.Stage == fleet.Open
+	return "", complete && vm.Stage == fleet.Open
 }
 
 // Broken returns the groups that this node, or another node that reports to it,
@@ -210,14 +216,18 @@
 	return nil
 }
 
-// isComplete reports whether a group has as many members as its model requires.
-func (t *Table) isComplete(head *fleet.VM, members int) bool {
+// requiredSize returns the number of VMs that the configuration in force requires
+// of a head's group, or 0 if it doesn't name the group's service or model.
+func (t *Table) requiredSize(head *fleet.VM) int {
 	svc := t.catalog.Service(head.Service)
 	if svc == nil || svc.Engine == nil {
-		return false
+		return 0
 	}
 	model := svc.Engine.Model(head.Model)
-	return model != nil && members >= model.GroupSize
+	if model == nil {
+		return 0
+	}
+	return model.GroupSize
 }
 
 const (
