entry: a silent endpoint's answers end only when another endpoint goes on

What callers saw: streams broke off, or got 502 before their first event, at sound endpoints that were silent for half a second to two seconds and then went on.

Cause: silence was taken for loss. Two missed probes of a VM or of a member of its group (0.5 s), another node's word, or a pause between events (1.2 s, 2.5 s before the first) cancelled the answers at once, whether or not they could go on elsewhere: on routes that can't be resumed, after the last attempt, with the budget of repeats used up or without a free place they ended.

The class: a failure detector's suspicion acted on as a fact without a way back.

A loss now says whether it is certain (the VM restarted, left its group, refuses connections, or is unlisted and silent for 2 s). In doubt, a stream is asked for at another endpoint while its own may still go on; whichever sends the next event first goes on and the other is cancelled. What can't be continued waits.

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -99,6 +99,9 @@
 		target.predictLoss(now, vm, groups[vm.Formation()], releases[vm.Service])
 		if lossReason == "" && isDead(now, vm) {
 			lossReason = Unanswered
+			if hasEnded(now, vm) {
+				lossReason = Ended
+			}
 		}
 		if lossReason != "" {
 			losses = target.appendLosses(losses, lossReason)
@@ -162,27 +165,39 @@
 	}
 	target.Model = vm.Model
 	members := groups[vm.Formation()]
+	required := t.requiredSize(vm)
+	complete := required > 0 && len(members) >= required
+	if complete {
+		target.groupSize = required
+	}
+	loss = t.groupLoss(now, target, members)
+	return loss, loss == "" && complete && vm.Stage == fleet.Open
+}
+
+// groupLoss returns why requests at a group may not succeed, or "". It also updates
+// the target's members.
+func (t *Table) groupLoss(now time.Time, target *Target, members []*fleet.VM) LossReason {
+	formation := fleet.Formation{Group: target.Group, Epoch: target.Epoch}
 	target.Members = target.Members[:0]
+	ended := false
 	for _, m := range members {
 		target.Members = append(target.Members, m.ID)
 		if m.FailedProbes >= deadProbes {
-			t.broken[vm.Formation()] = true
+			t.broken[formation] = true
+			ended = ended || hasEnded(now, m)
 		}
 	}
-	required := t.requiredSize(vm)
-	complete := required > 0 && len(members) >= required
-	if complete {
-		target.groupSize = required
-	}
 	switch {
-	case t.broken[vm.Formation()]:
-		return MemberUnanswered, false
-	case t.reportedBroken[vm.Formation()] && !target.hasRecentProgress(now):
-		return ReportedBroken, false
+	case ended:
+		return Ended
 	case target.groupSize == 0 || len(members) < target.groupSize:
-		return Incomplete, false
+		return Incomplete
+	case t.broken[formation]:
+		return MemberUnanswered
+	case t.reportedBroken[formation] && !target.hasRecentProgress(now):
+		return ReportedBroken
 	}
-	return "", complete && vm.Stage == fleet.Open
+	return ""
 }
 
 // Broken returns the groups that this node, or another node that reports to it,
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -54,9 +54,10 @@
 // Ticket is a request that has been placed at a target.
 type Ticket struct {
 	Target *Target
-	// Cancel aborts the request. The embedding program sets it, and calls it
-	// when the target is lost.
-	Cancel func(LossReason)
+	// Cancel aborts the request, and Doubt tries to continue its answer at another
+	// target. The embedding program sets them, and calls them when the target is
+	// certainly lost and while it may be.
+	Cancel, Doubt func(LossReason)
 	// ProgressAt is when the request was sent or last received bytes.
 	ProgressAt time.Time
 	// Begun is whether any bytes of the answer have arrived, and BegunAt when the
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -126,12 +126,17 @@
 		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
-	ticket, refusal := s.state.pick(q, cancel)
+	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
+		if req.doubted != nil {
+			req.doubted(a, t, reason)
+		}
+	}
+	ticket, refusal := s.state.pick(q, cancel, doubt)
 	if refusal != nil {
 		until := s.placeDeadline(req)
 		for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
 			time.Sleep(placeRetryInterval)
-			ticket, refusal = s.state.pick(q, cancel)
+			ticket, refusal = s.state.pick(q, cancel, doubt)
 		}
 	}
 	placed := strconv.FormatBool(refusal == nil)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -80,7 +80,7 @@
 	i := uint64(0)
 	for b.Loop() {
 		i++
-		ticket, refusal := s.pick(dispatch.Query{Service: "llm", Model: "m", Draw: i * 7919}, func(dispatch.LossReason) {})
+		ticket, refusal := s.pick(dispatch.Query{Service: "llm", Model: "m", Draw: i * 7919}, func(dispatch.LossReason) {}, func(*dispatch.Ticket, dispatch.LossReason) {})
 		if refusal == nil {
 			s.finish(ticket, dispatch.Succeeded)
 		}
--- a/internal/entry/peerupdates_test.go
+++ b/internal/entry/peerupdates_test.go
@@ -74,7 +74,7 @@
 	var stalled *dispatch.Ticket
 	var others []*dispatch.Ticket
 	for stalled == nil {
-		ticket, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m", Draw: uint64(len(others))}, func(dispatch.LossReason) {})
+		ticket, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m", Draw: uint64(len(others))}, func(dispatch.LossReason) {}, func(*dispatch.Ticket, dispatch.LossReason) {})
 		assert.Assert(s.t, refusal == nil)
 		if ticket.Target.Group == group {
 			stalled = ticket
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -112,14 +112,18 @@
 }
 
 // Tick starts the probes that are due. It cancels the requests whose targets are
-// lost, and those that make no progress.
+// certainly lost, and passes on doubts about others.
 func (p *Prober) Tick(ctx context.Context, losses []dispatch.Loss) {
 	p.state.Locked(func(st LockedState) {
 		losses = append(losses, st.Targets.Silent(st.Now, p.opts.SilentAfter, p.opts.FirstAfter)...)
 		st.Suspects.AddOwn(st.Now, st.Targets.Stalled(st.Now, p.opts.StalledAfter, p.opts.StalledFirst))
 	})
 	for _, l := range losses {
-		l.Ticket.Cancel(l.Reason)
+		if l.Reason.IsCertain() {
+			l.Ticket.Cancel(l.Reason)
+			continue
+		}
+		l.Ticket.Doubt(l.Reason)
 	}
 	for _, t := range p.takeDue() {
 		go p.probe(ctx, t)
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -141,7 +141,7 @@
 		return r, nil
 	}
 	s.run(2 * time.Second)
-	_, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m"}, func(dispatch.LossReason) {})
+	_, refusal := s.state.pick(dispatch.Query{Service: "llm", Model: "m"}, func(dispatch.LossReason) {}, func(*dispatch.Ticket, dispatch.LossReason) {})
 	assert.Assert(t, refusal != nil)
 }
 
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
@@ -52,6 +53,9 @@
 	exclude       []string
 	lastEndpoint  string // endpoint of the latest send
 	predictedLoad int    // load predicted for lastEndpoint when it was chosen
+	// doubted is called when the answer of one of its attempts may not go on, or
+	// nil.
+	doubted func(*attempt, *dispatch.Ticket, dispatch.LossReason)
 	// buffered is the memory reserved for buffered responses, in bytes.
 	buffered int64
 }
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,6 +19,19 @@
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
+// silencePause is the least time between two silences of an endpoint.
+const silencePause = 1500 * time.Millisecond
+
+// silenceAgain silences an endpoint unless its last silence ended only just before.
+func (s *crashSite) silenceAgain(id string, d time.Duration) {
+	s.mu.Lock()
+	recent := time.Since(s.silentUntil[id]) < silencePause
+	s.mu.Unlock()
+	if !recent {
+		s.silence(id, d)
+	}
+}
+
 // silence makes an endpoint answer neither requests nor probes for d.
 func (s *crashSite) silence(id string, d time.Duration) {
 	s.mu.Lock()
@@ -177,3 +192,87 @@
 		})
 	}
 }
+
+// Guards against a stream that stays at a silent endpoint although another one
+// could go on, and against events of both reaching the caller.
+func TestStreamLeavesSilentEndpointOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCrashSite(t, 1, 2)
+		ctx, cancel := context.WithCancel(t.Context())
+		var ticks sync.WaitGroup
+		ticks.Go(func() { s.run(ctx) })
+		time.Sleep(time.Second)
+		time.AfterFunc(300*time.Millisecond, func() { s.silence(s.servingEndpoint(), 5*time.Second) })
+		began := time.Now()
+		status, events, err := s.ask(s.node(0), "request-1")
+		took := time.Since(began)
+		cancel()
+		ticks.Wait()
+		assertWhole(t, status, events, err)
+		assert.Assert(t, took < 3*time.Second, "the stream took %s", took)
+	})
+}
+
+// servingEndpoint returns an endpoint that has received a request.
+func (s *crashSite) servingEndpoint() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, arrivals := range s.arrivals {
+		if len(arrivals) > 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+// Silences of sound endpoints, configurations and cuts between entry VMs end no
+// answer.
+func TestSilencesAmongConfigurationsEndNoAnswer(t *testing.T) {
+	for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			inBubble(t, func(t *testing.T) { playSilentDay(t, seed) })
+		})
+	}
+}
+
+func playSilentDay(t *testing.T, seed uint64) {
+	const day = 12 * time.Second
+	rng := rand.New(rand.NewPCG(seed, 36))
+	s := newCrashSite(t, 2+rng.IntN(3), 2+rng.IntN(8))
+	rate := 10 + rng.IntN(20)
+	ctx, cancel := context.WithCancel(t.Context())
+	var ticks sync.WaitGroup
+	ticks.Go(func() { s.run(ctx) })
+	time.Sleep(time.Second)
+	ids := s.endpointIDs()
+	slices.Sort(ids)
+	var trouble sync.WaitGroup
+	trouble.Go(func() {
+		for version := int64(2); ctx.Err() == nil; version++ {
+			time.Sleep(time.Duration(100+rng.IntN(900)) * time.Millisecond)
+			s.makeSilence(rng, ids, version)
+		}
+	})
+	out := s.send(rate, day, soundParts)
+	cancel()
+	ticks.Wait()
+	trouble.Wait()
+	assert.Equal(t, out.by[0]+out.by[http.StatusBadGateway]+out.by[http.StatusGatewayTimeout], 0, "answers: %v", out.by)
+	assert.Assert(t, out.by[http.StatusOK] > 0, "answers: %v", out.by)
+}
+
+// makeSilence silences some endpoints, puts another configuration in force, or cuts
+// an entry VM off from the others.
+func (s *crashSite) makeSilence(rng *rand.Rand, ids []string, version int64) {
+	switch rng.IntN(4) {
+	case 0, 1:
+		for range 1 + rng.IntN(len(ids)) {
+			s.silenceAgain(ids[rng.IntN(len(ids))], time.Duration(300+rng.IntN(1300))*time.Millisecond)
+		}
+	case 2:
+		s.reconfigure(version, []catalog.Route{askRoute(rng.IntN(2) == 0)}, []catalog.Service{llmService(1)})
+	case 3:
+		n := s.node(rng.IntN(s.size()))
+		n.cut.Store(!n.cut.Load())
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -279,8 +279,9 @@
 // Traffic returns the number of requests so far.
 func (s *State) Traffic() int64 { return s.traffic.Load() }
 
-// pick chooses a target for a request. cancel is called if that target is lost.
-func (s *State) pick(q dispatch.Query, cancel func(dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
+// pick chooses a target for a request. cancel is called if that target is lost, and
+// doubt each time that it may be.
+func (s *State) pick(q dispatch.Query, cancel func(dispatch.LossReason), doubt func(*dispatch.Ticket, dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
@@ -290,6 +291,7 @@
 	ticket, refusal := s.targets.Pick(now, q)
 	if ticket != nil {
 		ticket.Cancel = cancel
+		ticket.Doubt = func(reason dispatch.LossReason) { doubt(ticket, reason) }
 	}
 	return ticket, refusal
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -26,6 +26,7 @@
 	w          http.ResponseWriter
 	req        *request
 	controller *http.ResponseController
+	standbys   standbys
 	// lastID is the ID of the last event sent to the caller, initially the ID
 	// after which the caller resumes.
 	lastID string
@@ -44,7 +45,9 @@
 		Server: s, ctx: ctx, w: w, req: req, controller: http.NewResponseController(w),
 		lastID: r.Header.Get(s.proto.LastEventID),
 	}
+	req.doubted = rl.doubt
 	fault := rl.run()
+	rl.closeStandby()
 	switch {
 	case fault == nil:
 		return
@@ -65,19 +68,33 @@
 func (rl *relay) run() *problem.Error {
 	for {
 		done, fault := rl.relayAttempt()
+		for !done {
+			sb := rl.takeStandby()
+			if sb == nil {
+				break
+			}
+			rl.logMoved(fault)
+			done, fault = rl.relayStandby(sb)
+		}
 		if done {
 			return nil
 		}
 		if !rl.canRetry(rl.ctx, rl.req) {
 			return fault
 		}
-		rl.log.Info("stream goes on elsewhere", "request", rl.req.id, "after_event", rl.lastID, "sends", rl.req.sends, "cause", fault.Message)
+		rl.logMoved(fault)
 	}
 }
 
+// logMoved logs that a stream goes on at another endpoint.
+func (rl *relay) logMoved(cause *problem.Error) {
+	rl.log.Info("stream goes on elsewhere", "request", rl.req.id, "after_event", rl.lastID, "sends", rl.req.sends, "cause", cause.Message)
+}
+
 // relayAttempt makes one attempt and relays its events. done reports whether the
 // caller has received a complete response.
 func (rl *relay) relayAttempt() (done bool, fault *problem.Error) {
+	rl.standbys.begin(rl.req, rl.lastID)
 	a, fault := rl.startAttempt(rl.ctx, rl.req, rl.lastID)
 	if fault != nil {
 		return false, fault
@@ -85,13 +102,31 @@
 	if rl.isNotRun(a.resp) {
 		return false, rl.endRejected(a, rl.req)
 	}
-	err := rl.checkResponse(a)
-	if err == nil && a.resp.Status/100 != 2 {
+	if a.resp.Status/100 != 2 {
 		return rl.handleFailure(a)
 	}
+	events, err := rl.openEvents(a)
 	if err == nil {
-		err = rl.copyEvents(a)
+		err = rl.copyEvents(a, events)
+	}
+	return rl.endRelayed(a, err)
+}
+
+// openEvents returns a reader of the events of an endpoint's answer. The error says
+// why the answer isn't a stream of events.
+func (rl *relay) openEvents(a *attempt) (*eventReader, error) {
+	if a.resp.Status/100 != 2 {
+		return nil, errors.Errorf("the endpoint responded with status %d", a.resp.Status)
+	}
+	if err := rl.checkResponse(a); err != nil {
+		return nil, err
 	}
+	return &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}, nil
+}
+
+// endRelayed ends an attempt whose events were relayed until err, or to their end
+// if it is nil.
+func (rl *relay) endRelayed(a *attempt, err error) (done bool, fault *problem.Error) {
 	if err != nil {
 		rl.req.exclude = append(rl.req.exclude, a.ticket.Target.ID)
 		return false, rl.endBroken(rl.ctx, a, rl.req, err)
@@ -122,8 +157,7 @@
 }
 
 // copyEvents relays complete events until the stream ends.
-func (rl *relay) copyEvents(a *attempt) error {
-	events := &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}
+func (rl *relay) copyEvents(a *attempt, events *eventReader) error {
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
@@ -133,15 +167,12 @@
 			return rl.finish(a)
 		}
 		if err != nil {
-			if cause := context.Cause(a.ctx); cause != nil {
-				return cause
-			}
-			return err
+			return causeOf(a.ctx, err)
 		}
 		if !ev.empty {
 			rl.state.recordProgress(a.ticket)
 		}
-		if !rl.isNew(ev.id) {
+		if !isAfter(ev.id, rl.lastID) {
 			continue
 		}
 		if err := rl.writeEvent(a, ev, !events.hasNext()); err != nil {
@@ -150,14 +181,14 @@
 	}
 }
 
-// isNew reports whether the event with the given ID comes after lastID. Events
-// are new if either ID is not numeric.
-func (rl *relay) isNew(id string) bool {
+// isAfter reports whether the event with the given ID comes after that with lastID.
+// It does if either ID is not numeric.
+func isAfter(id, lastID string) bool {
 	n, err := strconv.ParseUint(id, 10, 64)
 	if err != nil {
 		return true
 	}
-	last, err := strconv.ParseUint(rl.lastID, 10, 64)
+	last, err := strconv.ParseUint(lastID, 10, 64)
 	return err != nil || n > last
 }
 
@@ -169,6 +200,7 @@
 	if ev.id != "" {
 		rl.lastID = ev.id
 	}
+	rl.standbys.recordEvent(rl.lastID)
 	rl.recordEventTime()
 	rl.events++
 	if flush {
--- a/internal/entry/wait_test.go
+++ b/internal/entry/wait_test.go
@@ -23,7 +23,7 @@
 	}
 	assert.Equal(t, s.server.placeDeadline(req).Sub(began), 150*time.Millisecond)
 
-	ticket, refusal := s.state.pick(dispatch.Query{Service: "shop"}, func(dispatch.LossReason) {})
+	ticket, refusal := s.state.pick(dispatch.Query{Service: "shop"}, func(dispatch.LossReason) {}, func(*dispatch.Ticket, dispatch.LossReason) {})
 	assert.Assert(t, refusal == nil)
 	s.clockOffset.Add(int64(200 * time.Millisecond))
 	s.state.recordProgress(ticket)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,7 +279,7 @@
 	if cause == nil {
 		return
 	}
-	if cause != http.ErrAbortHandler {
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 		n.log.Error("request's handler failed", "request", r.Header.Get(n.backends.Protocol.RequestID), "cause", cause, "stack", string(debug.Stack()))
 	}
 	panic(cause)
