--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -25,6 +25,9 @@
 	Deleted bool   `json:"tombstone,omitempty"`
 }
 
+// name identifies the row in the store.
+func (r Row) name() string { return r.Table + "/" + r.Key }
+
 // Fault is a failure mode of the store.
 type Fault string
 
@@ -48,19 +51,40 @@
 	fault   Fault
 	// oldest is the version up to which the history has been dropped.
 	oldest uint64
+
+	// era counts the restores, from 1, and restoredTo is the version of the last one.
+	era, restoredTo uint64
+	// written lists all rows written by Put and Delete, in order.
+	written []Row
+	// lost is the range of written that restores have undone and that Rewrite has
+	// not written again.
+	lost struct{ from, to int }
 }
 
+// eraHeader is the header, in all answers, that holds the store's era.
+const eraHeader = "Store-Era"
+
 // NewStore starts an empty store.
 func NewStore() *Store {
-	s := &Store{rows: make(map[string]Row), changed: make(chan struct{})}
+	s := &Store{rows: make(map[string]Row), changed: make(chan struct{}), era: 1}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /rows-get", s.get)
 	mux.HandleFunc("GET /rows-feed", s.feed)
 	mux.HandleFunc("POST /rows-tx", s.transact)
-	s.Server = httptest.NewServer(mux)
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.setEra(w)
+		s.mu.Unlock()
+		mux.ServeHTTP(w, r)
+	}))
 	return s
 }
 
+// setEra sets the header that holds the era. The caller must hold mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set(eraHeader, strconv.FormatUint(s.era, 10))
+}
+
 // Address returns the store's IP address and port.
 func (s *Store) Address() string { return strings.TrimPrefix(s.Server.URL, "http://") }
 
@@ -87,11 +111,17 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	s.set(Row{Table: table, Key: key, Value: raw})
+	s.write(Row{Table: table, Key: key, Value: raw})
 	return nil
 }
 
+// write writes a row on behalf of the operator or a VM. The caller must hold mu.
+func (s *Store) write(r Row) {
+	s.written = append(s.written, r)
+	s.version++
+	s.set(r)
+}
+
 // Rows returns the rows of a table.
 func (s *Store) Rows(table string) []Row {
 	s.mu.Lock()
@@ -109,21 +139,25 @@
 func (s *Store) Delete(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version++
-	s.set(Row{Table: table, Key: key, Deleted: true})
+	s.write(Row{Table: table, Key: key, Deleted: true})
 }
 
 // set applies a row at the current version and wakes the feeds. The caller must
 // hold mu.
 func (s *Store) set(r Row) {
 	r.Version = s.version
-	name := r.Table + "/" + r.Key
+	name := r.name()
 	if r.Deleted {
 		delete(s.rows, name)
 	} else {
 		s.rows[name] = r
 	}
 	s.history = append(s.history, r)
+	s.wake()
+}
+
+// wake wakes the feeds. The caller must hold mu.
+func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -167,6 +201,7 @@
 	q := r.URL.Query()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	a := answer{Version: s.version}
 	for _, row := range s.rows {
 		if row.Table == q.Get("table") && row.Key >= q.Get("from") && (q.Get("to") == "" || row.Key < q.Get("to")) {
@@ -186,9 +221,13 @@
 	wait, _ := strconv.Atoi(q.Get("wait-ms"))             // likewise
 	timeout := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timeout.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		a, gone, changed := s.changesSince(q.Get("table"), after), after < s.oldest, s.changed
+		s.setEra(w)
+		a, gone, changed := s.changesSince(q.Get("table"), after), !s.hasHistory(era, after), s.changed
 		s.mu.Unlock()
 		if gone {
 			w.WriteHeader(http.StatusGone)
@@ -209,6 +248,13 @@
 	}
 }
 
+// hasHistory reports whether a feed that began in an era can resume from a
+// version. The caller must hold mu.
+func (s *Store) hasHistory(era, after uint64) bool {
+	undone := era != s.era && after > s.restoredTo
+	return after >= s.oldest && after <= s.version && !undone
+}
+
 // changesSince returns the changes of a table after a version. The caller must
 // hold mu.
 func (s *Store) changesSince(table string, after uint64) answer {
@@ -236,8 +282,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	for _, c := range tx.Conditions {
-		if s.rows[c.Table+"/"+c.Key].Version != c.Version {
+		if s.rows[c.name()].Version != c.Version {
 			writeJSON(w, http.StatusPreconditionFailed, answer{Version: s.version})
 			return
 		}
