Stand-ins for silence and restores: held links, counted calls, groups of runs

A proxy can hold data and ends of streams back and pass them on later, which is how a sound endpoint that falls silent looks. The store counts its calls, so that a check can bound them, and the ledger tells the members of the group that ran a request, so that a check knows which faults concern it.

--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -263,7 +263,8 @@
 		e.runs++
 	}
 	events := e.events
-	stalled := e.Ledger.stalled(e.currentGroup())
+	group := e.currentGroup()
+	stalled := e.Ledger.stalled(group)
 	e.mu.Unlock()
 	w.Header().Set("Pimentoshore-Attempt-Id", r.Header.Get("Pimentoshore-Attempt-Id"))
 	if !open {
@@ -271,7 +272,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	e.Ledger.recordRun(r.Header.Get("Pimentoshore-Attempt-Id"), e.ID, r.Header.Get("Pimentoshore-Tenant"))
+	e.Ledger.recordRun(r.Header.Get("Pimentoshore-Attempt-Id"), e.ID, r.Header.Get("Pimentoshore-Tenant"), group)
 	w.Header().Set("Pimentoshore-Response-Seal", "seal-of-"+e.ID)
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // 0 if the header is absent
@@ -347,7 +348,7 @@
 	s.runs++
 	s.mu.Unlock()
 	id, account := r.Header.Get("Pimentoshore-Attempt-Id"), r.Header.Get("Pimentoshore-Tenant")
-	s.Ledger.recordRun(id, s.id, account)
+	s.Ledger.recordRun(id, s.id, account, groupName{})
 	time.Sleep(s.RequestTime)
 	w.Header().Set("Pimentoshore-Attempt-Id", id)
 	w.Header().Set("Pimentoshore-Response-Seal", "seal-of-"+s.id)
--- a/internal/standin/cloud/ledger.go
+++ b/internal/standin/cloud/ledger.go
@@ -15,6 +15,8 @@
 	Endpoint string
 	Account  string
 	At       time.Time
+	// Group lists the members of the endpoint's group, if it has one.
+	Group []string
 }
 
 // Ledger records which requests the endpoints run and which group rules are
@@ -76,13 +78,17 @@
 	return l.violations
 }
 
-func (l *Ledger) recordRun(id, endpoint, account string) {
+func (l *Ledger) recordRun(id, endpoint, account string, group groupName) {
 	if l == nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[id] = append(l.runs[id], Run{endpoint, account, time.Now()})
+	var members []string
+	if g := l.groups[group]; g != nil {
+		members = g.members
+	}
+	l.runs[id] = append(l.runs[id], Run{endpoint, account, time.Now(), members})
 }
 
 func (l *Ledger) group(name groupName) *groupRecord {
--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -52,6 +52,9 @@
 	// oldest is the version up to which the history has been dropped.
 	oldest uint64
 
+	// calls lists when each call arrived, refused ones included.
+	calls []time.Time
+
 	// era counts the restores, from 1, and restoredTo is the version of the last one.
 	era, restoredTo uint64
 	// written lists all rows written by Put and Delete, in order.
@@ -74,6 +77,7 @@
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.setEra(w)
+		s.calls = append(s.calls, time.Now())
 		s.mu.Unlock()
 		mux.ServeHTTP(w, r)
 	}))
@@ -88,6 +92,13 @@
 // Address returns the store's IP address and port.
 func (s *Store) Address() string { return strings.TrimPrefix(s.Server.URL, "http://") }
 
+// Calls returns when each call arrived, in order. It includes refused calls.
+func (s *Store) Calls() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.calls)
+}
+
 // Fail sets the store's failure mode.
 func (s *Store) Fail(f Fault) {
 	s.mu.Lock()
--- a/internal/standin/wire/proxy.go
+++ b/internal/standin/wire/proxy.go
@@ -22,6 +22,7 @@
 	Reset        Fault = "reset"  // open connections are reset, new ones as soon as they are accepted
 	DropToServer Fault = "no way" // data to the server is dropped
 	Silent       Fault = "silent" // data is dropped in both directions
+	Held         Fault = "held"   // data and ends of streams are held back until the fault is replaced, then passed on
 )
 
 // addedDelay is by how much Delay holds back the data of each read.
@@ -36,6 +37,8 @@
 	fault  Fault
 	closed bool
 	open   map[net.Conn]struct{}
+	// changed is closed and replaced when the fault changes or the proxy is closed.
+	changed chan struct{}
 }
 
 // New starts a proxy on a free port of an IP address.
@@ -44,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, target: target, open: make(map[net.Conn]struct{})}
+	p := &Proxy{listener: l, target: target, open: make(map[net.Conn]struct{}), changed: make(chan struct{})}
 	go p.accept()
 	return p, nil
 }
@@ -57,6 +60,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.fault = f
+	p.wake()
 	if f == Reset {
 		p.resetAll()
 	}
@@ -68,9 +72,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.wake()
 	p.resetAll()
 }
 
+// wake wakes what waits for a change of the fault. The caller must hold mu.
+func (p *Proxy) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// waitWhileHeld waits until data may be passed on.
+func (p *Proxy) waitWhileHeld() {
+	for {
+		p.mu.Lock()
+		held, changed := p.fault == Held && !p.closed, p.changed
+		p.mu.Unlock()
+		if !held {
+			return
+		}
+		<-changed
+	}
+}
+
 // resetAll resets all open connections. The caller must hold mu.
 func (p *Proxy) resetAll() {
 	for c := range p.open {
@@ -148,6 +172,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		p.waitWhileHeld()
 		if n > 0 && !p.write(to, buf[:n], toServer) {
 			return
 		}
--- a/internal/standin/wire/proxy_test.go
+++ b/internal/standin/wire/proxy_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -62,6 +64,29 @@
 	assert.ErrorContains(t, err, "reset")
 }
 
+// Guards against a held link that loses, reorders or ends what it holds back.
+func TestHeldLinkLosesNothing(t *testing.T) {
+	p, err := New("127.0.0.1", echo(t))
+	assert.NilError(t, err)
+	t.Cleanup(p.Close)
+	c, err := net.Dial("tcp", p.Address())
+	assert.NilError(t, err)
+	defer c.Close()
+	p.Set(Held)
+	sent := []byte(strings.Repeat("0123456789", 5000))
+	_, err = c.Write(sent)
+	assert.NilError(t, err)
+	assert.NilError(t, c.(*net.TCPConn).CloseWrite())
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	p.Set(Clear)
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	got, err := io.ReadAll(c)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), string(sent))
+}
+
 // Connections that are accepted at the moment at which the fault is set are reset,
 // too.
 func TestResetMissesNoConnection(t *testing.T) {
