--- a/cmd/pimentoshored/entry.go
+++ b/cmd/pimentoshored/entry.go
@@ -65,6 +65,7 @@
 	store := platform.NewStore(set.Store, registry, func(table, key string, err error) {
 		log.Warn("row skipped", "table", table, "key", key, "error", err)
 	})
+	store.OnRestored(func(from, to uint64) { log.Warn("store came back older", "era", to, "before", from) })
 	engines := platform.NewEngines(client)
 	n, err := node.New(set, log, registry, client, node.Backends{
 		Table: store, Source: store.Published(), Quarantine: store, Engines: engines, Orders: engines,
