--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -132,6 +132,13 @@
 	return e.deadlyPart != "" && strings.Contains(r.Header.Get("Pimentoshore-Prefix-Hash"), e.deadlyPart)
 }
 
+// Epoch returns the epoch of the engine's group, or 0 if it has none.
+func (e *Engine) Epoch() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.currentGroup().epoch
+}
+
 // Runs returns the number of requests the engine has run.
 func (e *Engine) Runs() int {
 	e.mu.Lock()
