watch: a platform without history is not read without a pause

Cause: "no history" was followed by a read of all rows at once, and that by a read of changes, without a pause if that had no history again, for whatever reason: an immediate retry without a limit. The first read of all rows still follows at once; from the second one on in a row, the usual pause after a failed read does too. TestPlatformWithoutHistoryIsReadWithPauses read hundreds of times before.

--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -76,16 +76,27 @@
 }
 
 // readRepeatedly repeats a read, except while a peer sends updates. read returns
-// the pause until the next read; if full is set, it requests all rows.
+// the pause until the next read; if full is set, it requests all rows. All rows are
+// requested at once when there is no history, but not again and again.
 func (w *watcher) readRepeatedly(ctx context.Context, read func(ctx context.Context, full bool) (time.Duration, error)) {
 	full := false
+	gone := 0 // reads without history since the last one of changes
 	for ctx.Err() == nil {
 		if w.obs.HasPeerUpdates() {
 			sleep(ctx, peerCheckInterval)
 			continue
 		}
 		pause, err := read(ctx, full)
+		switch {
+		case errors.Is(err, ErrHistoryGone):
+			gone++
+		case !full:
+			gone = 0
+		}
 		full = errors.Is(err, ErrHistoryGone)
+		if gone > 1 {
+			pause = max(pause, w.opts.RetryPause)
+		}
 		sleep(ctx, pause)
 	}
 }
--- a/internal/watch/loop_test.go
+++ b/internal/watch/loop_test.go
@@ -160,3 +160,19 @@
 	defer src.mu.Unlock()
 	assert.Equal(t, src.operatorReads, 1)
 }
+
+// Guards against reads without a pause of a platform that has no history, whatever
+// the reason.
+func TestPlatformWithoutHistoryIsReadWithPauses(t *testing.T) {
+	src := &fakeSource{}
+	for range 50 {
+		src.errs = append(src.errs, ErrHistoryGone, nil)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	opts := Options{RetryPause: time.Hour, IsReader: func() bool { return true }}
+	go Run(ctx, src, &fakeObserver{version: 3}, opts) //nolint:errcheck // it ends with the test
+	eventually(t, "three reads of VMs", func() bool { return src.reads() >= 3 })
+	time.Sleep(20 * time.Millisecond)
+	assert.Equal(t, src.reads(), 3, "changes, all rows at once, changes, then a pause")
+}
