--- a/coord/lease/candidates.go
+++ b/coord/lease/candidates.go
@@ -15,9 +15,9 @@
 	m.registered = own.Candidate == m.self()
 	switch {
 	case m.stopping && m.registered:
-		m.emit(RemoveCandidate{Key: key, Revision: own.Revision})
+		m.emit(RemoveCandidate{Era: m.era, Key: key, Revision: own.Revision})
 	case !m.stopping && !m.registered:
-		m.emit(RegisterCandidate{Key: key, Revision: own.Revision, Candidate: m.self()})
+		m.emit(RegisterCandidate{Era: m.era, Key: key, Revision: own.Revision, Candidate: m.self()})
 	}
 }
 
@@ -28,7 +28,7 @@
 	var list []Candidate
 	for _, r := range regs {
 		if r.VM != m.opts.VM && m.presence.isGone(now, r.VM, m.opts.VMListLag) {
-			m.emit(RemoveCandidate{Key: CandidateKey(m.opts.DataCentre, r.VM), Revision: r.Revision})
+			m.emit(RemoveCandidate{Era: m.era, Key: CandidateKey(m.opts.DataCentre, r.VM), Revision: r.Revision})
 			continue
 		}
 		list = append(list, r.Candidate)
--- a/coord/lease/events.go
+++ b/coord/lease/events.go
@@ -12,6 +12,9 @@
 type RowsRead struct {
 	// Read is the ID of the ReadRows that this answers.
 	Read uint64
+	// Era is the era of the store that has answered. A store that came back from an
+	// older copy begins another era, without the rows of this lease.
+	Era uint64
 	// Row is nil, and Revision 0, if the lease row does not exist.
 	Row      *Row
 	Revision uint64
@@ -29,6 +32,7 @@
 // is ignored unless it is newer than the row known here. The row may have
 // changed since; the condition of each write guards against that.
 type RowRelayed struct {
+	Era      uint64
 	Row      Row
 	Revision uint64
 }
@@ -100,25 +104,28 @@
 	VMs bool
 }
 
-// WriteRow writes the lease row if it is at Revision. It must not be
+// WriteRow writes the lease row of an era if it is at Revision. It must not be
 // repeated by the embedding program, whatever its outcome.
 type WriteRow struct {
+	Era      uint64
 	Key      string
 	Revision uint64
 	Row      Row
 }
 
-// RegisterCandidate writes this VM's registration if that row is at
+// RegisterCandidate writes this VM's registration of an era if that row is at
 // Revision. The outcome need not be reported; the next read shows it.
 type RegisterCandidate struct {
+	Era       uint64
 	Key       string
 	Revision  uint64
 	Candidate Candidate
 }
 
-// RemoveCandidate deletes a registration if it is at Revision. Its
+// RemoveCandidate deletes a registration of an era if it is at Revision. Its
 // outcome need not be reported.
 type RemoveCandidate struct {
+	Era      uint64
 	Key      string
 	Revision uint64
 }
--- a/coord/lease/hold.go
+++ b/coord/lease/hold.go
@@ -45,7 +45,7 @@
 	if !now.Before(until) {
 		return
 	}
-	m.startTerm(a)
+	m.startTerm(now, a)
 	m.held.rowUntil = until
 	if until.After(m.held.until) || !m.held.active {
 		m.held.until = until
@@ -57,18 +57,25 @@
 }
 
 // startTerm restarts the numbering of orders for a new term and computes how
-// long orders of earlier holders may still take effect. Their leases had ended
-// when a was sent.
-func (m *Machine) startTerm(a attempt) {
+// long orders of earlier terms may still take effect. The leases of other holders
+// had ended when a was sent; one of this node's own may have lasted longer.
+func (m *Machine) startTerm(now time.Time, a attempt) {
 	if m.held.term == a.row.Term {
 		return
 	}
+	from := a.sentAt
+	if own := m.held.until; own.After(from) {
+		from = own
+		if now.Before(own) {
+			from = now
+		}
+	}
 	m.held.term = a.row.Term
 	m.held.sequence = 0
-	m.held.unfencedFrom = a.sentAt
-	if a.revision > 0 {
+	m.held.unfencedFrom = from
+	if a.revision > 0 || m.era > firstEra {
 		wait := m.opts.compensateDrift(a.row.OrderTimeout + m.opts.PauseBound)
-		m.held.unfencedFrom = a.sentAt.Add(wait)
+		m.held.unfencedFrom = from.Add(wait)
 	}
 }
 
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -17,6 +17,11 @@
 	// startedAt is the time of the first step.
 	startedAt time.Time
 
+	// era is the newest era of the store that was seen, and previous what is carried
+	// over from the one before it.
+	era      uint64
+	previous previousEra
+
 	observedRow rowState
 	read        readState
 	attempts    attempts
@@ -127,6 +132,9 @@
 // is 0 if no row is known.
 func (m *Machine) Row() (Row, uint64) { return m.observedRow.row, m.observedRow.revision }
 
+// Era returns the era of the store to which the latest lease row belongs.
+func (m *Machine) Era() uint64 { return m.era }
+
 // Held returns the grant under which this node coordinates its data centre.
 func (m *Machine) Held(now time.Time) (Grant, bool) {
 	if !m.held.active || !now.Before(m.held.until) {
--- a/coord/lease/random_test.go
+++ b/coord/lease/random_test.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// drawRestores adds restores of the table to faults.
+func drawRestores(t *rapid.T, f faults) faults {
+	f.restore = rapid.IntRange(1, 20).Draw(t, "restore")
+	return f
+}
+
 func testNodes(count int, edit func(*Options)) []Options {
 	var list []Options
 	for i := range count {
@@ -64,3 +70,22 @@
 	t.Logf("terms held: %d", held)
 	assert.Assert(t, held > 100, "the runs must take over the lease often: %d terms", held)
 }
+
+// Guards against two holders, and against terms that are given out again, after the
+// table came back from an older copy.
+func TestAtMostOneHolderWithRestores(t *testing.T) {
+	held := 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawRestores(t, drawFaults(t))
+		count := rapid.IntRange(1, 4).Draw(t, "nodes")
+		nodes := testNodes(count, func(o *Options) { o.WithoutPromises = true })
+		sim := newSimulation(rapid.Uint64().Draw(t, "seed"), f, nodes...)
+		sim.run(randomRunTime)
+		if sim.violation != "" {
+			t.Fatal(sim.violation)
+		}
+		held += len(sim.termHolder)
+	})
+	t.Logf("terms held: %d", held)
+	assert.Assert(t, held > 100, "the runs must take over the lease often: %d terms", held)
+}
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -63,7 +63,8 @@
 	}
 	m.read.inFlight = false
 	m.read.answeredAt = now
-	if ev.Revision < m.observedRow.revision {
+	m.enterEra(now, ev.Era)
+	if ev.Era < m.era || ev.Revision < m.observedRow.revision {
 		m.read.next = now.Add(m.opts.RetryEvery)
 		return
 	}
@@ -83,7 +84,11 @@
 // handleRowRelayed applies a row that another node has read. While relayed rows
 // arrive, this node reads rarely, only to check its registration.
 func (m *Machine) handleRowRelayed(now time.Time, ev RowRelayed) {
-	if !m.observedRow.hasRead || ev.Revision <= m.observedRow.revision {
+	if !m.observedRow.hasRead {
+		return
+	}
+	m.enterEra(now, ev.Era)
+	if ev.Era < m.era || ev.Revision <= m.observedRow.revision {
 		return
 	}
 	m.read.relayedAt = now
--- a/coord/lease/takeover.go
+++ b/coord/lease/takeover.go
@@ -42,10 +42,11 @@
 }
 
 // canTakeOver reports whether the latest known row may be taken over. A row
-// that does not exist may be, since there is no earlier holder.
+// that does not exist may be once no lease of an earlier era lasts, or by the holder
+// of that lease.
 func (m *Machine) canTakeOver(now time.Time) bool {
 	if m.observedRow.revision == 0 {
-		return m.observedRow.hasRead
+		return m.observedRow.hasRead && (m.held.active || !now.Before(m.observedRow.takeoverAt))
 	}
 	if now.Before(m.observedRow.takeoverAt) {
 		return false
@@ -75,7 +76,10 @@
 // takeOver begins a new term. It keeps the list of candidates and adds this VM;
 // the first renewal updates the list.
 func (m *Machine) takeOver(now time.Time) {
-	row := m.newRow(now, m.observedRow.row.Term+1)
+	row := m.newRow(now, max(m.observedRow.row.Term+1, firstTerm(m.era)))
 	row.Candidates = withCandidate(m.observedRow.row.Candidates, m.self())
+	if m.observedRow.revision == 0 {
+		row.Candidates = withCandidate(m.previous.candidates, m.self())
+	}
 	m.sendWrite(now, row)
 }
--- a/coord/lease/world_test.go
+++ b/coord/lease/world_test.go
@@ -22,6 +22,7 @@
 	queue            []scheduledCall
 	nodes            []*node
 	table            table
+	era              uint64 // of the table; each has rows of its own
 	outage           bool
 	violation        string // first violated invariant
 	termHolder       map[uint64]string
@@ -34,8 +35,8 @@
 
 // faults are probabilities per opportunity, in per mille.
 type faults struct {
-	late, lost, duplicated, pause, restart, kill, outage, partition, stop, relay int
-	drift                                                                        int64 // deviation of each clock from true time, ahead or behind, in ppm
+	late, lost, duplicated, pause, restart, kill, outage, partition, stop, relay, restore int
+	drift                                                                                 int64 // deviation of each clock from true time, ahead or behind, in ppm
 }
 
 type node struct {
@@ -76,7 +77,7 @@
 }
 
 func newSimulation(seed uint64, f faults, opts ...Options) *simulation {
-	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), faults: f, termHolder: map[uint64]string{}}
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), faults: f, termHolder: map[uint64]string{}, era: firstEra}
 	sim.table.regs = map[string]Registration{}
 	for _, o := range opts {
 		n := &node{m: New(o), opts: o}
@@ -165,9 +166,9 @@
 	case WriteRow:
 		sim.schedule(sim.delay(), func() { sim.write(n, m, e) })
 	case RegisterCandidate:
-		sim.schedule(sim.delay(), func() { sim.register(n, e.Key, e.Revision, &e.Candidate) })
+		sim.schedule(sim.delay(), func() { sim.register(n, e.Era, e.Key, e.Revision, &e.Candidate) })
 	case RemoveCandidate:
-		sim.schedule(sim.delay(), func() { sim.register(n, e.Key, e.Revision, nil) })
+		sim.schedule(sim.delay(), func() { sim.register(n, e.Era, e.Key, e.Revision, nil) })
 	case AskPromise:
 		sim.sendPromiseRequest(n, m, e)
 	case Released:
@@ -188,7 +189,7 @@
 		sim.schedule(sim.delay(), func() { sim.step(n, m, ReadFailed{Read: e.ID}) })
 		return
 	}
-	ev := RowsRead{Read: e.ID, Revision: sim.table.revision}
+	ev := RowsRead{Read: e.ID, Era: sim.era, Revision: sim.table.revision}
 	if sim.table.row != nil {
 		row := *sim.table.row
 		ev.Row = &row
@@ -218,6 +219,9 @@
 	default:
 		answer.Outcome, answer.Revision = sim.commit(e)
 	}
+	if e.Era != sim.era {
+		answer.Outcome = Unknown
+	}
 	if sim.chance(sim.faults.lost) {
 		answer.Outcome = Unknown
 	}
@@ -225,7 +229,7 @@
 }
 
 func (sim *simulation) commit(e WriteRow) (Outcome, uint64) {
-	if sim.table.revision != e.Revision {
+	if sim.table.revision != e.Revision || e.Era != sim.era {
 		return Conflict, 0
 	}
 	if sim.table.row != nil && e.Row.Term < sim.table.row.Term {
@@ -237,8 +241,8 @@
 	return Applied, sim.table.revision
 }
 
-func (sim *simulation) register(n *node, key string, revision uint64, c *Candidate) {
-	if sim.isTableUnreachable(n) || sim.table.regs[key].Revision != revision {
+func (sim *simulation) register(n *node, era uint64, key string, revision uint64, c *Candidate) {
+	if sim.isTableUnreachable(n) || era != sim.era || sim.table.regs[key].Revision != revision {
 		return
 	}
 	if c == nil {
@@ -318,6 +322,9 @@
 	if sim.chance(sim.faults.outage) {
 		sim.outage = !sim.outage
 	}
+	if sim.chance(sim.faults.restore) {
+		sim.restoreTable()
+	}
 	for _, n := range sim.nodes {
 		if sim.chance(sim.faults.partition) {
 			n.partitioned = !n.partitioned
@@ -340,14 +347,22 @@
 	}
 }
 
+// restoreTable makes the table come back from an older copy. It gives out revisions
+// again.
+func (sim *simulation) restoreTable() {
+	sim.era++
+	sim.table.row, sim.table.revision, sim.table.regs = nil, 0, map[string]Registration{}
+}
+
 // relayRow sends the row known to a node to another, random node.
 func (sim *simulation) relayRow(from *node) {
 	row, revision := from.m.Row()
+	era := from.m.Era()
 	to := sim.nodes[sim.rng.IntN(len(sim.nodes))]
 	if revision == 0 || to == from || from.dead {
 		return
 	}
-	sim.schedule(sim.delay(), func() { sim.step(to, to.m, RowRelayed{Row: row, Revision: revision}) })
+	sim.schedule(sim.delay(), func() { sim.step(to, to.m, RowRelayed{Era: era, Row: row, Revision: revision}) })
 }
 
 // sendOrder sends a holder's order to an endpoint that does not check fencing. It
--- a/coord/lease/write.go
+++ b/coord/lease/write.go
@@ -26,7 +26,7 @@
 	m.sentAt = now
 	row.Token = m.opts.Incarnation + "-" + strconv.FormatUint(m.writes, 10)
 	m.attempts.list = append(m.attempts.list, attempt{row: row, revision: m.observedRow.revision, sentAt: now})
-	m.emit(WriteRow{Key: Key(m.opts.DataCentre), Revision: m.observedRow.revision, Row: row})
+	m.emit(WriteRow{Era: m.era, Key: Key(m.opts.DataCentre), Revision: m.observedRow.revision, Row: row})
 }
 
 // newRow returns the row to write in a term, without its candidates. It keeps an
@@ -48,7 +48,7 @@
 	row.Renewal = m.observedRow.row.Renewal + 1
 	row.Candidates = m.observedRow.row.Candidates
 	if m.read.allRegistrations {
-		row.Candidates = m.pruneCandidates(now, ev.Registrations)
+		row.Candidates = m.pruneCandidates(now, m.withPreviousEra(now, ev.Registrations))
 	}
 	m.sendWrite(now, row)
 }
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -11,7 +11,8 @@
 
 // Operators is an update of the settings that operators have put in force.
 type Operators struct {
-	// Version is the version from which the next read continues.
+	// Era and Version are the revision from which the next read continues.
+	Era     uint64 `json:",omitempty"`
 	Version uint64
 	// Catalog is nil if it has not changed.
 	Catalog *catalog.Catalog `json:",omitempty"`
@@ -21,9 +22,13 @@
 	Evacuated map[string]bool `json:",omitempty"`
 }
 
+// Revision returns the revision from which the next read continues.
+func (u *Operators) Revision() Revision { return Revision{u.Era, u.Version} }
+
 // VMs is an update of the platform's list of endpoint VMs.
 type VMs struct {
-	// Version is the version from which the next read continues.
+	// Era and Version are the revision from which the next read continues.
+	Era     uint64 `json:",omitempty"`
 	Version uint64
 	// Whole reports whether Rows contains all VMs; otherwise it contains only
 	// the changed ones.
@@ -32,9 +37,13 @@
 	Removed []string    `json:",omitempty"`
 }
 
+// Revision returns the revision from which the next read continues.
+func (u *VMs) Revision() Revision { return Revision{u.Era, u.Version} }
+
 // Quarantine is an update of the quarantined parts that the platform keeps.
 type Quarantine struct {
-	// Version is the version from which the next read continues.
+	// Era and Version are the revision from which the next read continues.
+	Era     uint64 `json:",omitempty"`
 	Version uint64
 	// Whole reports whether Rows contains all parts; otherwise it contains only
 	// the changed ones.
@@ -43,6 +52,9 @@
 	Removed []quarantine.Part
 }
 
+// Revision returns the revision from which the next read continues.
+func (u *Quarantine) Revision() Revision { return Revision{u.Era, u.Version} }
+
 // Report is a VM's answer to a probe.
 type Report struct {
 	VM string
@@ -80,23 +92,28 @@
 	Age time.Duration
 }
 
-// Lease is the row of a lease and its revision.
+// Lease is the row of a lease and its revision in an era of the store.
 type Lease struct {
 	Row      lease.Row
+	Era      uint64 `json:",omitempty"`
 	Revision uint64
 }
 
 // Position describes the data that a requesting node already has.
 type Position struct {
-	// Operators and VMs are platform versions, and Lease is the revision of
-	// the row of the planner's lease.
-	Operators, VMs, Lease uint64
+	// Operators and VMs are the revisions of these tables that it has, and Lease is
+	// that of the row of the planner's lease.
+	Operators, VMs, Lease Revision
+	// CatalogVersion is the version of its configuration, and Catalog that
+	// configuration if the node that is asked now has an older one.
+	CatalogVersion int64
+	Catalog        *catalog.Catalog
 	// Mark is copied from the last answer (Answer.Mark) if that came from the
 	// node that is asked now, and 0 otherwise.
 	Mark int64
-	// ReceivedVMs is the version of VMs in the last list from the node that is
-	// asked now, and 0 if the last answer came from another node.
-	ReceivedVMs uint64
+	// ReceivedVMs is the revision of the last list of VMs from the node that is
+	// asked now, and zero if the last answer came from another node.
+	ReceivedVMs Revision
 	// Suspects are the heads of groups at which requests make no progress.
 	Suspects []Suspect
 	// Learned is what the requesting node has learned since its last request.
@@ -120,7 +137,9 @@
 	// OperatorsAge and VMsAge are the times since the platform reads behind
 	// the data were sent; changes after that may be missing.
 	OperatorsAge, VMsAge time.Duration
-	// Operators and VMs are nil if the node's version is older than the
+	// CatalogVersion is the version of the node's configuration.
+	CatalogVersion int64 `json:",omitempty"`
+	// Operators and VMs are nil if the node's revision is older than the
 	// requester's.
 	Operators *Operators `json:",omitempty"`
 	VMs       *VMs       `json:",omitempty"`
--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -12,37 +12,35 @@
 )
 
 // removalRetention is how long the removal of a VM is kept. A requester whose
-// version is older gets the whole list.
+// revision is older gets the whole list.
 const removalRetention = time.Minute
 
-// Record holds the newest published data, with the version of each change.
+// Record holds the newest published data, with the revision of each change.
 type Record struct {
 	operators operators
 	vms       vms
 }
 
-type operators struct {
-	version        uint64
-	catalog        *catalog.Catalog
-	changedVersion uint64 // version of the catalog's newest change
-	evacuated      map[string]bool
-}
-
 type vms struct {
-	version uint64
-	// floor is the version up to which removals are no longer kept.
-	floor   uint64
+	rev Revision
+	// floor is the revision up to which removals are no longer kept.
+	floor   Revision
 	entries map[string]entry
+	// restoredAt is when the store was first seen to have come back from an older
+	// copy, or zero once that is settled.
+	restoredAt time.Time
 }
 
 // entry is a VM's row or its removal.
 type entry struct {
+	// row is the newest row, also of a VM that was removed since. It has no ID if no
+	// row is known.
 	row fleet.Row
-	// changedVersion is the version of the newest change of the row's content,
-	// and seenVersion that of the newest update that contained the VM, changed
-	// or not.
-	changedVersion, seenVersion uint64
-	removedAt                   time.Time // zero if the VM is listed
+	// changed is the revision of the newest change of the row's content, and seen
+	// that of the newest update that contained the VM, changed or not.
+	changed, seen Revision
+	removedAt     time.Time // zero if the VM is listed
+	restored      restored
 }
 
 // NewRecord returns an empty record.
@@ -50,50 +48,42 @@
 	return &Record{vms: vms{entries: make(map[string]entry)}}
 }
 
-// Position returns the versions up to which the record is complete.
+// Position returns the revisions up to which the record is complete.
 func (r *Record) Position() Position {
-	return Position{Operators: r.operators.version, VMs: r.vms.version}
+	p := Position{Operators: r.operators.rev, VMs: r.vms.rev}
+	if c := r.operators.catalog; c != nil {
+		p.CatalogVersion = c.Version
+	}
+	return p
 }
 
-// Evacuated returns the data centres that must not get work.
-func (r *Record) Evacuated() map[string]bool { return maps.Clone(r.operators.evacuated) }
-
-// PutOperators applies an update. It returns false, without applying it, if
-// the update is older than the record: the caller must ignore it too, since it
-// could undo a later change.
-func (r *Record) PutOperators(u Operators) bool {
-	o := &r.operators
-	if u.Version < o.version || u.Version == 0 {
-		return false
+// PutVMs applies an update. ok is false, and nothing is applied, if the update is
+// older than the record: the caller must ignore it too, since it could undo a later
+// change. Otherwise it returns the update to apply, which differs from u if the
+// store came back from an older copy.
+func (r *Record) PutVMs(now time.Time, u VMs) (apply VMs, ok bool) {
+	v := &r.vms
+	rev := u.Revision()
+	newEra := !v.rev.IsZero() && rev.Era > v.rev.Era
+	if u.Version == 0 || rev.Compare(v.rev) < 0 || newEra && !u.Whole {
+		return VMs{}, false
 	}
-	o.version = u.Version
-	if u.Catalog != nil && (o.catalog == nil || u.Catalog.Version > o.catalog.Version) {
-		o.catalog, o.changedVersion = u.Catalog, u.Version
+	if newEra {
+		v.beginEra(now, rev)
 	}
-	if u.Whole || o.evacuated == nil {
-		o.evacuated = make(map[string]bool, len(u.Evacuated))
+	if u.Whole {
+		v.floor = rev
 	}
-	for dc, evacuated := range u.Evacuated {
-		if evacuated {
-			o.evacuated[dc] = true
-		} else {
-			delete(o.evacuated, dc)
-		}
+	v.rev = rev
+	if u.Whole && !v.restoredAt.IsZero() {
+		u = v.mergeCopy(u, newEra)
 	}
-	return true
+	v.apply(now, u)
+	return u, true
 }
 
-// PutVMs applies an update. It returns false, without applying it, if the
-// update is older than the record: the caller must ignore it too.
-func (r *Record) PutVMs(now time.Time, u VMs) bool {
-	v := &r.vms
-	if u.Version < v.version || u.Version == 0 {
-		return false
-	}
-	if u.Whole {
-		v.floor = u.Version
-	}
-	v.version = u.Version
+// apply applies an update of the record's revision.
+func (v *vms) apply(now time.Time, u VMs) {
 	present := make(map[string]bool, len(u.Rows))
 	for _, row := range u.Rows {
 		present[row.ID] = true
@@ -110,19 +100,18 @@
 		}
 	}
 	v.expireRemovals(now)
-	return true
 }
 
-// upsert stores a row. If its content is unchanged, only seenVersion is
-// updated, so that nodes which last read from this record don't get it again.
+// upsert stores a row. If its content is unchanged, only seen is updated, so that
+// nodes which last read from this record don't get it again.
 func (v *vms) upsert(row fleet.Row) {
 	old, ok := v.entries[row.ID]
 	if ok && old.removedAt.IsZero() && reflect.DeepEqual(old.row, row) {
-		old.seenVersion = v.version
+		old.seen, old.restored = v.rev, restored{}
 		v.entries[row.ID] = old
 		return
 	}
-	v.entries[row.ID] = entry{row: row, changedVersion: v.version, seenVersion: v.version}
+	v.entries[row.ID] = entry{row: row, changed: v.rev, seen: v.rev}
 }
 
 // remove records the removal of a VM, even of one that was never listed in this
@@ -130,54 +119,43 @@
 func (v *vms) remove(now time.Time, id string) {
 	e := v.entries[id]
 	if e.removedAt.IsZero() {
-		e = entry{changedVersion: v.version}
+		e.changed = v.rev
 	}
-	e.seenVersion, e.removedAt = v.version, now
+	e.seen, e.removedAt, e.restored = v.rev, now, restored{}
 	v.entries[id] = e
 }
 
 // expireRemovals deletes removals older than removalRetention and raises floor
-// to their versions.
+// to their revisions. Those of VMs that the copy of a restored store has are kept
+// until that is settled.
 func (v *vms) expireRemovals(now time.Time) {
 	for id, e := range v.entries {
-		if !e.removedAt.IsZero() && now.Sub(e.removedAt) > removalRetention {
-			v.floor = max(v.floor, e.seenVersion)
+		if !e.removedAt.IsZero() && e.restored.copied == nil && now.Sub(e.removedAt) > removalRetention {
+			if e.seen.Compare(v.floor) > 0 {
+				v.floor = e.seen
+			}
 			delete(v.entries, id)
 		}
 	}
 }
 
-// OperatorsAfter returns the changes after a version, or nil if the record is
-// older than that version.
-func (r *Record) OperatorsAfter(after uint64) *Operators {
-	o := &r.operators
-	if o.version == 0 || o.version < after {
-		return nil
-	}
-	u := &Operators{Version: o.version, Whole: true, Evacuated: maps.Clone(o.evacuated)}
-	if o.changedVersion > after {
-		u.Catalog = o.catalog
-	}
-	return u
-}
-
-// VMsAfter returns the changes after a version, or nil if the record is older
-// than that version. If the requester got that version from this record
+// VMsAfter returns the changes after a revision, or nil if the record is older
+// than that revision. If the requester got that revision from this record
 // (fromHere), rows with the same content as then are left out. A requester that
 // got it elsewhere may have seen other content in between, and gets them too.
-func (r *Record) VMsAfter(after uint64, fromHere bool) *VMs {
+func (r *Record) VMsAfter(after Revision, fromHere bool) *VMs {
 	v := &r.vms
-	if v.version == 0 || v.version < after {
+	if v.rev.IsZero() || v.rev.Compare(after) < 0 {
 		return nil
 	}
-	u := &VMs{Version: v.version, Whole: after < v.floor || after == 0}
+	u := &VMs{Era: v.rev.Era, Version: v.rev.Version, Whole: after.Compare(v.floor) < 0 || after.IsZero()}
 	for id, e := range v.entries {
-		version := e.seenVersion
+		rev := e.seen
 		if fromHere {
-			version = e.changedVersion
+			rev = e.changed
 		}
 		switch {
-		case !u.Whole && version <= after:
+		case !u.Whole && rev.Compare(after) <= 0:
 		case e.removedAt.IsZero():
 			u.Rows = append(u.Rows, e.row)
 		default:
@@ -188,3 +166,89 @@
 	slices.Sort(u.Removed)
 	return u
 }
+
+// operators are the operators' settings.
+type operators struct {
+	rev       Revision
+	catalog   *catalog.Catalog
+	evacuated map[string]bool
+	// copied are the evacuations in the copy from which the store came back, with
+	// all changes since, and restoredAt when that was first seen. copied is nil
+	// once they are in force.
+	copied     map[string]bool
+	restoredAt time.Time
+}
+
+// Evacuated returns the data centres that must not get work.
+func (r *Record) Evacuated() map[string]bool { return maps.Clone(r.operators.evacuated) }
+
+// PutOperators applies an update. It returns false, without applying it, if
+// the update is older than the record: the caller must ignore it too, since it
+// could undo a later change.
+func (r *Record) PutOperators(now time.Time, u Operators) bool {
+	o := &r.operators
+	rev := u.Revision()
+	newEra := !o.rev.IsZero() && rev.Era > o.rev.Era
+	if u.Version == 0 || rev.Compare(o.rev) < 0 || newEra && !u.Whole {
+		return false
+	}
+	o.rev = rev
+	r.PutCatalog(u.Catalog)
+	switch {
+	case newEra:
+		o.copied, o.restoredAt = maps.Clone(u.Evacuated), now
+		if o.copied == nil {
+			o.copied = make(map[string]bool)
+		}
+	case o.copied != nil:
+		o.applyAfterRestore(u)
+	default:
+		o.applyEvacuations(u)
+	}
+	return true
+}
+
+// PutCatalog stores a configuration, from whatever source, if it is newer than the
+// record's. It reports whether it was.
+func (r *Record) PutCatalog(c *catalog.Catalog) bool {
+	o := &r.operators
+	if c == nil || o.catalog != nil && c.Version <= o.catalog.Version {
+		return false
+	}
+	o.catalog = c
+	return true
+}
+
+// Catalog returns the newest configuration, or nil.
+func (r *Record) Catalog() *catalog.Catalog { return r.operators.catalog }
+
+func (o *operators) applyEvacuations(u Operators) {
+	if u.Whole || o.evacuated == nil {
+		o.evacuated = make(map[string]bool, len(u.Evacuated))
+	}
+	for dc, evacuated := range u.Evacuated {
+		setEvacuated(o.evacuated, dc, evacuated)
+	}
+}
+
+func setEvacuated(set map[string]bool, dc string, evacuated bool) {
+	if evacuated {
+		set[dc] = true
+		return
+	}
+	delete(set, dc)
+}
+
+// OperatorsAfter returns the settings for a requester at a position, or nil if the
+// record is older. The configuration is left out if the requester has it.
+func (r *Record) OperatorsAfter(after Position) *Operators {
+	o := &r.operators
+	if o.rev.IsZero() || o.rev.Compare(after.Operators) < 0 {
+		return nil
+	}
+	u := &Operators{Era: o.rev.Era, Version: o.rev.Version, Whole: true, Evacuated: maps.Clone(o.evacuated)}
+	if o.catalog != nil && o.catalog.Version > after.CatalogVersion {
+		u.Catalog = o.catalog
+	}
+	return u
+}
--- a/coord/updates/record_test.go
+++ b/coord/updates/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"flag"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -33,15 +34,15 @@
 
 func TestVMsAfterReturnsChanges(t *testing.T) {
 	r := NewRecord()
-	assert.Assert(t, r.VMsAfter(0, true) == nil, "the record is still empty")
+	assert.Assert(t, r.VMsAfter(Revision{Version: 0}, true) == nil, "the record is still empty")
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1), row("b", 1)}})
 	r.PutVMs(start, VMs{Version: 12, Rows: []fleet.Row{row("b", 2)}})
 	r.PutVMs(start, VMs{Version: 14, Removed: []string{"a"}})
 
-	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 14, Rows: []fleet.Row{row("b", 2)}, Removed: []string{"a"}})
-	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 14, Removed: []string{"a"}})
-	assert.DeepEqual(t, r.VMsAfter(14, true), &VMs{Version: 14})
-	assert.Assert(t, r.VMsAfter(15, true) == nil, "the requester has a newer version")
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 10}, true), &VMs{Version: 14, Rows: []fleet.Row{row("b", 2)}, Removed: []string{"a"}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 12}, true), &VMs{Version: 14, Removed: []string{"a"}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 14}, true), &VMs{Version: 14})
+	assert.Assert(t, r.VMsAfter(Revision{Version: 15}, true) == nil, "the requester has a newer version")
 }
 
 // A requester with a version from before the first read may have missed
@@ -49,11 +50,11 @@
 func TestVMsAfterOldVersionReturnsAll(t *testing.T) {
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(9, true), &VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 9}, true), &VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	r.PutVMs(start, VMs{Version: 11, Removed: []string{"a"}})
 	r.PutVMs(start.Add(2*removalRetention), VMs{Version: 20})
-	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 20, Whole: true}) // the removal is no longer kept
-	assert.DeepEqual(t, r.VMsAfter(11, true), &VMs{Version: 20})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 10}, true), &VMs{Version: 20, Whole: true}) // the removal is no longer kept
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 11}, true), &VMs{Version: 20})
 }
 
 // A VM that was added and removed between two reads was never in this record,
@@ -62,19 +63,19 @@
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true})
 	r.PutVMs(start, VMs{Version: 14, Removed: []string{"b"}})
-	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 14, Removed: []string{"b"}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 12}, true), &VMs{Version: 14, Removed: []string{"b"}})
 	r.PutVMs(start, VMs{Version: 20, Whole: true})
-	assert.DeepEqual(t, r.VMsAfter(16, true), &VMs{Version: 20, Whole: true, Removed: []string{"b"}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 16}, true), &VMs{Version: 20, Whole: true, Removed: []string{"b"}})
 }
 
 func TestUnchangedRowsAreNotReturned(t *testing.T) {
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	r.PutVMs(start, VMs{Version: 11, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(10, true), &VMs{Version: 11})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 10}, true), &VMs{Version: 11})
 	r.PutVMs(start, VMs{Version: 12, Removed: []string{"a"}})
 	r.PutVMs(start, VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(12, true), &VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}}) // it is listed again
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 12}, true), &VMs{Version: 13, Rows: []fleet.Row{row("a", 1)}}) // it is listed again
 }
 
 // A row that changed and changed back is unchanged for this record's own
@@ -83,18 +84,20 @@
 	r := NewRecord()
 	r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	r.PutVMs(start, VMs{Version: 12, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(11, false), &VMs{Version: 12, Rows: []fleet.Row{row("a", 1)}})
-	assert.DeepEqual(t, r.VMsAfter(11, true), &VMs{Version: 12})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 11}, false), &VMs{Version: 12, Rows: []fleet.Row{row("a", 1)}})
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 11}, true), &VMs{Version: 12})
 }
 
 func TestOlderUpdatesAreIgnored(t *testing.T) {
 	r := NewRecord()
-	assert.Assert(t, r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 2)}}))
-	assert.Assert(t, !r.PutVMs(start, VMs{Version: 9, Whole: true}))
-	assert.DeepEqual(t, r.VMsAfter(0, true).Rows, []fleet.Row{row("a", 2)})
-
-	assert.Assert(t, r.PutOperators(Operators{Version: 10, Whole: true, Evacuated: map[string]bool{"dc": true}}))
-	assert.Assert(t, !r.PutOperators(Operators{Version: 9, Whole: true}))
+	_, ok := r.PutVMs(start, VMs{Version: 10, Whole: true, Rows: []fleet.Row{row("a", 2)}})
+	assert.Assert(t, ok)
+	_, ok = r.PutVMs(start, VMs{Version: 9, Whole: true})
+	assert.Assert(t, !ok)
+	assert.DeepEqual(t, r.VMsAfter(Revision{Version: 0}, true).Rows, []fleet.Row{row("a", 2)})
+
+	assert.Assert(t, r.PutOperators(start, Operators{Version: 10, Whole: true, Evacuated: map[string]bool{"dc": true}}))
+	assert.Assert(t, !r.PutOperators(start, Operators{Version: 9, Whole: true}))
 	assert.DeepEqual(t, r.Evacuated(), map[string]bool{"dc": true})
 }
 
@@ -102,14 +105,14 @@
 	r := NewRecord()
 	cat := catalog.New(3, []catalog.Route{{Name: "r", Host: "h", Prefix: "/"}}, []catalog.Service{{Name: "s"}},
 		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 7})
-	r.PutOperators(Operators{Version: 10, Whole: true, Catalog: cat})
-	r.PutOperators(Operators{Version: 12, Evacuated: map[string]bool{"a": true, "b": true}})
-	r.PutOperators(Operators{Version: 13, Evacuated: map[string]bool{"a": false}})
-	r.PutOperators(Operators{Version: 14, Catalog: catalog.New(2, nil, nil, nil, catalog.Limits{})})
+	r.PutOperators(start, Operators{Version: 10, Whole: true, Catalog: cat})
+	r.PutOperators(start, Operators{Version: 12, Evacuated: map[string]bool{"a": true, "b": true}})
+	r.PutOperators(start, Operators{Version: 13, Evacuated: map[string]bool{"a": false}})
+	r.PutOperators(start, Operators{Version: 14, Catalog: catalog.New(2, nil, nil, nil, catalog.Limits{})})
 
-	got := r.OperatorsAfter(9)
+	got := r.OperatorsAfter(Position{Operators: Revision{Version: 9}})
 	assert.DeepEqual(t, got.Evacuated, map[string]bool{"b": true})
-	assert.Equal(t, r.OperatorsAfter(10).Catalog, (*catalog.Catalog)(nil))
+	assert.Equal(t, r.OperatorsAfter(Position{Operators: Revision{Version: 10}, CatalogVersion: 3}).Catalog, (*catalog.Catalog)(nil))
 
 	raw, err := json.Marshal(got)
 	assert.NilError(t, err)
@@ -124,16 +127,21 @@
 
 // fakePlatform is the platform's table with the version of each change.
 type fakePlatform struct {
+	era     uint64
 	version uint64
 	rows    map[string]fleet.Row
 	changed map[string]uint64
 }
 
-// read returns the platform's answer to a read.
-func (p *fakePlatform) read(after uint64) VMs {
-	u := VMs{Version: p.version, Whole: after == 0}
+// read returns the platform's answer to a read. Changes after a revision of an
+// earlier era are not known, so that all rows are read.
+func (p *fakePlatform) read(after Revision) VMs {
+	if after.Era != p.era {
+		after = Revision{}
+	}
+	u := VMs{Era: p.era, Version: p.version, Whole: after.Version == 0}
 	for id, at := range p.changed {
-		if at <= after {
+		if at <= after.Version {
 			continue
 		}
 		if row, ok := p.rows[id]; ok {
@@ -152,9 +160,17 @@
 }
 
 func (n *fakeNode) apply(now time.Time, u *VMs) {
-	if u == nil || !n.record.PutVMs(now, *u) {
+	if u == nil {
+		return
+	}
+	apply, ok := n.record.PutVMs(now, *u)
+	if !ok {
 		return
 	}
+	n.applyRows(apply)
+}
+
+func (n *fakeNode) applyRows(u VMs) {
 	if u.Whole {
 		clear(n.rows)
 	}
@@ -169,10 +185,10 @@
 // platformSource stands for the platform in place of a node's index.
 const platformSource = -1
 
-// origin is the node that sent the last update, and the version of it.
+// origin is the node that sent the last update, and the revision of it.
 type origin struct {
-	node    int
-	version uint64
+	node int
+	rev  Revision
 }
 
 // delivery is an update on its way to a node.
@@ -212,6 +228,29 @@
 	return out
 }
 
+// copy returns a copy of the platform.
+func (p *fakePlatform) copy() *fakePlatform {
+	return &fakePlatform{p.era, p.version, maps.Clone(p.rows), maps.Clone(p.changed)}
+}
+
+// restore makes the platform come back from a copy.
+func (s *simulation) restore(from *fakePlatform) {
+	era := s.platform.era + 1
+	s.platform = from.copy()
+	s.platform.era = era
+}
+
+// settle lets the time pass after which the copies count.
+func (s *simulation) settle() {
+	for range 2 {
+		s.now = s.now.Add(rewriteGrace)
+		for _, n := range s.nodes {
+			changes, _ := n.record.Settle(s.now)
+			n.applyRows(changes)
+		}
+	}
+}
+
 func (s *simulation) recordHistory() { s.history[s.platform.version] = bornByVM(s.platform.rows) }
 
 // setVM lists a VM with a start time, or removes it if that is 0.
@@ -235,8 +274,8 @@
 }
 
 func (s *simulation) request(i, other int) {
-	version := s.nodes[i].record.Position().VMs
-	u := s.nodes[other].record.VMsAfter(version, s.origins[i] == origin{other, version})
+	rev := s.nodes[i].record.Position().VMs
+	u := s.nodes[other].record.VMsAfter(rev, s.origins[i] == origin{other, rev})
 	s.inFlight = append(s.inFlight, delivery{i, other, u})
 }
 
@@ -245,7 +284,7 @@
 	s.inFlight = append(s.inFlight[:index], s.inFlight[index+1:]...)
 	s.nodes[d.to].apply(s.now, d.update)
 	if d.from != platformSource && d.update != nil {
-		s.origins[d.to] = origin{d.from, d.update.Version}
+		s.origins[d.to] = origin{d.from, d.update.Revision()}
 	}
 }
 
@@ -275,7 +314,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			s.step(t)
 			for _, n := range s.nodes {
-				if version := n.record.Position().VMs; version > 0 {
+				if version := n.record.Position().VMs.Version; version > 0 {
 					assert.DeepEqual(t, bornByVM(n.rows), s.history[version])
 				}
 			}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -90,7 +90,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.peerRow != nil {
-		c.step(ctx, lease.RowRelayed{Row: c.peerRow.Row, Revision: c.peerRow.Revision})
+		c.step(ctx, lease.RowRelayed{Era: c.peerRow.Era, Row: c.peerRow.Row, Revision: c.peerRow.Revision})
 		c.peerRow = nil
 	}
 	if c.rowRequested {
@@ -190,12 +190,13 @@
 	c.handleEvent(ctx, ev)
 }
 
-// Row returns the latest lease row that this node has, and its revision, which is
-// 0 if there is no row.
-func (c *Coordinator) Row() (lease.Row, uint64) {
+// Row returns the latest lease row that this node has, and its revision, whose
+// version is 0 if there is no row.
+func (c *Coordinator) Row() (lease.Row, updates.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leaseMachine.Row()
+	row, version := c.leaseMachine.Row()
+	return row, updates.Revision{Era: c.leaseMachine.Era(), Version: version}
 }
 
 // MarkRowRequested records that a peer requested the lease row and so relies on
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -94,7 +94,7 @@
 	applyHeadReports(s)
 	b.ReportAllocs()
 	for b.Loop() {
-		raw, err := json.Marshal(s.Answer(updates.Position{Operators: 1, VMs: 1}))
+		raw, err := json.Marshal(s.Answer(updates.Position{Operators: updates.Revision{Version: 1}, VMs: updates.Revision{Version: 1}}))
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -105,7 +105,7 @@
 func BenchmarkHear(b *testing.B) {
 	s, peer := benchState(b), benchState(b)
 	applyHeadReports(s)
-	raw, err := json.Marshal(s.Answer(updates.Position{Operators: 1, VMs: 1}))
+	raw, err := json.Marshal(s.Answer(updates.Position{Operators: updates.Revision{Version: 1}, VMs: updates.Revision{Version: 1}}))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
@@ -19,6 +20,9 @@
 	p.Suspects = s.suspects.ForRequest(s.now())
 	p.Learned = s.learnedSince(s.now(), s.reportedSince, true)
 	p.Demand = s.demand.Below(s.now())
+	if s.peerCatalogOutdated {
+		p.Catalog = s.cat
+	}
 	return p
 }
 
@@ -63,14 +67,16 @@
 	s.suspects.AddFromRequest(now, after.Suspects)
 	s.applyLearned(now, after.Learned)
 	s.demand.RecordRequester(now, after.VM, after.Demand)
+	s.applyRequesterCatalog(after.Catalog)
 	view := s.view.Load()
 	if view == nil || !s.listed {
 		return updates.Answer{}
 	}
 	a := updates.Answer{
 		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
-		Operators: s.record.OperatorsAfter(after.Operators), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
-		Mark: now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
+		Operators: s.record.OperatorsAfter(after), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
+		CatalogVersion: s.cat.Version,
+		Mark:           now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
 		Learned: s.learnedSince(now, time.Unix(0, after.Mark), false),
 		Demand:  s.demand.Total(now),
 	}
@@ -88,6 +94,18 @@
 	return a
 }
 
+// applyRequesterCatalog puts a peer's configuration in force if it is newer than
+// this node's, which can be if the platform came back from an older copy. s.mu must
+// be held.
+func (s *State) applyRequesterCatalog(c *catalog.Catalog) {
+	view := s.view.Load()
+	if view == nil || !s.record.PutCatalog(c) {
+		return
+	}
+	s.targetsOutdated = true
+	s.setCatalog(view.AsOf)
+}
+
 // ApplyAnswer applies a peer's answer to a request that was sent at asked. Ages
 // are counted from that time, so that they are never too low. sameDC says whether
 // the peer is in the same data centre; only then do the groups that it finds
@@ -113,6 +131,7 @@
 	s.applyLearned(asked, a.Learned)
 	s.demand.RecordTotal(s.now(), a.Demand)
 	s.recordReported(asked, a.Process)
+	s.peerCatalogOutdated = s.cat != nil && a.Known && a.CatalogVersion < s.cat.Version
 	s.peerAnsweredAt = s.now()
 	if sameDC {
 		s.localPeerAnsweredAt = s.peerAnsweredAt
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -50,7 +50,10 @@
 	// peerAnsweredAt is when a peer last answered, and localPeerAnsweredAt when
 	// one in the same data centre did.
 	peerAnsweredAt, localPeerAnsweredAt time.Time
-	suspects                            *updates.Suspects
+	// peerCatalogOutdated reports whether the peer that answered last has an older
+	// configuration than this node.
+	peerCatalogOutdated bool
+	suspects            *updates.Suspects
 
 	// demand knows which part of all requests this node gets.
 	demand *updates.Demand
@@ -108,12 +111,18 @@
 // applyOperators applies settings of the operators that were read from the
 // platform or received from a peer. s.mu must be held.
 func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
-	if !s.record.PutOperators(n) {
+	if !s.record.PutOperators(s.now(), n) {
 		return
 	}
 	s.targetsOutdated = true
 	s.setEvacuated(s.record.Evacuated())
-	if c := n.Catalog; c != nil && (s.cat == nil || c.Version > s.cat.Version) {
+	s.setCatalog(asOf)
+}
+
+// setCatalog puts the record's configuration in force as of a time. s.mu must be
+// held.
+func (s *State) setCatalog(asOf time.Time) {
+	if c := s.record.Catalog(); c != s.cat {
 		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
 		s.cat = c
 	}
@@ -159,12 +168,24 @@
 		s.vmReadRecoveredAt = now
 		s.log.Info("list of VMs regained", "version", n.Version)
 	}
-	if !s.record.PutVMs(now, n) {
+	before := s.record.Position().VMs
+	n, ok := s.record.PutVMs(now, n)
+	if !ok {
 		return
 	}
+	if era := n.Era; before.Version > 0 && era > before.Era {
+		s.vmReadRecoveredAt = now
+		s.log.Warn("list of VMs of a restored platform", "era", era, "version", n.Version, "era_before", before.Era, "version_before", before.Version)
+	}
 	if asOf.After(s.listedAsOf) {
 		s.listedAsOf = asOf
 	}
+	s.applyRows(now, n)
+	s.listed = true
+}
+
+// applyRows applies rows of VMs to the table. s.mu must be held.
+func (s *State) applyRows(now time.Time, n updates.VMs) {
 	present := make(map[string]bool, len(n.Rows))
 	for _, row := range n.Rows {
 		present[row.ID] = true
@@ -183,7 +204,6 @@
 			}
 		}
 	}
-	s.listed = true
 }
 
 // unlist removes a VM from the list. Within relistGrace after an outage of the
@@ -224,6 +244,7 @@
 			s.vms.Unlist(now, id)
 		}
 	}
+	s.settleRestored(now)
 	s.vms.Sweep(now)
 	s.tickQuarantine(now)
 	s.demand.Count(now, s.traffic.Load())
@@ -238,6 +259,19 @@
 	return s.targets.Update(now, s.vms, s.cat, s.evacuated)
 }
 
+// settleRestored applies what is due a while after the platform came back from an
+// older copy. s.mu must be held.
+func (s *State) settleRestored(now time.Time) {
+	changes, evacuations := s.record.Settle(now)
+	if len(changes.Rows)+len(changes.Removed) > 0 {
+		s.applyRows(now, changes)
+	}
+	if evacuations {
+		s.setEvacuated(s.record.Evacuated())
+		s.targetsOutdated = true
+	}
+}
+
 // maxUpdateInterval is the longest time between updates of the targets. They are
 // updated even without changes because some of their conditions depend on time
 // alone.
--- a/internal/leasestore/leasestore.go
+++ b/internal/leasestore/leasestore.go
@@ -16,9 +16,22 @@
 const maxCandidates = 256
 
 // Read reads the lease row and the registrations that e requests in one
-// snapshot. If e.VMs is set, it first lists the VMs.
+// snapshot. If e.VMs is set, it first lists the VMs. It fails if the table comes
+// back from an older copy meanwhile.
 func Read(ctx context.Context, t platform.Table, e lease.ReadRows) (lease.RowsRead, error) {
+	era := eraOf(t)
+	ev, err := read(ctx, t, era, e)
+	ev.Era = eraOf(t)
+	if err == nil && !sharesRows(era, ev.Era) {
+		err = fmt.Errorf("%w: the table came back from an older copy", platform.ErrUnavailable)
+	}
+	return ev, err
+}
+
+// read reads the rows of an era.
+func read(ctx context.Context, t platform.Table, era uint64, e lease.ReadRows) (lease.RowsRead, error) {
 	ev := lease.RowsRead{Read: e.ID}
+	e.Key, e.Own = eraKey(era, e.Key), eraKey(era, e.Own)
 	if e.VMs {
 		vms, err := t.VMs(ctx)
 		if err != nil {
@@ -68,10 +81,15 @@
 	return ev, nil
 }
 
-// Write writes the lease row and returns the outcome.
+// Write writes the lease row and returns the outcome. What was written in an era that
+// has ended meanwhile grants no lease, so that its outcome is unknown.
 func Write(ctx context.Context, t platform.Table, e lease.WriteRow) lease.WriteAnswered {
-	revision, err := Commit(ctx, t, e.Key, e.Revision, e.Row)
-	return lease.WriteAnswered{Token: e.Row.Token, Outcome: outcomeOf(err), Revision: revision}
+	revision, err := Commit(ctx, t, eraKey(e.Era, e.Key), e.Revision, e.Row)
+	outcome := outcomeOf(err)
+	if !sharesRows(e.Era, eraOf(t)) {
+		outcome = lease.Unknown
+	}
+	return lease.WriteAnswered{Token: e.Row.Token, Outcome: outcome, Revision: revision}
 }
 
 // outcomeOf maps an error of Commit to the outcome of the write.
@@ -89,15 +107,15 @@
 
 // Register writes a candidate's registration.
 func Register(ctx context.Context, t platform.Table, e lease.RegisterCandidate) error {
-	_, err := Commit(ctx, t, e.Key, e.Revision, e.Candidate)
+	_, err := Commit(ctx, t, eraKey(e.Era, e.Key), e.Revision, e.Candidate)
 	return err
 }
 
 // Remove deletes a candidate's registration.
 func Remove(ctx context.Context, t platform.Table, e lease.RemoveCandidate) error {
 	_, err := t.Commit(ctx, platform.Txn{
-		Conditions: []platform.Condition{{Key: e.Key, Revision: e.Revision}},
-		Writes:     []platform.Write{{Key: e.Key, Delete: true}},
+		Conditions: []platform.Condition{{Key: eraKey(e.Era, e.Key), Revision: e.Revision}},
+		Writes:     []platform.Write{{Key: eraKey(e.Era, e.Key), Delete: true}},
 	})
 	return err
 }
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -17,8 +17,8 @@
 	answer := s.state.Answer(after)
 	answer.Process = s.process
 	s.coord.MarkRowRequested()
-	if row, revision := s.coord.Row(); answer.Known && revision > after.Lease {
-		answer.Lease = &updates.Lease{Row: row, Revision: revision}
+	if row, rev := s.coord.Row(); answer.Known && rev.Version > 0 && rev.Compare(after.Lease) > 0 {
+		answer.Lease = &updates.Lease{Row: row, Era: rev.Era, Revision: rev.Version}
 	}
 	return answer
 }
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -123,4 +123,3 @@
 	}
 	s.t.Fatalf("not within %s: %s", d, what)
 }
-
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -58,11 +58,11 @@
 	mu      sync.Mutex
 	sources *updates.Sources
 	// source is the VM of the node that updates come from, empty if there is none.
-	// sourceMark is the Mark of its last answer and sourceVMsVersion the version
-	// of the last list of VMs that it sent.
-	source           string
-	sourceMark       int64
-	sourceVMsVersion uint64
+	// sourceMark is the Mark of its last answer and sourceVMs the revision of the
+	// last list of VMs that it sent.
+	source     string
+	sourceMark int64
+	sourceVMs  updates.Revision
 }
 
 // NewFollower returns a follower without other nodes; see Set.
@@ -158,11 +158,11 @@
 		f.sources.Answered(vm)
 	}
 	if vm != f.source {
-		f.sourceVMsVersion = 0
+		f.sourceVMs = updates.Revision{}
 	}
 	f.sourceMark = a.Mark
 	if a.VMs != nil {
-		f.sourceVMsVersion = a.VMs.Version
+		f.sourceVMs = a.VMs.Revision()
 	}
 	if vm == f.source {
 		return
@@ -175,17 +175,22 @@
 func (f *Follower) newRequest(p updates.Position) (*relaypb.AskRequest, error) {
 	req := &relaypb.AskRequest{
 		Vm: f.opts.VM, DataCentre: f.opts.DataCentre, Address: f.opts.Address,
-		Operators: p.Operators, Vms: p.VMs, Reports: p.Mark, Lease: p.Lease, Told: p.ReceivedVMs,
-		Demand: p.Demand,
+		Operators: p.Operators.Version, OperatorsEra: p.Operators.Era, Vms: p.VMs.Version, VmsEra: p.VMs.Era,
+		Lease: p.Lease.Version, LeaseEra: p.Lease.Era, Told: p.ReceivedVMs.Version, ToldEra: p.ReceivedVMs.Era,
+		CatalogVersion: p.CatalogVersion, Reports: p.Mark, Demand: p.Demand,
 	}
 	for _, s := range p.Suspects {
 		req.Suspects = append(req.Suspects, &relaypb.Suspect{Vm: s.VM, AgeNs: s.Age.Nanoseconds()})
 	}
-	if p.Learned.IsEmpty() {
-		return req, nil
+	var err error
+	if p.Catalog != nil {
+		if req.Catalog, err = json.Marshal(p.Catalog); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	if !p.Learned.IsEmpty() {
+		req.Learned, err = json.Marshal(p.Learned)
 	}
-	raw, err := json.Marshal(p.Learned)
-	req.Learned = raw
 	return req, errors.Trace(err)
 }
 
@@ -198,7 +203,7 @@
 	asked := boottime.Now() // before Position: what this node learns later goes with the next request
 	position := f.listener.Position()
 	if n.VM == f.source {
-		position.Mark, position.ReceivedVMs = f.sourceMark, f.sourceVMsVersion
+		position.Mark, position.ReceivedVMs = f.sourceMark, f.sourceVMs
 	}
 	req, err := f.newRequest(position)
 	if err != nil {
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -41,7 +41,7 @@
 func (n *fakeNode) AddRequester(other updates.Node) { n.requesters = append(n.requesters, other) }
 
 func (n *fakeNode) Position() updates.Position {
-	return updates.Position{Operators: 1, VMs: 2, Lease: 3, Demand: 2.5, Learned: updates.Learned{
+	return updates.Position{Operators: updates.Revision{Era: 4, Version: 1}, VMs: updates.Revision{Era: 5, Version: 2}, Lease: updates.Revision{Era: 6, Version: 3}, CatalogVersion: 7, Demand: 2.5, Learned: updates.Learned{
 		Announced: []updates.Announcement{{VM: "i-1", Born: 4, Leaving: true}},
 	}}
 }
@@ -90,7 +90,7 @@
 	first := listener.Position()
 	first.VM = "e9"
 	second := first
-	second.Mark, second.ReceivedVMs = 77, 7
+	second.Mark, second.ReceivedVMs = 77, updates.Revision{Version: 7}
 	assert.DeepEqual(t, responder.requests, []updates.Position{first, second})
 	assert.Equal(t, listener.cleared, 0)
 	assert.DeepEqual(t, responder.requesters[0], updates.Node{VM: "e9", DataCentre: "a", Address: "10.0.0.9:1"})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -33,7 +33,7 @@
 	}
 	position, err := decodePosition(req)
 	if err != nil {
-		return nil, twirp.InvalidArgumentError("learned", err.Error())
+		return nil, twirp.InvalidArgumentError("position", err.Error())
 	}
 	answer := s.responder.Answer(position)
 	raw, err := json.Marshal(answer)
@@ -42,10 +42,19 @@
 
 // decodePosition returns the position in a request.
 func decodePosition(req *relaypb.AskRequest) (updates.Position, error) {
-	p := updates.Position{Operators: req.Operators, VMs: req.Vms, Mark: req.Reports, Lease: req.Lease, ReceivedVMs: req.Told, VM: req.Vm, Demand: req.Demand}
+	p := updates.Position{
+		Operators: updates.Revision{Era: req.OperatorsEra, Version: req.Operators}, VMs: updates.Revision{Era: req.VmsEra, Version: req.Vms},
+		Lease: updates.Revision{Era: req.LeaseEra, Version: req.Lease}, ReceivedVMs: updates.Revision{Era: req.ToldEra, Version: req.Told},
+		CatalogVersion: req.CatalogVersion, Mark: req.Reports, VM: req.Vm, Demand: req.Demand,
+	}
 	for _, s := range req.Suspects {
 		p.Suspects = append(p.Suspects, updates.Suspect{VM: s.Vm, Age: time.Duration(s.AgeNs)})
 	}
+	if len(req.Catalog) > 0 {
+		if err := json.Unmarshal(req.Catalog, &p.Catalog); err != nil {
+			return p, err
+		}
+	}
 	if len(req.Learned) == 0 {
 		return p, nil
 	}
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -39,7 +39,7 @@
 
 // Observer receives the results of the reads.
 type Observer interface {
-	// Position returns the versions that the observer has. Each read requests
+	// Position returns the revisions that the observer has. Each read requests
 	// the changes after them.
 	Position() updates.Position
 	// HasPeerUpdates reports whether a peer sends updates, so that the platform
@@ -71,8 +71,8 @@
 	obs     Observer
 	opts    Options
 	started time.Time
-	// quarantineVersion is the version of the last read of quarantined parts.
-	quarantineVersion uint64
+	// quarantineRevision is the revision of the last read of quarantined parts.
+	quarantineRevision updates.Revision
 }
 
 // readRepeatedly repeats a read, except while a peer sends updates. read returns
@@ -109,7 +109,7 @@
 func (w *watcher) readOperators(ctx context.Context, full bool) (time.Duration, error) {
 	after := w.obs.Position().Operators
 	if full {
-		after = 0
+		after = updates.Revision{}
 	}
 	sent := boottime.Now()
 	update, err := w.src.Operators(ctx, after, w.scale(w.opts.OperatorWait))
@@ -127,7 +127,7 @@
 func (w *watcher) readVMs(ctx context.Context, full bool) (time.Duration, error) {
 	after := w.obs.Position().VMs
 	if full {
-		after = 0
+		after = updates.Revision{}
 	}
 	sent := boottime.Now()
 	pause := w.scale(w.opts.VMInterval)
@@ -144,9 +144,9 @@
 
 // readQuarantine reads the rows of quarantined parts once.
 func (w *watcher) readQuarantine(ctx context.Context, full bool) (time.Duration, error) {
-	after := w.quarantineVersion
+	after := w.quarantineRevision
 	if full {
-		after = 0
+		after = updates.Revision{}
 	}
 	update, err := w.src.Quarantine(ctx, after, w.opts.QuarantineWait)
 	if ctx.Err() != nil {
@@ -159,7 +159,7 @@
 		}
 		return pause, err
 	}
-	w.quarantineVersion = update.Version
+	w.quarantineRevision = update.Revision()
 	w.obs.Quarantine(update)
 	if update.Version == 0 {
 		return w.opts.QuarantineWait, nil // a read doesn't wait for changes if the store is empty
--- a/internal/watch/loop_test.go
+++ b/internal/watch/loop_test.go
@@ -24,7 +24,7 @@
 	operatorReads int
 }
 
-func (s *fakeSource) Operators(ctx context.Context, _ uint64, _ time.Duration) (updates.Operators, error) {
+func (s *fakeSource) Operators(ctx context.Context, _ updates.Revision, _ time.Duration) (updates.Operators, error) {
 	s.mu.Lock()
 	s.operatorReads++
 	unwritten := s.unwritten
@@ -36,19 +36,19 @@
 	return updates.Operators{}, ctx.Err()
 }
 
-func (s *fakeSource) VMs(_ context.Context, after uint64, wait time.Duration) (updates.VMs, error) {
+func (s *fakeSource) VMs(_ context.Context, after updates.Revision, wait time.Duration) (updates.VMs, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.after, s.waits = append(s.after, after), append(s.waits, wait)
+	s.after, s.waits = append(s.after, after.Version), append(s.waits, wait)
 	var err error
 	if len(s.errs) > 0 {
 		err, s.errs = s.errs[0], s.errs[1:]
 	}
-	return updates.VMs{Version: after + 5}, err
+	return updates.VMs{Version: after.Version + 5}, err
 }
 
 // Quarantine waits without a change.
-func (s *fakeSource) Quarantine(ctx context.Context, _ uint64, _ time.Duration) (updates.Quarantine, error) {
+func (s *fakeSource) Quarantine(ctx context.Context, _ updates.Revision, _ time.Duration) (updates.Quarantine, error) {
 	<-ctx.Done()
 	return updates.Quarantine{}, ctx.Err()
 }
@@ -70,7 +70,7 @@
 func (o *fakeObserver) Position() updates.Position {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return updates.Position{VMs: o.version}
+	return updates.Position{VMs: updates.Revision{Version: o.version}}
 }
 
 func (o *fakeObserver) HasPeerUpdates() bool {
