entry: a slow answer is cancelled only if another endpoint can take the request

What callers saw: 502 for a request that may be repeated, at a sound endpoint that was silent for three times the objective, when no other endpoint was free, or the budget of repeats was used up.

Cause: the same as of broken streams, silence taken for loss: the attempt was cancelled first and a place for the next one looked for afterwards. TestSlowAnswerIsAwaitedIfNothingElseCanTakeTheRequest failed in both cases before. The attempt now goes on unless the request can be sent to another endpoint at that time.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -96,9 +96,30 @@
 // Pick chooses a target for a request and counts the request there until Done is
 // called. It returns a refusal if no target accepts the request.
 func (t *Table) Pick(now time.Time, q Query) (*Ticket, *Refusal) {
-	var best *Target
+	best, reasons := t.choose(now, q)
+	if best == nil {
+		return nil, reasons.refusal(q.Draw)
+	}
+	best.cold.record(now)
+	best.limiter.take()
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts}
+	best.add(now, ticket)
+	best.pause.recordSend(now, ticket)
+	return ticket, nil
+}
+
+// CanRepeat reports whether a request can be sent to another target now, within the
+// budget of repeats.
+func (t *Table) CanRepeat(now time.Time, q Query) bool {
+	best, _ := t.choose(now, q)
+	return best != nil && t.hasRepeat(now, q.Service, q.Begun)
+}
+
+// choose returns the best target for a request, or nil and the reasons for which
+// there is none.
+func (t *Table) choose(now time.Time, q Query) (best *Target, reasons refusals) {
 	bestScore := 0.0
-	reasons := refusals{reason: NoTarget}
+	reasons.reason = NoTarget
 	for i, target := range t.pools[poolKey{q.Service, q.Model}] {
 		vm := t.vms.Get(target.ID)
 		if !isEligible(now, target, vm, q) || !reasons.accepts(t, now, target, vm, q) {
@@ -109,15 +130,7 @@
 			best, bestScore = target, score
 		}
 	}
-	if best == nil {
-		return nil, reasons.refusal(q.Draw)
-	}
-	best.cold.record(now)
-	best.limiter.take()
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts}
-	best.add(now, ticket)
-	best.pause.recordSend(now, ticket)
-	return ticket, nil
+	return best, reasons
 }
 
 // isEligible reports whether a target, whose VM is vm, may be considered for a
--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -55,18 +55,24 @@
 // budget is reserved for requests whose answer has begun, since their callers
 // lose the answer if it can't be continued.
 func (t *Table) TakeRepeat(now time.Time, service string, begun bool) bool {
+	if !t.hasRepeat(now, service, begun) {
+		return false
+	}
 	b := t.budget(service)
-	i := b.advance(now)
+	b.repeats[b.advance(now)]++
+	return true
+}
+
+// hasRepeat reports whether the budget allows another repeated send.
+func (t *Table) hasRepeat(now time.Time, service string, begun bool) bool {
+	b := t.budget(service)
+	b.advance(now)
 	limit := t.opts.RepeatRatio*float64(sum(b.requests)) + t.opts.RepeatSlack/float64(t.nodes)
 	fraction := newFraction
 	if begun {
 		fraction = begunFraction
 	}
-	if float64(sum(b.repeats)+1) > limit*fraction {
-		return false
-	}
-	b.repeats[i]++
-	return true
+	return float64(sum(b.repeats)+1) <= limit*fraction
 }
 
 // newFraction and begunFraction are the fractions of the budget available to
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -34,7 +34,7 @@
 	maxResumeWait      = 4 * time.Second
 	placeRetryInterval = 20 * time.Millisecond
 	// An endpoint may take attemptTimeoutFactor times the route's objective,
-	// but at least minAttemptTimeout, for a request that may be repeated at
+	// but at least minAttemptTimeout, for a request that can be repeated at
 	// another endpoint.
 	attemptTimeoutFactor = 3
 	minAttemptTimeout    = 300 * time.Millisecond
@@ -55,6 +55,7 @@
 
 // attempt is one send of a request to an endpoint.
 type attempt struct {
+	query  dispatch.Query // by which the endpoint was chosen
 	ticket *dispatch.Ticket
 	resp   *upstream.Response
 	ctx    context.Context
@@ -145,7 +146,7 @@
 		a.cancel(nil)
 		return nil, s.finalFault(req, problemOf(refusal))
 	}
-	a.ticket = ticket
+	a.query, a.ticket = q, ticket
 	a.sentAt = s.now()
 	req.lastEndpoint = ticket.Target.ID
 	req.predictedLoad = ticket.Load
@@ -224,7 +225,7 @@
 	}
 	if req.route.Kind == catalog.Idempotent && req.attempts+1 < req.route.MaxAttempts {
 		timeout := max(minAttemptTimeout, attemptTimeoutFactor*req.route.Objective)
-		timer := time.AfterFunc(timeout, func() { a.cancel(errNoProgress) })
+		timer := time.AfterFunc(timeout, func() { s.moveOn(a) })
 		defer timer.Stop()
 	}
 	resp, err := s.client.Send(a.ctx, a.ticket.Target.Address, &out)
@@ -240,6 +241,17 @@
 	return nil
 }
 
+// moveOn cancels an attempt without an answer if the request can be sent to another
+// endpoint. Otherwise it goes on: the endpoint may be slow, or silent for a while.
+func (s *Server) moveOn(a *attempt) {
+	q := a.query
+	q.Exclude = append(slices.Clone(q.Exclude), a.ticket.Target.ID)
+	q.Repeat = true
+	if s.state.canRepeat(q) {
+		a.cancel(errNoProgress)
+	}
+}
+
 // handleHints processes the response headers by which an endpoint announces that
 // it is leaving, limits its requests or asks for a pause in them.
 func (s *Server) handleHints(a *attempt, req *request) {
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -276,3 +276,36 @@
 		n.cut.Store(!n.cut.Load())
 	}
 }
+
+// Guards against a request that may be repeated and is cancelled at a slow endpoint
+// although no other one can take it.
+func TestSlowAnswerIsAwaitedIfNothingElseCanTakeTheRequest(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(700 * time.Millisecond):
+			answerOK(w, r)
+		case <-r.Context().Done():
+		}
+	}
+	for name, others := range map[string][]http.HandlerFunc{
+		"only endpoint":  nil,
+		"all others out": {refuseBusy},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				s := newHarnessWith(t, newPipes(), 0)
+				s.add(slow)
+				for _, handler := range others {
+					e := s.add(handler)
+					s.state.Locked(func(st LockedState) { st.VMs.Unlist(st.Now, fmt.Sprint("vm-", s.vms)) })
+					s.state.Tick()
+					defer e.Close()
+				}
+				status, body, _, err := s.do(s.request(http.MethodGet, "/safe/"))
+				assert.NilError(t, err)
+				assert.Equal(t, status, http.StatusOK)
+				assert.Equal(t, body, "done")
+			})
+		})
+	}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -330,6 +330,13 @@
 	return ticket, refusal
 }
 
+// canRepeat reports whether a request can be sent to another endpoint now.
+func (s *State) canRepeat(q dispatch.Query) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.targets.CanRepeat(s.now(), q)
+}
+
 // typicalLatency returns the typical time until an endpoint's response begins.
 func (s *State) typicalLatency(service, model string) time.Duration {
 	s.mu.Lock()
