entry: a caller that has closed its side gets no empty 200

What callers saw: one that sends its request and closes its sending side got 200 with an empty body at once, while the endpoint was still at work: neither an answer nor a refusal.

Cause: the handler returned without writing when the caller had left, and net/http then answers 200. Found by going through every way in which a request can end without an answer. The connection is now closed.

--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -33,7 +33,7 @@
 	got, fault := s.fetch(ctx, req)
 	switch {
 	case r.Context().Err() != nil:
-		s.recordCallerGone(req, 0)
+		s.abortForCallerGone(req, 0)
 	case got != nil:
 		s.deliver(w, req, got)
 	default:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -116,11 +116,14 @@
 		"elapsed", s.now().Sub(req.started))
 }
 
-// recordCallerGone counts and logs a caller that left before its answer was complete.
-func (s *Server) recordCallerGone(req *request, events int) {
+// abortForCallerGone counts and logs a caller that left before its answer was
+// complete, and closes its connection: it may still read, and must get no answer that
+// looks complete.
+func (s *Server) abortForCallerGone(req *request, events int) {
 	s.count("caller gone")
 	s.log.Info("caller left", "request", req.id, "route", req.route.Name, "events", events, "sends", req.sends,
 		"endpoint", req.lastEndpoint, "elapsed", s.now().Sub(req.started))
+	panic(http.ErrAbortHandler)
 }
 
 // recordAnswered counts a delivered response and records its latency.
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -309,3 +309,28 @@
 		})
 	}
 }
+
+// Guards against a caller that closes its sending side and gets an empty answer that
+// looks complete.
+func TestCallerThatClosesItsSideGetsNoEmptyAnswer(t *testing.T) {
+	for _, path := range []string{"/once/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			s := newHarness(t)
+			s.add(func(w http.ResponseWriter, r *http.Request) {
+				select {
+				case <-time.After(10 * time.Second):
+				case <-r.Context().Done():
+				}
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(s.front.URL, "http://"))
+			assert.NilError(t, err)
+			defer conn.Close()
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nX-Id: id-1\r\nAuthorization: Bearer key\r\nContent-Length: 0\r\n\r\n", path)
+			assert.NilError(t, err)
+			assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+			got, err := io.ReadAll(conn)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), "")
+		})
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -52,7 +52,7 @@
 	case fault == nil:
 		return
 	case r.Context().Err() != nil:
-		s.recordCallerGone(req, rl.events)
+		s.abortForCallerGone(req, rl.events)
 	case rl.req.responseBegun:
 		s.count("stream broken")
 		s.log.Warn("stream broken off", "request", req.id, "kind", string(fault.Kind), "detail", fault.Message,
