updates: failing test of a drain written between the restore and the first read

The first list of the era counts as the copy, so the drain waits for rewriteGrace (5 s), though no copy can have it: a start that drains remains so.

--- /dev/null
+++ b/coord/updates/restored_drain_test.go
@@ -0,0 +1,17 @@
+package updates
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
+)
+
+// that is draining remains so.
+func TestDrainWrittenBeforeTheFirstReadIsApplied(t *testing.T) {
+	r := NewRecord()
+	put(t, r, start, VMs{Era: 1, Version: 10, Whole: true, Rows: []fleet.Row{row("a", 1)}})
+	apply := put(t, r, start, VMs{Era: 2, Version: 9, Whole: true, Rows: []fleet.Row{draining(row("a", 1))}})
+	assert.DeepEqual(t, apply.Rows, []fleet.Row{draining(row("a", 1))})
+}
