--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -87,13 +87,13 @@
 
 // ask sends a request and returns its status and the events of its answer. The
 // error says that the answer is incomplete.
-func (s *crashSite) ask(n *crashNode, id string) (status int, events []string, err error) {
+func (s *crashSite) ask(n *crashNode) (status int, events []string, err error) {
 	client := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return s.network.dial(ctx, address) }}
 	defer client.CloseIdleConnections()
 	req, err := http.NewRequest(http.MethodPost, n.front.URL+"/ask/", nil)
 	assert.NilError(s.t, err)
 	req.Host = "h"
-	req.Header.Set("X-Id", id)
+	req.Header.Set("X-Id", "request-1")
 	req.Header.Set("X-Node", n.name)
 	req.Header.Set("X-Model", "m")
 	resp, err := client.RoundTrip(req)
@@ -150,7 +150,7 @@
 						s.silence(id, test.d)
 					}
 				})
-				status, events, err := s.ask(s.node(0), "request-1")
+				status, events, err := s.ask(s.node(0))
 				cancel()
 				ticks.Wait()
 				assertWhole(t, status, events, err)
@@ -184,7 +184,7 @@
 				ticks.Go(func() { s.run(ctx) })
 				time.Sleep(time.Second)
 				time.AfterFunc(300*time.Millisecond, func() { s.reconfigure(2, test.routes, test.services) })
-				status, events, err := s.ask(s.node(0), "request-1")
+				status, events, err := s.ask(s.node(0))
 				cancel()
 				ticks.Wait()
 				assertWhole(t, status, events, err)
@@ -204,7 +204,7 @@
 		time.Sleep(time.Second)
 		time.AfterFunc(300*time.Millisecond, func() { s.silence(s.servingEndpoint(), 5*time.Second) })
 		began := time.Now()
-		status, events, err := s.ask(s.node(0), "request-1")
+		status, events, err := s.ask(s.node(0))
 		took := time.Since(began)
 		cancel()
 		ticks.Wait()
@@ -316,7 +316,7 @@
 	for _, path := range []string{"/once/", "/stream/"} {
 		t.Run(path, func(t *testing.T) {
 			s := newHarness(t)
-			s.add(func(w http.ResponseWriter, r *http.Request) {
+			s.add(func(_ http.ResponseWriter, r *http.Request) {
 				select {
 				case <-time.After(10 * time.Second):
 				case <-r.Context().Done():
