updates: nodes relay the rows of a restored store, not what they keep themselves

What callers saw: requests at draining or removed endpoints and in evacuated data centres for up to 5 s, at all nodes that follow a reader which was frozen or cut off during the restore; a VM that had gone stayed listed at followers.

Cause: a node published what it kept from before the restore under the newest revision, as if the store said so, and took the first list that it saw for the moment of the restore.

A node now relays the store's rows of the era, and each node keeps what it knows itself. A drain is always news, as no VM takes it back; of the copy's evacuations only those are ignored that are known to have ended. A newer configuration is passed on also by a node whose read is older.

--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -140,7 +140,8 @@
 }
 
 // VMsAfter returns the changes after a revision, or nil if the record is older
-// than that revision. If the requester got that revision from this record
+// than that revision. After a restore these are the store's rows: what this record
+// keeps may be older than what the requester knows. If the requester got that revision from this record
 // (fromHere), rows with the same content as then are left out. A requester that
 // got it elsewhere may have seen other content in between, and gets them too.
 func (r *Record) VMsAfter(after Revision, fromHere bool) *VMs {
@@ -154,10 +155,11 @@
 		if fromHere {
 			rev = e.changed
 		}
+		row, listed := e.published()
 		switch {
 		case !u.Whole && rev.Compare(after) <= 0:
-		case e.removedAt.IsZero():
-			u.Rows = append(u.Rows, e.row)
+		case listed:
+			u.Rows = append(u.Rows, row)
 		default:
 			u.Removed = append(u.Removed, id)
 		}
@@ -172,6 +174,8 @@
 	rev       Revision
 	catalog   *catalog.Catalog
 	evacuated map[string]bool
+	// ended contains the data centres whose evacuation has ended.
+	ended map[string]bool
 	// copied are the evacuations in the copy from which the store came back, with
 	// all changes since, and restoredAt when that was first seen. copied is nil
 	// once they are in force.
@@ -182,24 +186,21 @@
 // Evacuated returns the data centres that must not get work.
 func (r *Record) Evacuated() map[string]bool { return maps.Clone(r.operators.evacuated) }
 
-// PutOperators applies an update. It returns false, without applying it, if
-// the update is older than the record: the caller must ignore it too, since it
+// PutOperators applies an update. It returns false if the update is older than the
+// record. Then it applies the configuration alone, if that is newer, since the rest
 // could undo a later change.
 func (r *Record) PutOperators(now time.Time, u Operators) bool {
 	o := &r.operators
+	r.PutCatalog(u.Catalog)
 	rev := u.Revision()
 	newEra := !o.rev.IsZero() && rev.Era > o.rev.Era
 	if u.Version == 0 || rev.Compare(o.rev) < 0 || newEra && !u.Whole {
 		return false
 	}
 	o.rev = rev
-	r.PutCatalog(u.Catalog)
 	switch {
 	case newEra:
-		o.copied, o.restoredAt = maps.Clone(u.Evacuated), now
-		if o.copied == nil {
-			o.copied = make(map[string]bool)
-		}
+		o.beginEra(now, u)
 	case o.copied != nil:
 		o.applyAfterRestore(u)
 	default:
@@ -223,31 +224,56 @@
 func (r *Record) Catalog() *catalog.Catalog { return r.operators.catalog }
 
 func (o *operators) applyEvacuations(u Operators) {
-	if u.Whole || o.evacuated == nil {
-		o.evacuated = make(map[string]bool, len(u.Evacuated))
+	if u.Whole {
+		for dc := range o.evacuated {
+			if !u.Evacuated[dc] {
+				o.setEvacuated(dc, false)
+			}
+		}
 	}
 	for dc, evacuated := range u.Evacuated {
-		setEvacuated(o.evacuated, dc, evacuated)
+		o.setEvacuated(dc, evacuated)
 	}
 }
 
-func setEvacuated(set map[string]bool, dc string, evacuated bool) {
+func (o *operators) setEvacuated(dc string, evacuated bool) {
 	if evacuated {
-		set[dc] = true
+		o.evacuated = with(o.evacuated, dc)
+		delete(o.ended, dc)
 		return
 	}
-	delete(set, dc)
+	if o.evacuated[dc] {
+		o.ended = with(o.ended, dc)
+	}
+	delete(o.evacuated, dc)
+}
+
+// with adds a data centre to a set, which may be nil.
+func with(set map[string]bool, dc string) map[string]bool {
+	if set == nil {
+		set = make(map[string]bool)
+	}
+	set[dc] = true
+	return set
 }
 
 // OperatorsAfter returns the settings for a requester at a position, or nil if the
-// record is older. The configuration is left out if the requester has it.
+// record is older in every respect. The configuration is left out if the requester
+// has it; a newer one may come with an older revision, as configurations are ordered
+// by their own versions.
 func (r *Record) OperatorsAfter(after Position) *Operators {
 	o := &r.operators
-	if o.rev.IsZero() || o.rev.Compare(after.Operators) < 0 {
+	older := o.rev.Compare(after.Operators) < 0
+	newerCatalog := o.catalog != nil && o.catalog.Version > after.CatalogVersion
+	if o.rev.IsZero() || older && !newerCatalog {
 		return nil
 	}
-	u := &Operators{Era: o.rev.Era, Version: o.rev.Version, Whole: true, Evacuated: maps.Clone(o.evacuated)}
-	if o.catalog != nil && o.catalog.Version > after.CatalogVersion {
+	evacuated := o.evacuated
+	if o.copied != nil {
+		evacuated = o.copied // each node keeps what it knows itself
+	}
+	u := &Operators{Era: o.rev.Era, Version: o.rev.Version, Whole: true, Evacuated: maps.Clone(evacuated)}
+	if newerCatalog {
 		u.Catalog = o.catalog
 	}
 	return u
--- a/coord/updates/restored.go
+++ b/coord/updates/restored.go
@@ -70,6 +70,8 @@
 	switch {
 	case !known || e.row.ID != "" && row.Born > e.row.Born:
 		return true
+	case first && row.Draining && !e.row.Draining && e.removedAt.IsZero() && row.Born == e.row.Born:
+		return true // no VM stops draining before it ends
 	case !first:
 		isCopy := e.restored.copied != nil && reflect.DeepEqual(*e.restored.copied, row)
 		return !isCopy && (e.restored.missing || !equal)
@@ -114,6 +116,14 @@
 	return out
 }
 
+// published returns the VM's row in the store, and whether the store lists the VM.
+func (e *entry) published() (row fleet.Row, listed bool) {
+	if e.restored.copied != nil {
+		return *e.restored.copied, true
+	}
+	return e.row, e.removedAt.IsZero() && !e.restored.missing
+}
+
 // settledRow returns the copy's row. A start of a VM that was draining remains so.
 func (e *entry) settledRow() fleet.Row {
 	row := *e.restored.copied
@@ -121,6 +131,21 @@
 	return row
 }
 
+// beginEra keeps the evacuations that are known, and puts those of the copy in force
+// that are not known to have ended.
+func (o *operators) beginEra(now time.Time, u Operators) {
+	o.copied, o.restoredAt = make(map[string]bool), now
+	for dc, evacuated := range u.Evacuated {
+		if !evacuated {
+			continue
+		}
+		o.copied[dc] = true
+		if !o.ended[dc] {
+			o.setEvacuated(dc, true)
+		}
+	}
+}
+
 // applyAfterRestore applies an update while the copy's evacuations are not in force
 // yet. Only what differs from the copy, or changes it, is news.
 func (o *operators) applyAfterRestore(u Operators) {
@@ -140,11 +165,11 @@
 }
 
 func (o *operators) setBoth(dc string, evacuated bool) {
-	if o.evacuated == nil {
-		o.evacuated = make(map[string]bool)
+	o.setEvacuated(dc, evacuated)
+	delete(o.copied, dc)
+	if evacuated {
+		o.copied[dc] = true
 	}
-	setEvacuated(o.evacuated, dc, evacuated)
-	setEvacuated(o.copied, dc, evacuated)
 }
 
 // settle puts the copy's evacuations in force once they have had time to be written
@@ -153,6 +178,8 @@
 	if o.copied == nil || now.Sub(o.restoredAt) < rewriteGrace {
 		return false
 	}
-	o.evacuated, o.copied = o.copied, nil
+	copied := o.copied
+	o.copied = nil
+	o.applyEvacuations(Operators{Whole: true, Evacuated: copied})
 	return true
 }
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -98,12 +98,9 @@
 // this node's, which can be if the platform came back from an older copy. s.mu must
 // be held.
 func (s *State) applyRequesterCatalog(c *catalog.Catalog) {
-	view := s.view.Load()
-	if view == nil || !s.record.PutCatalog(c) {
-		return
+	if s.record.PutCatalog(c) {
+		s.setCatalog(time.Time{})
 	}
-	s.targetsOutdated = true
-	s.setCatalog(view.AsOf)
 }
 
 // ApplyAnswer applies a peer's answer to a request that was sent at asked. Ages
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -112,6 +112,7 @@
 // platform or received from a peer. s.mu must be held.
 func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
 	if !s.record.PutOperators(s.now(), n) {
+		s.setCatalog(time.Time{}) // keeps the age that the configuration has here
 		return
 	}
 	s.targetsOutdated = true
@@ -124,9 +125,9 @@
 func (s *State) setCatalog(asOf time.Time) {
 	if c := s.record.Catalog(); c != s.cat {
 		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
-		s.cat = c
+		s.cat, s.targetsOutdated = c, true
 	}
-	if s.cat == nil {
+	if s.cat == nil || asOf.IsZero() && s.view.Load() == nil {
 		return
 	}
 	if old := s.view.Load(); old != nil && old.AsOf.After(asOf) {
