dispatch: a draining VM that refuses connections may finish its answers

What callers saw: answers ended at a VM that had stopped listening before it had finished them. Cause: a refused connection counted as a certain end, also for a VM that had announced its departure.

--- a/coord/dispatch/loss.go
+++ b/coord/dispatch/loss.go
@@ -25,7 +25,8 @@
 	// Gone means that the VM was removed from the table.
 	Gone LossReason = "the VM is gone"
 	// Ended means that the VM or another one of its group has ended: its host refuses
-	// connections, or the platform no longer lists it and it doesn't answer probes.
+	// connections without a departure, or the platform no longer lists it and it doesn't
+	// answer probes.
 	Ended LossReason = "a VM has ended"
 	// Unanswered means that the VM has not answered probes.
 	Unanswered LossReason = "the VM does not answer probes"
@@ -51,9 +52,10 @@
 // probes to count as ended.
 const endedSilence = 2 * time.Second
 
-// hasEnded reports whether a VM that doesn't answer probes has certainly ended.
+// hasEnded reports whether a VM that doesn't answer probes has certainly ended. One
+// that is about to stop may refuse connections while it finishes its answers.
 func hasEnded(now time.Time, vm *fleet.VM) bool {
-	return vm.Refused || !vm.Listed && vm.FailedProbes >= deadProbes && now.Sub(vm.FailedSince) >= endedSilence
+	return vm.Refused && !vm.Departing() || !vm.Listed && vm.FailedProbes >= deadProbes && now.Sub(vm.FailedSince) >= endedSilence
 }
 
 // appendLosses appends a loss for each ticket of the target.
