entry: tests of responses that may or may not go on with a stream

A stream goes on if the IDs of its events increase by more than one, if comments and retry fields stand between its events, and it is complete if a second endpoint has nothing left to send after the last event.

--- /dev/null
+++ b/internal/entry/resume_test.go
@@ -0,0 +1,119 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// pieces returns the events with IDs from through to, as in writeEvents.
+func pieces(from, to int) string {
+	out := &strings.Builder{}
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(out, "id: %d\ndata: piece-%d\n\n", id, id)
+	}
+	return out.String()
+}
+
+// sendText returns a handler that sends the text as an event stream.
+func sendText(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// breakAfter returns a handler that breaks its response off after the text.
+func breakAfter(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sendText(text)(w, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// askTwice sends a request for a stream, whose first send is answered by first and
+// the second one by second. The error says that the answer looks incomplete.
+func askTwice(t *testing.T, first, second http.HandlerFunc) (body string, sends int32, err error) {
+	t.Helper()
+	s := newHarness(t)
+	var count atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if count.Add(1) == 1 {
+			first(w, r)
+			return
+		}
+		second(w, r)
+	}
+	s.add(handler)
+	s.add(handler)
+	status, body, _, err := s.do(s.request(http.MethodPost, "/stream/"))
+	assert.Equal(t, status, http.StatusOK)
+	return body, count.Load(), err
+}
+
+// assertBroken fails unless the answer looks incomplete and has just the wanted text.
+func assertBroken(t *testing.T, body, want string, err error) {
+	t.Helper()
+	assert.Assert(t, err != nil, "the response looks complete: %q", body)
+	assert.Equal(t, body, want)
+}
+
+// Guards against the error response of a second endpoint inside a stream.
+func TestErrorResponseEndsNoStreamAsComplete(t *testing.T) {
+	for name, status := range map[string]int{
+		"redirect": http.StatusFound, "client error": http.StatusNotFound, "not run": http.StatusMisdirectedRequest,
+		"too many": http.StatusTooManyRequests, "failure": http.StatusInternalServerError, "bad gateway": http.StatusBadGateway,
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)), func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.WriteHeader(status)
+				_, _ = io.WriteString(w, "data: overloaded\n\n"+pieces(4, 5))
+			})
+			assertBroken(t, body, pieces(1, 3), err)
+		})
+	}
+}
+
+// Guards against a second response that no endpoint sealed inside a stream.
+func TestUnsealedResponseContinuesNoStream(t *testing.T) {
+	body, _, err := askTwice(t, breakAfter(pieces(1, 3)), func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("X-Seal")
+		writeEvents(w, 4, 5, true)
+	})
+	assertBroken(t, body, pieces(1, 3), err)
+}
+
+// Guards against ending streams whose IDs increase by more than one.
+func TestUnevenIDsAreResumed(t *testing.T) {
+	first, second := pieces(2, 2)+pieces(5, 5), pieces(9, 9)+pieces(20, 20)
+	body, _, err := askTwice(t, breakAfter(first), sendText(second))
+	assert.NilError(t, err)
+	assert.Equal(t, body, first+second)
+}
+
+// Guards against breaking off a stream whose last event had arrived.
+func TestStreamWithoutAnythingLeftIsComplete(t *testing.T) {
+	for name, rest := range map[string]string{"after its last event": "", "in a comment": ": wait"} {
+		t.Run(name, func(t *testing.T) {
+			body, sends, err := askTwice(t, breakAfter(pieces(1, 3)+rest), sendText(""))
+			assert.NilError(t, err)
+			assert.Equal(t, body, pieces(1, 3))
+			assert.Equal(t, sends, int32(2))
+		})
+	}
+}
+
+// Guards against endings that are taken for errors in streams that go on.
+func TestCommentsAndRetryContinueStream(t *testing.T) {
+	body, _, err := askTwice(t, breakAfter(": first\n\n"+pieces(1, 3)), sendText("retry: 100\n\n: waiting\n\n"+"version: 2\n"+pieces(4, 5)+"\n\n"))
+	assert.NilError(t, err)
+	assert.Equal(t, strings.Count(body, "data: piece-"), 5)
+	assert.Assert(t, strings.Contains(body, "version: 2\n"+pieces(4, 5)))
+}
