entry: text that is no event doesn't reach a stream

Cause: lines without a field of event streams were relayed as "empty events", as comments and blank lines are. A 200 with a seal whose body is "upstream connect error", a JSON error or "HTTP/1.1 503 ..." above a blank line was therefore written raw behind the events of the first endpoint, and its end completed the stream. The same happened to such text behind the events of a first endpoint.

Comments, blank lines and retry fields still pass, and so does text ahead of the events of a first response, which is that endpoint's own body. Before a stream is broken off, what was read of it is flushed: the check may fail while earlier events of the same read are still in the buffer.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -22,6 +22,8 @@
 	// empty reports whether the event has no fields, as with comments and
 	// blank lines.
 	empty bool
+	// text reports whether it has lines that are neither fields nor comments.
+	text bool
 }
 
 // eventReader splits a stream into complete events.
@@ -69,7 +71,9 @@
 			e.countIdle(ev)
 			return ev, nil
 		}
-		ev.empty = ev.empty && !isField(line)
+		field := isField(line)
+		ev.empty = ev.empty && !field
+		ev.text = ev.text || !field && line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -90,6 +90,38 @@
 	assertBroken(t, body, pieces(1, 3), err)
 }
 
+// Guards against text that is no event inside a stream.
+func TestTextWithoutEventsDoesNotReachStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"text":                   "upstream connect error\n\n",
+		"JSON":                   "{\"error\": \"overloaded\"}\r\n\r\n",
+		"head":                   "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbusy\n\n",
+		"head of a stream":       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + pieces(4, 5),
+		"text after events":      pieces(4, 5) + "stream reset\n\n",
+		"text between events":    pieces(4, 4) + "stream reset\n\n" + pieces(5, 5),
+		"text without its end":   "upstream connect error",
+		"text below a comment":   ": waiting\n\nupstream connect error\n\n",
+		"head after the last ID": pieces(4, 5) + "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n" + pieces(1, 6),
+	} {
+		t.Run(name, func(t *testing.T) {
+			want := pieces(1, 3)
+			for id := 4; strings.HasPrefix(strings.TrimPrefix(text, pieces(4, id-1)), pieces(id, id)); id++ {
+				want += pieces(id, id)
+			}
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)), sendText(text))
+			assertBroken(t, strings.ReplaceAll(body, ": waiting\n\n", ""), want, err)
+		})
+	}
+}
+
+// Guards against text behind the events of the first response.
+func TestTextAmidEventsIsNotForwarded(t *testing.T) {
+	body, sends, err := askTwice(t, sendText(pieces(1, 3)+"HTTP/1.1 502 Bad Gateway\r\nX-Id: other\r\n\r\nbad gateway\n\n"), sendText(pieces(4, 5)))
+	assert.NilError(t, err)
+	assert.Equal(t, body, pieces(1, 5))
+	assert.Equal(t, sends, int32(2))
+}
+
 // Guards against ending streams whose IDs increase by more than one.
 func TestUnevenIDsAreResumed(t *testing.T) {
 	first, second := pieces(2, 2)+pieces(5, 5), pieces(9, 9)+pieces(20, 20)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"log/slog"
@@ -55,6 +54,7 @@
 		s.log.Warn("stream broken off", "request", req.id, "kind", string(fault.Kind), "detail", fault.Message,
 			"route", req.route.Name, "events", rl.events, "sends", req.sends, "endpoint", req.lastEndpoint,
 			"elapsed", s.now().Sub(req.started))
+		_ = rl.controller.Flush()   // the caller may have disconnected
 		panic(http.ErrAbortHandler) // so that the response does not look complete
 	default:
 		s.refuse(w, req.id, req, fault)
@@ -123,7 +123,7 @@
 
 // copyEvents relays complete events until the stream ends.
 func (rl *relay) copyEvents(a *attempt) error {
-	events := &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}
+	events := rl.openAnswer(a)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
