entry: an event without a number doesn't go on with a numbered stream

Cause: an event whose ID is missing, empty or no number was taken for a new one and relayed, also when the stream had been resumed after a numbered event. Nothing says where in the stream such an event belongs.

Change: an attempt that resumes a stream ends at an event without a number. The stream is resumed once more, or ends visibly broken. Events without data and ID (retry, a name alone) are no piece of the answer and still pass. A first response is relayed as it is.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -19,6 +19,8 @@
 type event struct {
 	raw []byte // as received
 	id  string
+	// data reports whether the event has a data field.
+	data bool
 	// empty reports whether the event has no fields, as with comments and
 	// blank lines.
 	empty bool
@@ -37,10 +39,14 @@
 // eventFields are the field names defined for event streams.
 var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry")}
 
-// isField reports whether a line contains one of eventFields.
-func isField(line []byte) bool {
+// fieldName returns the name of the field in a line if it is one of eventFields,
+// or nil.
+func fieldName(line []byte) []byte {
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	return slices.ContainsFunc(eventFields, func(f []byte) bool { return bytes.Equal(f, name) })
+	if !slices.ContainsFunc(eventFields, func(f []byte) bool { return bytes.Equal(f, name) }) {
+		return nil
+	}
+	return name
 }
 
 // next returns the next complete event, which is valid until the next call. At
@@ -71,9 +77,10 @@
 			e.countIdle(ev)
 			return ev, nil
 		}
-		field := isField(line)
-		ev.empty = ev.empty && !field
-		ev.text = ev.text || !field && line[0] != ':'
+		field := fieldName(line)
+		ev.data = ev.data || string(field) == "data"
+		ev.empty = ev.empty && field == nil
+		ev.text = ev.text || field == nil && line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"strconv"
 
 	"github.com/juju/errors"
 )
@@ -10,14 +11,24 @@
 // page or the response header of another server.
 var errNotAnEvent = errors.New("the response contains text that is no event")
 
+// unnumberedError means that an event of a resumed stream has no number as its ID,
+// so that its place in the stream is unknown.
+type unnumberedError struct{ id string }
+
+// Error implements error.
+func (e *unnumberedError) Error() string {
+	return "the stream has numbered events, and one with the ID " + strconv.Quote(e.id) + " was sent to resume it"
+}
+
 // answerEvents reads the events of one endpoint's response to a request for a
 // stream. It returns an error for whatever does not belong to the stream that the
 // caller receives.
 type answerEvents struct {
 	*eventReader
-	// resumed reports whether the response to the caller had begun before.
-	resumed bool
-	// numbered reports whether an event of this response had an ID.
+	// begun reports whether the response to the caller had begun before, resumed
+	// whether the caller then had an event of it.
+	begun, resumed bool
+	// numbered reports whether an event of this response had a number as its ID.
 	numbered bool
 }
 
@@ -25,7 +36,8 @@
 func (rl *relay) openAnswer(a *attempt) *answerEvents {
 	return &answerEvents{
 		eventReader: &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)},
-		resumed:     rl.req.responseBegun,
+		begun:       rl.req.responseBegun,
+		resumed:     rl.req.responseBegun && rl.lastID != "",
 	}
 }
 
@@ -41,11 +53,25 @@
 // check returns an error if an event does not belong to the stream. Text ahead of
 // the numbered events is part of the response if the endpoint is the first one.
 func (e *answerEvents) check(ev event) error {
-	switch {
-	case ev.id != "":
-		e.numbered = true
-	case ev.empty && ev.text && (e.resumed || e.numbered):
-		return errNotAnEvent
+	if ev.empty {
+		if ev.text && (e.begun || e.numbered) {
+			return errNotAnEvent
+		}
+		return nil
+	}
+	_, numbered := eventNumber(ev.id)
+	if e.resumed && !numbered && ev.isPiece() {
+		return &unnumberedError{id: ev.id}
 	}
+	e.numbered = e.numbered || numbered
 	return nil
 }
+
+// isPiece reports whether the event is a part of the answer.
+func (ev event) isPiece() bool { return ev.data || ev.id != "" }
+
+// eventNumber returns the number that an event has as its ID.
+func eventNumber(id string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
+}
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -122,6 +122,26 @@
 	assert.Equal(t, sends, int32(2))
 }
 
+// Guards against an error that is sent as an event without an ID inside a stream.
+func TestEventWithoutIDContinuesNoNumberedStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"data":         "data: overloaded\n\n",
+		"error":        "event: error\ndata: {\"error\": \"overloaded\"}\n\n",
+		"empty ID":     "id:\ndata: overloaded\n\n",
+		"other ID":     "id: e7\ndata: overloaded\n\n",
+		"after events": pieces(4, 4) + "event: error\ndata: overloaded\n\n" + pieces(5, 5),
+	} {
+		t.Run(name, func(t *testing.T) {
+			want := pieces(1, 3)
+			if strings.HasPrefix(text, pieces(4, 4)) {
+				want = pieces(1, 4)
+			}
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)), sendText(text))
+			assertBroken(t, body, want, err)
+		})
+	}
+}
+
 // Guards against ending streams whose IDs increase by more than one.
 func TestUnevenIDsAreResumed(t *testing.T) {
 	first, second := pieces(2, 2)+pieces(5, 5), pieces(9, 9)+pieces(20, 20)
