gateway: events keep all lines of their data

Callers saw: of an event whose data has several lines, the first line only; the others stood behind it as they were, so that a line "id: 7" changed the ID of the event and an empty line split it in two.

Cause: the data, whose lines the reader joins by line feeds, was written behind a single "data: ".

Evidence: TestEventWithSeveralLinesOfData failed: "data: a", "b", "", "id: 7" in place of four data lines.

Change: eventText writes each line as a data field of its own, from which a reader joins the same data.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -160,10 +161,11 @@
 }
 
 func eventText(d stream.Deliver) string {
+	data := "data: " + strings.ReplaceAll(string(d.Data), "\n", "\ndata: ") + "\n\n"
 	if d.Last {
-		return "data: " + string(d.Data) + "\n\n"
+		return data
 	}
-	return "id: " + strconv.FormatUint(d.ID, 10) + "\ndata: " + string(d.Data) + "\n\n"
+	return "id: " + strconv.FormatUint(d.ID, 10) + "\n" + data
 }
 
 func (r *relay) write(text string) *problem.Error {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -107,6 +107,12 @@
 	}
 }
 
+// Guards against events that lose all lines of their data but the first.
+func TestEventWithSeveralLinesOfData(t *testing.T) {
+	text := "id: 1\ndata: a\ndata: b\ndata:\ndata: id: 7\n\ndata: [DONE]\n\n"
+	assert.Equal(t, askStream(t, false, sendStream(text)), strings.ReplaceAll(text, "data:\n", "data: \n"))
+}
+
 // Guards against events that are empty and taken for pieces without an id.
 func TestEventsWithoutDataContinueStream(t *testing.T) {
 	text := pieces(1, 2) + "event: ping\n\n: waiting\n\n" + pieces(3, 3) + "data: [DONE]\n\n"
