gateway: a stream is resumed at another engine after an error event

Callers saw: a stream that ended with an error event although another engine went on with it.

Cause: an attempt that ended at an error event, or at an event without an id, was not reported to the stream's state machine as broken. It stayed at the attempt before, with that engine's incarnation, and ignored all events of the next engine as those of another one.

Evidence: TestStreamIsResumedAfterErrorEvent failed: pieces 4 and 5 of the engine with incarnation "i2" were missing, and an error event stood in their place.

Change: relayAttempt reports Broken in this case too, as when a connection ends. After the caller has left or the attempt was replaced because of a gap, the state machine ignores it.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,6 +83,7 @@
 		}
 		delivered := r.state.Delivered()
 		if p := r.deliver(attempt, event); p != nil {
+			r.applyEffects(r.state.Step(r.server.now(), stream.Broken{Number: number}))
 			return p
 		}
 		ans.progressed = ans.progressed || r.state.Delivered() > delivered
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 )
 
 // newStreamTarget returns a target that answers each call by the handler, an engine
@@ -107,6 +108,19 @@
 	}
 }
 
+// Guards against a stream that isn't resumed at another engine after an error event.
+func TestStreamIsResumedAfterErrorEvent(t *testing.T) {
+	engine := func(incarnation, text string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(endpoint.HeaderIncarnation, incarnation)
+			sendStream(text)(w, r)
+		}
+	}
+	first := engine("i1", pieces(1, 3)+"event: error\ndata: overloaded\n\n")
+	second := engine("i2", pieces(4, 5)+"data: [DONE]\n\n")
+	assert.Equal(t, askStream(t, false, first, second), pieces(1, 5)+"data: [DONE]\n\n")
+}
+
 // Guards against events that lose all lines of their data but the first.
 func TestEventWithSeveralLinesOfData(t *testing.T) {
 	text := "id: 1\ndata: a\ndata: b\ndata:\ndata: id: 7\n\ndata: [DONE]\n\n"
