gateway: events that don't follow their predecessor end an attempt

Cause: each event whose id wasn't above the last delivered one was dropped as a duplicate. An event without an id has the one before as its id for the reader, so an engine's error sent as a plain data event was dropped, and the [DONE] behind it completed the stream. An engine that started over instead of resuming had the pieces that it repeated dropped and the further ones joined to the first run's.

Change: within one answer ids must increase, from the one after which it was requested; otherwise the attempt ends and the stream is resumed once more or ends with an error event. Events without data and id still pass. Events of earlier attempts are dropped by the state machine as before.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -34,6 +34,11 @@
 	state  *stream.Relay
 	number int // number of the current attempt
 	ended  bool
+	// lastID is the id of the latest event of the current attempt, initially of
+	// the one after which it resumes the stream. lastField is the latest id as
+	// sent in the attempt.
+	lastID    uint64
+	lastField string
 }
 
 // stream delivers a completion as server-sent events.
@@ -77,6 +82,7 @@
 	number := r.number
 	attempt := stream.Attempt{ID: r.attemptID(), Incarnation: ans.resp.Header.Get(endpoint.HeaderIncarnation)}
 	r.applyEffects(r.state.Step(r.server.now(), stream.Opened{Number: number, Incarnation: attempt.Incarnation}))
+	r.lastID, r.lastField = r.state.Delivered(), ""
 	for event, err := range sse.Read(ans.resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			break
@@ -137,12 +143,15 @@
 		return problem.New(problem.StreamInterrupted, "the endpoint aborted the stream", "retry").WithRanUnknown().WithRetryAfter(retryDelay)
 	}
 	received := stream.Received{Attempt: attempt, Data: []byte(event.Data), Last: event.Data == streamEnd}
-	if received.Last {
+	switch {
+	case received.Last:
 		received.ID = r.state.Delivered() + 1
-	} else {
-		id, err := strconv.ParseUint(event.LastEventID, 10, 64)
-		if err != nil {
-			return endpointError("the engine sent an event without an id")
+	case event.Data == "" && event.LastEventID == r.lastField:
+		return nil // has neither data nor an id of its own
+	default:
+		id, p := r.eventID(event)
+		if p != nil {
+			return p
 		}
 		received.ID = id
 	}
@@ -161,6 +170,20 @@
 	return nil
 }
 
+// eventID returns the id of an event that is not the last one. An event without an
+// id of its own has the one before as its LastEventID.
+func (r *relay) eventID(event sse.Event) (uint64, *problem.Error) {
+	id, err := strconv.ParseUint(event.LastEventID, 10, 64)
+	if err != nil || event.LastEventID == r.lastField {
+		return 0, endpointError("the engine sent an event without an id")
+	}
+	if id <= r.lastID {
+		return 0, endpointError(fmt.Sprintf("the engine sent event %d after event %d", id, r.lastID))
+	}
+	r.lastID, r.lastField = id, event.LastEventID
+	return id, nil
+}
+
 func eventText(d stream.Deliver) string {
 	data := "data: " + strings.ReplaceAll(string(d.Data), "\n", "\ndata: ") + "\n\n"
 	if d.Last {
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -108,6 +108,27 @@
 	}
 }
 
+// Guards against a piece that is dropped because it has no id of its own, before an
+// end that looks complete.
+func TestEventWithoutOwnIDInterruptsStream(t *testing.T) {
+	for name, text := range map[string]string{
+		"error":       "data: {\"error\":\"overloaded\"}\n\n",
+		"repeated id": "id: 3\ndata: overloaded\n\n",
+		"starts over": pieces(1, 2),
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := sendStream(pieces(1, 3) + text + "data: [DONE]\n\n")
+			assertInterrupted(t, askStream(t, false, first, breakAfter(""), breakAfter("")), pieces(1, 3))
+		})
+	}
+}
+
+// Guards against pieces of another run of the request inside a resumed stream.
+func TestResumedStreamThatStartsOverIsInterrupted(t *testing.T) {
+	second := sendStream(pieces(1, 5) + "data: [DONE]\n\n")
+	assertInterrupted(t, askStream(t, false, breakAfter(pieces(1, 3)), second, second), pieces(1, 3))
+}
+
 // Guards against a stream that isn't resumed at another engine after an error event.
 func TestStreamIsResumedAfterErrorEvent(t *testing.T) {
 	engine := func(incarnation, text string) http.HandlerFunc {
