entry: a stream without numbered events is not resumed

Callers saw: pieces that come twice.

Cause: the ID after which a stream is resumed was that of the last event that had one, whatever followed it, and none at all otherwise. For an ID that is no number nothing tells whether an answer goes on after it.

Evidence: all three cases of TestStreamWithoutIDsIsNotResumed failed ("the response looks complete": "piece-1 piece-2 piece-1 piece-2").

Change: once an event with no number was relayed, the stream isn't resumed. If it breaks off, it ends visibly broken; if its endpoint completes it, it is complete.

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -20,6 +20,23 @@
 	return "the stream has numbered events, and one with the ID " + strconv.Quote(e.id) + " was sent to resume it"
 }
 
+// sentEvents is what is known of the events that a caller has received.
+type sentEvents struct {
+	// unnumbered reports whether the place of any of them in the stream is unknown.
+	unnumbered bool
+}
+
+// record records an event that is sent to the caller.
+func (s *sentEvents) record(ev event) {
+	if !isNumber(ev.id) && ev.isPiece() {
+		s.unnumbered = true
+	}
+}
+
+// canResume reports whether another endpoint can be told after which event to go on
+// with the stream.
+func (rl *relay) canResume() bool { return !rl.sent.unnumbered }
+
 // answerEvents reads the events of one endpoint's response to a request for a
 // stream. It returns an error for whatever does not belong to the stream that the
 // caller receives.
@@ -59,7 +76,7 @@
 		}
 		return nil
 	}
-	_, numbered := eventNumber(ev.id)
+	numbered := isNumber(ev.id)
 	if e.resumed && !numbered && ev.isPiece() {
 		return &unnumberedError{id: ev.id}
 	}
@@ -70,8 +87,8 @@
 // isPiece reports whether the event is a part of the answer.
 func (ev event) isPiece() bool { return ev.data || ev.id != "" }
 
-// eventNumber returns the number that an event has as its ID.
-func eventNumber(id string) (n uint64, ok bool) {
-	n, err := strconv.ParseUint(id, 10, 64)
-	return n, err == nil
+// isNumber reports whether the ID of an event is a number.
+func isNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
 }
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// Guards against pieces that come twice because the first response has no IDs by
+// which it could be resumed.
+func TestStreamWithoutIDsIsNotResumed(t *testing.T) {
+	for name, text := range map[string]string{
+		"no IDs":             "data: piece-1\n\ndata: piece-2\n\n",
+		"other IDs":          "id: a\ndata: piece-1\n\nid: b\ndata: piece-2\n\n",
+		"none on the latest": pieces(1, 2) + "data: piece-3\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, sends, err := askTwice(t, breakAfter(text), sendText(text))
+			assertBroken(t, body, text, err)
+			assert.Equal(t, sends, int32(1))
+		})
+	}
+}
+
 // Guards against ending streams whose IDs increase by more than one.
 func TestUnevenIDsAreResumed(t *testing.T) {
 	first, second := pieces(2, 2)+pieces(5, 5), pieces(9, 9)+pieces(20, 20)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -28,6 +28,7 @@
 	// lastID is the ID of the last event sent to the caller, initially the ID
 	// after which the caller resumes.
 	lastID string
+	sent   sentEvents
 	// events is the number of events sent to the caller.
 	events int
 	// firstDelay is the time to the first event, maxPause the longest time
@@ -68,7 +69,7 @@
 		if done {
 			return nil
 		}
-		if !rl.canRetry(rl.ctx, rl.req) {
+		if !rl.canResume() || !rl.canRetry(rl.ctx, rl.req) {
 			return fault
 		}
 		rl.log.Info("stream goes on elsewhere", "request", rl.req.id, "after_event", rl.lastID, "sends", rl.req.sends, "cause", fault.Message)
@@ -166,6 +167,7 @@
 	if _, err := rl.w.Write(ev.raw); err != nil {
 		return err
 	}
+	rl.sent.record(ev)
 	if ev.id != "" {
 		rl.lastID = ev.id
 	}
