entry: events that don't go on after the last one are not relayed

Callers saw: a resumed stream in which a piece was missing, or whose pieces came from two runs, and which ended as if it were complete (ORDER).

Cause: of a second answer, events up to the last ID were dropped and all later ones relayed. A gap went unnoticed. An endpoint that started over instead of going on after Last-Event-Id, or whose body held another answer behind the first, had its repeated events dropped and the others joined to those of another run.

Evidence: all 7 cases of TestEventsThatDoNotContinueAreNotForwarded failed ("the response looks complete"), as did TestCallersResumptionThatStartsOver and TestResponseThatStartsOverWithinItselfIsResumed (one send in place of two).

Change: within one answer IDs must increase, from the one after which it was requested. If all events that the caller has are consecutive, the first counted from its Last-Event-Id or 0, those of further answers must be too; the IDs of a first answer may jump, and then a gap can't be told. Otherwise the attempt ends and the stream is resumed once more, or ends visibly broken. Known limit: a stream whose IDs jump, but of which only event 1 was sent, is taken for consecutive.

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"strconv"
 
 	"github.com/juju/errors"
@@ -20,19 +21,45 @@
 	return "the stream has numbered events, and one with the ID " + strconv.Quote(e.id) + " was sent to resume it"
 }
 
+// orderError means that an event of a response does not follow the one before it.
+type orderError struct{ last, id uint64 }
+
+// Error implements error.
+func (e *orderError) Error() string {
+	return fmt.Sprintf("event %d was sent after event %d", e.id, e.last)
+}
+
 // sentEvents is what is known of the events that a caller has received.
 type sentEvents struct {
 	// unnumbered reports whether the place of any of them in the stream is unknown.
 	unnumbered bool
+	// steps is the number of events whose ID is the previous one plus 1, and jumps
+	// that of the others.
+	steps, jumps int
 }
 
-// record records an event that is sent to the caller.
-func (s *sentEvents) record(ev event) {
-	if !isNumber(ev.id) && ev.isPiece() {
+// record records an event that is sent to the caller after the one with the given
+// ID, which is empty for the first one.
+func (s *sentEvents) record(previous string, ev event) {
+	if !ev.isPiece() {
+		return
+	}
+	n, numbered := eventNumber(ev.id)
+	last, _ := eventNumber(previous)
+	switch {
+	case !numbered:
 		s.unnumbered = true
+	case n == last+1:
+		s.steps++
+	case previous != "":
+		s.jumps++
 	}
 }
 
+// consecutive reports whether the IDs of the events are consecutive numbers, so
+// that a missing event can be noticed.
+func (s *sentEvents) consecutive() bool { return s.steps > 0 && s.jumps == 0 }
+
 // canResume reports whether another endpoint can be told after which event to go on
 // with the stream.
 func (rl *relay) canResume() bool { return !rl.sent.unnumbered }
@@ -47,15 +74,26 @@
 	begun, resumed bool
 	// numbered reports whether an event of this response had a number as its ID.
 	numbered bool
+	// last is the ID of the latest event, initially of the one after which the
+	// stream was requested, if hasLast.
+	last    uint64
+	hasLast bool
+	// consecutive reports whether the ID of each event must be last plus 1.
+	consecutive bool
 }
 
 // openAnswer returns a reader for the events of an attempt's response.
 func (rl *relay) openAnswer(a *attempt) *answerEvents {
-	return &answerEvents{
+	e := &answerEvents{
 		eventReader: &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)},
 		begun:       rl.req.responseBegun,
 		resumed:     rl.req.responseBegun && rl.lastID != "",
 	}
+	if rl.req.route.Resumable {
+		e.last, e.hasLast = eventNumber(rl.lastID)
+	}
+	e.consecutive = e.resumed && rl.sent.consecutive()
+	return e
 }
 
 // next returns the next event like eventReader.next.
@@ -76,19 +114,25 @@
 		}
 		return nil
 	}
-	numbered := isNumber(ev.id)
-	if e.resumed && !numbered && ev.isPiece() {
+	n, numbered := eventNumber(ev.id)
+	switch {
+	case e.resumed && !numbered && ev.isPiece():
 		return &unnumberedError{id: ev.id}
+	case !numbered:
+		return nil
+	case e.hasLast && n <= e.last, e.consecutive && n != e.last+1:
+		return &orderError{last: e.last, id: n}
 	}
-	e.numbered = e.numbered || numbered
+	e.numbered = true
+	e.last, e.hasLast = n, true
 	return nil
 }
 
 // isPiece reports whether the event is a part of the answer.
 func (ev event) isPiece() bool { return ev.data || ev.id != "" }
 
-// isNumber reports whether the ID of an event is a number.
-func isNumber(id string) bool {
-	_, err := strconv.ParseUint(id, 10, 64)
-	return err == nil
+// eventNumber returns the number that an event has as its ID.
+func eventNumber(id string) (n uint64, ok bool) {
+	n, err := strconv.ParseUint(id, 10, 64)
+	return n, err == nil
 }
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// Guards against a missing piece, and against pieces of another run.
+func TestEventsThatDoNotContinueAreNotForwarded(t *testing.T) {
+	for name, c := range map[string]struct{ first, second, want string }{
+		"gap at once":        {pieces(1, 3), pieces(5, 6), pieces(1, 3)},
+		"gap later":          {pieces(1, 3), pieces(4, 4) + pieces(6, 6), pieces(1, 4)},
+		"gap after one":      {pieces(1, 1), pieces(3, 4), pieces(1, 1)},
+		"starts over":        {pieces(1, 3), pieces(1, 5), pieces(1, 3)},
+		"starts at the last": {pieces(1, 3), pieces(3, 5), pieces(1, 3)},
+		"starts over later":  {pieces(1, 3), pieces(4, 5) + pieces(1, 7), pieces(1, 5)},
+		"uneven, goes back":  {pieces(2, 2) + pieces(5, 5), pieces(4, 6), pieces(2, 2) + pieces(5, 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, _, err := askTwice(t, breakAfter(c.first), sendText(c.second))
+			assertBroken(t, body, c.want, err)
+		})
+	}
+}
+
 // Guards against ending streams whose IDs increase by more than one.
 func TestUnevenIDsAreResumed(t *testing.T) {
 	first, second := pieces(2, 2)+pieces(5, 5), pieces(9, 9)+pieces(20, 20)
@@ -166,6 +184,34 @@
 	assert.Equal(t, body, first+second)
 }
 
+// Guards against a stream that the caller resumes and whose endpoint starts over.
+func TestCallersResumptionThatStartsOver(t *testing.T) {
+	s := newHarness(t)
+	var sends atomic.Int32
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if sends.Add(1) == 1 {
+			sendText(pieces(1, 5))(w, r)
+			return
+		}
+		sendText(pieces(4, 5))(w, r)
+	}
+	s.add(handler)
+	s.add(handler)
+	status, body, _, err := s.do(s.request(http.MethodPost, "/stream/", "Last-Event-Id", "3"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, pieces(4, 5))
+	assert.Equal(t, sends.Load(), int32(2))
+}
+
+// Guards against pieces of another answer in a first response.
+func TestResponseThatStartsOverWithinItselfIsResumed(t *testing.T) {
+	body, sends, err := askTwice(t, sendText(pieces(1, 3)+pieces(2, 6)), sendText(pieces(4, 5)))
+	assert.NilError(t, err)
+	assert.Equal(t, body, pieces(1, 5))
+	assert.Equal(t, sends, int32(2))
+}
+
 // Guards against breaking off a stream whose last event had arrived.
 func TestStreamWithoutAnythingLeftIsComplete(t *testing.T) {
 	for name, rest := range map[string]string{"after its last event": "", "in a comment": ": wait"} {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -167,7 +167,7 @@
 	if _, err := rl.w.Write(ev.raw); err != nil {
 		return err
 	}
-	rl.sent.record(ev)
+	rl.sent.record(rl.lastID, ev)
 	if ev.id != "" {
 		rl.lastID = ev.id
 	}
