entry: a response of another kind doesn't complete a stream

Callers saw: a stream that ended as if it were complete before its last piece (ORDER), or that went on with events from a body of another type.

Cause: any sealed 2xx was read as the rest of the stream. A 204, a 202, or a 200 of type application/json has no events, and its end was taken for that of the stream.

Evidence: all 5 cases of TestResponseOfAnotherKindEndsNoStreamAsComplete failed ("the response looks complete" after piece 3 of 5).

Change: a response that goes on with one that has begun must have status 200, as event streams have, and the media type of the header that the caller received. Otherwise its attempt ends before anything of it is relayed. First responses are relayed as they are.

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"fmt"
+	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
+
+	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
 // errNotAnEvent means that a response has text amid its events, such as the error
@@ -82,8 +86,14 @@
 	consecutive bool
 }
 
-// openAnswer returns a reader for the events of an attempt's response.
-func (rl *relay) openAnswer(a *attempt) *answerEvents {
+// openAnswer returns a reader for the events of an attempt's response, or an error
+// if the response cannot go on with what the caller has received.
+func (rl *relay) openAnswer(a *attempt) (*answerEvents, error) {
+	if rl.req.responseBegun {
+		if err := checkHead(a.resp, rl.w.Header()); err != nil {
+			return nil, err
+		}
+	}
 	e := &answerEvents{
 		eventReader: &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)},
 		begun:       rl.req.responseBegun,
@@ -93,7 +103,26 @@
 		e.last, e.hasLast = eventNumber(rl.lastID)
 	}
 	e.consecutive = e.resumed && rl.sent.consecutive()
-	return e
+	return e, nil
+}
+
+// checkHead returns an error if a response is not a stream of events like the one
+// whose header the caller has received. Event streams have status 200 only; 204,
+// for instance, asks the client to stop.
+func checkHead(resp *upstream.Response, sent http.Header) error {
+	if resp.Status != http.StatusOK {
+		return errors.Errorf("a response with status %d does not go on with a stream", resp.Status)
+	}
+	if got, want := mediaType(resp.Header), mediaType(sent); got != want {
+		return errors.Errorf("a response of type %q does not go on with a stream of type %q", got, want)
+	}
+	return nil
+}
+
+// mediaType returns the media type of a body without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 // next returns the next event like eventReader.next.
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -212,6 +212,34 @@
 	assert.Equal(t, sends, int32(2))
 }
 
+// Guards against a second response of another kind that ends a stream as complete.
+func TestResponseOfAnotherKindEndsNoStreamAsComplete(t *testing.T) {
+	for name, handler := range map[string]http.HandlerFunc{
+		"no content": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusNoContent)
+		},
+		"accepted": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.WriteHeader(http.StatusAccepted)
+		},
+		"no type": func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("Content-Length", "0") },
+		"text": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "text/plain")
+			_, _ = io.WriteString(w, pieces(4, 5))
+		},
+		"JSON without a body": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			w.Header().Set("Content-Length", "0")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)), handler)
+			assertBroken(t, body, pieces(1, 3), err)
+		})
+	}
+}
+
 // Guards against breaking off a stream whose last event had arrived.
 func TestStreamWithoutAnythingLeftIsComplete(t *testing.T) {
 	for name, rest := range map[string]string{"after its last event": "", "in a comment": ": wait"} {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -124,7 +124,10 @@
 
 // copyEvents relays complete events until the stream ends.
 func (rl *relay) copyEvents(a *attempt) error {
-	events := rl.openAnswer(a)
+	events, err := rl.openAnswer(a)
+	if err != nil {
+		return err
+	}
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
