entry: a connection that ends without events doesn't complete a stream

Callers saw: a stream that ended as if it were complete before its last piece (ORDER).

Cause: a second response without a length that ended before its first event was taken for the rest of the stream, as soon as the caller had any event; only a stream of which nothing had come was not. The end of such a connection looks the same if the server failed after its response header.

Evidence: both cases of TestUnframedResponseWithoutEventsEndsNoStreamAsComplete failed ("the response looks complete" after piece 3 of 5).

Change: the end of a response counts if the response has a length or is chunked, or had an event. An empty response with a length, the seal, status 200 and the media type of the stream still completes it: an endpoint that resumes after the last event has nothing left to send (TestStreamWithoutAnythingLeftIsComplete).

--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -73,6 +74,10 @@
 // caller receives.
 type answerEvents struct {
 	*eventReader
+	// framed reports whether the body has a length or is chunked.
+	framed bool
+	// pieces is the number of events that are part of the answer.
+	pieces int
 	// begun reports whether the response to the caller had begun before, resumed
 	// whether the caller then had an event of it.
 	begun, resumed bool
@@ -96,6 +101,7 @@
 	}
 	e := &answerEvents{
 		eventReader: &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)},
+		framed:      a.resp.Framed,
 		begun:       rl.req.responseBegun,
 		resumed:     rl.req.responseBegun && rl.lastID != "",
 	}
@@ -128,12 +134,26 @@
 // next returns the next event like eventReader.next.
 func (e *answerEvents) next() (event, error) {
 	ev, err := e.eventReader.next()
+	if errors.Is(err, io.EOF) {
+		return ev, e.checkEnd()
+	}
 	if err != nil {
 		return ev, err
 	}
 	return ev, e.check(ev)
 }
 
+// checkEnd returns io.EOF if the end of the response is the end of the stream. A
+// response without events is: an endpoint that resumes a stream after its last event
+// has nothing left to send. It must have a length or be chunked then, since the end
+// of a connection cannot be told from one that failed before the first event.
+func (e *answerEvents) checkEnd() error {
+	if !e.framed && e.pieces == 0 {
+		return errNoEvents
+	}
+	return io.EOF
+}
+
 // check returns an error if an event does not belong to the stream. Text ahead of
 // the numbered events is part of the response if the endpoint is the first one.
 func (e *answerEvents) check(ev event) error {
@@ -143,6 +163,9 @@
 		}
 		return nil
 	}
+	if ev.isPiece() {
+		e.pieces++
+	}
 	n, numbered := eventNumber(ev.id)
 	switch {
 	case e.resumed && !numbered && ev.isPiece():
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -240,6 +240,16 @@
 	}
 }
 
+// Guards against a connection that ends before the first event and completes a stream.
+func TestUnframedResponseWithoutEventsEndsNoStreamAsComplete(t *testing.T) {
+	for name, text := range map[string]string{"nothing": "", "comment": ": waiting\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)), unframed(sendText(text)))
+			assertBroken(t, strings.TrimSuffix(body, text), pieces(1, 3), err)
+		})
+	}
+}
+
 // Guards against breaking off a stream whose last event had arrived.
 func TestStreamWithoutAnythingLeftIsComplete(t *testing.T) {
 	for name, rest := range map[string]string{"after its last event": "", "in a comment": ": wait"} {
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -130,9 +130,6 @@
 	}
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
-			return errNoEvents // a stream of which nothing came is no answer
-		}
 		if errors.Is(err, io.EOF) {
 			return rl.finish(a)
 		}
