entry: an empty response doesn't complete a stream inside an event

Cause: an empty response to a resumption was always taken to mean that nothing was left. What had been read of the next event was forgotten.

Change: the relay keeps the ID after which an endpoint had begun another event. A response that ends without having reached a later one doesn't complete the stream: it is resumed once more or ends visibly broken. A comment that is cut is no event. Known limit: if two runs may end after different numbers of events, a second run that ends there on its own is taken for incomplete too.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -51,7 +51,7 @@
 
 // next returns the next complete event, which is valid until the next call. At
 // the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the last
-// event is truncated.
+// event is truncated. With any error it returns the fields of a truncated event.
 func (e *eventReader) next() (event, error) {
 	e.buf = e.buf[:0]
 	ev := event{empty: true}
@@ -65,9 +65,11 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(e.buf) > 0:
-			return ev, io.ErrUnexpectedEOF
 		case err != nil:
+			ev.empty = ev.empty && fieldName(e.buf[start:]) == nil
+			if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
 			return ev, err
 		}
 		line = bytes.TrimRight(e.buf[start:], "\r\n")
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -17,6 +17,10 @@
 // page or the response header of another server.
 var errNotAnEvent = errors.New("the response contains text that is no event")
 
+// errEventMissing means that a response ended although an earlier one had begun
+// another event.
+var errEventMissing = errors.New("the response ended before an event that another endpoint had begun to send")
+
 // unnumberedError means that an event of a resumed stream has no number as its ID,
 // so that its place in the stream is unknown.
 type unnumberedError struct{ id string }
@@ -41,6 +45,10 @@
 	// steps is the number of events whose ID is the previous one plus 1, and jumps
 	// that of the others.
 	steps, jumps int
+	// cutAfter is the ID after which the latest response that broke off inside an
+	// event had begun that event, if cut.
+	cutAfter uint64
+	cut      bool
 }
 
 // record records an event that is sent to the caller after the one with the given
@@ -61,6 +69,14 @@
 	}
 }
 
+// recordCut records what was read of the event after the given ID before its
+// response broke off.
+func (s *sentEvents) recordCut(last uint64, ev event) {
+	if !ev.empty {
+		s.cut, s.cutAfter = true, last
+	}
+}
+
 // consecutive reports whether the IDs of the events are consecutive numbers, so
 // that a missing event can be noticed.
 func (s *sentEvents) consecutive() bool { return s.steps > 0 && s.jumps == 0 }
@@ -74,6 +90,7 @@
 // caller receives.
 type answerEvents struct {
 	*eventReader
+	sent *sentEvents
 	// framed reports whether the body has a length or is chunked.
 	framed bool
 	// pieces is the number of events that are part of the answer.
@@ -101,6 +118,7 @@
 	}
 	e := &answerEvents{
 		eventReader: &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)},
+		sent:        &rl.sent,
 		framed:      a.resp.Framed,
 		begun:       rl.req.responseBegun,
 		resumed:     rl.req.responseBegun && rl.lastID != "",
@@ -138,18 +156,23 @@
 		return ev, e.checkEnd()
 	}
 	if err != nil {
+		e.sent.recordCut(e.last, ev)
 		return ev, err
 	}
 	return ev, e.check(ev)
 }
 
 // checkEnd returns io.EOF if the end of the response is the end of the stream. A
-// response without events is: an endpoint that resumes a stream after its last event
-// has nothing left to send. It must have a length or be chunked then, since the end
-// of a connection cannot be told from one that failed before the first event.
+// response without events is, unless another event is known to exist: an endpoint
+// that resumes a stream after its last event has nothing left to send. It must have
+// a length or be chunked then, since the end of a connection cannot be told from one
+// that failed before the first event.
 func (e *answerEvents) checkEnd() error {
-	if !e.framed && e.pieces == 0 {
+	switch {
+	case !e.framed && e.pieces == 0:
 		return errNoEvents
+	case e.resumed && e.sent.cut && e.last <= e.sent.cutAfter:
+		return errEventMissing
 	}
 	return io.EOF
 }
--- a/internal/entry/resume_test.go
+++ b/internal/entry/resume_test.go
@@ -250,6 +250,16 @@
 	}
 }
 
+// Guards against an empty response that completes a stream of which more is known.
+func TestEmptyResponseEndsNoStreamInsideEvent(t *testing.T) {
+	for name, rest := range map[string]string{"in its ID": "id: 4", "in its data": "id: 4\ndata: pie", "after its data": "id: 4\ndata: piece-4\n"} {
+		t.Run(name, func(t *testing.T) {
+			body, _, err := askTwice(t, breakAfter(pieces(1, 3)+rest), sendText(""))
+			assertBroken(t, body, pieces(1, 3), err)
+		})
+	}
+}
+
 // Guards against breaking off a stream whose last event had arrived.
 func TestStreamWithoutAnythingLeftIsComplete(t *testing.T) {
 	for name, rest := range map[string]string{"after its last event": "", "in a comment": ": wait"} {
