--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -100,6 +100,9 @@
 		if errors.As(err, &notSent) {
 			s.endNotSent(a, err)
 			s.log.Info("endpoint not reached", "request", req.id, "endpoint", a.ticket.Target.ID, "error", err.Error())
+			if req.hasStandby != nil && req.hasStandby() {
+				return nil, problem.New(problem.EndpointFailed, "the endpoint could not be reached", "retry")
+			}
 			if dials+1 < maxDials {
 				continue
 			}
@@ -150,6 +153,9 @@
 	a.sentAt = s.now()
 	req.lastEndpoint = ticket.Target.ID
 	req.predictedLoad = ticket.Load
+	if req.placed != nil {
+		req.placed(a)
+	}
 	return a, nil
 }
 
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -19,9 +19,13 @@
 type event struct {
 	raw []byte // as received
 	id  string
+	// data reports whether the event has a data field.
+	data bool
 	// empty reports whether the event has no fields, as with comments and
 	// blank lines.
 	empty bool
+	// text reports whether it has lines that are neither fields nor comments.
+	text bool
 }
 
 // eventReader splits a stream into complete events.
@@ -35,15 +39,19 @@
 // eventFields are the field names defined for event streams.
 var eventFields = [][]byte{[]byte("data"), []byte("id"), []byte("event"), []byte("retry")}
 
-// isField reports whether a line contains one of eventFields.
-func isField(line []byte) bool {
+// fieldName returns the name of the field in a line if it is one of eventFields,
+// or nil.
+func fieldName(line []byte) []byte {
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	return slices.ContainsFunc(eventFields, func(f []byte) bool { return bytes.Equal(f, name) })
+	if !slices.ContainsFunc(eventFields, func(f []byte) bool { return bytes.Equal(f, name) }) {
+		return nil
+	}
+	return name
 }
 
 // next returns the next complete event, which is valid until the next call. At
 // the end of the stream it returns io.EOF, or io.ErrUnexpectedEOF if the last
-// event is truncated.
+// event is truncated. With any error it returns the fields of a truncated event.
 func (e *eventReader) next() (event, error) {
 	e.buf = e.buf[:0]
 	ev := event{empty: true}
@@ -57,9 +65,11 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && len(e.buf) > 0:
-			return ev, io.ErrUnexpectedEOF
 		case err != nil:
+			ev.empty = ev.empty && fieldName(e.buf[start:]) == nil
+			if errors.Is(err, io.EOF) && len(e.buf) > 0 {
+				err = io.ErrUnexpectedEOF
+			}
 			return ev, err
 		}
 		line = bytes.TrimRight(e.buf[start:], "\r\n")
@@ -69,7 +79,10 @@
 			e.countIdle(ev)
 			return ev, nil
 		}
-		ev.empty = ev.empty && !isField(line)
+		field := fieldName(line)
+		ev.data = ev.data || string(field) == "data"
+		ev.empty = ev.empty && field == nil
+		ev.text = ev.text || field == nil && line[0] != ':'
 		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			ev.id = string(bytes.TrimSpace(id))
 		}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -56,6 +56,10 @@
 	// doubted is called when the answer of one of its attempts may not go on, or
 	// nil.
 	doubted func(*attempt, *dispatch.Ticket, dispatch.LossReason)
+	// placed is called with each attempt before it is sent, and hasStandby reports
+	// whether another attempt is made meanwhile. Both may be nil.
+	placed     func(*attempt)
+	hasStandby func() bool
 	// buffered is the memory reserved for buffered responses, in bytes.
 	buffered int64
 }
--- a/internal/entry/standby.go
+++ b/internal/entry/standby.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"errors"
+	"io"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
@@ -23,16 +25,21 @@
 // next event first goes on, and the other one is cancelled.
 type standby struct {
 	cancel context.CancelFunc
-	// req is a copy of the stream's request in which the silent attempt counts.
-	req   request
-	start sendCounts // of req at the beginning
-	done  chan struct{}
-	// The attempt, its events and the first one of them are set once it has arrived.
-	a      *attempt
-	events *eventReader
+	// req is a copy of the stream's request in which the silent attempt counts, and
+	// from the place at which it goes on.
+	req  request
+	from resumePoint
+	// start are the counts of req at the beginning, and current those at the
+	// beginning of attempt, the one that is made now.
+	start, current sendCounts
+	attempt        *attempt
+	done           chan struct{}
+	// answer and first are the events of the attempt and the first one of them, once
+	// that has arrived. first is empty if the answer ended without another event.
+	answer *answerEvents
 	first  event
-	// won reports whether it has sent an event first, and dropped whether the
-	// stream's own endpoint has.
+	// won reports whether it goes on, and dropped whether the stream's own endpoint
+	// does.
 	won, dropped bool
 }
 
@@ -58,40 +65,63 @@
 type standbys struct {
 	mu sync.Mutex
 	// origin is a copy of the request as of the start of the current attempt, and
-	// lastID the ID of the last event sent to the caller.
+	// from the place that the stream has reached.
 	origin request
-	lastID string
+	from   resumePoint
+	// current is the stream's own attempt.
+	current *attempt
 	// running is the standby attempt that runs or has won, or nil.
 	running *standby
-	// ended are the sends of standby attempts that have ended without being
-	// counted in the stream's request.
+	// ended are standby attempts that have ended without being counted in the
+	// stream's request.
 	ended   []*standby
 	retryAt time.Time
 }
 
 // begin records the request at the start of an attempt.
-func (s *standbys) begin(req *request, lastID string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.setOrigin(req, lastID)
+func (rl *relay) begin() {
+	rl.standbys.mu.Lock()
+	defer rl.standbys.mu.Unlock()
+	rl.settleStandbys()
 }
 
-// setOrigin counts the standby attempts that have ended in req and records it.
-// s.mu must be held.
-func (s *standbys) setOrigin(req *request, lastID string) {
+// settleStandbys counts the standby attempts that have ended in the stream's request
+// and records the request. standbys.mu must be held.
+func (rl *relay) settleStandbys() {
+	s := &rl.standbys
 	for _, sb := range s.ended {
-		req.addSends(&sb.req, sb.start)
+		rl.req.addSends(&sb.req, sb.start)
+		rl.sent.mergeCut(sb.from.sent)
 	}
 	s.ended = nil
-	s.origin, s.lastID = *req, lastID
-	s.origin.exclude = slices.Clone(req.exclude)
+	s.origin, s.from = *rl.req, rl.resumePoint()
+	s.origin.exclude = slices.Clone(rl.req.exclude)
+}
+
+// setCurrent records the attempt that is made. It is cancelled at once if a standby
+// attempt has won meanwhile.
+func (s *standbys) setCurrent(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = a
+	if s.running != nil && s.running.won {
+		a.cancel(errTakenOver)
+	}
+}
+
+// isRunning reports whether a standby attempt runs or has won.
+func (s *standbys) isRunning() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running != nil
 }
 
-// recordEvent records an event of the current attempt, which therefore goes on.
-func (s *standbys) recordEvent(lastID string) {
+// recordEvent records the place that the current attempt has reached, which
+// therefore goes on.
+func (s *standbys) recordEvent(from resumePoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origin.responseBegun, s.lastID = true, lastID
+	s.origin.responseBegun, s.from = true, from
 	s.drop()
 }
 
@@ -103,16 +133,41 @@
 	}
 }
 
-// doubt starts a standby attempt for a stream whose endpoint may be lost, unless
-// one runs. silent is the attempt at that endpoint.
-func (rl *relay) doubt(silent *attempt, t *dispatch.Ticket, reason dispatch.LossReason) {
+// doubt handles a doubt about an attempt of the stream. For the stream's own attempt
+// it starts a standby attempt, unless one runs. A standby attempt is given up if
+// another one can be made in its place.
+func (rl *relay) doubt(a *attempt, t *dispatch.Ticket, reason dispatch.LossReason) {
 	s := &rl.standbys
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running != nil || rl.now().Before(s.retryAt) {
-		return
+	switch sb := s.running; {
+	case sb != nil && sb.attempt == a && !sb.won:
+		rl.replaceSilent(sb, reason)
+	case sb == nil && s.current == a && !rl.now().Before(s.retryAt):
+		rl.startStandby(t, reason)
+	}
+}
+
+// replaceSilent cancels the attempt of a standby that is silent itself, if another
+// attempt is allowed after it. standbys.mu must be held.
+func (rl *relay) replaceSilent(sb *standby, reason dispatch.LossReason) {
+	next := request{
+		route: sb.req.route, sends: sb.current.sends, attempts: sb.current.attempts, unansweredBreaks: sb.current.unansweredBreaks,
 	}
-	sb := &standby{req: s.origin, done: make(chan struct{})}
+	next.countRun()
+	next.unansweredBreaks++
+	if rl.canRetry(rl.ctx, &next) {
+		sb.attempt.cancel(&lostError{reason})
+	}
+}
+
+// startStandby starts a standby attempt because of a doubt about the endpoint of a
+// ticket, if another attempt is allowed. standbys.mu must be held.
+func (rl *relay) startStandby(t *dispatch.Ticket, reason dispatch.LossReason) {
+	s := &rl.standbys
+	sb := &standby{req: s.origin, from: s.from, done: make(chan struct{})}
+	sent := *s.from.sent
+	sb.from.sent = &sent
 	sb.req.exclude = append(slices.Clone(s.origin.exclude), t.Target.ID)
 	for _, old := range s.ended {
 		sb.req.addSends(&old.req, old.start)
@@ -121,33 +176,39 @@
 	if !sb.req.responseBegun {
 		sb.req.unansweredBreaks++
 	}
-	if !rl.canRetry(rl.ctx, &sb.req) {
+	if sent.unnumbered || !rl.canRetry(rl.ctx, &sb.req) {
 		return
 	}
 	sb.start = sb.req.counts()
+	sb.req.hasStandby = nil
+	sb.req.placed = func(a *attempt) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		sb.attempt, sb.current = a, sb.req.counts()
+	}
 	var ctx context.Context
 	ctx, sb.cancel = context.WithCancel(rl.ctx)
 	s.running = sb
-	rl.log.Info("answer in doubt", "request", sb.req.id, "endpoint", t.Target.ID, "reason", string(reason), "after_event", s.lastID)
-	go rl.runStandby(ctx, sb, silent, s.lastID)
+	rl.log.Info("answer in doubt", "request", sb.req.id, "endpoint", t.Target.ID, "reason", string(reason), "after_event", s.from.lastID)
+	go rl.runStandby(ctx, sb)
 }
 
-// runStandby makes a standby attempt and ends the silent one if it sends the next
-// event first.
-func (rl *relay) runStandby(ctx context.Context, sb *standby, silent *attempt, lastID string) {
+// runStandby makes a standby attempt and ends the stream's own one if it sends the
+// next event first.
+func (rl *relay) runStandby(ctx context.Context, sb *standby) {
 	defer close(sb.done)
-	fault := rl.openElsewhere(ctx, sb, lastID)
+	a, fault := rl.openElsewhere(ctx, sb)
 	s := &rl.standbys
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sb.a != nil && !sb.dropped {
-		sb.won = true
-		silent.cancel(errTakenOver)
+	if a != nil && !sb.dropped {
+		sb.attempt, sb.won = a, true
+		s.current.cancel(errTakenOver)
 		return
 	}
-	if sb.a != nil {
+	if a != nil {
 		sb.req.countRun()
-		rl.endAttempt(sb.a, dispatch.Neutral)
+		rl.endAttempt(a, dispatch.Neutral)
 	}
 	if fault != nil && !sb.dropped {
 		rl.log.Info("answer stays in doubt", "request", sb.req.id, "sends", sb.req.sends, "cause", fault.Message)
@@ -157,14 +218,12 @@
 	s.ended = append(s.ended, sb)
 }
 
-// openElsewhere sends the request to other endpoints until one of them sends an
-// event after lastID, and returns its attempt in sb. It returns the last problem
-// if none does.
-func (rl *relay) openElsewhere(ctx context.Context, sb *standby, lastID string) (fault *problem.Error) {
+// openElsewhere sends the request to other endpoints until one of them goes on, and
+// returns its attempt. It returns the last problem if none does.
+func (rl *relay) openElsewhere(ctx context.Context, sb *standby) (a *attempt, fault *problem.Error) {
 	req := &sb.req
 	for rl.canRetry(ctx, req) {
-		var a *attempt
-		a, fault = rl.startAttempt(ctx, req, lastID)
+		a, fault = rl.startAttempt(ctx, req, sb.from.lastID)
 		switch {
 		case fault != nil:
 			continue
@@ -172,31 +231,36 @@
 			fault = rl.endRejected(a, req)
 			continue
 		}
-		events, err := rl.openEvents(a)
+		answer, err := rl.openAnswer(a, sb.from)
 		if err == nil {
-			sb.first, err = rl.nextNew(a, events, lastID)
+			sb.first, err = rl.nextPiece(a, answer)
 		}
 		if err == nil {
-			sb.a, sb.events = a, events
-			return nil
+			sb.answer = answer
+			return a, nil
 		}
 		req.exclude = append(req.exclude, a.ticket.Target.ID)
 		fault = rl.endBroken(ctx, a, req, err)
 	}
-	return fault
+	return nil, fault
 }
 
-// nextNew returns the next event after lastID of an attempt.
-func (rl *relay) nextNew(a *attempt, events *eventReader, lastID string) (event, error) {
+// nextPiece returns the next part of an answer, or an empty event if the answer ends
+// the stream. Comments are no sign that the stream goes on.
+func (rl *relay) nextPiece(a *attempt, answer *answerEvents) (event, error) {
 	for {
-		ev, err := events.next()
+		ev, err := answer.next()
+		if errors.Is(err, io.EOF) && answer.resumed {
+			return event{empty: true}, nil
+		}
 		if err != nil {
 			return ev, causeOf(a.ctx, err)
 		}
-		if !ev.empty {
-			rl.state.recordProgress(a.ticket)
+		if ev.empty {
+			continue
 		}
-		if isAfter(ev.id, lastID) {
+		rl.state.recordProgress(a.ticket)
+		if ev.isPiece() {
 			return ev, nil
 		}
 	}
@@ -218,21 +282,21 @@
 	s.mu.Lock()
 	sb := s.running
 	s.mu.Unlock()
-	if sb == nil {
-		return nil
+	if sb != nil {
+		<-sb.done
 	}
-	<-sb.done
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if sb.won {
-		s.running = nil
-		rl.req.addSends(&sb.req, sb.start)
-		rl.req.lastEndpoint, rl.req.predictedLoad = sb.req.lastEndpoint, sb.req.predictedLoad
-	}
-	s.setOrigin(rl.req, rl.lastID)
-	if !sb.won {
+	if sb == nil || !sb.won {
+		rl.settleStandbys()
 		return nil
 	}
+	s.running, s.current = nil, sb.attempt
+	rl.req.addSends(&sb.req, sb.start)
+	rl.req.lastEndpoint, rl.req.predictedLoad = sb.req.lastEndpoint, sb.req.predictedLoad
+	rl.sent.mergeCut(sb.from.sent)
+	sb.answer.sent = &rl.sent
+	rl.settleStandbys()
 	return sb
 }
 
@@ -241,9 +305,9 @@
 	s := &rl.standbys
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryAt = rl.req.deadline // starts no other one
+	s.current = nil // starts no other one
 	if sb := s.running; sb != nil && sb.won {
-		rl.endAttempt(sb.a, dispatch.Neutral)
+		rl.endAttempt(sb.attempt, dispatch.Neutral)
 		sb.cancel()
 		return
 	}
@@ -254,11 +318,11 @@
 func (rl *relay) relayStandby(sb *standby) (done bool, fault *problem.Error) {
 	defer sb.cancel()
 	var err error
-	if isAfter(sb.first.id, rl.lastID) {
-		err = rl.writeEvent(sb.a, sb.first, true)
+	if !sb.first.empty && isAfter(sb.first.id, rl.lastID) {
+		err = rl.writeEvent(sb.attempt, sb.first, true)
 	}
 	if err == nil {
-		err = rl.copyEvents(sb.a, sb.events)
+		err = rl.copyEvents(sb.attempt, sb.answer)
 	}
-	return rl.endRelayed(sb.a, err)
+	return rl.endRelayed(sb.attempt, err)
 }
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"log/slog"
@@ -30,6 +29,7 @@
 	// lastID is the ID of the last event sent to the caller, initially the ID
 	// after which the caller resumes.
 	lastID string
+	sent   sentEvents
 	// events is the number of events sent to the caller.
 	events int
 	// firstDelay is the time to the first event, maxPause the longest time
@@ -45,7 +45,7 @@
 		Server: s, ctx: ctx, w: w, req: req, controller: http.NewResponseController(w),
 		lastID: r.Header.Get(s.proto.LastEventID),
 	}
-	req.doubted = rl.doubt
+	req.doubted, req.placed, req.hasStandby = rl.doubt, rl.standbys.setCurrent, rl.standbys.isRunning
 	fault := rl.run()
 	rl.closeStandby()
 	switch {
@@ -58,6 +58,7 @@
 		s.log.Warn("stream broken off", "request", req.id, "kind", string(fault.Kind), "detail", fault.Message,
 			"route", req.route.Name, "events", rl.events, "sends", req.sends, "endpoint", req.lastEndpoint,
 			"elapsed", s.now().Sub(req.started))
+		_ = rl.controller.Flush()   // the caller may have disconnected
 		panic(http.ErrAbortHandler) // so that the response does not look complete
 	default:
 		s.refuse(w, req.id, req, fault)
@@ -79,7 +80,7 @@
 		if done {
 			return nil
 		}
-		if !rl.canRetry(rl.ctx, rl.req) {
+		if !rl.canResume() || !rl.canRetry(rl.ctx, rl.req) {
 			return fault
 		}
 		rl.logMoved(fault)
@@ -94,7 +95,7 @@
 // relayAttempt makes one attempt and relays its events. done reports whether the
 // caller has received a complete response.
 func (rl *relay) relayAttempt() (done bool, fault *problem.Error) {
-	rl.standbys.begin(rl.req, rl.lastID)
+	rl.begin()
 	a, fault := rl.startAttempt(rl.ctx, rl.req, rl.lastID)
 	if fault != nil {
 		return false, fault
@@ -105,25 +106,13 @@
 	if a.resp.Status/100 != 2 {
 		return rl.handleFailure(a)
 	}
-	events, err := rl.openEvents(a)
+	answer, err := rl.openAnswer(a, rl.resumePoint())
 	if err == nil {
-		err = rl.copyEvents(a, events)
+		err = rl.copyEvents(a, answer)
 	}
 	return rl.endRelayed(a, err)
 }
 
-// openEvents returns a reader of the events of an endpoint's answer. The error says
-// why the answer isn't a stream of events.
-func (rl *relay) openEvents(a *attempt) (*eventReader, error) {
-	if a.resp.Status/100 != 2 {
-		return nil, errors.Errorf("the endpoint responded with status %d", a.resp.Status)
-	}
-	if err := rl.checkResponse(a); err != nil {
-		return nil, err
-	}
-	return &eventReader{r: bufio.NewReaderSize(a.resp.Body, streamBuffer)}, nil
-}
-
 // endRelayed ends an attempt whose events were relayed until err, or to their end
 // if it is nil.
 func (rl *relay) endRelayed(a *attempt, err error) (done bool, fault *problem.Error) {
@@ -157,12 +146,9 @@
 }
 
 // copyEvents relays complete events until the stream ends.
-func (rl *relay) copyEvents(a *attempt, events *eventReader) error {
+func (rl *relay) copyEvents(a *attempt, events *answerEvents) error {
 	for {
 		ev, err := events.next()
-		if errors.Is(err, io.EOF) && !a.resp.Framed && rl.lastID == "" {
-			return errNoEvents // a stream of which nothing came is no answer
-		}
 		if errors.Is(err, io.EOF) {
 			return rl.finish(a)
 		}
@@ -197,10 +183,13 @@
 	if _, err := rl.w.Write(ev.raw); err != nil {
 		return err
 	}
+	rl.sent.record(rl.lastID, ev)
 	if ev.id != "" {
 		rl.lastID = ev.id
 	}
-	rl.standbys.recordEvent(rl.lastID)
+	if !ev.empty {
+		rl.standbys.recordEvent(rl.resumePoint())
+	}
 	rl.recordEventTime()
 	rl.events++
 	if flush {
