--- a/coord/updates/restored.go
+++ b/coord/updates/restored.go
@@ -66,22 +66,37 @@
 // records the row as the copy's if the list is the first one of the era.
 func (v *vms) isNews(row fleet.Row, first bool) bool {
 	e, known := v.entries[row.ID]
-	equal := e.removedAt.IsZero() && reflect.DeepEqual(e.row, row)
 	switch {
 	case !known || e.row.ID != "" && row.Born > e.row.Born:
 		return true
-	case first && row.Draining && !e.row.Draining && e.removedAt.IsZero() && row.Born == e.row.Born:
-		return true // no VM stops draining before it ends
 	case !first:
-		isCopy := e.restored.copied != nil && reflect.DeepEqual(*e.restored.copied, row)
-		return !isCopy && (e.restored.missing || !equal)
-	case !equal:
-		e.restored = restored{missing: e.removedAt.IsZero() && row.Born < e.row.Born, copied: &row}
-		v.entries[row.ID] = e
+		return !e.restored.isCopy(row) && (e.restored.missing || !e.lists(row))
+	case e.lists(row):
+		return false
+	case row.Draining && e.startsDraining(row):
+		return true
 	}
+	e.restored = restored{missing: e.removedAt.IsZero() && row.Born < e.row.Born, copied: &row}
+	v.entries[row.ID] = e
 	return false
 }
 
+// isCopy reports whether a row is the copy's.
+func (r *restored) isCopy(row fleet.Row) bool {
+	return r.copied != nil && reflect.DeepEqual(*r.copied, row)
+}
+
+// lists reports whether the VM is listed with the given row.
+func (e *entry) lists(row fleet.Row) bool {
+	return e.removedAt.IsZero() && reflect.DeepEqual(e.row, row)
+}
+
+// startsDraining reports whether the VM is listed, and did not drain yet, in the
+// start that a row shows. No VM stops draining before it ends.
+func (e *entry) startsDraining(row fleet.Row) bool {
+	return e.removedAt.IsZero() && !e.row.Draining && e.row.Born == row.Born
+}
+
 // Settle returns the changes that are due because rows which the store lost were not
 // written again in time, and reports whether evacuations have changed so.
 func (r *Record) Settle(now time.Time) (changes VMs, evacuations bool) {
