leasestore: an odd registration costs itself alone

What callers saw: with one registration that could not be decoded among those of the lease, nobody planned groups any more: lost groups were not formed again.

Cause: the holder and its successors read the lease's row with all registrations, and one that was no JSON, had another type or was too deeply nested failed the read. The holder lost its lease, and each candidate that tried to take over failed too. A registration with the name of another VM, or without one, became a candidate.

Such a registration is now left out and logged. The VM to whose key it belongs gets it without an incarnation, with its revision, so that it writes its registration again.

--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -178,7 +178,9 @@
 // readLease reads the lease rows and passes the result to the lease state
 // machine.
 func (c *Coordinator) readLease(ctx context.Context, e lease.ReadRows) {
-	ev, err := leasestore.Read(ctx, c.table, e)
+	ev, err := leasestore.Read(ctx, c.table, e, func(key string, err error) {
+		c.opts.Log.Warn("registration skipped", "key", key, "error", err)
+	})
 	if err != nil {
 		c.logFailure("reading the lease", err)
 		c.handleEvent(ctx, lease.ReadFailed{Read: e.ID})
--- a/internal/daemon/lease.go
+++ b/internal/daemon/lease.go
@@ -83,7 +83,9 @@
 }
 
 func (n *Node) readLease(ctx context.Context, c *candidacy, e lease.ReadRows) {
-	ev, err := leasestore.Read(ctx, n.platform, e)
+	ev, err := leasestore.Read(ctx, n.platform, e, func(key string, err error) {
+		n.log.Warn("registration skipped", "key", key, "error", err)
+	})
 	n.locked(func(now time.Time) {
 		if err != nil {
 			n.stepLease(now, c, lease.ReadFailed{Read: e.ID})
--- a/internal/leasestore/leasestore.go
+++ b/internal/leasestore/leasestore.go
@@ -6,6 +6,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
 
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/table"
@@ -16,8 +19,9 @@
 const maxCandidates = 256
 
 // Read reads the lease row and the registrations that e requests in one
-// snapshot. If e.VMs is set, it first lists the VMs.
-func Read(ctx context.Context, t platform.Table, e lease.ReadRows) (lease.RowsRead, error) {
+// snapshot. If e.VMs is set, it first lists the VMs. A registration that can't be
+// decoded is left out, and onSkipped is called with its key.
+func Read(ctx context.Context, t platform.Table, e lease.ReadRows, onSkipped func(key string, err error)) (lease.RowsRead, error) {
 	ev := lease.RowsRead{Read: e.ID}
 	if e.VMs {
 		vms, err := t.VMs(ctx)
@@ -33,7 +37,7 @@
 	if err != nil {
 		return ev, err
 	}
-	return decodeRows(ev, e.Key, rows)
+	return decodeRows(ev, e, rows, onSkipped)
 }
 
 // readRows reads the lease row with all registrations if e.All is set, and with
@@ -46,12 +50,12 @@
 }
 
 // decodeRows adds the decoded rows to ev. Rows with revision 0 don't exist.
-func decodeRows(ev lease.RowsRead, key string, rows []platform.Row) (lease.RowsRead, error) {
+func decodeRows(ev lease.RowsRead, e lease.ReadRows, rows []platform.Row, onSkipped func(key string, err error)) (lease.RowsRead, error) {
 	for _, row := range rows {
 		if row.Revision == 0 {
 			continue
 		}
-		if row.Key == key {
+		if row.Key == e.Key {
 			ev.Row = &lease.Row{}
 			ev.Revision = row.Revision
 			if err := json.Unmarshal(row.Value, ev.Row); err != nil {
@@ -59,15 +63,31 @@
 			}
 			continue
 		}
+		vm := strings.TrimPrefix(row.Key, e.Key)
 		reg := lease.Registration{Revision: row.Revision}
-		if err := json.Unmarshal(row.Value, &reg.Candidate); err != nil {
-			return ev, err
+		if err := decodeCandidate(row.Value, vm, &reg.Candidate); err != nil {
+			onSkipped(row.Key, err)
+			if row.Key != e.Own {
+				continue
+			}
+			reg.Candidate = lease.Candidate{VM: vm} // without an incarnation: the candidate writes it again
 		}
 		ev.Registrations = append(ev.Registrations, reg)
 	}
 	return ev, nil
 }
 
+// decodeCandidate decodes the registration of a VM.
+func decodeCandidate(value []byte, vm string, c *lease.Candidate) error {
+	if err := json.Unmarshal(value, c); err != nil {
+		return errors.Trace(err)
+	}
+	if c.VM == "" || c.VM != vm {
+		return errors.NotValidf("registration of VM %q under the key of VM %q", c.VM, vm)
+	}
+	return nil
+}
+
 // Write writes the lease row and returns the outcome.
 func Write(ctx context.Context, t platform.Table, e lease.WriteRow) lease.WriteAnswered {
 	revision, err := Commit(ctx, t, e.Key, e.Revision, e.Row)
