dispatch: an endpoint with negative slots doesn't end the process

What callers saw: the machines that read the list ended again and again after another writer's row with "slots": -1 had named an endpoint that runs a model, and so did those that get the list from them.

Cause: once the endpoint reported no requests, it had more of them than slots, and this node's part of its slots was computed by a division by their number, which was 0.

Evidence: TestOddSlotsDoNotEndTheProcess failed before with "integer divide by zero" in applyReport. Negative slots now count as none, so that an endpoint with more requests than slots has at least one.

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -138,7 +138,7 @@
 		target.Born, target.Address = vm.Born, vm.Address
 		target.health, target.otherRequests, target.pause, target.limiter = health{}, 0, pause{}, limiter{}
 	}
-	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, vm.Slots
+	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, max(0, vm.Slots)
 	return target
 }
 
