dispatch: a VM without a place in a group is no member of it

What callers saw: a row that named a serving group, with a rank that the group doesn't have, ended the group's requests when its VM did not answer probes. Where the group had lost a member, the row stood for it, and requests began at an incomplete group.

Cause: the members of a group were all VMs that named its formation, and a group was whole when they were as many as the model needs.

Evidence: TestVMWithoutAPlaceInAGroupIsNoMember failed before (the group lost its request), and TestPlaceThatTwoVMsNameCountsOnce (a request was placed). VMs with a rank beyond the group's size are no longer members, and a rank that two VMs name counts once. The size is the largest that was required of the formation while it was whole, so that a configuration with smaller groups doesn't hide the loss of a member (TestSmallerGroupSizeKeepsMembersOfRunningGroups, which passed before).

--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -50,6 +50,7 @@
 	// group and the IDs of the VMs that are about to become heads.
 	groups       map[fleet.Formation][]*fleet.VM
 	joiningHeads []string
+	ranks        []int // reused by listMembers
 }
 
 // poolKey identifies the pool of endpoints from which a request's target is
@@ -161,30 +162,49 @@
 		target.quota = target.roundRandomly(float64(vm.Slots)/float64(t.nodes), vm.Epoch, t.rank)
 	}
 	target.Model = vm.Model
-	members := groups[vm.Formation()]
-	target.Members = target.Members[:0]
-	for _, m := range members {
-		target.Members = append(target.Members, m.ID)
-		if m.FailedProbes >= deadProbes {
-			t.broken[vm.Formation()] = true
-		}
-	}
 	required := t.requiredSize(vm)
-	complete := required > 0 && len(members) >= required
+	members := t.listMembers(vm, target, groups, max(required, target.groupSize))
+	complete := required > 0 && members >= required
 	if complete {
-		target.groupSize = required
+		target.groupSize = max(target.groupSize, required)
 	}
 	switch {
 	case t.broken[vm.Formation()]:
 		return MemberUnanswered, false
 	case t.reportedBroken[vm.Formation()] && !target.hasRecentProgress(now):
 		return ReportedBroken, false
-	case target.groupSize == 0 || len(members) < target.groupSize:
+	case target.groupSize == 0 || members < target.groupSize:
 		return Incomplete, false
 	}
 	return "", complete && vm.Stage == fleet.Open
 }
 
+// listMembers lists the members of a head's group of the given size, and records
+// whether one of them is dead. VMs with a rank beyond the size name the group without
+// belonging to it, and are dropped from groups. listMembers returns the number of
+// different ranks.
+func (t *Table) listMembers(head *fleet.VM, target *Target, groups map[fleet.Formation][]*fleet.VM, size int) int {
+	formation := head.Formation()
+	members := groups[formation]
+	if size > 0 {
+		members = slices.DeleteFunc(members, func(m *fleet.VM) bool { return m.Rank < 0 || m.Rank >= size })
+		groups[formation] = members
+	}
+	target.Members = target.Members[:0]
+	ranks := t.ranks[:0]
+	for _, m := range members {
+		target.Members = append(target.Members, m.ID)
+		if m.FailedProbes >= deadProbes {
+			t.broken[formation] = true
+		}
+		if !slices.Contains(ranks, m.Rank) {
+			ranks = append(ranks, m.Rank)
+		}
+	}
+	t.ranks = ranks
+	return len(ranks)
+}
+
 // Broken returns the groups that this node, or another node that reports to it,
 // found to be missing a VM. They are sorted by name and epoch.
 func (t *Table) Broken() []fleet.Formation {
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -24,8 +24,8 @@
 	Slots int
 	// Members are the IDs of a group's VMs.
 	Members []string
-	// groupSize is the number of VMs that a configuration required of this formation
-	// when it was last complete, or 0 if it never was. Requests that have begun go
+	// groupSize is the largest number of VMs that a configuration required of this
+	// formation while it was complete, or 0 if it never was. Requests that have begun go
 	// on under it, whatever later configurations require.
 	groupSize int
 	// leaving is set if one of its VMs is about to stop. outdated is set if
