A configuration with a number out of range is not put in force

What callers saw: a configuration that gave a model no group size, or a negative one, ended the process that plans the groups, on each machine that took over. Negative or overflowing times, weights and rates were put in force.

Cause: the decoder took what could be parsed. A group without members has no head, which the planner looks up.

Catalog.Validate now bounds each number, far beyond sensible values. An invalid configuration is logged, and the last good one stays in force; evacuations beside it hold.

--- /dev/null
+++ b/coord/catalog/validate_test.go
@@ -0,0 +1,81 @@
+package catalog
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// soundSpec is the content of a configuration without a fault.
+func soundSpec() spec {
+	return spec{
+		Version: 7,
+		Routes: []Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: Stream, Backends: []Backend{{"llm", 90}, {"other", 0}},
+			Timeout: 8 * time.Second, Objective: time.Second, PauseObjective: time.Second, MaxAttempts: 2, Priority: 1,
+		}},
+		Services: []Service{{Name: "llm", MaxConns: 474, ColdPerSecond: 36, Engine: &Engine{
+			Slots: 26, Models: []Model{{Name: "m", GroupSize: 4, Pace: 1, Share: 0.5, LoadTime: time.Minute, WarmTime: time.Second}},
+			LoadsPerSecond: 4, ConcurrentLoads: 6, FormTime: time.Second, ReportLag: time.Second, MeanPrompt: 1000,
+		}}, {Name: "other"}},
+		Accounts: []Account{{Name: "a", Keys: []string{"k"}}},
+		Limits:   Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second},
+	}
+}
+
+func (s spec) catalog() *Catalog { return New(s.Version, s.Routes, s.Services, s.Accounts, s.Limits) }
+
+func TestSoundCatalogIsValid(t *testing.T) {
+	assert.NilError(t, soundSpec().catalog().Validate())
+	assert.NilError(t, New(0, nil, nil, nil, Limits{}).Validate())
+}
+
+// A configuration with a group size of 0 or less ended the process that plans the
+// groups.
+func TestCatalogsWithNumbersOutOfRangeAreInvalid(t *testing.T) {
+	for name, change := range map[string]func(s *spec){
+		"negative version":    func(s *spec) { s.Version = -1 },
+		"version too large":   func(s *spec) { s.Version = math.MaxInt64 },
+		"no backend":          func(s *spec) { s.Routes[0].Backends = nil },
+		"negative weight":     func(s *spec) { s.Routes[0].Backends[1].Weight = -1 },
+		"weight too large":    func(s *spec) { s.Routes[0].Backends[0].Weight = math.MaxInt },
+		"negative timeout":    func(s *spec) { s.Routes[0].Timeout = -1 },
+		"timeout too long":    func(s *spec) { s.Routes[0].Timeout = math.MaxInt64 },
+		"negative objective":  func(s *spec) { s.Routes[0].Objective = math.MinInt64 },
+		"long pauses":         func(s *spec) { s.Routes[0].PauseObjective = math.MaxInt64 },
+		"no attempt":          func(s *spec) { s.Routes[0].MaxAttempts = 0 },
+		"too many attempts":   func(s *spec) { s.Routes[0].MaxAttempts = math.MaxInt },
+		"unknown kind":        func(s *spec) { s.Routes[0].Kind = "sometimes" },
+		"negative conns":      func(s *spec) { s.Services[0].MaxConns = -1 },
+		"negative cold rate":  func(s *spec) { s.Services[0].ColdPerSecond = -1 },
+		"cold rate too large": func(s *spec) { s.Services[0].ColdPerSecond = 1e300 },
+		"cold rate NaN":       func(s *spec) { s.Services[0].ColdPerSecond = math.NaN() },
+		"negative slots":      func(s *spec) { s.Services[0].Engine.Slots = -1 },
+		"slots too large":     func(s *spec) { s.Services[0].Engine.Slots = math.MaxInt },
+		"negative loads":      func(s *spec) { s.Services[0].Engine.LoadsPerSecond = -4 },
+		"loads too large":     func(s *spec) { s.Services[0].Engine.LoadsPerSecond = math.Inf(1) },
+		"negative at once":    func(s *spec) { s.Services[0].Engine.ConcurrentLoads = math.MinInt },
+		"negative form time":  func(s *spec) { s.Services[0].Engine.FormTime = -1 },
+		"report lag too long": func(s *spec) { s.Services[0].Engine.ReportLag = math.MaxInt64 },
+		"prompt too long":     func(s *spec) { s.Services[0].Engine.MeanPrompt = 1e300 },
+		"group of none":       func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = 0 },
+		"negative group":      func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = -4 },
+		"group too large":     func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = math.MaxInt },
+		"negative share":      func(s *spec) { s.Services[0].Engine.Models[0].Share = -1 },
+		"share too large":     func(s *spec) { s.Services[0].Engine.Models[0].Share = 1e300 },
+		"pace too large":      func(s *spec) { s.Services[0].Engine.Models[0].Pace = 1e300 },
+		"load too long":       func(s *spec) { s.Services[0].Engine.Models[0].LoadTime = math.MaxInt64 / 2 },
+		"negative warm time":  func(s *spec) { s.Services[0].Engine.Models[0].WarmTime = -1 },
+		"negative header":     func(s *spec) { s.Limits.MaxHeaderBytes = -1 },
+		"body too large":      func(s *spec) { s.Limits.MaxBodyBytes = math.MaxInt64 },
+		"negative body":       func(s *spec) { s.Limits.MaxBodyBytes = -1 },
+		"idle too long":       func(s *spec) { s.Limits.IdleTimeout = math.MaxInt64 },
+		"negative wait":       func(s *spec) { s.Limits.HeaderTimeout = -1 },
+	} {
+		s := soundSpec()
+		change(&s)
+		assert.Check(t, s.catalog().Validate() != nil, name)
+	}
+}
--- a/internal/entry/peerupdates_test.go
+++ b/internal/entry/peerupdates_test.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
@@ -208,3 +209,13 @@
 		assert.Assert(t, r.VM != "spare")
 	}
 }
+
+// A node of an earlier release may relay a configuration that this one must not use.
+func TestInvalidConfigurationLeavesTheLastOneInForce(t *testing.T) {
+	s := newFleetHarness(t, 1)
+	before := s.state.view.Load().Catalog
+	engine := &catalog.Engine{Models: []catalog.Model{{Name: "m", GroupSize: -4}}}
+	odd := catalog.New(before.Version+1, nil, []catalog.Service{{Name: "llm", Engine: engine}}, nil, catalog.Limits{})
+	s.state.ApplyAnswer(s.clock(), true, updates.Answer{Known: true, Operators: &updates.Operators{Version: 1 << 20, Whole: true, Catalog: odd}})
+	assert.Equal(t, s.state.view.Load().Catalog, before)
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -108,6 +108,12 @@
 // applyOperators applies settings of the operators that were read from the
 // platform or received from a peer. s.mu must be held.
 func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
+	if n.Catalog != nil {
+		if err := n.Catalog.Validate(); err != nil {
+			s.log.Warn("configuration refused", "version", n.Catalog.Version, "error", err)
+			n.Catalog = nil
+		}
+	}
 	if !s.record.PutOperators(n) {
 		return
 	}
