daemon: a change that can't be read doesn't stop the configuration

Cause: the odd row failed the read of all changes, and a failed read is only repeated.

The changes before the odd one are now passed on, and the odd one is logged.

--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -59,13 +59,16 @@
 	n.handleConfigRead(config.HeadRead{Head: head}, err)
 }
 
+// readChanges reads the changes up to the first one that can't be decoded. If there
+// is none before it, the state machine reads a newer snapshot.
 func (n *Node) readChanges(ctx context.Context, e config.ReadChanges) {
 	var ev config.ChangesRead
 	rows, err := n.platform.List(ctx, config.ChangePrefix, config.ChangeKey(e.After), e.Limit)
 	for _, row := range rows {
 		var c config.Change
-		if err == nil {
-			err = decodeRow(row, &c)
+		if err := decodeRow(row, &c); err != nil {
+			n.log.Warn("a change of the configuration can't be read", "key", row.Key, "error", err)
+			break
 		}
 		ev.Changes = append(ev.Changes, c)
 	}
