updates: a rate that is no number doesn't lose the answers

What callers saw: nothing was recorded here; found by reading. A node whose request to another one named NaN or an infinite rate of requests would have kept all nodes that ask that one from its answers for a second, and so from new endpoints and configurations.

Cause: the rate comes as a double, which holds both, and is added up into the answer, which is JSON. encoding/json refuses such numbers, and the answer as a whole with them.

Evidence: TestRatesThatAreNoNumbersLeaveAnswersEncodable failed before ("unsupported value: NaN"). Rates that are negative, not finite or above 1e9 a second are ignored.

--- a/coord/updates/demand.go
+++ b/coord/updates/demand.go
@@ -7,6 +7,8 @@
 	demandWindow = 3 * time.Second
 	// demandTTL is how long a rate that another node has reported counts.
 	demandTTL = time.Second
+	// maxRate is the largest rate of requests a second that is believed.
+	maxRate = 1e9
 )
 
 // Demand computes which part of the requests of all nodes this node gets. With its
@@ -49,9 +51,10 @@
 	d.ownAt, d.ownCount = now, count
 }
 
-// RecordRequester records the rate that a node which asks this one has reported.
+// RecordRequester records the rate that a node which asks this one has reported. A
+// rate that no node can have is ignored.
 func (d *Demand) RecordRequester(now time.Time, vm string, rate float64) {
-	if vm == "" {
+	if vm == "" || !isRate(rate) {
 		return
 	}
 	if _, known := d.requesters[vm]; !known && len(d.requesters) >= maxRequesters {
@@ -61,8 +64,16 @@
 }
 
 // RecordTotal records the rate of all nodes' requests, from an answer of another
-// node.
-func (d *Demand) RecordTotal(now time.Time, rate float64) { d.total = reportedRate{rate, now} }
+// node. A rate that no node can have is ignored.
+func (d *Demand) RecordTotal(now time.Time, rate float64) {
+	if isRate(rate) {
+		d.total = reportedRate{rate, now}
+	}
+}
+
+// isRate reports whether a number may be a rate of requests a second. It is false for
+// NaN.
+func isRate(rate float64) bool { return rate >= 0 && rate <= maxRate }
 
 // Below returns the rate of this node's requests and of those of the nodes that
 // ask it.
--- a/coord/updates/demand_test.go
+++ b/coord/updates/demand_test.go
@@ -1,6 +1,8 @@
 package updates
 
 import (
+	"encoding/json"
+	"math"
 	"testing"
 	"time"
 
@@ -36,3 +38,19 @@
 	_, ok := nodes["root"].Share(now)
 	assert.Assert(t, !ok)
 }
+
+// A rate that is no finite number made every answer unencodable, so that the nodes
+// that ask this one got nothing at all.
+func TestRatesThatAreNoNumbersLeaveAnswersEncodable(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, rate := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -1, math.MaxFloat64} {
+		d := NewDemand()
+		d.RecordRequester(now, "e1", rate)
+		d.RecordRequester(now, "e2", rate)
+		d.RecordRequester(now, "e3", 5)
+		d.RecordTotal(now, rate)
+		_, err := json.Marshal(Answer{Known: true, Demand: d.Total(now)})
+		assert.NilError(t, err)
+		assert.Equal(t, d.Total(now), 5.0, "rate %g", rate)
+	}
+}
