fleet: a start in the far future doesn't hide a VM's later rows for good

What callers saw: after another writer's row under an endpoint's ID, with a start in the future that the decoder must accept (up to 2100), the endpoint's own rows were ignored as those of an earlier start. It was lost to callers while it served.

Cause: a row with an earlier start than the newest known one is ignored, since the last row of an earlier start may arrive late.

Evidence: TestStartInTheFutureHidesLaterRowsForALimitedTime failed before (the odd row's address stayed). The store's newest row is right once it has stood for 10 s: a late row is followed by one of the later start. It is then applied, unless the later start has answered a probe or was known from a report. TestLateRowOfAnEarlierStartIsIgnored and TestRowOfAnEarlierStartDoesNotReplaceOneThatAnswers passed before and guard that.

--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -15,6 +15,11 @@
 // it.
 const unlistedRetention = 60 * time.Second
 
+// earlierStartDelay is how long the newest row of a VM may name an earlier start than
+// the row before it until it is believed. The last row of an earlier start may arrive
+// late, but then one of the later start follows.
+const earlierStartDelay = 10 * time.Second
+
 // Table contains the VMs known to one node.
 type Table struct {
 	vms  map[string]*VM
@@ -47,8 +52,10 @@
 		t.list = slices.Insert(t.list, at, vm)
 	}
 	if row.Born < vm.Born {
+		vm.deferEarlier(now, row)
 		return false
 	}
+	vm.earlier = nil
 	restarted := row.Born > vm.Born
 	if restarted {
 		vm.resetState()
@@ -74,6 +81,35 @@
 	return restarted
 }
 
+// deferEarlier keeps a row of an earlier start than the newest known one, if only a
+// row has shown that one.
+func (vm *VM) deferEarlier(now time.Time, row Row) {
+	if row.Born <= 0 || vm.Born != vm.rowBorn || !vm.ReportedAt.IsZero() {
+		return
+	}
+	since := now
+	if vm.earlier != nil {
+		since = vm.earlier.since
+	}
+	vm.earlier = &earlierRow{Row: row, since: since}
+}
+
+// applyEarlier applies the newest row of a VM if it has named an earlier start than
+// the row before it for earlierStartDelay. That row was wrong.
+func (t *Table) applyEarlier(now time.Time, vm *VM) {
+	e := vm.earlier
+	if e == nil || now.Sub(e.since) < earlierStartDelay {
+		return
+	}
+	vm.earlier = nil
+	if !vm.Listed || vm.Born != vm.rowBorn || !vm.ReportedAt.IsZero() {
+		return
+	}
+	vm.resetState()
+	vm.Born = e.Born
+	t.ApplyRow(now, e.Row)
+}
+
 // reassignAddress clears the address of the VMs that had the row's address before
 // and marks them as unlisted.
 func (t *Table) reassignAddress(now time.Time, row Row) {
@@ -115,6 +151,7 @@
 	}
 	vm.Listed = false
 	vm.ListedAt = now
+	vm.earlier = nil
 	t.changes++
 }
 
@@ -210,9 +247,11 @@
 
 // Sweep removes VMs that have been unlisted and have not answered for
 // unlistedRetention. It also applies rows that arrived shortly after a report, once
-// that report's precedence has ended, because an unchanged row is not sent again.
+// that report's precedence has ended, and rows of earlier starts after
+// earlierStartDelay, because an unchanged row is not sent again.
 func (t *Table) Sweep(now time.Time) {
 	for _, vm := range t.list {
+		t.applyEarlier(now, vm)
 		if vm.pendingState != nil && now.Sub(vm.ReportedAt) > reportPrecedence {
 			vm.setState(*vm.pendingState)
 			vm.pendingState = nil
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -127,6 +127,9 @@
 	// pendingState is the newest row's state while a report takes precedence
 	// over it.
 	pendingState *State
+	// earlier is the newest row if it names an earlier start than the row before
+	// it, or nil.
+	earlier *earlierRow
 	// LoadedModel is the model of the newest group that this start was in. Its
 	// weights are still in the VM's accelerators.
 	LoadedModel string
@@ -144,6 +147,12 @@
 	Refused bool
 }
 
+// earlierRow is a row of an earlier start, and when the first such row arrived.
+type earlierRow struct {
+	Row
+	since time.Time
+}
+
 // Limit is the rate of requests that a VM takes from all nodes together. It holds
 // until the VM answers without naming one.
 type Limit struct {
