--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -50,6 +50,7 @@
 	// group and the IDs of the VMs that are about to become heads.
 	groups       map[fleet.Formation][]*fleet.VM
 	joiningHeads []string
+	ranks        []int // reused by listMembers
 }
 
 // poolKey identifies the pool of endpoints from which a request's target is
@@ -141,7 +142,7 @@
 		target.Born, target.Address = vm.Born, vm.Address
 		target.health, target.otherRequests, target.pause, target.limiter = health{}, 0, pause{}, limiter{}
 	}
-	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, vm.Slots
+	target.DataCentre, target.Service, target.Slots = vm.DataCentre, vm.Service, max(0, vm.Slots)
 	return target
 }
 
@@ -164,33 +165,24 @@
 		target.quota = target.roundRandomly(float64(vm.Slots)/float64(t.nodes), vm.Epoch, t.rank)
 	}
 	target.Model = vm.Model
-	members := groups[vm.Formation()]
 	required := t.requiredSize(vm)
-	complete := required > 0 && len(members) >= required
+	members := t.listMembers(vm, target, groups, max(required, target.groupSize))
+	complete := required > 0 && members >= required
 	if complete {
-		target.groupSize = required
+		target.groupSize = max(target.groupSize, required)
 	}
 	loss = t.groupLoss(now, target, members)
 	return loss, loss == "" && complete && vm.Stage == fleet.Open
 }
 
-// groupLoss returns why requests at a group may not succeed, or "". It also updates
-// the target's members.
-func (t *Table) groupLoss(now time.Time, target *Target, members []*fleet.VM) LossReason {
+// groupLoss returns why requests at a group, of which the given number of members is
+// known, may not succeed, or "".
+func (t *Table) groupLoss(now time.Time, target *Target, members int) LossReason {
 	formation := fleet.Formation{Group: target.Group, Epoch: target.Epoch}
-	target.Members = target.Members[:0]
-	ended := false
-	for _, m := range members {
-		target.Members = append(target.Members, m.ID)
-		if m.FailedProbes >= deadProbes {
-			t.broken[formation] = true
-			ended = ended || hasEnded(now, m)
-		}
-	}
 	switch {
-	case ended:
+	case t.hasEndedMember(now, target):
 		return Ended
-	case target.groupSize == 0 || len(members) < target.groupSize:
+	case target.groupSize == 0 || members < target.groupSize:
 		return Incomplete
 	case t.broken[formation]:
 		return MemberUnanswered
@@ -200,6 +192,40 @@
 	return ""
 }
 
+// hasEndedMember reports whether a VM of the target's group has certainly ended.
+func (t *Table) hasEndedMember(now time.Time, target *Target) bool {
+	return slices.ContainsFunc(target.Members, func(id string) bool {
+		m := t.vms.Get(id)
+		return m != nil && m.FailedProbes >= deadProbes && hasEnded(now, m)
+	})
+}
+
+// listMembers lists the members of a head's group of the given size, and records
+// whether one of them is dead. VMs with a rank beyond the size name the group without
+// belonging to it, and are dropped from groups. listMembers returns the number of
+// different ranks.
+func (t *Table) listMembers(head *fleet.VM, target *Target, groups map[fleet.Formation][]*fleet.VM, size int) int {
+	formation := head.Formation()
+	members := groups[formation]
+	if size > 0 {
+		members = slices.DeleteFunc(members, func(m *fleet.VM) bool { return m.Rank < 0 || m.Rank >= size })
+		groups[formation] = members
+	}
+	target.Members = target.Members[:0]
+	ranks := t.ranks[:0]
+	for _, m := range members {
+		target.Members = append(target.Members, m.ID)
+		if m.FailedProbes >= deadProbes {
+			t.broken[formation] = true
+		}
+		if !slices.Contains(ranks, m.Rank) {
+			ranks = append(ranks, m.Rank)
+		}
+	}
+	t.ranks = ranks
+	return len(ranks)
+}
+
 // Broken returns the groups that this node, or another node that reports to it,
 // found to be missing a VM. They are sorted by name and epoch.
 func (t *Table) Broken() []fleet.Formation {
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -98,7 +98,7 @@
 // this node's, which can be if the platform came back from an older copy. s.mu must
 // be held.
 func (s *State) applyRequesterCatalog(c *catalog.Catalog) {
-	if s.record.PutCatalog(c) {
+	if c != nil && s.isValid(c) && s.record.PutCatalog(c) {
 		s.setCatalog(time.Time{})
 	}
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -111,6 +111,9 @@
 // applyOperators applies settings of the operators that were read from the
 // platform or received from a peer. s.mu must be held.
 func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
+	if n.Catalog != nil && !s.isValid(n.Catalog) {
+		n.Catalog = nil
+	}
 	if !s.record.PutOperators(s.now(), n) {
 		s.setCatalog(time.Time{}) // keeps the age that the configuration has here
 		return
@@ -120,6 +123,15 @@
 	s.setCatalog(asOf)
 }
 
+// isValid reports whether a configuration may come into force.
+func (s *State) isValid(c *catalog.Catalog) bool {
+	if err := c.Validate(); err != nil {
+		s.log.Warn("configuration refused", "version", c.Version, "error", err)
+		return false
+	}
+	return true
+}
+
 // setCatalog puts the record's configuration in force as of a time. s.mu must be
 // held.
 func (s *State) setCatalog(asOf time.Time) {
