upstream: a connection carries a request's ID only once

What callers saw: "not run, try again" (503) for a request that an endpoint had run, or a request that may run once ran twice.

Cause: a request that an endpoint refused may be sent to the same endpoint again, with its ID as the caller chose it, and the pool hands out the connection that was used last. A faulty endpoint that writes the earlier refusal once more answers the second send with it: the ID is right, so the refusal is believed, while the endpoint runs the second send. The check for bytes on the idle connection doesn't help if the copy comes after it.

Change: a connection remembers hashes of the IDs that it has carried, and isn't used for one of them again; another idle connection is, or a new one. So an answer with the right ID is the answer to this send. A connection is closed after 256 IDs, which bounds its memory (2 kB). Closing every connection after a refusal was ruled out: refusals are frequent under load.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -95,7 +95,7 @@
 		return nil, fault
 	}
 	req.outgoing = upstream.Request{
-		Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, Header: s.forwardHeader(req, r.Header),
+		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, Header: s.forwardHeader(req, r.Header),
 	}
 	return req, nil
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,6 +63,10 @@
 
 // Request is an HTTP request as sent over the wire.
 type Request struct {
+	// ID is the ID by which the endpoint's response names the request, or empty. A
+	// connection carries an ID only once: a faulty endpoint may repeat its response
+	// to an earlier request, and only the ID tells the two apart.
+	ID     string
 	Method string
 	// Target is the path and query, sent unchanged.
 	Target string
@@ -98,6 +102,7 @@
 	address   string
 	raw       *headReader
 	r         *bufio.Reader // reads from raw
+	carried   []uint64      // hashes of the IDs of the requests sent on it
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle and still be reused.
 	idleTimeout time.Duration
@@ -122,7 +127,7 @@
 // been read. The error is a *NotSentError or a *BrokenError. Cancelling the
 // context aborts the connection, also while the body is being read.
 func (c *Client) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address)
+	cn, err := c.getConn(ctx, address, hashID(req.ID))
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -132,6 +137,7 @@
 		cn.Close()
 		return nil, &NotSentError{Address: address, Err: context.Cause(ctx)}
 	}
+	cn.addCarried(hashID(req.ID))
 	resp, err := c.exchange(cn, req)
 	if err != nil {
 		stop()
@@ -248,7 +254,8 @@
 }
 
 // Close releases the connection. It is kept for reuse if the request wasn't
-// cancelled, the body was read to the end and no further bytes were received.
+// cancelled, the body was read to the end, no further bytes were received and the
+// connection has carried fewer than maxIDsPerConn IDs.
 func (r *Response) Close() {
 	if r.conn == nil {
 		return
@@ -256,7 +263,7 @@
 	cn := r.conn
 	r.conn = nil
 	active := r.stopCancel()
-	if !active || !r.reusable || !r.bodyEnded || cn.r.Buffered() > 0 {
+	if !active || !r.reusable || !r.bodyEnded || cn.r.Buffered() > 0 || len(cn.carried) >= maxIDsPerConn {
 		cn.Close()
 		return
 	}
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -17,6 +17,9 @@
 	// in order to reuse its connection.
 	maxDiscardBytes = 64 << 10
 	discardTimeout  = 50 * time.Millisecond
+	// maxIDsPerConn is the maximum number of requests with an ID per connection,
+	// which bounds the IDs that a connection remembers.
+	maxIDsPerConn = 256
 )
 
 // OversizeError means that a response of an endpoint exceeds a limit, for
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,16 +4,19 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
-// getConn returns an idle connection that can be reused, or dials a new one.
-func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
+// getConn returns an idle connection that can be reused and has not carried the
+// ID, or dials a new one.
+func (c *Client) getConn(ctx context.Context, address string, id uint64) (*conn, error) {
 	for {
-		cn := c.popIdle(address)
+		cn := c.popIdle(address, id)
 		if cn == nil {
 			break
 		}
@@ -56,17 +59,34 @@
 }
 
 // popIdle removes and returns the most recently used idle connection to an
-// address, or nil if there is none.
-func (c *Client) popIdle(address string) *conn {
+// address that has not carried the ID, or nil if there is none.
+func (c *Client) popIdle(address string, id uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, cn := range slices.Backward(list) {
+		if !slices.Contains(cn.carried, id) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
+// hashID returns the hash of a request's ID, or 0 for no ID.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return xxhash.Sum64String(id)
+}
+
+// addCarried records that a request is sent on the connection. Zero means that it
+// has no ID.
+func (cn *conn) addCarried(id uint64) {
+	if id != 0 {
+		cn.carried = append(cn.carried, id)
 	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
 }
 
 // putIdle keeps a connection for reuse, or closes it if the address already has
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -185,3 +187,30 @@
 	twoLines := http.Header{"Keep-Alive": {"max=9", "timeout=5"}}
 	assert.Check(t, is.Equal(keepAliveTimeout(twoLines), 5*time.Second-idleTimeoutMargin))
 }
+
+// A refusal that was repeated on a kept connection was taken for the response to
+// the request's second send there, which the endpoint ran.
+func TestConnectionCarriesAnIDOnce(t *testing.T) {
+	address, conns := startScriptedServer(t, completeResponse, completeResponse, completeResponse)
+	c := New(dialPatiently)
+	for _, id := range []string{"a", "b", "a", "b", "c"} {
+		resp, err := c.Send(t.Context(), address, &Request{ID: id, Method: http.MethodGet, Target: "/", Host: "h"})
+		assert.NilError(t, err)
+		resp.Discard()
+		resp.Close()
+	}
+	assert.Equal(t, conns.Load(), int32(2), "a and b on one connection, then again on another")
+}
+
+func TestIDsThatAConnectionRemembersAreBounded(t *testing.T) {
+	responses := slices.Repeat([]string{completeResponse}, 2*maxIDsPerConn)
+	address, conns := startScriptedServer(t, responses...)
+	c := New(dialPatiently)
+	for i := range maxIDsPerConn + 1 {
+		resp, err := c.Send(t.Context(), address, &Request{ID: strconv.Itoa(i), Method: http.MethodGet, Target: "/", Host: "h"})
+		assert.NilError(t, err)
+		resp.Discard()
+		resp.Close()
+	}
+	assert.Equal(t, conns.Load(), int32(2))
+}
