platform: an order has a connection of its own

What callers saw: nothing directly. An order to an endpoint VM could be taken for accepted, in effect or refused although the VM had said otherwise, so that groups were planned on orders that never began.

An answer that a faulty VM repeats late was therefore believed as the answer to the order that was sent next there: a report's 200 as "in effect", an earlier order's 202 as "accepted". A report was read from an order's 200 likewise.

Change: an order is sent on a new connection, which is closed after its answer. Nothing else is on it that could be repeated, and its answer can never be repeated at a probe.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -66,8 +66,11 @@
 	// ID is the ID by which the endpoint's response names the request, or empty. A
 	// connection carries an ID only once: a faulty endpoint may repeat its response
 	// to an earlier request, and only the ID tells the two apart.
-	ID     string
-	Method string
+	ID string
+	// OwnConn sends the request on a new connection that carries nothing else, for
+	// a request whose response has no ID and must be certain.
+	OwnConn bool
+	Method  string
 	// Target is the path and query, sent unchanged.
 	Target string
 	Host   string
@@ -127,7 +130,7 @@
 // been read. The error is a *NotSentError or a *BrokenError. Cancelling the
 // context aborts the connection, also while the body is being read.
 func (c *Client) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address, hashID(req.ID))
+	cn, err := c.connFor(ctx, address, req)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -171,7 +174,7 @@
 			Status: resp.StatusCode, Header: resp.Header, client: c, conn: cn,
 			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		}
-		out.reusable = !resp.Close && out.Framed
+		out.reusable = !resp.Close && out.Framed && !req.OwnConn
 		out.Body = &body{r: resp.Body, resp: out}
 		cn.idleTimeout = keepAliveTimeout(resp.Header)
 		return out, nil
@@ -254,8 +257,9 @@
 }
 
 // Close releases the connection. It is kept for reuse if the request wasn't
-// cancelled, the body was read to the end, no further bytes were received and the
-// connection has carried fewer than maxIDsPerConn IDs.
+// cancelled and had no connection of its own, the body was read to the end, no
+// further bytes were received and the connection has carried fewer than
+// maxIDsPerConn IDs.
 func (r *Response) Close() {
 	if r.conn == nil {
 		return
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,18 +12,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// getConn returns an idle connection that can be reused and has not carried the
-// ID, or dials a new one.
-func (c *Client) getConn(ctx context.Context, address string, id uint64) (*conn, error) {
-	for {
-		cn := c.popIdle(address, id)
-		if cn == nil {
-			break
-		}
-		if time.Since(cn.idleSince) < cn.idleTimeout && cn.isReusable() {
+// connFor returns a connection for the request: an idle one that can be reused
+// and has not carried the request's ID, or a new one.
+func (c *Client) connFor(ctx context.Context, address string, req *Request) (*conn, error) {
+	if !req.OwnConn {
+		if cn := c.reuseConn(address, hashID(req.ID)); cn != nil {
 			return cn, nil
 		}
-		cn.Close()
 	}
 	nc, err := c.dial(ctx, address)
 	if err != nil {
@@ -32,6 +27,18 @@
 	return newConn(nc, address), nil
 }
 
+// reuseConn returns an idle connection that can be reused and has not carried the
+// ID, or nil. It closes those that can't be reused.
+func (c *Client) reuseConn(address string, id uint64) *conn {
+	for {
+		cn := c.popIdle(address, id)
+		if cn == nil || time.Since(cn.idleSince) < cn.idleTimeout && cn.isReusable() {
+			return cn
+		}
+		cn.Close()
+	}
+}
+
 // tcpDialer opens the connections of clients without a DialFunc.
 var tcpDialer = net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
 
