--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -256,6 +256,20 @@
 	_ = r.conn.SetReadDeadline(time.Time{}) // Close checks whether the request was cancelled
 }
 
+// HasMore reports whether bytes have arrived after the response, whose body must
+// have been read to the end. The response may then be a late copy of an earlier
+// one, and the bytes the response to this request.
+func (r *Response) HasMore() bool {
+	if r.conn == nil {
+		return false
+	}
+	if r.conn.r.Buffered() > 0 {
+		return true
+	}
+	n, _ := r.conn.peek() // a broken connection shows when it is next used
+	return n > 0
+}
+
 // Close releases the connection. It is kept for reuse if the request wasn't
 // cancelled and had no connection of its own, the body was read to the end, no
 // further bytes were received and the connection has carried fewer than
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"slices"
 	"syscall"
@@ -138,19 +139,28 @@
 	if cn.r.Buffered() > 0 {
 		return false
 	}
+	_, err := cn.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek returns the number of bytes, at most 1, that have arrived beyond those read.
+// The error is EAGAIN if there are none, or if the connection has no descriptor. No
+// bytes and no error mean that the endpoint has closed the connection.
+func (cn *conn) peek() (n int, err error) {
 	sc, ok := cn.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noData := false
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && noData
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
