gateway: an answer of a plain service is checked to belong to the call

What callers saw: a call to a plain service was answered "not run, retry" ("ran": "no") although the service ran it.

Cause: only answers of model endpoints were compared with the attempt's ID. The answer of a service was taken for the call that was sent last on its connection. net/http drops a connection on which bytes arrive while it is idle, but not one on which they arrive after the next call was written.

Change: the client of endpoints accepts a response only if it returns the attempt's ID, or has none and is the first on its connection; any other means that the call may have run. Each attempt has an ID of its own, so a copy has another one. Connections are reused only at an address whose latest response returned the ID. Calls to other entry VMs are as before.

Cost: a service that doesn't return the attempt's ID gets a connection for each call.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 
 	"github.com/juju/errors"
 
@@ -25,10 +26,29 @@
 // that the request did not run.
 type NotSentError = upstream.NotSentError
 
+// OtherAnswerError means that the response may belong to an earlier request on the
+// same connection. The endpoint may have run the request.
+type OtherAnswerError struct {
+	Address string
+	// Attempt is the attempt that the response names, or empty.
+	Attempt string
+}
+
+// Error implements error.
+func (e *OtherAnswerError) Error() string {
+	if e.Attempt == "" {
+		return "endpoint " + e.Address + " answered without " + HeaderAttempt + " on a connection in use; return that header in every response"
+	}
+	return "endpoint " + e.Address + " sent the response to attempt " + e.Attempt + "; the request may have run"
+}
+
 // Client calls endpoints and other entry VMs over HTTP. It is safe for
 // concurrent use.
 type Client struct {
 	http *transport.Client
+	// echoing contains the addresses of the endpoints whose latest response
+	// returned HeaderAttempt.
+	echoing sync.Map
 }
 
 // NewClient returns a client that uses the transport.
@@ -61,6 +81,34 @@
 	return resp, errors.Trace(err)
 }
 
+// DoVerified sends the request as Do does and returns the response only if it is
+// certain to belong to it: the response returns the request's HeaderAttempt, or has
+// no such header and is the first one on its connection. Otherwise the error is an
+// *OtherAnswerError. Each request to an endpoint that doesn't return the header has
+// a connection of its own.
+func (c *Client) DoVerified(req *http.Request, body []byte) (*http.Response, error) {
+	address, attempt := req.URL.Host, req.Header.Get(HeaderAttempt)
+	_, echoes := c.echoing.Load(address)
+	req.Close = !echoes
+	reused := false
+	clientTrace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused = info.Reused }}
+	resp, err := c.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), clientTrace)), body)
+	if err != nil {
+		return nil, err
+	}
+	got := resp.Header.Get(HeaderAttempt)
+	if got == attempt {
+		c.echoing.Store(address, struct{}{})
+		return resp, nil
+	}
+	c.echoing.Delete(address)
+	if got == "" && !reused {
+		return resp, nil
+	}
+	resp.Body.Close()
+	return nil, &OtherAnswerError{Address: address, Attempt: got}
+}
+
 // Report fetches the report of the endpoint at the address.
 func (c *Client) Report(ctx context.Context, address string) (member.Report, error) {
 	return c.doControl(ctx, http.MethodGet, address, ReportPath, nil)
--- a/internal/endpoint/wire.go
+++ b/internal/endpoint/wire.go
@@ -14,8 +14,8 @@
 	// run the request.
 	HeaderGroup      = "Pimentoshore-Group"
 	HeaderGeneration = "Pimentoshore-Generation"
-	// HeaderAttempt identifies one attempt; the endpoint returns it in its
-	// response.
+	// HeaderAttempt identifies one attempt; the endpoint returns it in every
+	// response. Connections to endpoints that don't are not reused.
 	HeaderAttempt = "Pimentoshore-Attempt"
 	// HeaderIncarnation is the incarnation of the endpoint that responds.
 	HeaderIncarnation = "Pimentoshore-Incarnation"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,7 +90,7 @@
 		ans.fail(NotSent, problem.New(problem.Internal, err.Error(), "report it with the request id"))
 		return ans
 	}
-	resp, err := s.clientFor(a.Target()).Do(hr, c.body)
+	resp, err := s.do(t, hr, c.body)
 	if err != nil {
 		s.classify(ans, ctx, err)
 		return ans
@@ -100,6 +100,15 @@
 	return ans
 }
 
+// do sends the request of an attempt. The response of an endpoint is certain to
+// belong to the request.
+func (s *Server) do(t Target, hr *http.Request, body []byte) (*http.Response, error) {
+	if t.Peer {
+		return s.peers.Do(hr, body)
+	}
+	return s.endpoints.DoVerified(hr, body)
+}
+
 func (s *Server) clientFor(t Target) *endpoint.Client {
 	if t.Peer {
 		return s.peers
@@ -155,7 +164,10 @@
 // classify sets the answer's outcome and error from a transport error.
 func (s *Server) classify(ans *answer, ctx context.Context, err error) {
 	outcome := s.transportOutcome(ctx, err)
+	var other *endpoint.OtherAnswerError
 	switch {
+	case errors.As(err, &other):
+		ans.fail(outcome, endpointError("the endpoint sent the response to another request"))
 	case outcome == NotSent:
 		ans.fail(outcome, problem.New(problem.NoEndpoint, "the endpoint could not be reached", "retry later").WithRetryAfter(retryDelay))
 	case outcome == Cancelled:
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -57,15 +57,16 @@
 	}
 	t := b.targets[0]
 	b.targets = b.targets[1:]
-	return &fakeAttempt{b, t}, nil
+	return &fakeAttempt{b, t, fmt.Sprint("a-", len(b.needs))}, nil
 }
 
 type fakeAttempt struct {
 	backend *fakeBackend
 	target  Target
+	id      string
 }
 
-func (a *fakeAttempt) ID() string       { return "a-1" }
+func (a *fakeAttempt) ID() string       { return a.id }
 func (a *fakeAttempt) Target() Target   { return a.target }
 func (a *fakeAttempt) FirstByte(string) {}
 func (a *fakeAttempt) Done(o Outcome)   { a.backend.outcomes = append(a.backend.outcomes, o) }
