endpoint: a late answer to an earlier order is not believed

What callers saw: nothing directly. An order to an engine VM counted as accepted, with the report of an earlier one, although the VM had refused it.

Cause: the answer to an order has no ID unless the VM returns the attempt's, and orders and reports shared kept connections, so that a copy of an earlier answer was taken for the answer to the order sent next.

Evidence: TestAnswerToEarlierOrderIsNotBelieved failed before: no error instead of ErrFenced.

Change: orders carry an attempt ID and their answers are verified as those of calls are. VMs that don't return the ID get a connection for each order. Orders have a client of their own, so that none is sent on a connection that has carried a report. The gauge control_endpoint_bytes counts both clients.

Not covered: a report may be a late copy of an earlier one, until the next probe. Messages between entry VMs use HTTP/2, where an answer belongs to a stream.

The tests of internal/daemon pass with -race.

--- a/internal/daemon/groups.go
+++ b/internal/daemon/groups.go
@@ -108,7 +108,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	report, err := n.prober.Order(ctx, address, e.Order)
+	report, err := n.orders.Order(ctx, address, e.Order)
 	if err != nil {
 		n.log.Warn("order failed", "to", e.Order.VM, "action", e.Order.Action, "error", err)
 	}
--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -74,8 +74,10 @@
 	endpoints     *endpoint.Client
 	forwards      *endpoint.Client
 	control       *transport.Client // control messages to peers
-	probes        *transport.Client // reports and orders
+	probes        *transport.Client // reports
 	prober        *endpoint.Client
+	orderCalls    *transport.Client // orders, apart from reports: see endpoint.Client.Order
+	orders        *endpoint.Client
 	peers         *peers.Client
 	tls           *tlsconf.Store // nil means plain TCP
 	requests      *requestRing
@@ -110,6 +112,7 @@
 	seed := rand.Uint64()
 	control := o.wrapClient(newControlTransport(o.TLS))
 	probes := o.wrapClient(transport.New(nil))
+	orderCalls := o.wrapClient(transport.New(nil))
 	n := &Node{
 		settings: set, incarnation: incarnation,
 		log: o.Logger, registry: o.Registry, tracer: o.Tracer,
@@ -117,10 +120,11 @@
 		forwards:  endpoint.NewClient(o.wrapClient(newPeerTransport(o.TLS))),
 		tls:       o.TLS,
 		control:   control,
-		probes:    probes,
-		prober:    endpoint.NewClient(probes),
-		peers:     peers.NewClient(set.VM, set.DataCentre, control),
-		config:    config.New(config.Options{VM: set.VM, Seed: seed, PollInterval: set.Intervals.ConfigPoll}),
+		probes:    probes, orderCalls: orderCalls,
+		prober: endpoint.NewClient(probes),
+		orders: endpoint.NewClient(orderCalls),
+		peers:  peers.NewClient(set.VM, set.DataCentre, control),
+		config: config.New(config.Options{VM: set.VM, Seed: seed, PollInterval: set.Intervals.ConfigPoll}),
 		gossip: gossip.New(gossip.Options{
 			VM: set.VM, DataCentre: set.DataCentre, Address: set.Listen.Peers, Incarnation: incarnation,
 			Seed: seed, Fanout: fanout, Remote: remoteFanout, Expiry: expiryIntervals * set.Intervals.Exchange,
@@ -215,6 +219,6 @@
 // configuration's number.
 func (n *Node) recordControlTraffic() {
 	telemetry.Gauge(n.registry, "control_peer_bytes").Update(n.control.Bytes())
-	telemetry.Gauge(n.registry, "control_endpoint_bytes").Update(n.probes.Bytes())
+	telemetry.Gauge(n.registry, "control_endpoint_bytes").Update(n.probes.Bytes() + n.orderCalls.Bytes())
 	telemetry.Gauge(n.registry, "configuration_number").Update(int64(n.config.Number()))
 }
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"sync"
 
+	"github.com/google/uuid"
 	"github.com/juju/errors"
 
 	"github.com/pimentoshore/pimentoshore/coord/member"
@@ -115,7 +116,8 @@
 }
 
 // Order sends an order and returns the endpoint's report. The error is ErrFenced
-// if the endpoint has already accepted a newer fence.
+// if the endpoint has already accepted a newer fence. A client that sends orders
+// must not be used for reports, whose connections an order could get.
 func (c *Client) Order(ctx context.Context, address string, order member.Order) (member.Report, error) {
 	body, err := json.Marshal(order)
 	if err != nil {
@@ -148,10 +150,11 @@
 
 // sendControl sends a control request. Requests without a body are reads, which
 // net/http may resend when a kept-alive connection fails; others are sent at most
-// once.
+// once, and their response is verified to belong to them.
 func (c *Client) sendControl(req *http.Request, body []byte) (*http.Response, error) {
 	if body == nil {
 		return c.http.Do(req)
 	}
-	return c.Do(req, body)
+	req.Header.Set(HeaderAttempt, uuid.NewString())
+	return c.DoVerified(req, body)
 }
