--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -63,7 +63,14 @@
 
 // Request is an HTTP request as sent over the wire.
 type Request struct {
-	Method string
+	// ID is the ID by which the endpoint's response names the request, or empty. A
+	// connection carries an ID only once: a faulty endpoint may repeat its response
+	// to an earlier request, and only the ID tells the two apart.
+	ID string
+	// OwnConn sends the request on a new connection that carries nothing else, for
+	// a request whose response has no ID and must be certain.
+	OwnConn bool
+	Method  string
 	// Target is the path and query, sent unchanged.
 	Target string
 	Host   string
@@ -98,6 +105,7 @@
 	address   string
 	raw       *headReader
 	r         *bufio.Reader // reads from raw
+	carried   []uint64      // hashes of the IDs of the requests sent on it
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle and still be reused.
 	idleTimeout time.Duration
@@ -122,7 +130,7 @@
 // been read. The error is a *NotSentError or a *BrokenError. Cancelling the
 // context aborts the connection, also while the body is being read.
 func (c *Client) Send(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.getConn(ctx, address)
+	cn, err := c.connFor(ctx, address, req)
 	if err != nil {
 		return nil, &NotSentError{Address: address, Err: err}
 	}
@@ -132,6 +140,7 @@
 		cn.Close()
 		return nil, &NotSentError{Address: address, Err: context.Cause(ctx)}
 	}
+	cn.addCarried(hashID(req.ID))
 	resp, err := c.exchange(cn, req)
 	if err != nil {
 		stop()
@@ -165,7 +174,7 @@
 			Status: resp.StatusCode, Header: resp.Header, client: c, conn: cn,
 			Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
 		}
-		out.reusable = !resp.Close && out.Framed
+		out.reusable = !resp.Close && out.Framed && !req.OwnConn
 		out.Body = &body{r: resp.Body, resp: out}
 		cn.idleTimeout = keepAliveTimeout(resp.Header)
 		return out, nil
@@ -247,8 +256,24 @@
 	_ = r.conn.SetReadDeadline(time.Time{}) // Close checks whether the request was cancelled
 }
 
+// HasMore reports whether bytes have arrived after the response, whose body must
+// have been read to the end. The response may then be a late copy of an earlier
+// one, and the bytes the response to this request.
+func (r *Response) HasMore() bool {
+	if r.conn == nil {
+		return false
+	}
+	if r.conn.r.Buffered() > 0 {
+		return true
+	}
+	n, _ := r.conn.peek() // a broken connection shows when it is next used
+	return n > 0
+}
+
 // Close releases the connection. It is kept for reuse if the request wasn't
-// cancelled, the body was read to the end and no further bytes were received.
+// cancelled and had no connection of its own, the body was read to the end, no
+// further bytes were received and the connection has carried fewer than
+// maxIDsPerConn IDs.
 func (r *Response) Close() {
 	if r.conn == nil {
 		return
@@ -256,7 +281,7 @@
 	cn := r.conn
 	r.conn = nil
 	active := r.stopCancel()
-	if !active || !r.reusable || !r.bodyEnded || cn.r.Buffered() > 0 {
+	if !active || !r.reusable || !r.bodyEnded || cn.r.Buffered() > 0 || len(cn.carried) >= maxIDsPerConn {
 		cn.Close()
 		return
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,24 +3,23 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 )
 
-// getConn returns an idle connection that can be reused, or dials a new one.
-func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
-	for {
-		cn := c.popIdle(address)
-		if cn == nil {
-			break
-		}
-		if time.Since(cn.idleSince) < cn.idleTimeout && cn.isReusable() {
+// connFor returns a connection for the request: an idle one that can be reused
+// and has not carried the request's ID, or a new one.
+func (c *Client) connFor(ctx context.Context, address string, req *Request) (*conn, error) {
+	if !req.OwnConn {
+		if cn := c.reuseConn(address, hashID(req.ID)); cn != nil {
 			return cn, nil
 		}
-		cn.Close()
 	}
 	nc, err := c.dial(ctx, address)
 	if err != nil {
@@ -29,6 +28,18 @@
 	return newConn(nc, address), nil
 }
 
+// reuseConn returns an idle connection that can be reused and has not carried the
+// ID, or nil. It closes those that can't be reused.
+func (c *Client) reuseConn(address string, id uint64) *conn {
+	for {
+		cn := c.popIdle(address, id)
+		if cn == nil || time.Since(cn.idleSince) < cn.idleTimeout && cn.isReusable() {
+			return cn
+		}
+		cn.Close()
+	}
+}
+
 // tcpDialer opens the connections of clients without a DialFunc.
 var tcpDialer = net.Dialer{Timeout: dialTimeout, KeepAlive: time.Second, Control: setUserTimeout}
 
@@ -56,17 +67,34 @@
 }
 
 // popIdle removes and returns the most recently used idle connection to an
-// address, or nil if there is none.
-func (c *Client) popIdle(address string) *conn {
+// address that has not carried the ID, or nil if there is none.
+func (c *Client) popIdle(address string, id uint64) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, cn := range slices.Backward(list) {
+		if !slices.Contains(cn.carried, id) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return cn
+		}
+	}
+	return nil
+}
+
+// hashID returns the hash of a request's ID, or 0 for no ID.
+func hashID(id string) uint64 {
+	if id == "" {
+		return 0
+	}
+	return xxhash.Sum64String(id)
+}
+
+// addCarried records that a request is sent on the connection. Zero means that it
+// has no ID.
+func (cn *conn) addCarried(id uint64) {
+	if id != 0 {
+		cn.carried = append(cn.carried, id)
 	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
 }
 
 // putIdle keeps a connection for reuse, or closes it if the address already has
@@ -111,19 +139,28 @@
 	if cn.r.Buffered() > 0 {
 		return false
 	}
+	_, err := cn.peek()
+	return errors.Is(err, unix.EAGAIN)
+}
+
+// peek returns the number of bytes, at most 1, that have arrived beyond those read.
+// The error is EAGAIN if there are none, or if the connection has no descriptor. No
+// bytes and no error mean that the endpoint has closed the connection.
+func (cn *conn) peek() (n int, err error) {
 	sc, ok := cn.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	noData := false
-	err = raw.Control(func(fd uintptr) {
+	controlErr := raw.Control(func(fd uintptr) {
 		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = err == unix.EAGAIN || err == unix.EWOULDBLOCK
+		n, _, err = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && noData
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return n, err
 }
