soak: silent endpoints and a store that comes back older

TestSoakSilence holds the links of sound endpoints for 0.8 to 1.5 s, beside changes of the configuration. TestSoakRestore takes the store away for 1 to 2 s and brings it back from a copy 3 to 9 s old; what operators and VMs wrote since is written again 0.5 to 1.5 s later. Both have their own seeds, so those of TestSoak keep their meaning, and check besides that answers are whole, that configurations come into force in time and never go back, and that calls to the store stay within the rate that the nodes' intervals give.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,8 +22,13 @@
 	id      string
 	kind    string
 	account string
-	node    *process
+	// withdrawn is whether the account's key was known to be withdrawn.
+	withdrawn bool
+	node      *process
+	// start is the number of the node's start at the sending.
+	start   int
 	sentAt  time.Time
+	endedAt time.Time
 	status  int
 	body    string
 	err     error
@@ -31,7 +37,10 @@
 // callers sends requests of each kind to each node over persistent connections
 // and records the answers.
 type callers struct {
-	site  *site
+	site *site
+	// withdrawn is whether one more caller per node uses withdrawn keys.
+	withdrawn bool
+
 	mu    sync.Mutex
 	calls []call
 	wg    sync.WaitGroup
@@ -40,12 +49,22 @@
 // start starts one caller per node and kind of request. They stop when ctx
 // ends.
 func (c *callers) start(ctx context.Context) {
+	kinds := []string{"order", "look", "ask"}
+	all := kinds
+	if c.withdrawn {
+		all = append(slices.Clone(kinds), "look")
+	}
 	for n, node := range c.site.nodes {
-		for k, kind := range []string{"order", "look", "ask"} {
+		for k, kind := range all {
 			c.wg.Go(func() {
 				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: callTimeout}
 				for i := 0; ctx.Err() == nil; i++ {
-					done := send(client, node, kind, fmt.Sprintf("%x%02x%02x%08x", n+1, k+1, n, i), c.site.currentAccount())
+					account, withdrawn := c.site.currentAccount(), k >= len(kinds)
+					if withdrawn {
+						account = c.site.withdrawnAccount(i)
+					}
+					done := send(client, node, kind, fmt.Sprintf("%x%02x%02x%08x", n+1, k+1, n, i), account)
+					done.withdrawn = withdrawn
 					c.mu.Lock()
 					c.calls = append(c.calls, done)
 					c.mu.Unlock()
@@ -57,8 +76,9 @@
 }
 
 // send sends one request with the key of an account and reads the answer.
-func send(client *http.Client, node *process, kind, id, account string) call {
-	c := call{id: id, kind: kind, account: account, node: node, sentAt: time.Now()}
+func send(client *http.Client, node *process, kind, id, account string) (c call) {
+	c = call{id: id, kind: kind, account: account, node: node, start: node.startCount(), sentAt: time.Now()}
+	defer func() { c.endedAt = time.Now() }()
 	method := http.MethodPost
 	if kind == "look" {
 		method = http.MethodGet
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,6 +5,12 @@
 // that restart; and rapid changes by operators. It then checks the system's
 // guarantees against what callers and endpoints observed.
 //
+// TestSoakSilence makes sound endpoints silent for a while, and TestSoakRestore
+// brings the store back from a copy some seconds old. Both run beside changes of the
+// configuration and, for half of the seeds, beside other faults, and check more: that
+// answers are whole, that configurations are in force in time and never go back, and
+// how often the nodes call the store.
+//
 // The faults are drawn from a seed. CI runs the regression seeds and one more.
 // To run other seeds:
 //
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -25,11 +26,19 @@
 	site *site
 	rng  *rand.Rand
 	wg   sync.WaitGroup
+	// beside is whether other faults are injected beside those that the test is
+	// about.
+	beside bool
+	// silentUntil is when each endpoint's silence ends or ended.
+	silentUntil map[string]time.Time
 
 	mu sync.Mutex
 	// log lists the injected faults for the report.
-	log  []string
-	errs []error
+	log     []string
+	touches []*touch
+	// copies are the copies of the store that restores choose from.
+	copies []storeCopy
+	errs   []error
 }
 
 func (f *faults) logf(format string, args ...any) {
@@ -39,9 +48,9 @@
 }
 
 // run injects faults until ctx ends, then waits until all of them have ended.
-func (f *faults) run(ctx context.Context) {
+func (f *faults) run(ctx context.Context, inject func()) {
 	for ctx.Err() == nil {
-		f.inject()
+		inject()
 		wait := time.Duration(f.rng.Int64N(int64(2 * meanFaultInterval)))
 		select {
 		case <-ctx.Done():
@@ -60,36 +69,40 @@
 func (f *faults) inject() {
 	s := f.site
 	node := s.nodes[f.rng.IntN(len(s.nodes))]
+	vm := node.vm
 	switch f.rng.IntN(12) {
 	case 0:
-		f.injectFor(node.vm+" paused", f.randomDuration(4*time.Second), func() { node.signal(syscall.SIGSTOP, false) }, func() { node.signal(syscall.SIGCONT, false) })
+		f.injectFor(vm, "paused", f.randomDuration(4*time.Second), func() { node.signal(syscall.SIGSTOP, false) }, func() { node.signal(syscall.SIGCONT, false) })
 	case 1:
-		f.injectFor(node.vm+" killed", f.randomDuration(2*time.Second), node.kill, node.start)
+		f.injectFor(vm, "killed", f.randomDuration(2*time.Second), node.kill, node.start)
 	case 2:
-		f.injectFor(node.vm+" stopped", f.randomDuration(time.Second), func() { f.recordError(node.stop()) }, node.start)
+		f.injectFor(vm, "stopped", f.randomDuration(time.Second), func() { f.recordError(node.stop()) }, node.start)
 	case 3:
-		f.injectFor(node.vm+" reloads", 0, func() { node.signal(syscall.SIGHUP, false) }, func() {})
+		f.injectFor("", vm+" reloads", 0, func() { node.signal(syscall.SIGHUP, false) }, func() {})
 	case 4:
-		f.injectLinkFault("engine's link", s.engineLinks[f.rng.IntN(len(s.engineLinks))], f.randomDuration(3*time.Second))
+		i := f.rng.IntN(len(s.engineLinks))
+		f.injectLinkFault(s.engines[i].ID, s.engineLinks[i], f.randomDuration(3*time.Second))
 	case 5:
-		f.injectLinkFault("shop's link", s.shopLinks[f.rng.IntN(len(s.shopLinks))], f.randomDuration(2*time.Second))
+		i := f.rng.IntN(len(s.shopLinks))
+		f.injectLinkFault(shopName(i), s.shopLinks[i], f.randomDuration(2*time.Second))
 	case 6:
-		f.injectLinkFault("door", s.storeLinks[f.rng.IntN(len(s.storeLinks))], f.randomDuration(6*time.Second))
+		i := f.rng.IntN(len(s.storeLinks))
+		f.injectLinkFault(doorOf(s.nodes[i].vm), s.storeLinks[i], f.randomDuration(6*time.Second))
 	case 7:
 		fault := []cloud.Fault{cloud.Busy, cloud.Silent, cloud.Lost}[f.rng.IntN(3)]
-		f.injectFor("store "+string(fault), f.randomDuration(6*time.Second),
+		f.injectFor("store", string(fault), f.randomDuration(6*time.Second),
 			func() { s.store.Fail(fault) }, func() { s.store.Fail(cloud.Healthy) })
 	case 8:
 		e := s.engines[f.rng.IntN(len(s.engines))]
-		f.injectFor(e.ID+" starts again", 0, func() { f.recordError(e.Restart()) }, func() {})
+		f.injectFor(e.ID, "starts again", 0, func() { f.recordError(e.Restart()) }, func() {})
 	case 9:
 		f.injectOperatorChange()
 	case 10:
 		e := s.engines[f.rng.IntN(len(s.engines))]
 		f.injectEndpointFault(e.ID, e, f.randomDuration(3*time.Second))
 	case 11:
-		shop := s.shops[f.rng.IntN(len(s.shops))]
-		f.injectEndpointFault("shop", shop, f.randomDuration(2*time.Second))
+		i := f.rng.IntN(len(s.shops))
+		f.injectEndpointFault(shopName(i), s.shops[i], f.randomDuration(2*time.Second))
 	}
 }
 
@@ -103,7 +116,7 @@
 // announced that it leaves is restarted afterwards.
 func (f *faults) injectEndpointFault(name string, e faultyEndpoint, d time.Duration) {
 	trouble := []cloud.Trouble{cloud.Leaving, cloud.Pausing, cloud.EndlessHead, cloud.EndlessBody}[f.rng.IntN(4)]
-	f.injectFor(fmt.Sprint(name, " ", trouble), d, func() { e.Trouble(trouble) }, func() {
+	f.injectFor(name, string(trouble), d, func() { e.Trouble(trouble) }, func() {
 		e.Trouble(cloud.Calm)
 		if trouble == cloud.Leaving {
 			f.recordError(e.Restart())
@@ -115,17 +128,17 @@
 // configuration or the evacuation of a data centre.
 func (f *faults) injectOperatorChange() {
 	if f.rng.IntN(3) > 0 {
-		f.injectFor("configuration", 0, f.site.configure, func() {})
+		f.injectFor("", "configuration", 0, f.site.configure, func() {})
 		return
 	}
 	dc := dataCentre(f.rng.IntN(2))
-	f.injectFor(dc+" evacuated", f.randomDuration(3*time.Second), func() { f.site.setEvacuated(dc, true) }, func() { f.site.setEvacuated(dc, false) })
+	f.injectFor("", dc+" evacuated", f.randomDuration(3*time.Second), func() { f.site.setEvacuated(dc, true) }, func() { f.site.setEvacuated(dc, false) })
 }
 
 // injectLinkFault injects a random fault into a link for d.
 func (f *faults) injectLinkFault(name string, p *wire.Proxy, d time.Duration) {
 	fault := []wire.Fault{wire.Delay, wire.Reset, wire.DropToServer, wire.Silent}[f.rng.IntN(4)]
-	f.injectFor(fmt.Sprint(name, " ", p.Address(), " ", fault), d,
+	f.injectFor(name, fmt.Sprint("link ", p.Address(), " ", fault), d,
 		func() { p.Set(fault) }, func() { p.Set(wire.Clear) })
 }
 
@@ -139,10 +152,14 @@
 	f.errs = append(f.errs, err)
 }
 
-// injectFor calls begin in a new goroutine, and end d later.
-func (f *faults) injectFor(name string, d time.Duration, begin, end func()) {
+// injectFor calls begin in a new goroutine, and end d later. The fault affects the
+// target, which is empty for what is no fault, such as an operator's change.
+func (f *faults) injectFor(target, what string, d time.Duration, begin, end func()) {
 	f.wg.Go(func() {
-		f.logf("%s for %s", name, d)
+		f.logf("%s for %s", strings.TrimSpace(target+" "+what), d)
+		if target != "" {
+			defer f.beginTouch(target)()
+		}
 		begin()
 		time.Sleep(d)
 		end()
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -47,6 +47,8 @@
 	exitErr error
 	// stopRequested is whether the running process was told to exit.
 	stopRequested bool
+	// starts counts how often the process was started.
+	starts int
 	// lastFaultAt is when a fault in the process last began or ended.
 	lastFaultAt time.Time
 }
@@ -66,6 +68,7 @@
 	cmd := exec.Command(path, "entry", "--settings", p.settings)
 	cmd.Stdout, cmd.Stderr = out, out
 	assert.NilError(p.t, cmd.Start())
+	p.starts++
 	p.cmd, p.stopRequested, p.lastFaultAt = cmd, false, time.Now()
 	exited := make(chan struct{})
 	p.exited = exited
@@ -84,6 +87,13 @@
 	}()
 }
 
+// startCount returns how often the process was started.
+func (p *process) startCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
 // signal sends a signal to the process if it is running. mayExit tells whether
 // the process may exit because of it.
 func (p *process) signal(sig os.Signal, mayExit bool) {
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,8 +45,16 @@
 	// those between each node and the store.
 	engineLinks, shopLinks, storeLinks []*wire.Proxy
 
+	// storeAway is whether operators can't write to the store.
+	storeAway atomic.Bool
+
 	mu      sync.Mutex
 	version int
+	// varied is whether versions of the configuration also differ in timeouts,
+	// limits and routes.
+	varied bool
+	// confirmedAt is when the store confirmed the version that added an account.
+	confirmedAt map[string]time.Time
 	// withdrawnAt is when the store confirmed that an account's key was withdrawn.
 	withdrawnAt map[string]time.Time
 }
@@ -53,7 +62,7 @@
 func newSite(t *testing.T) *site {
 	dir, err := os.MkdirTemp("", "soak-logs")
 	assert.NilError(t, err)
-	s := &site{t: t, dir: dir, store: cloud.NewStore(), ledger: cloud.NewLedger(), withdrawnAt: make(map[string]time.Time)}
+	s := &site{t: t, dir: dir, store: cloud.NewStore(), ledger: cloud.NewLedger(), withdrawnAt: make(map[string]time.Time), confirmedAt: make(map[string]time.Time)}
 	t.Cleanup(s.store.Server.Close)
 	s.configure()
 	for i := range enginesPerSite {
@@ -70,6 +79,8 @@
 
 func dataCentre(i int) string { return fmt.Sprint("dc-", i%2) }
 
+func shopName(i int) string { return fmt.Sprint("s-", i) }
+
 // newLink starts a proxy before a stand-in.
 func (s *site) newLink(server *httptest.Server) *wire.Proxy {
 	p, err := wire.New("127.0.0.1", strings.TrimPrefix(server.URL, "http://"))
@@ -91,7 +102,7 @@
 }
 
 func (s *site) addShop(i int) {
-	shop, err := cloud.NewPlainService(s.store, fmt.Sprint("s-", i), "shop", dataCentre(i))
+	shop, err := cloud.NewPlainService(s.store, shopName(i), "shop", dataCentre(i))
 	assert.NilError(s.t, err)
 	s.t.Cleanup(shop.Server.Close)
 	s.t.Cleanup(shop.Server.CloseClientConnections)
@@ -135,6 +146,9 @@
 	s.t.Cleanup(p.kill)
 }
 
+// withdrawnTried is the number of newest withdrawn keys that callers try.
+const withdrawnTried = 8
+
 // accountName returns the name of the client account that a configuration
 // version adds.
 func accountName(version int) string { return fmt.Sprint("acc-", version) }
@@ -145,19 +159,29 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	timeout, gap := 5000, 300
+	if s.varied {
+		timeout, gap = timeout+1000*(s.version%2), gap+100*(s.version%2)
+	}
 	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
-			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "attempts": 2, "timeout-ms": 5000,
-			"slo-ms": 500, "gap-target-ms": 300, "resumable": kind == "stream",
+			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "attempts": 2, "timeout-ms": timeout,
+			"slo-ms": 500, "gap-target-ms": gap, "resumable": kind == "stream",
 		}
 	}
 	tenants := []any{map[string]any{"name": accountName(s.version), "api-keys": []string{"key-" + accountName(s.version)}}}
 	if s.version > 1 {
 		tenants = append(tenants, map[string]any{"name": accountName(s.version - 1), "api-keys": []string{"key-" + accountName(s.version-1)}})
 	}
+	routes := []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")}
+	limits := map[string]any{"max-body-bytes": 100000}
+	if s.varied {
+		routes = append(routes, route(fmt.Sprintf("/new-%d/", s.version), "safe", "shop"))
+		limits["idle-timeout-ms"] = 4000 + 1000*(s.version%3)
+	}
 	err := s.store.Put("op", "config", map[string]any{
 		"version": s.version,
-		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")},
+		"routes":  routes,
 		"services": []any{
 			map[string]any{"name": "shop"},
 			map[string]any{"name": "llm", "engine": map[string]any{
@@ -165,11 +189,13 @@
 				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 0.1, "warm-s": 0.1}},
 			}},
 		},
-		"limits":  map[string]any{"max-body-bytes": 100000},
+		"limits":  limits,
 		"tenants": tenants,
 	})
 	assert.NilError(s.t, err)
-	s.withdrawnAt[accountName(s.version-2)] = time.Now()
+	now := time.Now()
+	s.confirmedAt[accountName(s.version)] = now
+	s.withdrawnAt[accountName(s.version-2)] = now
 }
 
 // currentAccount returns the account that the current version of the
@@ -180,6 +206,14 @@
 	return accountName(s.version)
 }
 
+// withdrawnAccount returns one of the accounts whose keys were withdrawn last; i
+// chooses which one.
+func (s *site) withdrawnAccount(i int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return accountName(max(0, s.version-2-i%withdrawnTried))
+}
+
 // setEvacuated starts the evacuation of a data centre if evacuated is true, or
 // ends it.
 func (s *site) setEvacuated(dc string, evacuated bool) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -32,34 +32,50 @@
 var regressions = map[uint64]string{}
 
 func TestSoak(t *testing.T) {
+	runSeeds(t, regressions, scenario{duration: *faultTime, play: func(ctx context.Context, f *faults) { f.run(ctx, f.inject) }})
+}
+
+// scenario is a kind of soak.
+type scenario struct {
+	// duration is how long faults are injected.
+	duration time.Duration
+	// play injects faults until its context ends, and waits until they have ended.
+	play func(context.Context, *faults)
+	// strict is whether versions of the configuration vary, callers also use
+	// withdrawn keys, and the checks of checkStrictly apply.
+	strict bool
+}
+
+func runSeeds(t *testing.T, regressions map[uint64]string, sc scenario) {
 	if *seeds == 0 {
-		runSeed(t, *firstSeed)
+		runSeed(t, *firstSeed, sc)
 		for seed := range regressions {
-			runSeed(t, seed)
+			runSeed(t, seed, sc)
 		}
 		return
 	}
 	for i := range *seeds {
-		runSeed(t, *firstSeed+uint64(i))
+		runSeed(t, *firstSeed+uint64(i), sc)
 	}
 }
 
-func runSeed(t *testing.T, seed uint64) {
+func runSeed(t *testing.T, seed uint64, sc scenario) {
 	t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 		s := newSite(t)
+		s.varied = sc.strict
 		for _, n := range s.nodes {
 			n.start()
 		}
 		for _, n := range s.nodes {
 			s.waitUntilServing(n)
 		}
-		f := &faults{site: s, rng: rand.New(rand.NewPCG(seed, 1))}
-		c := &callers{site: s}
+		f := &faults{site: s, rng: rand.New(rand.NewPCG(seed, 1)), silentUntil: make(map[string]time.Time)}
+		c := &callers{site: s, withdrawn: sc.strict}
 		callCtx, stop := context.WithCancel(context.Background())
 		c.start(callCtx)
-		faultCtx, end := context.WithTimeout(context.Background(), *faultTime)
+		faultCtx, end := context.WithTimeout(context.Background(), sc.duration)
 		defer end()
-		f.run(faultCtx)
+		sc.play(faultCtx, f)
 		s.clearFaults()
 		for _, n := range s.nodes {
 			s.waitUntilServing(n)
@@ -70,6 +86,9 @@
 		time.Sleep(500 * time.Millisecond)
 		ch := &checker{site: s, faults: f}
 		ch.checkAll(c.calls)
+		if sc.strict {
+			ch.checkStrictly(c.calls)
+		}
 		ch.report(t, c.calls)
 		if !t.Failed() {
 			os.RemoveAll(s.dir)
@@ -172,13 +191,17 @@
 }
 
 func (ch *checker) report(t *testing.T, all []call) {
-	served := 0
+	served, calls := 0, 0
 	for i := range all {
+		if all[i].withdrawn {
+			continue
+		}
+		calls++
 		if all[i].isCorrect() {
 			served++
 		}
 	}
-	t.Logf("%d calls, %d served, %d faults", len(all), served, len(ch.faults.log))
+	t.Logf("%d calls with valid keys, %d served, %d faults", calls, served, len(ch.faults.log))
 	assert.Check(t, served > 0)
 	if len(ch.violations) == 0 {
 		return
