soak: an endpoint leaves shortly before the store comes back older

The copy still lists the endpoint. A node that knew of its leaving must send it nothing, whatever the store says until the removal is written again (DRAIN).

--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -38,6 +38,9 @@
 	touches []*touch
 	// copies are the copies of the store that restores choose from.
 	copies []storeCopy
+	// left is the endpoint that left, and leftAt when the store confirmed it.
+	left   string
+	leftAt time.Time
 	errs   []error
 }
 
--- a/internal/soak/restore_test.go
+++ b/internal/soak/restore_test.go
@@ -14,7 +14,7 @@
 	// restoreTime leaves time for two restores and for what follows them.
 	restoreTime = 15 * time.Second
 	// A restore begins minRestorePause to maxRestorePause after the last one.
-	minRestorePause = time.Second
+	minRestorePause = 1100 * time.Millisecond
 	maxRestorePause = 3 * time.Second
 	// maxRestoreTime is how long a restore and what belongs to it last.
 	maxRestoreTime = maxAway + maxRewrite + maxRewrite
@@ -81,9 +81,23 @@
 	return low + time.Duration(rng.Int64N(int64(high-low)))
 }
 
+// leave makes a shop leave. The first copy of the store doesn't show it.
+func (f *faults) leave(rng *rand.Rand) {
+	i, announce := rng.IntN(len(f.site.shops)), rng.IntN(2) == 0
+	f.recordError(f.site.shops[i].Leave(announce))
+	f.logf("%s leaves, announced %t", shopName(i), announce)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left, f.leftAt = shopName(i), time.Now()
+}
+
 // restoreRepeatedly restores the store from copies until too little time is left.
 func (f *faults) restoreRepeatedly(ctx context.Context, rng *rand.Rand) {
-	time.Sleep(minCopyAge - minAway - minRestorePause) // the first restore needs a copy
+	time.Sleep(copyInterval / 2) // the first copy is made
+	if rng.IntN(2) == 0 {
+		f.leave(rng)
+	}
+	time.Sleep(minCopyAge - minAway - minRestorePause)
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/soak/strict_test.go
+++ b/internal/soak/strict_test.go
@@ -15,6 +15,9 @@
 	// configTime is how long after its confirmation a configuration may not yet be
 	// in force.
 	configTime = 2 * time.Second
+	// drainTime is how long after its confirmation an endpoint's leaving may not yet
+	// be known.
+	drainTime = 2 * time.Second
 	// rollbackSlack is how long after its first effect at a node a configuration may
 	// not yet be in force in all of the node.
 	rollbackSlack = 250 * time.Millisecond
@@ -34,6 +37,7 @@
 	for i := range all {
 		ch.checkWhole(&all[i])
 		ch.checkInForce(&all[i])
+		ch.checkDrained(&all[i])
 	}
 	ch.checkRollbacks(all)
 	ch.checkStoreCalls()
@@ -88,6 +92,23 @@
 	}
 }
 
+// checkDrained checks that a node that must know of an endpoint's leaving sends it no
+// more requests, whatever the store says later.
+func (ch *checker) checkDrained(c *call) {
+	f, vm := ch.faults, c.node.vm
+	known := f.leftAt.Add(drainTime)
+	if f.left == "" || c.sentAt.Before(known) ||
+		f.isTouched(f.leftAt.Add(-contactTime), c.endedAt, vm) ||
+		f.isTouched(f.leftAt.Add(-contactTime), known, doorOf(vm), "store") {
+		return
+	}
+	for _, r := range ch.site.ledger.Runs(c.id) {
+		if r.Endpoint == f.left {
+			ch.fail("drained: %s at %s sent %s to %s %s after it left", vm, c.sentAt.Format("05.000"), c.kind, f.left, c.sentAt.Sub(f.leftAt))
+		}
+	}
+}
+
 // effect is the first run of a request, which shows that its node knew the version
 // that added the account.
 type effect struct {
--- a/internal/standin/cloud/engine.go
+++ b/internal/standin/cloud/engine.go
@@ -336,6 +336,16 @@
 // proxy.
 func (s *PlainService) Advertise(address string) error { return s.set("address", address) }
 
+// Leave makes the service announce in its row that it leaves, or removes the row
+// without announcement. The service goes on serving.
+func (s *PlainService) Leave(announce bool) error {
+	if announce {
+		return s.set("state", "draining")
+	}
+	s.store.Delete("servers", s.id)
+	return nil
+}
+
 // Restart simulates an immediate restart: the service's connections are closed
 // and its row gets a new start time.
 func (s *PlainService) Restart() error {
