--- a/internal/soak/strict_test.go
+++ b/internal/soak/strict_test.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
 )
 
 // The bounds of the users' sheets.
@@ -168,15 +170,24 @@
 func (ch *checker) checkStoreCalls() {
 	limit := int(callWindow.Seconds()) * maxCallsPerNode * len(ch.site.nodes)
 	calls := ch.site.store.Calls()
-	most, first := 0, 0
-	for i, at := range calls {
-		for at.Sub(calls[first]) > callWindow {
+	var most []cloud.Call
+	first := 0
+	for i, c := range calls {
+		for c.At.Sub(calls[first].At) > callWindow {
 			first++
 		}
-		most = max(most, i-first+1)
+		if window := calls[first : i+1]; len(window) > len(most) {
+			most = window
+		}
+	}
+	ch.site.t.Logf("at most %d calls to the store within %s", len(most), callWindow)
+	if len(most) <= limit {
+		return
 	}
-	ch.site.t.Logf("at most %d calls to the store within %s", most, callWindow)
-	if most > limit {
-		ch.fail("store: %d calls within %s, at most %d are expected", most, callWindow, limit)
+	kinds := make(map[string]int)
+	for _, c := range most {
+		kinds[c.Path+" "+c.Table]++
 	}
+	ch.fail("store: %d calls within %s up to %s, at most %d are expected: %v", len(most), callWindow,
+		most[len(most)-1].At.Format("05.000"), limit, kinds)
 }
--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -52,8 +52,7 @@
 	// oldest is the version up to which the history has been dropped.
 	oldest uint64
 
-	// calls lists when each call arrived, refused ones included.
-	calls []time.Time
+	calls []Call
 
 	// era counts the restores, from 1, and restoredTo is the version of the last one.
 	era, restoredTo uint64
@@ -77,7 +76,7 @@
 	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.setEra(w)
-		s.calls = append(s.calls, time.Now())
+		s.calls = append(s.calls, Call{time.Now(), r.URL.Path, r.URL.Query().Get("table")})
 		s.mu.Unlock()
 		mux.ServeHTTP(w, r)
 	}))
@@ -92,8 +91,14 @@
 // Address returns the store's IP address and port.
 func (s *Store) Address() string { return strings.TrimPrefix(s.Server.URL, "http://") }
 
-// Calls returns when each call arrived, in order. It includes refused calls.
-func (s *Store) Calls() []time.Time {
+// Call is a call to the store. Table is empty for transactions.
+type Call struct {
+	At          time.Time
+	Path, Table string
+}
+
+// Calls returns all calls in the order of their arrival, refused ones included.
+func (s *Store) Calls() []Call {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.Clone(s.calls)
