replica: a serving head closes before it leaves a group that can't be adopted

What callers saw: answers ended when the lease changed hands after a configuration with another group size, or without the model. The head is now closed first, and leaves once it has finished.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -199,6 +199,20 @@
 		if m.Rank > 0 {
 			m.cooldownUntil = now.Add(p.opts.Stall + stallMargin)
 		}
-		p.send(now, m, Order{Action: Leave, Group: m.Group, Epoch: m.Epoch})
+		p.sendExpulsion(now, m)
 	}
 }
+
+// sendExpulsion orders a VM to leave its group. A head that serves finishes its
+// requests first: the configuration may have changed since they began.
+func (p *Planner) sendExpulsion(now time.Time, m *member) {
+	action := Leave
+	switch {
+	case m.Rank != 0:
+	case m.Stage == fleet.Open:
+		action = Close
+	case m.Stage == fleet.Closing:
+		return
+	}
+	p.send(now, m, Order{Action: action, Group: m.Group, Epoch: m.Epoch})
+}
