--- /dev/null
+++ b/internal/entry/published.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/watch"
+)
+
+// relistGrace is how long after an outage of the platform VMs whose rows lapsed
+// during it may take to be listed again.
+const relistGrace = 2200 * time.Millisecond
+
+var _ watch.Observer = (*State)(nil)
+
+// Operators implements watch.Observer.
+func (s *State) Operators(asOf time.Time, n updates.Operators) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyOperators(asOf, n)
+}
+
+// applyOperators applies settings of the operators that were read from the
+// platform or received from a peer. s.mu must be held.
+func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
+	if n.Catalog != nil && !s.isValid(n.Catalog) {
+		n.Catalog = nil
+	}
+	if !s.record.PutOperators(s.now(), n) {
+		s.setCatalog(time.Time{}) // keeps the age that the configuration has here
+		return
+	}
+	s.targetsOutdated = true
+	s.setEvacuated(s.record.Evacuated())
+	s.setCatalog(asOf)
+}
+
+// isValid reports whether a configuration may come into force.
+func (s *State) isValid(c *catalog.Catalog) bool {
+	if err := c.Validate(); err != nil {
+		s.log.Warn("configuration refused", "version", c.Version, "error", err)
+		return false
+	}
+	return true
+}
+
+// setCatalog puts the record's configuration in force as of a time. s.mu must be
+// held.
+func (s *State) setCatalog(asOf time.Time) {
+	if c := s.record.Catalog(); c != s.cat {
+		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
+		s.cat, s.targetsOutdated = c, true
+	}
+	if s.cat == nil || asOf.IsZero() && s.view.Load() == nil {
+		return
+	}
+	if old := s.view.Load(); old != nil && old.AsOf.After(asOf) {
+		asOf = old.AsOf
+	}
+	s.view.Store(&View{Catalog: s.cat, AsOf: asOf})
+}
+
+// setEvacuated replaces the set of evacuated data centres, which receive no
+// requests. s.mu must be held.
+func (s *State) setEvacuated(evacuated map[string]bool) {
+	for dc := range s.evacuated {
+		if !evacuated[dc] {
+			s.log.Info("evacuation changed", "data_centre", dc, "out", false)
+		}
+	}
+	for dc := range evacuated {
+		if !s.evacuated[dc] {
+			s.log.Info("evacuation changed", "data_centre", dc, "out", true)
+		}
+	}
+	s.evacuated = evacuated
+}
+
+// VMs implements watch.Observer.
+func (s *State) VMs(asOf time.Time, n updates.VMs) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readFailedAt, s.readAt = time.Time{}, asOf
+	s.applyVMs(asOf, n)
+}
+
+// applyVMs applies rows of VMs that were read from the platform or received from
+// a peer. s.mu must be held.
+func (s *State) applyVMs(asOf time.Time, n updates.VMs) {
+	now := s.now()
+	if s.vmReadFailing {
+		s.vmReadFailing = false
+		s.vmReadRecoveredAt = now
+		s.log.Info("list of VMs regained", "version", n.Version)
+	}
+	before := s.record.Position().VMs
+	n, ok := s.record.PutVMs(now, n)
+	if !ok {
+		return
+	}
+	if era := n.Era; before.Version > 0 && era > before.Era {
+		s.vmReadRecoveredAt = now
+		s.log.Warn("list of VMs of a restored platform", "era", era, "version", n.Version, "era_before", before.Era, "version_before", before.Version)
+	}
+	if asOf.After(s.listedAsOf) {
+		s.listedAsOf = asOf
+	}
+	s.applyRows(now, n)
+	s.listed = true
+}
+
+// applyRows applies rows of VMs to the table. s.mu must be held.
+func (s *State) applyRows(now time.Time, n updates.VMs) {
+	present := make(map[string]bool, len(n.Rows))
+	for _, row := range n.Rows {
+		present[row.ID] = true
+		delete(s.relistDeadlines, row.ID)
+		if s.vms.ApplyRow(now, row) {
+			s.log.Info("VM started", "endpoint", row.ID, "born", row.Born, "service", row.Service)
+		}
+	}
+	for _, id := range n.Removed {
+		s.unlist(now, id)
+	}
+	if n.Whole {
+		for _, vm := range s.vms.All() {
+			if vm.Listed && !present[vm.ID] {
+				s.unlist(now, vm.ID)
+			}
+		}
+	}
+}
+
+// unlist removes a VM from the list. Within relistGrace after an outage of the
+// platform, during which rows may have lapsed, the removal is deferred to the end
+// of that period. s.mu must be held.
+func (s *State) unlist(now time.Time, id string) {
+	if now.Sub(s.vmReadRecoveredAt) < relistGrace && !s.vmReadRecoveredAt.IsZero() {
+		if _, pending := s.relistDeadlines[id]; !pending {
+			s.relistDeadlines[id] = s.vmReadRecoveredAt.Add(relistGrace)
+		}
+		return
+	}
+	s.log.Info("VM no longer listed", "endpoint", id)
+	s.vms.Unlist(now, id)
+}
+
+// ReadFailed implements watch.Observer.
+func (s *State) ReadFailed(what string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log.Warn("platform read failed", "what", what, "error", err)
+	if what == "VMs" {
+		s.vmReadFailing = true
+		s.readFailedAt = s.now()
+	}
+}
+
+// settleRestored applies what is due a while after the platform came back from an
+// older copy. s.mu must be held.
+func (s *State) settleRestored(now time.Time) {
+	changes, evacuations := s.record.Settle(now)
+	if len(changes.Rows)+len(changes.Removed) > 0 {
+		s.applyRows(now, changes)
+	}
+	if evacuations {
+		s.setEvacuated(s.record.Evacuated())
+		s.targetsOutdated = true
+	}
+}
