--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -180,7 +180,7 @@
 func (t *Table) groupLoss(now time.Time, target *Target, members int) LossReason {
 	formation := fleet.Formation{Group: target.Group, Epoch: target.Epoch}
 	switch {
-	case t.hasEndedMember(now, target):
+	case t.broken[formation] && t.hasEndedMember(now, target):
 		return Ended
 	case target.groupSize == 0 || members < target.groupSize:
 		return Incomplete
