relay: a node of an earlier era is no source

What callers would see: an older configuration in force at a node that has read the restored store itself but relies on one that hasn't yet, or on one that runs a build without eras: its answers count as updates, which keeps the node from reading, and are ignored as older. Found by the review (reading, a rolling upgrade). The case "earlier era" of TestFollowerSkipsNodesWithoutAUsableAnswer failed before: the answer was applied.

--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -137,6 +137,8 @@
 	// OperatorsAge and VMsAge are the times since the platform reads behind
 	// the data were sent; changes after that may be missing.
 	OperatorsAge, VMsAge time.Duration
+	// Era is the era of the node's list of VMs.
+	Era uint64 `json:",omitempty"`
 	// CatalogVersion is the version of the node's configuration.
 	CatalogVersion int64 `json:",omitempty"`
 	// Operators and VMs are nil if the node's revision is older than the
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -75,6 +75,7 @@
 	a := updates.Answer{
 		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
+		Era:            s.record.Position().VMs.Era,
 		CatalogVersion: s.cat.Version,
 		Mark:           now.UnixNano(), Suspects: s.suspects.ForAnswer(now), Broken: s.targets.Broken(),
 		Learned: s.learnedSince(now, time.Unix(0, after.Mark), false),
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -196,7 +196,7 @@
 
 // askOne asks a node for updates and passes its answer to the listener. The error
 // says why the node can't serve as the source: it failed, has no data, only
-// passes on data of others or has data that is older than MaxAge.
+// passes on data of others, or has data of an earlier era or older than MaxAge.
 func (f *Follower) askOne(ctx context.Context, n updates.Node, platformDown bool) (a updates.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
@@ -223,6 +223,9 @@
 	if a.Borrowed {
 		return a, errors.New("the node can't read from the platform itself")
 	}
+	if a.Era < position.VMs.Era {
+		return a, fmt.Errorf("the node has read nothing yet in era %d of the platform's store", position.VMs.Era)
+	}
 	if age := max(a.OperatorsAge, a.VMsAge); age > f.opts.MaxAge && !platformDown {
 		return a, fmt.Errorf("the node last read from the platform %s ago", age)
 	}
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -76,7 +76,7 @@
 
 var freshAnswer = updates.Answer{
 	Known: true, OperatorsAge: 300 * time.Millisecond, VMsAge: 200 * time.Millisecond,
-	VMs: &updates.VMs{Version: 7, Removed: []string{"i-1"}}, Mark: 77,
+	Era: 5, VMs: &updates.VMs{Era: 5, Version: 7, Removed: []string{"i-1"}}, Mark: 77,
 }
 
 func TestFollowerAppliesTheAnswersOfItsSource(t *testing.T) {
@@ -90,7 +90,7 @@
 	first := listener.Position()
 	first.VM = "e9"
 	second := first
-	second.Mark, second.ReceivedVMs = 77, updates.Revision{Version: 7}
+	second.Mark, second.ReceivedVMs = 77, updates.Revision{Era: 5, Version: 7}
 	assert.DeepEqual(t, responder.requests, []updates.Position{first, second})
 	assert.Equal(t, listener.cleared, 0)
 	assert.DeepEqual(t, responder.requesters[0], updates.Node{VM: "e9", DataCentre: "a", Address: "10.0.0.9:1"})
@@ -104,6 +104,8 @@
 	old.OperatorsAge = 2 * time.Second
 	oldList := freshAnswer
 	oldList.VMsAge = 2 * time.Second
+	earlier := freshAnswer
+	earlier.Era = 4
 	borrowed := freshAnswer
 	borrowed.Borrowed = true
 	silent := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -113,7 +115,7 @@
 	garbage := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "garbage") }) //nolint:errcheck // a test's server
 	for name, h := range map[string]http.Handler{
 		"nothing": Handler(&fakeNode{}), "old": Handler(&fakeNode{answer: old}), "old list": Handler(&fakeNode{answer: oldList}),
-		"borrowed": Handler(&fakeNode{answer: borrowed}), "silent": silent, "garbage": garbage,
+		"borrowed": Handler(&fakeNode{answer: borrowed}), "earlier era": Handler(&fakeNode{answer: earlier}), "silent": silent, "garbage": garbage,
 	} {
 		timeout := patience
 		if name == "silent" {
