--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -192,16 +192,18 @@
 
 func (ch *checker) report(t *testing.T, all []call) {
 	served, calls := 0, 0
+	statuses := make(map[int]int)
 	for i := range all {
 		if all[i].withdrawn {
 			continue
 		}
 		calls++
+		statuses[all[i].status]++
 		if all[i].isCorrect() {
 			served++
 		}
 	}
-	t.Logf("%d calls with valid keys, %d served, %d faults", calls, served, len(ch.faults.log))
+	t.Logf("%d calls with valid keys, %d served, %d faults; calls by status: %v", calls, served, len(ch.faults.log), statuses)
 	assert.Check(t, served > 0)
 	if len(ch.violations) == 0 {
 		return
