replica: a whole group of an earlier size finishes its requests after a takeover

A new planner took a group that has all the VMs of its earlier size for one that lacks a member, and formed it anew with a spare, which ends the answers at its head. A group without a gap in its ranks, whose head serves, is now drained first. The test's world checks opened groups against the configuration in force, as the planner does; with its fixed size the new, larger group counted as a violation.

--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -115,12 +115,18 @@
 // adoptIncomplete adopts a group of an earlier planner that has lost members,
 // so that spares can replace them. The lost members are recorded as
 // unknownMember. VMs left behind by a later formation of the same group are not
-// adopted.
+// adopted. A serving group of which no member seems to be missing finishes its
+// requests: the configuration may have required fewer VMs when it was formed.
 func (p *Planner) adoptIncomplete(now time.Time, members []*member) bool {
 	byRank := p.byRank(members)
 	if byRank == nil || p.hasFormation(members[0].Group) {
 		return false
 	}
+	if n := len(members); byRank[0] != nil && byRank[0].Stage == fleet.Open && !slices.Contains(byRank[:n], nil) {
+		g := p.addAdopted(members[0].Membership, modelOf(members), byRank[:n])
+		g.startDissolving(now, SizeChanged, "", true)
+		return true
+	}
 	g := p.addAdopted(members[0].Membership, modelOf(members), byRank)
 	g.startDissolving(now, MemberGone, "", false)
 	return true
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -35,6 +35,8 @@
 	OrdersRefused   Reason = "orders refused"
 	HeadClosing     Reason = "closing"
 	NeededElsewhere Reason = "needed elsewhere"
+	// SizeChanged means that the configuration requires more VMs.
+	SizeChanged Reason = "another size required"
 )
 
 // Group is a set of VMs that run one model together.
--- a/coord/replica/reconfigured_test.go
+++ b/coord/replica/reconfigured_test.go
@@ -35,6 +35,7 @@
 				if takeover {
 					w.takeover()
 				}
+				w.engine = engine
 				w.p.Configure(engine, nil)
 				formation, before := head.state.Formation(), head.state.Stage
 				for end := w.now.Add(5 * time.Second); w.now.Before(end); w.now = w.now.Add(tick) {
