replica: a VM that is silent for a second costs no group

What callers saw: answers cut at a sound group, one of whose VMs was silent for half a second to a second and then went on: its others were ordered elsewhere.

Cause: the cause of LOST in the planner, a suspicion acted on as a fact without a way back. A VM now counts as lost after 1.5 s without an answer (a head that has to be given up: 1.8 s), and after 0.5 s as before if its host refuses connections.

--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -9,11 +9,13 @@
 
 const (
 	// A member counts as lost after minSilentProbes failed probes over at least
-	// silenceTimeout. A head needs headSilenceTimeout, because taking its
-	// members away cannot be undone.
+	// silenceTimeout, or refusalTimeout if its host refuses connections. A head needs
+	// headSilenceTimeout, because taking its members away cannot be undone. A VM may
+	// be silent for a second or so and go on.
 	minSilentProbes    = 2
-	silenceTimeout     = 500 * time.Millisecond
-	headSilenceTimeout = 1200 * time.Millisecond
+	silenceTimeout     = 1500 * time.Millisecond
+	refusalTimeout     = 500 * time.Millisecond
+	headSilenceTimeout = 1800 * time.Millisecond
 	// maxProbeAge is the maximum age of a VM's last answered probe when it
 	// joins a group. It is shorter than the time for which a table prefers
 	// reports to rows, so that a stale row cannot make a VM appear free.
@@ -273,6 +275,9 @@
 	if !m.Listed && now.Sub(m.ReportedAt) >= max(d, maxProbeAge) && now.Sub(m.ListedAt) >= UnlistedProbed {
 		return true
 	}
+	if m.Refused {
+		d = min(d, refusalTimeout)
+	}
 	return m.FailedProbes >= minSilentProbes && now.Sub(m.FailedSince) >= d
 }
 
