entry: no standby for an attempt that has ended

A doubt that reaches a stream just after its attempt ended (a window of microseconds, found by the review's reading) started a standby beside the next attempt, and two endpoints ran the request. The attempt is no longer current once it has ended.

--- a/internal/entry/standby.go
+++ b/internal/entry/standby.go
@@ -68,7 +68,7 @@
 	// from the place that the stream has reached.
 	origin request
 	from   resumePoint
-	// current is the stream's own attempt.
+	// current is the stream's own attempt, or nil if none is made.
 	current *attempt
 	// running is the standby attempt that runs or has won, or nil.
 	running *standby
@@ -203,7 +203,9 @@
 	defer s.mu.Unlock()
 	if a != nil && !sb.dropped {
 		sb.attempt, sb.won = a, true
-		s.current.cancel(errTakenOver)
+		if s.current != nil {
+			s.current.cancel(errTakenOver)
+		}
 		return
 	}
 	if a != nil {
@@ -279,9 +281,7 @@
 // none or it fails.
 func (rl *relay) takeStandby() *standby {
 	s := &rl.standbys
-	s.mu.Lock()
-	sb := s.running
-	s.mu.Unlock()
+	sb := s.endCurrent()
 	if sb != nil {
 		<-sb.done
 	}
@@ -300,6 +300,15 @@
 	return sb
 }
 
+// endCurrent records that the current attempt has ended, and returns the standby
+// attempt that runs or has won, or nil.
+func (s *standbys) endCurrent() *standby {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = nil
+	return s.running
+}
+
 // closeStandby ends a standby attempt that is no longer needed.
 func (rl *relay) closeStandby() {
 	s := &rl.standbys
