entry: a standby attempt starts from a copy of what was sent

The race detector reported it once in some twenty runs of the silence tests: a doubt, delivered by the prober's tick, copied the record of the events sent while the stream was writing the next one. What it copies is now written under the lock. 16 runs without a report since.

--- a/internal/entry/standby.go
+++ b/internal/entry/standby.go
@@ -65,9 +65,10 @@
 type standbys struct {
 	mu sync.Mutex
 	// origin is a copy of the request as of the start of the current attempt, and
-	// from the place that the stream has reached.
+	// from the place that the stream has reached, with a copy of what was sent.
 	origin request
 	from   resumePoint
+	sent   sentEvents
 	// current is the stream's own attempt, or nil if none is made.
 	current *attempt
 	// running is the standby attempt that runs or has won, or nil.
@@ -94,8 +95,15 @@
 		rl.sent.mergeCut(sb.from.sent)
 	}
 	s.ended = nil
-	s.origin, s.from = *rl.req, rl.resumePoint()
+	s.origin = *rl.req
 	s.origin.exclude = slices.Clone(rl.req.exclude)
+	s.setPlace(rl.resumePoint())
+}
+
+// setPlace records the place that the stream has reached. s.mu must be held.
+func (s *standbys) setPlace(from resumePoint) {
+	s.sent, s.from = *from.sent, from
+	s.from.sent = &s.sent
 }
 
 // setCurrent records the attempt that is made. It is cancelled at once if a standby
@@ -121,7 +129,8 @@
 func (s *standbys) recordEvent(from resumePoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.origin.responseBegun, s.from = true, from
+	s.origin.responseBegun = true
+	s.setPlace(from)
 	s.drop()
 }
 
@@ -165,8 +174,8 @@
 // ticket, if another attempt is allowed. standbys.mu must be held.
 func (rl *relay) startStandby(t *dispatch.Ticket, reason dispatch.LossReason) {
 	s := &rl.standbys
+	sent := s.sent
 	sb := &standby{req: s.origin, from: s.from, done: make(chan struct{})}
-	sent := *s.from.sent
 	sb.from.sent = &sent
 	sb.req.exclude = append(slices.Clone(s.origin.exclude), t.Target.ID)
 	for _, old := range s.ended {
