lease: a lost answer is no reason to write again at once

Cause: a write without an answer is read back at once, and the fresh read is followed by the next write, whose answer is lost too: an immediate retry without a limit, the class of the loop after 410. The next write now waits for RetryEvery after one whose answer was lost; the lease is held as before.

--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -26,8 +26,10 @@
 	read        readState
 	attempts    attempts
 	writes      uint64
-	// sentAt is when the newest write of the lease row was sent.
-	sentAt time.Time
+	// sentAt is when the newest write of the lease row was sent, and answerLost
+	// whether its answer was lost.
+	sentAt     time.Time
+	answerLost bool
 
 	held     heldLease
 	promises promiseTracker
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -217,6 +217,7 @@
 }
 
 func (m *Machine) handleLostAnswer(now time.Time, a attempt) {
+	m.answerLost = true
 	if m.disabled.readBack {
 		m.applyWrite(now, a)
 	}
--- a/coord/lease/write.go
+++ b/coord/lease/write.go
@@ -6,11 +6,15 @@
 )
 
 // writeRow renews, releases or takes over the row after a fresh read, unless a
-// promise forbids it or an earlier write is not yet settled.
+// promise forbids it or an earlier write is not yet settled. After a lost answer, which
+// is read back at once, the next write waits for RetryEvery.
 func (m *Machine) writeRow(now time.Time, ev RowsRead) {
 	if m.isBoundByPromise(now) || !m.attempts.isReadBack(ev.Read) {
 		return
 	}
+	if m.answerLost && now.Sub(m.sentAt) < m.opts.RetryEvery {
+		return
+	}
 	switch {
 	case m.isOwnRow() && m.stopping:
 		m.release(now)
@@ -23,7 +27,7 @@
 
 func (m *Machine) sendWrite(now time.Time, row Row) {
 	m.writes++
-	m.sentAt = now
+	m.sentAt, m.answerLost = now, false
 	row.Token = m.opts.Incarnation + "-" + strconv.FormatUint(m.writes, 10)
 	m.attempts.list = append(m.attempts.list, attempt{row: row, revision: m.observedRow.revision, sentAt: now})
 	m.emit(WriteRow{Era: m.era, Key: Key(m.opts.DataCentre), Revision: m.observedRow.revision, Row: row})
