After reading the change: one grace, one first era, one reading of event numbers

The grace for VMs to be listed again stood in entry and in updates, the first era in lease and in leasestore, and the number of an event was parsed in stream.go and in resume.go; each stands once now. The line "configuration in force" named an age of 292 years for a configuration that came from a node with an older read: it now names the age that counts. Nothing else behaves differently.

--- a/coord/lease/era.go
+++ b/coord/lease/era.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// firstEra is the era of a store that has never come back from an older copy.
-	firstEra = 1
+	// FirstEra is the era of a store that has never come back from an older copy.
+	FirstEra = 1
 	// termEraBits is the number of bits of a term below those that hold its era, so
 	// that no term is given out again after the store has lost some.
 	termEraBits = 20
@@ -22,10 +22,10 @@
 
 // firstTerm returns the first term of an era.
 func firstTerm(era uint64) uint64 {
-	if era <= firstEra {
+	if era <= FirstEra {
 		return 1
 	}
-	return (era-firstEra)<<termEraBits + 1
+	return (era-FirstEra)<<termEraBits + 1
 }
 
 // enterEra begins an era that is newer than the present one. Each era has rows of its
@@ -39,7 +39,7 @@
 	}
 	known := m.observedRow.hasRead
 	m.era = era
-	if !known && era <= firstEra {
+	if !known && era <= FirstEra {
 		return
 	}
 	row := m.observedRow.row
--- a/coord/lease/hold.go
+++ b/coord/lease/hold.go
@@ -73,7 +73,7 @@
 	m.held.term = a.row.Term
 	m.held.sequence = 0
 	m.held.unfencedFrom = from
-	if a.revision > 0 || m.era > firstEra {
+	if a.revision > 0 || m.era > FirstEra {
 		wait := m.opts.compensateDrift(a.row.OrderTimeout + m.opts.PauseBound)
 		m.held.unfencedFrom = from.Add(wait)
 	}
--- a/coord/lease/lost_test.go
+++ b/coord/lease/lost_test.go
@@ -26,7 +26,7 @@
 				switch e := e.(type) {
 				case ReadRows:
 					reads++
-					answer := RowsRead{Read: e.ID, Era: firstEra, Revision: revision}
+					answer := RowsRead{Read: e.ID, Era: FirstEra, Revision: revision}
 					if row != nil {
 						copied := *row
 						answer.Row = &copied
--- a/coord/lease/world_test.go
+++ b/coord/lease/world_test.go
@@ -77,7 +77,7 @@
 }
 
 func newSimulation(seed uint64, f faults, opts ...Options) *simulation {
-	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), faults: f, termHolder: map[uint64]string{}, era: firstEra}
+	sim := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), faults: f, termHolder: map[uint64]string{}, era: FirstEra}
 	sim.table.regs = map[string]Registration{}
 	for _, o := range opts {
 		n := &node{m: New(o), opts: o}
--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -141,9 +141,10 @@
 
 // VMsAfter returns the changes after a revision, or nil if the record is older
 // than that revision. After a restore these are the store's rows: what this record
-// keeps may be older than what the requester knows. If the requester got that revision from this record
-// (fromHere), rows with the same content as then are left out. A requester that
-// got it elsewhere may have seen other content in between, and gets them too.
+// keeps may be older than what the requester knows. If the requester got that
+// revision from this record (fromHere), rows with the same content as then are left
+// out. A requester that got it elsewhere may have seen other content in between, and
+// gets them too.
 func (r *Record) VMsAfter(after Revision, fromHere bool) *VMs {
 	v := &r.vms
 	if v.rev.IsZero() || v.rev.Compare(after) < 0 {
--- a/coord/updates/restored.go
+++ b/coord/updates/restored.go
@@ -11,8 +11,9 @@
 // some time after it came back from an older copy. Until then a record keeps what it
 // knows: the copy neither takes back nor brings back anything that is newer here.
 const (
-	// missingGrace is how long a VM that the copy lacks may take to be listed again.
-	missingGrace = 2200 * time.Millisecond
+	// RelistGrace is how long VMs whose rows lapsed during an outage of the platform,
+	// or are missing in an older copy, may take to be listed again.
+	RelistGrace = 2200 * time.Millisecond
 	// rewriteGrace is the time after which rows of the copy are taken as they are if
 	// nobody has written them again. It exceeds the time after which the platform
 	// removes the row of a VM that has ended.
@@ -106,7 +107,7 @@
 func (v *vms) settle(now time.Time) VMs {
 	out := VMs{Era: v.rev.Era, Version: v.rev.Version}
 	since := now.Sub(v.restoredAt)
-	if v.restoredAt.IsZero() || since < missingGrace {
+	if v.restoredAt.IsZero() || since < RelistGrace {
 		return out
 	}
 	earlierStarts := make(map[string]*fleet.Row)
--- a/coord/updates/restored_follower_test.go
+++ b/coord/updates/restored_follower_test.go
@@ -34,10 +34,10 @@
 	put(t, reader, start, VMs{Era: 2, Version: 8, Whole: true, Rows: []fleet.Row{row("a", 1)}})
 	put(t, follower, start, *reader.VMsAfter(follower.Position().VMs, true))
 
-	reader.Settle(start.Add(missingGrace))
+	reader.Settle(start.Add(RelistGrace))
 	assert.DeepEqual(t, listedIDs(reader), map[string]bool{"a": true})
 	for i := range 20 { // polls, also after later reads of the reader
-		now := start.Add(missingGrace + time.Duration(i)*time.Second)
+		now := start.Add(RelistGrace + time.Duration(i)*time.Second)
 		put(t, reader, now, VMs{Era: 2, Version: 8 + uint64(i)})
 		reader.Settle(now)
 		put(t, follower, now, *reader.VMsAfter(follower.Position().VMs, true))
--- a/coord/updates/restored_test.go
+++ b/coord/updates/restored_test.go
@@ -58,11 +58,11 @@
 	assert.Equal(t, len(apply.Rows)+len(apply.Removed), 0)
 	assert.Assert(t, !apply.Whole)
 
-	apply, _ = r.Settle(start.Add(missingGrace - time.Millisecond))
+	apply, _ = r.Settle(start.Add(RelistGrace - time.Millisecond))
 	assert.Equal(t, len(apply.Rows)+len(apply.Removed), 0)
 	apply = put(t, r, start, VMs{Era: 2, Version: 9, Rows: []fleet.Row{row("new", 1)}})
 	assert.Equal(t, len(apply.Rows), 1, "written again")
-	apply, _ = r.Settle(start.Add(missingGrace))
+	apply, _ = r.Settle(start.Add(RelistGrace))
 	assert.DeepEqual(t, apply.Removed, []string{"again"})
 	apply, _ = r.Settle(start.Add(rewriteGrace))
 	got := map[string]bool{}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -8,10 +8,6 @@
 	"github.com/pimentoshore/pimentoshore/internal/watch"
 )
 
-// relistGrace is how long after an outage of the platform VMs whose rows lapsed
-// during it may take to be listed again.
-const relistGrace = 2200 * time.Millisecond
-
 var _ watch.Observer = (*State)(nil)
 
 // Operators implements watch.Observer.
@@ -45,19 +41,20 @@
 	return true
 }
 
-// setCatalog puts the record's configuration in force as of a time. s.mu must be
-// held.
+// setCatalog puts the record's configuration in force as of a time, or as of that of
+// the one before if that is later. s.mu must be held.
 func (s *State) setCatalog(asOf time.Time) {
+	old := s.view.Load()
+	if old != nil && old.AsOf.After(asOf) {
+		asOf = old.AsOf
+	}
 	if c := s.record.Catalog(); c != s.cat {
 		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
 		s.cat, s.targetsOutdated = c, true
 	}
-	if s.cat == nil || asOf.IsZero() && s.view.Load() == nil {
+	if s.cat == nil || asOf.IsZero() && old == nil {
 		return
 	}
-	if old := s.view.Load(); old != nil && old.AsOf.After(asOf) {
-		asOf = old.AsOf
-	}
 	s.view.Store(&View{Catalog: s.cat, AsOf: asOf})
 }
 
@@ -132,13 +129,13 @@
 	}
 }
 
-// unlist removes a VM from the list. Within relistGrace after an outage of the
-// platform, during which rows may have lapsed, the removal is deferred to the end
+// unlist removes a VM from the list. Within updates.RelistGrace after an outage of
+// the platform, during which rows may have lapsed, the removal is deferred to the end
 // of that period. s.mu must be held.
 func (s *State) unlist(now time.Time, id string) {
-	if now.Sub(s.vmReadRecoveredAt) < relistGrace && !s.vmReadRecoveredAt.IsZero() {
+	if now.Sub(s.vmReadRecoveredAt) < updates.RelistGrace && !s.vmReadRecoveredAt.IsZero() {
 		if _, pending := s.relistDeadlines[id]; !pending {
-			s.relistDeadlines[id] = s.vmReadRecoveredAt.Add(relistGrace)
+			s.relistDeadlines[id] = s.vmReadRecoveredAt.Add(updates.RelistGrace)
 		}
 		return
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -170,12 +169,9 @@
 // isAfter reports whether the event with the given ID comes after that with lastID.
 // It does if either ID is not numeric.
 func isAfter(id, lastID string) bool {
-	n, err := strconv.ParseUint(id, 10, 64)
-	if err != nil {
-		return true
-	}
-	last, err := strconv.ParseUint(lastID, 10, 64)
-	return err != nil || n > last
+	n, numbered := eventNumber(id)
+	last, lastNumbered := eventNumber(lastID)
+	return !numbered || !lastNumbered || n > last
 }
 
 func (rl *relay) writeEvent(a *attempt, ev event, flush bool) error {
--- a/internal/leasestore/era.go
+++ b/internal/leasestore/era.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 )
 
@@ -22,18 +23,15 @@
 	return 0
 }
 
-// firstEra is the era of a table that has never come back from an older copy.
-const firstEra = 1
-
 // sharesRows reports whether a lease has the same rows in two eras, of which the
 // first may be unknown yet.
-func sharesRows(a, b uint64) bool { return max(a, firstEra) == max(b, firstEra) }
+func sharesRows(a, b uint64) bool { return max(a, lease.FirstEra) == max(b, lease.FirstEra) }
 
 // eraKey returns the key of a lease's row in an era. Each era has rows of its own, so
 // that no write which depends on a revision of an earlier era takes effect in a later
 // one.
 func eraKey(era uint64, key string) string {
-	if era <= firstEra {
+	if era <= lease.FirstEra {
 		return key
 	}
 	root, rest, _ := strings.Cut(key, "/")
