entry: repeats leave a line and a count, with what the budget counted

'request is sent again' and 'request is not sent again' now have the window's requests and repeats, the limit and the nodes, repeats_total counts both, and 'entry VMs counted' says when the number of nodes changes. No change of logic.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -209,23 +209,29 @@
 	assert.Assert(t, float64(sent*4) <= bound, "%d requests by each of 4 nodes in a second", sent)
 }
 
+// takeRepeat reports whether the budget allows another repeat, which it counts.
+func (s *scenario) takeRepeat(begun bool) bool {
+	_, ok := s.table.TakeRepeat(s.now, "llm", begun)
+	return ok
+}
+
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	s := newScenario(1)
 	for range 100 {
 		s.table.CountRequest(s.now, "llm")
 	}
 	n := 0
-	for s.table.TakeRepeat(s.now, "llm", false) {
+	for s.takeRepeat(false) {
 		n++
 	}
-	assert.Assert(t, s.table.TakeRepeat(s.now, "llm", true), "a part of the budget is reserved for started streams")
-	for n++; s.table.TakeRepeat(s.now, "llm", true); {
+	assert.Assert(t, s.takeRepeat(true), "a part of the budget is reserved for started streams")
+	for n++; s.takeRepeat(true); {
 		n++
 	}
 	assert.Assert(t, n > 0)
 	assert.Assert(t, float64(4*n) <= 0.2*400+136, "%d repeats by each of 4 nodes", n)
 	s.now = s.now.Add(11 * time.Second)
-	assert.Assert(t, s.table.TakeRepeat(s.now, "llm", false), "the window has passed")
+	assert.Assert(t, s.takeRepeat(false), "the window has passed")
 }
 
 func TestFailingServerIsAvoidedTemporarily(t *testing.T) {
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -112,7 +112,7 @@
 // budget of repeats.
 func (t *Table) CanRepeat(now time.Time, q Query) bool {
 	best, _ := t.choose(now, q)
-	return best != nil && t.hasRepeat(now, q.Service, q.Begun)
+	return best != nil && t.repeatUse(now, q.Service, q.Begun).allowsMore()
 }
 
 // choose returns the best target for a request, or nil and the reasons for which
--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -50,31 +50,47 @@
 	b.requests[b.advance(now)]++
 }
 
+// RepeatUse is a node's use of its share of a service's budget of repeats.
+type RepeatUse struct {
+	// Requests and Repeats are the counts of the window.
+	Requests, Repeats int
+	// Limit is the largest number of repeats that the share allows now.
+	Limit float64
+	// Nodes is the number of nodes that share the budget.
+	Nodes int
+}
+
 // TakeRepeat counts a repeated send of a request and returns true, or returns
 // false if that would exceed this node's share of the budget. A part of the
 // budget is reserved for requests whose answer has begun, since their callers
-// lose the answer if it can't be continued.
-func (t *Table) TakeRepeat(now time.Time, service string, begun bool) bool {
-	if !t.hasRepeat(now, service, begun) {
-		return false
+// lose the answer if it can't be continued. The use is that before the send.
+func (t *Table) TakeRepeat(now time.Time, service string, begun bool) (RepeatUse, bool) {
+	use := t.repeatUse(now, service, begun)
+	if !use.allowsMore() {
+		return use, false
 	}
 	b := t.budget(service)
 	b.repeats[b.advance(now)]++
-	return true
+	return use, true
 }
 
-// hasRepeat reports whether the budget allows another repeated send.
-func (t *Table) hasRepeat(now time.Time, service string, begun bool) bool {
+// repeatUse returns the use of a service's budget by requests whose answer has or
+// has not begun.
+func (t *Table) repeatUse(now time.Time, service string, begun bool) RepeatUse {
 	b := t.budget(service)
 	b.advance(now)
-	limit := t.opts.RepeatRatio*float64(sum(b.requests)) + t.opts.RepeatSlack/float64(t.nodes)
+	use := RepeatUse{Requests: sum(b.requests), Repeats: sum(b.repeats), Nodes: t.nodes}
 	fraction := newFraction
 	if begun {
 		fraction = begunFraction
 	}
-	return float64(sum(b.repeats)+1) <= limit*fraction
+	use.Limit = fraction * (t.opts.RepeatRatio*float64(use.Requests) + t.opts.RepeatSlack/float64(t.nodes))
+	return use
 }
 
+// allowsMore reports whether another repeat is within the limit.
+func (u RepeatUse) allowsMore() bool { return float64(u.Repeats+1) <= u.Limit }
+
 // newFraction and begunFraction are the fractions of the budget available to
 // requests whose answer has not begun and has begun. The rest is a margin for
 // sends that arrive late and for nodes that are not counted yet.
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -72,9 +72,14 @@
 }
 
 // SetNodes sets the number of nodes that share the limits and the index of this
-// node among them, from 0. The index is n if this node is not listed yet.
-func (t *Table) SetNodes(n, rank int) {
+// node among them, from 0. The index is n if this node is not listed yet. It
+// returns the number before, 0 if that was unknown.
+func (t *Table) SetNodes(n, rank int) (before int) {
+	if t.nodesKnown {
+		before = t.nodes
+	}
 	t.nodes, t.rank, t.nodesKnown = max(1, n), rank, true
+	return before
 }
 
 // Update rebuilds the targets and pools from the VMs, the catalog and the
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -224,7 +224,11 @@
 	if rank < 0 {
 		rank = len(candidates)
 	}
-	c.state.Locked(func(k entry.LockedState) { k.Targets.SetNodes(len(candidates), rank) })
+	c.state.Locked(func(k entry.LockedState) {
+		if before := k.Targets.SetNodes(len(candidates), rank); before != len(candidates) {
+			c.opts.Log.Info("entry VMs counted", "nodes", len(candidates), "before", before, "rank", rank)
+		}
+	})
 	c.peers.Set(candidateNodes(candidates))
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,7 +84,7 @@
 		if fault := s.checkStillValid(ctx, req); fault != nil {
 			return nil, fault
 		}
-		if req.sends > 0 && dials == 0 && !s.state.takeRepeat(req.service.Name, req.responseBegun) {
+		if req.sends > 0 && dials == 0 && !s.takeRepeat(req) {
 			return nil, s.finalFault(req, problem.New(problem.Overloaded, "the budget of repeats is used up", "retry later").WithRetryAfter(time.Second))
 		}
 		a, fault := s.place(ctx, req)
@@ -112,6 +112,20 @@
 	}
 }
 
+// takeRepeat takes a repeated send of the request from the service's budget, and
+// reports whether the budget allows it.
+func (s *Server) takeRepeat(req *request) bool {
+	use, ok := s.state.takeRepeat(req.service.Name, req.responseBegun)
+	message, outcome := "request is sent again", "sent"
+	if !ok {
+		message, outcome = "request is not sent again", "refused"
+	}
+	telemetry.Counter(s.opts.Metrics, "repeats_total", "service", req.service.Name, "outcome", outcome).Inc(1)
+	s.log.Info(message, "request", req.id, "service", req.service.Name, "sends", req.sends, "begun", req.responseBegun,
+		"window_requests", use.Requests, "window_repeats", use.Repeats, "limit", use.Limit, "nodes", use.Nodes)
+	return ok
+}
+
 // endNotSent ends an attempt of which nothing was sent.
 func (s *Server) endNotSent(a *attempt, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
