--- /dev/null
+++ b/coord/dispatch/repeat_test.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// repeatSite has nodes that share the budget of repeats of one service, and records
+// what all of them do.
+type repeatSite struct {
+	t                 *testing.T
+	opts              Options
+	now               time.Time
+	nodes             []*Table
+	requests, repeats []time.Time
+}
+
+func newRepeatSite(t *testing.T, nodes int) *repeatSite {
+	s := &repeatSite{t: t, opts: testOptions(), now: start}
+	for range nodes {
+		s.nodes = append(s.nodes, s.newNode())
+	}
+	s.setNodes(nodes)
+	s.pass(2 * s.opts.RepeatWindow)
+	return s
+}
+
+// newNode returns a node that starts now.
+func (s *repeatSite) newNode() *Table { return New(s.opts) }
+
+// setNodes tells all nodes how many they are.
+func (s *repeatSite) setNodes(n int) {
+	for i, node := range s.nodes {
+		node.SetNodes(n, i)
+	}
+}
+
+func (s *repeatSite) pass(d time.Duration) { s.now = s.now.Add(d) }
+
+// request counts n requests at a node.
+func (s *repeatSite) request(node *Table, n int) {
+	for range n {
+		node.CountRequest(s.now, "llm")
+		s.requests = append(s.requests, s.now)
+	}
+}
+
+// repeat makes up to n repeats at a node, as far as its budget allows.
+func (s *repeatSite) repeat(node *Table, n int, begun bool) {
+	for range n {
+		if _, ok := node.TakeRepeat(s.now, "llm", begun); !ok {
+			return
+		}
+		s.repeats = append(s.repeats, s.now)
+	}
+}
+
+// spend lets time pass in which every node gets requests, of which all are to be
+// sent again.
+func (s *repeatSite) spend(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for ; d > 0; d -= step {
+		for _, n := range s.nodes {
+			s.request(n, 3)
+			s.repeat(n, 3, true)
+		}
+		s.pass(step)
+	}
+}
+
+// countIn returns how many moments lie in the window that begins at from.
+func (s *repeatSite) countIn(moments []time.Time, from time.Time) int {
+	n := 0
+	for _, at := range moments {
+		if !at.Before(from) && at.Before(from.Add(s.opts.RepeatWindow)) {
+			n++
+		}
+	}
+	return n
+}
+
+// assertWithinBudget checks that the repeats of no window exceed the ratio of the
+// requests, in that window or one that began up to a window earlier, plus the slack.
+func (s *repeatSite) assertWithinBudget() {
+	s.t.Helper()
+	window := s.opts.RepeatWindow
+	for _, from := range s.repeats {
+		requests := max(s.countIn(s.requests, from), s.countIn(s.requests, from.Add(-window/2)), s.countIn(s.requests, from.Add(-window)))
+		allowed := s.opts.RepeatRatio*float64(requests) + s.opts.RepeatSlack
+		repeats := s.countIn(s.repeats, from)
+		assert.Assert(s.t, float64(repeats) <= allowed, "%d repeats from %s on, %.0f allowed for %d requests", repeats, from.Sub(start), allowed, requests)
+	}
+}
+
+func TestRestartsDoNotRefillTheBudgetOfRepeats(t *testing.T) {
+	s := newRepeatSite(t, 4)
+	for range 6 {
+		s.spend(1500 * time.Millisecond)
+		for i := range s.nodes {
+			s.nodes[i] = s.newNode()
+		}
+		s.setNodes(len(s.nodes))
+	}
+	s.spend(5 * time.Second)
+	s.assertWithinBudget()
+}
