dispatch: a process that starts has no slack for repeats in its first window

Cause: what was spent is counted in the process, and its successor got its whole share of the slack again, as often as it restarted in a window. The part that grows with requests can't add up so: the process that spends it has counted them itself. Fix: in the window after its start a process spends only that part. Why it holds: whatever was spent before the start has left the window when the share comes back, however many processes there were.

--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -84,10 +84,19 @@
 	if begun {
 		fraction = begunFraction
 	}
-	use.Limit = fraction * (t.opts.RepeatRatio*float64(use.Requests) + t.opts.RepeatSlack/float64(t.nodes))
+	use.Limit = fraction * (t.opts.RepeatRatio*float64(use.Requests) + t.repeatSlack(now))
 	return use
 }
 
+// repeatSlack returns this node's share of the slack. It is 0 during the first window
+// of a process: the one before may have used the whole share within that window.
+func (t *Table) repeatSlack(now time.Time) float64 {
+	if now.Sub(t.opts.StartedAt) < t.opts.RepeatWindow {
+		return 0
+	}
+	return t.opts.RepeatSlack / float64(t.nodes)
+}
+
 // allowsMore reports whether another repeat is within the limit.
 func (u RepeatUse) allowsMore() bool { return float64(u.Repeats+1) <= u.Limit }
 
--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -28,7 +28,11 @@
 }
 
 // newNode returns a node that starts now.
-func (s *repeatSite) newNode() *Table { return New(s.opts) }
+func (s *repeatSite) newNode() *Table {
+	opts := s.opts
+	opts.StartedAt = s.now
+	return New(opts)
+}
 
 // setNodes tells all nodes how many they are.
 func (s *repeatSite) setNodes(n int) {
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -24,6 +24,9 @@
 	// number of its requests, plus the slack.
 	RepeatRatio, RepeatSlack float64
 	RepeatWindow             time.Duration
+	// StartedAt is when this process started, or zero if that was long ago. What a
+	// process that ran here before has sent is unknown.
+	StartedAt time.Time
 }
 
 // Table tracks the targets of one node.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 	n.state = entry.NewState(log, boottime.Now, dispatch.Options{
 		DataCentre: cfg.DataCentre, ColdOverage: cfg.Bounds.ColdOverage, ColdSlack: cfg.Bounds.ColdSlack,
 		RepeatRatio: cfg.Bounds.RepeatRatio, RepeatSlack: cfg.Bounds.RepeatSlack, RepeatWindow: cfg.Bounds.RepeatWindow,
+		StartedAt: boottime.Now(),
 	})
 	n.prober = entry.NewProber(entry.ProbeOptions{
 		HeadEvery: headProbeInterval, RelayedHeadEvery: relayedHeadProbeInterval, FastEvery: fastProbeInterval, VerifyEvery: verifyInterval, VerifyPerSecond: maxVerifyProbesPerSecond, Timeout: probeTimeout,
