--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -110,3 +110,27 @@
 	s.spend(5 * time.Second)
 	s.assertWithinBudget()
 }
+
+// Nodes that stop leave the list of nodes first, and learn no shorter one.
+func TestStoppingNodesKeepTheirShareOfTheBudget(t *testing.T) {
+	s := newRepeatSite(t, 4)
+	for listed := 4; listed > 0; listed-- {
+		for i := range listed {
+			s.nodes[i].SetNodes(listed, i)
+		}
+		s.spend(time.Second)
+	}
+	s.spend(5 * time.Second)
+	s.assertWithinBudget()
+}
+
+// A node that has heard of no list knows of no others.
+func TestNodeWithoutAListOfNodesHasNoSlack(t *testing.T) {
+	s := newRepeatSite(t, 4)
+	for i := range s.nodes {
+		s.nodes[i] = s.newNode()
+	}
+	s.pass(2 * s.opts.RepeatWindow)
+	s.spend(10 * time.Second)
+	s.assertWithinBudget()
+}
