dispatch: nodes that have left the list keep their shares of the slack

Cause: a node that stops removes its registration first and serves on for the grace period. Fix: shares follow the largest number of nodes that was listed within 30 s: a stop, what was sent before it, and the time in which the nodes of a restored platform register again.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -40,7 +40,7 @@
 
 func newScenario(groups int) *scenario {
 	s := &scenario{vms: fleet.NewTable(), table: New(testOptions()), now: start}
-	s.table.SetNodes(4, 0)
+	s.table.SetNodes(s.now, 4, 0)
 	for g := range groups {
 		for rank := range 2 {
 			stage := fleet.Ready
@@ -303,7 +303,7 @@
 		sent := 0
 		for rank := range nodes + 1 { // one is not listed yet
 			s := newScenario(1)
-			s.table.SetNodes(nodes, rank)
+			s.table.SetNodes(s.now, nodes, rank)
 			vm := s.vms.Get(vmID(0, 0))
 			vm.ColdUntil = s.now.Add(10 * time.Second)
 			vm.Slots = 1000
@@ -337,7 +337,7 @@
 		const heads, slots, running = 20, 26, 20
 		for rank := range nodes {
 			s := newScenario(heads)
-			s.table.SetNodes(nodes, rank)
+			s.table.SetNodes(s.now, nodes, rank)
 			s.now = s.now.Add(time.Second)
 			for g := range heads {
 				s.report(vmID(g, 0), running)
@@ -452,7 +452,7 @@
 	} {
 		for _, nodes := range []int{37, 300} {
 			s := newScenario(4)
-			s.table.SetNodes(nodes, 0)
+			s.table.SetNodes(s.now, nodes, 0)
 			for g := range 2 {
 				rank := 0
 				if name == "about to stop" {
--- a/coord/dispatch/limit.go
+++ b/coord/dispatch/limit.go
@@ -72,7 +72,7 @@
 // share a limit by their demand, or, if it is too small for all, some share it
 // equally.
 func (t *Table) nodeRate(vm *fleet.VM) float64 {
-	if !t.nodesKnown {
+	if t.nodeCounts.newest() == 0 {
 		return 0
 	}
 	limit := vm.Limit.PerSecond
--- a/coord/dispatch/limit_test.go
+++ b/coord/dispatch/limit_test.go
@@ -23,7 +23,7 @@
 			vms.SetLimit(now, now, id, 1, perSecond)
 		}
 		node := New(Options{})
-		node.SetNodes(n, rank)
+		node.SetNodes(start, n, rank)
 		node.Update(now, vms, cat, nil)
 		nodes = append(nodes, node)
 	}
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -292,7 +292,7 @@
 // send differ from target to target. One share is reserved for a node that is
 // not listed yet.
 func (t *Table) coldShare(id string, limit int) int {
-	if !t.nodesKnown {
+	if t.nodeCounts.newest() == 0 {
 		return 0
 	}
 	shares := t.nodes + 1
--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -56,7 +56,7 @@
 	Requests, Repeats int
 	// Limit is the largest number of repeats that the share allows now.
 	Limit float64
-	// Nodes is the number of nodes that share the budget.
+	// Nodes is the number of nodes that share the slack, 0 if it is unknown.
 	Nodes int
 }
 
@@ -79,7 +79,7 @@
 func (t *Table) repeatUse(now time.Time, service string, begun bool) RepeatUse {
 	b := t.budget(service)
 	b.advance(now)
-	use := RepeatUse{Requests: sum(b.requests), Repeats: sum(b.repeats), Nodes: t.nodes}
+	use := RepeatUse{Requests: sum(b.requests), Repeats: sum(b.repeats), Nodes: t.nodeCounts.sharers(now)}
 	fraction := newFraction
 	if begun {
 		fraction = begunFraction
@@ -94,7 +94,7 @@
 	if now.Sub(t.opts.StartedAt) < t.opts.RepeatWindow {
 		return 0
 	}
-	return t.opts.RepeatSlack / float64(t.nodes)
+	return t.opts.RepeatSlack / float64(max(1, t.nodeCounts.sharers(now)))
 }
 
 // allowsMore reports whether another repeat is within the limit.
--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -37,7 +37,7 @@
 // setNodes tells all nodes how many they are.
 func (s *repeatSite) setNodes(n int) {
 	for i, node := range s.nodes {
-		node.SetNodes(n, i)
+		node.SetNodes(s.now, n, i)
 	}
 }
 
@@ -116,7 +116,7 @@
 	s := newRepeatSite(t, 4)
 	for listed := 4; listed > 0; listed-- {
 		for i := range listed {
-			s.nodes[i].SetNodes(listed, i)
+			s.nodes[i].SetNodes(s.now, listed, i)
 		}
 		s.spend(time.Second)
 	}
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -32,9 +32,9 @@
 // Table tracks the targets of one node.
 type Table struct {
 	opts       Options
-	nodes      int  // number of live nodes, including this one
-	rank       int  // index of this node among them
-	nodesKnown bool // whether SetNodes has been called
+	nodes      int // number of live nodes, including this one
+	rank       int // index of this node among them
+	nodeCounts nodeCounts
 	// demandShare is this node's part of all nodes' requests, from 0 to 1. It counts
 	// only if demandKnown is set.
 	demandShare float64
@@ -77,11 +77,10 @@
 // SetNodes sets the number of nodes that share the limits and the index of this
 // node among them, from 0. The index is n if this node is not listed yet. It
 // returns the number before, 0 if that was unknown.
-func (t *Table) SetNodes(n, rank int) (before int) {
-	if t.nodesKnown {
-		before = t.nodes
-	}
-	t.nodes, t.rank, t.nodesKnown = max(1, n), rank, true
+func (t *Table) SetNodes(now time.Time, n, rank int) (before int) {
+	before = t.nodeCounts.newest()
+	t.nodes, t.rank = max(1, n), rank
+	t.nodeCounts.set(now, t.nodes)
 	return before
 }
 
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -225,8 +225,9 @@
 		rank = len(candidates)
 	}
 	c.state.Locked(func(k entry.LockedState) {
-		if before := k.Targets.SetNodes(len(candidates), rank); before != len(candidates) {
-			c.opts.Log.Info("entry VMs counted", "nodes", len(candidates), "before", before, "rank", rank)
+		nodes := max(1, len(candidates)) // this one counts also while it isn't listed
+		if before := k.Targets.SetNodes(k.Now, nodes, rank); before != nodes {
+			c.opts.Log.Info("entry VMs counted", "nodes", nodes, "before", before, "rank", rank)
 		}
 	})
 	c.peers.Set(candidateNodes(candidates))
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -153,7 +153,7 @@
 		KeysValidFor: time.Hour, UnknownAfter: time.Hour, Log: discardLogger(), Metrics: metrics.NewRegistry(), Now: time.Now,
 	}, testProtocol, n.state, upstream.New(s.network.dial), make(chan struct{}))
 	n.front = serve(s.t, s.network, server)
-	n.state.Locked(func(st LockedState) { st.Targets.SetNodes(s.total, i) })
+	n.state.Locked(func(st LockedState) { st.Targets.SetNodes(st.Now, s.total, i) })
 	n.state.VMs(time.Now(), updates.VMs{Version: s.version, Whole: true, Rows: s.listed()})
 	return n
 }
