dispatch: a node that knows no list of nodes has no slack for repeats

Cause: such a node divided the slack by 1, so that several of them (the store is away while they start) had the whole slack each. Fix: no slack until a list is known; repeats in the ratio to its own requests stay. Evidence: TestNodeWithoutAListOfNodesHasNoSlack failed with 868 repeats (616 allowed) and passes.

--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -89,12 +89,14 @@
 }
 
 // repeatSlack returns this node's share of the slack. It is 0 during the first window
-// of a process: the one before may have used the whole share within that window.
+// of a process: the one before may have used the whole share within that window. It
+// is also 0 while the number of nodes is unknown.
 func (t *Table) repeatSlack(now time.Time) float64 {
-	if now.Sub(t.opts.StartedAt) < t.opts.RepeatWindow {
+	sharers := t.nodeCounts.sharers(now)
+	if sharers == 0 || now.Sub(t.opts.StartedAt) < t.opts.RepeatWindow {
 		return 0
 	}
-	return t.opts.RepeatSlack / float64(max(1, t.nodeCounts.sharers(now)))
+	return t.opts.RepeatSlack / float64(sharers)
 }
 
 // allowsMore reports whether another repeat is within the limit.
