--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
+	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
@@ -63,6 +64,52 @@
 	}
 }
 
+// The others count the node as one that sends requests for as long as it does.
+func TestStoppingNodeStaysListedUntilItsRequestsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := memtable.New(memtable.Options{})
+		n := newIdleNode(t, settings.EntryBounds{StopGrace: 8 * time.Second}, table)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				n.coord.Tick(ctx)
+				time.Sleep(tickInterval)
+			}
+		}()
+		isListed := func() bool {
+			rows, err := table.Get(t.Context(), lease.CandidateKey("all", "e-1"))
+			assert.NilError(t, err)
+			return len(rows) == 1 && rows[0].Revision > 0
+		}
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, isListed())
+
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Second) })}
+		go func() { _ = server.Serve(l) }() // ends with the test
+		client := &http.Client{Transport: &http.Transport{DialContext: l.Dial, DisableKeepAlives: true}}
+		answered := make(chan error, 1)
+		go func() {
+			resp, err := client.Get("http://node/")
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			answered <- err
+		}()
+		time.Sleep(time.Second)
+		stopped := make(chan struct{})
+		go func() { n.shutDown(ctx, server); close(stopped) }()
+		time.Sleep(3500 * time.Millisecond)
+		assert.Check(t, isListed(), "its request still runs")
+		assert.NilError(t, <-answered)
+		<-stopped
+		assert.Check(t, !isListed(), "it has stopped")
+		cancel()
+		n.coord.Wait()
+		time.Sleep(time.Second) // ends the ticks
+	})
+}
+
 // However short the grace period, all requests that a stopping node accepts are
 // completed within it, if they take no more than a tenth of it.
 func TestStopCompletesAcceptedRequestsWithinGrace(t *testing.T) {
