node: a stopping node stays registered until its requests have ended

Cause: the registration was removed at the beginning of a planned stop, up to 8 s before the last repeat. Fix: the lease is released at once as before; the registration goes when the last request has ended, within what is left of the grace period. If the store is away, it stays until the VM's next start, like that of a node that crashed.

--- a/coord/lease/candidates.go
+++ b/coord/lease/candidates.go
@@ -3,7 +3,7 @@
 import "time"
 
 // updateRegistration writes this VM's registration if it is missing, or
-// removes it once a planned stop has begun.
+// removes it in a planned stop.
 func (m *Machine) updateRegistration(regs []Registration) {
 	key := CandidateKey(m.opts.DataCentre, m.opts.VM)
 	var own Registration
@@ -14,7 +14,7 @@
 	}
 	m.registered = own.Candidate == m.self()
 	switch {
-	case m.stopping && m.registered:
+	case m.stopping && m.registered && !m.keepsRegistered:
 		m.emit(RemoveCandidate{Era: m.era, Key: key, Revision: own.Revision})
 	case !m.stopping && !m.registered:
 		m.emit(RegisterCandidate{Era: m.era, Key: key, Revision: own.Revision, Candidate: m.self()})
--- a/coord/lease/events.go
+++ b/coord/lease/events.go
@@ -76,7 +76,11 @@
 
 // Stop begins a planned stop: the lease is released, and this process never
 // takes it again.
-type Stop struct{}
+type Stop struct {
+	// KeepRegistered keeps the registration of a process that still serves. A later
+	// Stop without it removes the registration.
+	KeepRegistered bool
+}
 
 func (Tick) isEvent()             {}
 func (RowsRead) isEvent()         {}
--- a/coord/lease/hold.go
+++ b/coord/lease/hold.go
@@ -79,12 +79,13 @@
 	}
 }
 
-// stop ends the lease at once. The row is released by a later write.
-func (m *Machine) stop(now time.Time) {
-	if m.stopping {
+// stop ends the lease at once. The row is released by a later write, and the
+// registration removed after a later read.
+func (m *Machine) stop(now time.Time, ev Stop) {
+	if m.stopping && ev.KeepRegistered == m.keepsRegistered {
 		return
 	}
-	m.stopping = true
+	m.stopping, m.keepsRegistered = true, ev.KeepRegistered
 	m.read.next = now
 	m.loseLease(Stopped)
 }
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -38,6 +38,8 @@
 	// it no write of the lease row is sent and no lease is taken.
 	promisedUntil time.Time
 	stopping      bool
+	// keepsRegistered is whether the registration stays while stopping.
+	keepsRegistered bool
 	// registered is whether the newest read showed this VM's registration.
 	registered bool
 
@@ -121,7 +123,7 @@
 	case RowChanged:
 		m.read.next = now
 	case Stop:
-		m.stop(now)
+		m.stop(now, ev)
 	}
 	m.requestPromises(now)
 	m.startRead(now)
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -104,13 +104,30 @@
 	c.plan(ctx)
 }
 
-// Stop releases the lease, so that another candidate can acquire it at once.
+// Stop releases the lease, so that another candidate can acquire it at once. This
+// node stays registered until Leave.
 func (c *Coordinator) Stop(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.step(ctx, lease.Stop{KeepRegistered: true})
+}
+
+// Leave begins to remove this node from the registered ones, once it no longer
+// serves. Later calls of Tick complete it.
+func (c *Coordinator) Leave(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.step(ctx, lease.Stop{})
 }
 
+// HasLeft reports whether this node has released the lease and is no longer
+// registered.
+func (c *Coordinator) HasLeft() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leaseMachine.HasHandedOver()
+}
+
 // Wait waits until the calls to the table and to endpoint VMs have ended. It must
 // be called after the last Tick; the calls end soon after the context of Tick does.
 func (c *Coordinator) Wait() { c.tasks.Wait() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,8 +231,8 @@
 	}
 }
 
-// shutDown reports the node as not ready, releases the lease, and waits for
-// running requests to complete within the grace period.
+// shutDown reports the node as not ready, releases the lease, waits for running
+// requests to complete within the grace period, and leaves the list of nodes.
 func (n *Node) shutDown(ctx context.Context, server *http.Server) {
 	started := time.Now()
 	n.log.Info("stopping", "grace", n.cfg.Bounds.StopGrace)
@@ -245,6 +245,19 @@
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were aborted by the shutdown", "left", n.activeRequests.Load(), "error", err)
 	}
+	n.leave(context.WithoutCancel(ctx), min(leaveTimeout, (n.cfg.Bounds.StopGrace-time.Since(started))/2))
+}
+
+// leave removes the node from the list of those that serve, or gives up after
+// the timeout.
+func (n *Node) leave(ctx context.Context, timeout time.Duration) {
+	n.coord.Leave(ctx)
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(tickInterval) {
+		if n.coord.HasLeft() {
+			return
+		}
+	}
+	n.log.Warn("still registered at the end of the shutdown; other nodes keep a share of the limits for this one", "retry", "at the next start")
 }
 
 // stopPeriods returns how long a node still accepts connections after the beginning
