dispatch: nodes that have left the list keep their share of a cold endpoint's rate

TestNodesShareColdEndpointRate set the number of nodes twice at one moment, 4 at first; it now begins with its own number, with the same bounds.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -303,6 +303,7 @@
 		sent := 0
 		for rank := range nodes + 1 { // one is not listed yet
 			s := newScenario(1)
+			s.table.nodeCounts = nodeCounts{} // no other list was known before
 			s.table.SetNodes(s.now, nodes, rank)
 			vm := s.vms.Get(vmID(0, 0))
 			vm.ColdUntil = s.now.Add(10 * time.Second)
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -284,18 +284,19 @@
 		return true
 	}
 	limit := svc.ColdPerSecond*t.opts.ColdOverage + t.opts.ColdSlack
-	return target.cold.isBelow(now, t.coldShare(target.ID, int(limit*coldUsableFraction)))
+	return target.cold.isBelow(now, t.coldShare(now, target.ID, int(limit*coldUsableFraction)))
 }
 
 // coldShare returns this node's share of the request rate that all nodes may send
 // to a cold target. If there are more nodes than requests, the nodes that may
 // send differ from target to target. One share is reserved for a node that is
 // not listed yet.
-func (t *Table) coldShare(id string, limit int) int {
-	if t.nodeCounts.newest() == 0 {
+func (t *Table) coldShare(now time.Time, id string, limit int) int {
+	sharers := t.nodeCounts.sharers(now)
+	if sharers == 0 {
 		return 0
 	}
-	shares := t.nodes + 1
+	shares := sharers + 1
 	share := limit / shares
 	if t.turn(id, shares) < limit%shares {
 		share++
