--- a/coord/dispatch/limit.go
+++ b/coord/dispatch/limit.go
@@ -59,7 +59,7 @@
 		target.limiter = limiter{}
 		return 0
 	}
-	return target.limiter.wait(now, t.nodeRate(vm))
+	return target.limiter.wait(now, t.nodeRate(now, vm))
 }
 
 // SetDemandShare sets which part of all nodes' requests this node gets, from 0 to 1.
@@ -71,16 +71,17 @@
 // nodeRate returns this node's share of a VM's limit in requests a second. Nodes
 // share a limit by their demand, or, if it is too small for all, some share it
 // equally.
-func (t *Table) nodeRate(vm *fleet.VM) float64 {
-	if t.nodeCounts.newest() == 0 {
+func (t *Table) nodeRate(now time.Time, vm *fleet.VM) float64 {
+	nodes := t.nodeCounts.sharers(now)
+	if nodes == 0 {
 		return 0
 	}
 	limit := vm.Limit.PerSecond
-	sharers := min(max(1, int(limit/minNodeRate)), t.nodes)
+	sharers := min(max(1, int(limit/minNodeRate)), nodes)
 	switch {
-	case sharers == t.nodes && t.demandKnown:
-		return limit * max(t.demandShare, minDemandShare/float64(t.nodes))
-	case t.turn(vm.ID, t.nodes) >= sharers:
+	case sharers == nodes && t.demandKnown:
+		return limit * max(t.demandShare, minDemandShare/float64(nodes))
+	case t.turn(vm.ID, nodes) >= sharers:
 		return 0
 	}
 	return limit / float64(sharers)
--- a/coord/dispatch/nodes_test.go
+++ b/coord/dispatch/nodes_test.go
@@ -44,6 +44,28 @@
 	assert.Assert(t, sent <= limit, "%d requests", sent)
 }
 
+func TestStoppingNodesKeepTheirShareOfALimit(t *testing.T) {
+	const perSecond, seconds = 20, 4
+	nodes := limitedNodes(start, 4, perSecond, "a")
+	stopInTurn(start, nodes)
+	sent := 0
+	now := start
+	for range seconds * 20 {
+		now = now.Add(50 * time.Millisecond)
+		for _, node := range nodes {
+			for {
+				ticket, refusal := node.Pick(now, Query{Service: "shop"})
+				if refusal != nil {
+					break
+				}
+				node.Done(now, ticket, Succeeded)
+				sent++
+			}
+		}
+	}
+	assert.Assert(t, float64(sent) <= 1.5*perSecond*seconds+5, "%d in %d s", sent, seconds)
+}
+
 // sharers is the largest count of departedHold, also if counts rise and fall in it.
 func TestSharersAreTheLargestRecentCount(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
