--- a/coord/dispatch/nodes_test.go
+++ b/coord/dispatch/nodes_test.go
@@ -94,3 +94,29 @@
 		}
 	})
 }
+
+func TestRestartsDoNotRefillAColdEndpointsRate(t *testing.T) {
+	const nodes, limit = 4, 59 // 36 times the overage of 1.5, plus the slack of 5
+	sent := 0
+	for range 2 {
+		for rank := range nodes {
+			s := newScenario(1)
+			vms, now := s.vms, start.Add(500*time.Millisecond)
+			opts := testOptions()
+			opts.StartedAt = now
+			s.now, s.table = now, New(opts)
+			s.table.SetNodes(now, nodes, rank)
+			vm := vms.Get(vmID(0, 0))
+			vm.ColdUntil = now.Add(10 * time.Second)
+			vm.Slots = 1000
+			s.update()
+			for i := range 100 {
+				if ticket, _ := s.pick(i); ticket != nil {
+					s.table.Done(s.now, ticket, Succeeded)
+					sent++
+				}
+			}
+		}
+	}
+	assert.Assert(t, sent <= limit, "%d requests", sent)
+}
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -274,7 +274,8 @@
 
 // hasColdCapacity reports whether this node may send a target another request
 // within the rate limit of cold endpoints. A target that is not cold has no such
-// limit.
+// limit. A process that has just started sends none: the one before may have used
+// the rate.
 func (t *Table) hasColdCapacity(now time.Time, target *Target, vm *fleet.VM) bool {
 	if vm == nil || !isCold(now, vm) {
 		return true
@@ -283,6 +284,9 @@
 	if svc == nil || svc.ColdPerSecond <= 0 {
 		return true
 	}
+	if now.Sub(t.opts.StartedAt) < coldWindow {
+		return false
+	}
 	limit := svc.ColdPerSecond*t.opts.ColdOverage + t.opts.ColdSlack
 	return target.cold.isBelow(now, t.coldShare(now, target.ID, int(limit*coldUsableFraction)))
 }
