--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -134,3 +134,21 @@
 	s.spend(10 * time.Second)
 	s.assertWithinBudget()
 }
+
+// The first repeats come at the end of a bucket, and more as soon as their bucket
+// has left the window.
+func TestBurstsOfRepeatsAWindowApartStayWithinTheBudget(t *testing.T) {
+	s := newRepeatSite(t, 4)
+	const step = 50 * time.Millisecond
+	isBurst := func(elapsed time.Duration) bool { return elapsed >= 9950*time.Millisecond && elapsed < 10*time.Second || elapsed >= 19*time.Second }
+	for elapsed := time.Duration(0); elapsed < 21*time.Second; elapsed += step {
+		for _, n := range s.nodes {
+			s.request(n, 3)
+			if isBurst(elapsed) {
+				s.repeat(n, 200, true)
+			}
+		}
+		s.pass(step)
+	}
+	s.assertWithinBudget()
+}
