dispatch: repeats are counted for no less than a window

Cause: of ten buckets one is partly in the future, so that repeats left the sum 9 to 10 s after they were made. Bursts that far apart counted once here and twice by the rule. Fix: repeats are counted in eleven buckets, requests still in ten, so that each side errs on the safe one. Evidence: TestBurstsOfRepeatsAWindowApartStayWithinTheBudget failed (1,040 repeats, 616 allowed) and passes.

--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -6,39 +6,61 @@
 const repeatBuckets = 10
 
 // repeatCounter counts the requests and repeats of a service on this node over
-// a sliding window.
+// a sliding window. The newest bucket is not yet over: requests are counted in a
+// window's buckets, so in no more than a window, and repeats in one more, so in no
+// less than one.
 type repeatCounter struct {
-	bucketLength time.Duration
-	newest       int64 // number of the newest bucket
-	requests     [repeatBuckets]int
-	repeats      [repeatBuckets]int
+	bucketLength      time.Duration
+	requests, repeats bucketCounts
 }
 
-// advance clears the buckets that have left the window and returns the index of
-// the current one.
-func (r *repeatCounter) advance(now time.Time) int {
-	n := now.UnixNano() / int64(r.bucketLength)
-	for i := max(r.newest+1, n-repeatBuckets+1); i <= n; i++ {
-		r.requests[i%repeatBuckets] = 0
-		r.repeats[i%repeatBuckets] = 0
+func newRepeatCounter(window time.Duration) *repeatCounter {
+	return &repeatCounter{
+		bucketLength: window / repeatBuckets,
+		requests:     bucketCounts{counts: make([]int, repeatBuckets)},
+		repeats:      bucketCounts{counts: make([]int, repeatBuckets+1)},
 	}
-	r.newest = max(r.newest, n)
-	return int(r.newest % repeatBuckets)
 }
 
-func sum(buckets [repeatBuckets]int) int {
+// bucket returns the number of the bucket at a time.
+func (r *repeatCounter) bucket(now time.Time) int64 { return now.UnixNano() / int64(r.bucketLength) }
+
+// bucketCounts counts events in the newest buckets.
+type bucketCounts struct {
+	counts []int
+	newest int64 // number of the newest bucket
+}
+
+// add counts n events in a bucket.
+func (c *bucketCounts) add(bucket int64, n int) {
+	c.advance(bucket)
+	c.counts[c.newest%int64(len(c.counts))] += n
+}
+
+// sum returns the number of events in the buckets up to the given one.
+func (c *bucketCounts) sum(bucket int64) int {
+	c.advance(bucket)
 	total := 0
-	for _, n := range buckets {
+	for _, n := range c.counts {
 		total += n
 	}
 	return total
 }
 
+// advance clears the buckets that are too old once the given one is the newest.
+func (c *bucketCounts) advance(bucket int64) {
+	size := int64(len(c.counts))
+	for i := max(c.newest+1, bucket-size+1); i <= bucket; i++ {
+		c.counts[i%size] = 0
+	}
+	c.newest = max(c.newest, bucket)
+}
+
 // budget returns the counter of a service, creating it if necessary.
 func (t *Table) budget(service string) *repeatCounter {
 	b := t.budgets[service]
 	if b == nil {
-		b = &repeatCounter{bucketLength: t.opts.RepeatWindow / repeatBuckets}
+		b = newRepeatCounter(t.opts.RepeatWindow)
 		t.budgets[service] = b
 	}
 	return b
@@ -47,7 +69,7 @@
 // CountRequest counts a request from a caller for a service.
 func (t *Table) CountRequest(now time.Time, service string) {
 	b := t.budget(service)
-	b.requests[b.advance(now)]++
+	b.requests.add(b.bucket(now), 1)
 }
 
 // RepeatUse is a node's use of its share of a service's budget of repeats.
@@ -70,7 +92,7 @@
 		return use, false
 	}
 	b := t.budget(service)
-	b.repeats[b.advance(now)]++
+	b.repeats.add(b.bucket(now), 1)
 	return use, true
 }
 
@@ -78,8 +100,8 @@
 // has not begun.
 func (t *Table) repeatUse(now time.Time, service string, begun bool) RepeatUse {
 	b := t.budget(service)
-	b.advance(now)
-	use := RepeatUse{Requests: sum(b.requests), Repeats: sum(b.repeats), Nodes: t.nodeCounts.sharers(now)}
+	bucket := b.bucket(now)
+	use := RepeatUse{Requests: b.requests.sum(bucket), Repeats: b.repeats.sum(bucket), Nodes: t.nodeCounts.sharers(now)}
 	fraction := newFraction
 	if begun {
 		fraction = begunFraction
--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -140,7 +140,9 @@
 func TestBurstsOfRepeatsAWindowApartStayWithinTheBudget(t *testing.T) {
 	s := newRepeatSite(t, 4)
 	const step = 50 * time.Millisecond
-	isBurst := func(elapsed time.Duration) bool { return elapsed >= 9950*time.Millisecond && elapsed < 10*time.Second || elapsed >= 19*time.Second }
+	isBurst := func(elapsed time.Duration) bool {
+		return elapsed >= 9950*time.Millisecond && elapsed < 10*time.Second || elapsed >= 19*time.Second
+	}
 	for elapsed := time.Duration(0); elapsed < 21*time.Second; elapsed += step {
 		for _, n := range s.nodes {
 			s.request(n, 3)
