--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -79,6 +79,7 @@
 		{Name: "long", Host: "h", Prefix: "/long/", Kind: catalog.Stream, Resumable: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Minute},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: catalog.Idempotent, Public: true, Backends: []catalog.Backend{{Service: "shop"}}, MaxAttempts: 2, Timeout: time.Second},
 	}
+	s.state.Locked(func(st LockedState) { st.Targets.SetNodes(st.Now, 1, 0) })
 	s.configure()
 	s.server = NewServer(Options{
 		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, BodyBytes: bodyBytes, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
