dispatch: a repeat takes its part of the budget when its endpoint is chosen

Cause: a repeat took budget first and then waited for a place, up to 4 s, so that repeats taken within 14 s could arrive within 10. Fix: Pick checks the budget and takes from it in the step that places the request (Query.Resent). A repeat without budget is still refused at once; one whose budget goes while it waits is refused then.

--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -211,7 +211,7 @@
 
 // takeRepeat reports whether the budget allows another repeat, which it counts.
 func (s *scenario) takeRepeat(begun bool) bool {
-	_, ok := s.table.TakeRepeat(s.now, "llm", begun)
+	_, ok := s.table.takeRepeat(s.now, "llm", begun)
 	return ok
 }
 
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -35,6 +35,9 @@
 	// retryAfterNoTarget is the time in which a lost group may be serving
 	// again.
 	retryAfterNoTarget = time.Second
+	// retryAfterNoBudget is the time in which a part of the budget of repeats becomes
+	// free.
+	retryAfterNoBudget = time.Second
 )
 
 // Query describes the request to place.
@@ -56,6 +59,9 @@
 	// it. It then avoids targets that are likely to be lost, since it may not survive another
 	// failure.
 	Repeat bool
+	// Resent is whether the request was sent before, so that another send takes part
+	// of the budget of repeats.
+	Resent bool
 }
 
 // Refusal says why no target was chosen and when to retry.
@@ -64,6 +70,8 @@
 	RetryAfter time.Duration
 	// Detail says more than Reason, if it is not empty.
 	Detail string
+	// RepeatUse is the use of the budget of repeats, if Reason is NoBudget.
+	RepeatUse RepeatUse
 }
 
 // MayClearWithin reports whether a slot may become free within d, so that waiting
@@ -72,7 +80,7 @@
 	switch r.Reason {
 	case Paused, Limited:
 		return r.RetryAfter < d
-	case Quarantined:
+	case Quarantined, NoBudget:
 		return false
 	}
 	return true
@@ -89,20 +97,32 @@
 	Paused   Reason = "endpoints asked for a pause"
 	// Limited endpoints take no more requests a second from this node.
 	Limited Reason = "endpoints limit their requests"
+	// NoBudget is left to send the request another time.
+	NoBudget Reason = "the budget of repeats is used up"
 	// Quarantined requests hold a part of a prompt that ends endpoints.
 	Quarantined Reason = "endpoints ended under a part of the prompt"
 )
 
 // Pick chooses a target for a request and counts the request there until Done is
-// called. It returns a refusal if no target accepts the request.
+// called. A repeat is counted as well. It returns a refusal if no target accepts the
+// request, or if no budget is left for it.
 func (t *Table) Pick(now time.Time, q Query) (*Ticket, *Refusal) {
+	if q.Resent {
+		if use := t.RepeatUse(now, q.Service, q.Begun); !use.allowsMore() {
+			return nil, &Refusal{Reason: NoBudget, RetryAfter: retryAfterNoBudget, RepeatUse: use}
+		}
+	}
 	best, reasons := t.choose(now, q)
 	if best == nil {
 		return nil, reasons.refusal(q.Draw)
 	}
+	var use RepeatUse
+	if q.Resent {
+		use, _ = t.takeRepeat(now, q.Service, q.Begun) // checked above
+	}
 	best.cold.record(now)
 	best.limiter.take()
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use}
 	best.add(now, ticket)
 	best.pause.recordSend(now, ticket)
 	return ticket, nil
@@ -112,7 +132,7 @@
 // budget of repeats.
 func (t *Table) CanRepeat(now time.Time, q Query) bool {
 	best, _ := t.choose(now, q)
-	return best != nil && t.repeatUse(now, q.Service, q.Begun).allowsMore()
+	return best != nil && t.RepeatUse(now, q.Service, q.Begun).allowsMore()
 }
 
 // choose returns the best target for a request, or nil and the reasons for which
--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -82,12 +82,12 @@
 	Nodes int
 }
 
-// TakeRepeat counts a repeated send of a request and returns true, or returns
+// takeRepeat counts a repeated send of a request and returns true, or returns
 // false if that would exceed this node's share of the budget. A part of the
 // budget is reserved for requests whose answer has begun, since their callers
 // lose the answer if it can't be continued. The use is that before the send.
-func (t *Table) TakeRepeat(now time.Time, service string, begun bool) (RepeatUse, bool) {
-	use := t.repeatUse(now, service, begun)
+func (t *Table) takeRepeat(now time.Time, service string, begun bool) (RepeatUse, bool) {
+	use := t.RepeatUse(now, service, begun)
 	if !use.allowsMore() {
 		return use, false
 	}
@@ -96,9 +96,9 @@
 	return use, true
 }
 
-// repeatUse returns the use of a service's budget by requests whose answer has or
-// has not begun.
-func (t *Table) repeatUse(now time.Time, service string, begun bool) RepeatUse {
+// RepeatUse returns the use of a service's budget, with the limit for requests whose
+// answer has or has not begun.
+func (t *Table) RepeatUse(now time.Time, service string, begun bool) RepeatUse {
 	b := t.budget(service)
 	bucket := b.bucket(now)
 	use := RepeatUse{Requests: b.requests.sum(bucket), Repeats: b.repeats.sum(bucket), Nodes: t.nodeCounts.sharers(now)}
--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -54,7 +54,7 @@
 // repeat makes up to n repeats at a node, as far as its budget allows.
 func (s *repeatSite) repeat(node *Table, n int, begun bool) {
 	for range n {
-		if _, ok := node.TakeRepeat(s.now, "llm", begun); !ok {
+		if _, ok := node.takeRepeat(s.now, "llm", begun); !ok {
 			return
 		}
 		s.repeats = append(s.repeats, s.now)
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -66,6 +66,9 @@
 	BegunAt time.Time
 	// Parts are the parts of the prompt that other requests may share.
 	Parts []quarantine.Part
+	// RepeatUse is the use of the budget of repeats before the request took part of
+	// it, if its query was Resent.
+	RepeatUse RepeatUse
 	// Proven is set once the endpoint has gone on for a while after it began to
 	// answer, which shows that the request does not end endpoints.
 	Proven bool
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,10 +84,9 @@
 		if fault := s.checkStillValid(ctx, req); fault != nil {
 			return nil, fault
 		}
-		if req.sends > 0 && dials == 0 && !s.takeRepeat(req) {
-			return nil, s.finalFault(req, problem.New(problem.Overloaded, "the budget of repeats is used up", "retry later").WithRetryAfter(time.Second))
-		}
-		a, fault := s.place(ctx, req)
+		// An endpoint that could not be reached has used no budget of repeats.
+		resent := req.sends > 0 && dials == 0
+		a, fault := s.place(ctx, req, resent)
 		if fault != nil {
 			return nil, fault
 		}
@@ -112,18 +111,16 @@
 	}
 }
 
-// takeRepeat takes a repeated send of the request from the service's budget, and
-// reports whether the budget allows it.
-func (s *Server) takeRepeat(req *request) bool {
-	use, ok := s.state.takeRepeat(req.service.Name, req.responseBegun)
+// recordRepeat counts and logs a repeated send of the request that was allowed or
+// refused, with the use of the budget before.
+func (s *Server) recordRepeat(req *request, use dispatch.RepeatUse, allowed bool) {
 	message, outcome := "request is sent again", "sent"
-	if !ok {
+	if !allowed {
 		message, outcome = "request is not sent again", "refused"
 	}
 	telemetry.Counter(s.opts.Metrics, "repeats_total", "service", req.service.Name, "outcome", outcome).Inc(1)
 	s.log.Info(message, "request", req.id, "service", req.service.Name, "sends", req.sends, "begun", req.responseBegun,
 		"window_requests", use.Requests, "window_repeats", use.Repeats, "limit", use.Limit, "nodes", use.Nodes)
-	return ok
 }
 
 // endNotSent ends an attempt of which nothing was sent.
@@ -136,12 +133,13 @@
 }
 
 // place chooses an endpoint for the request, waiting for a free place if that
-// can still meet the objective, and returns a new attempt there.
-func (s *Server) place(ctx context.Context, req *request) (*attempt, *problem.Error) {
+// can still meet the objective, and returns a new attempt there. resent is whether
+// the attempt takes part of the budget of repeats.
+func (s *Server) place(ctx context.Context, req *request, resent bool) (*attempt, *problem.Error) {
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts}
+		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts, Resent: resent}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
 	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
@@ -161,8 +159,14 @@
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
 	if refusal != nil {
 		a.cancel(nil)
+		if refusal.Reason == dispatch.NoBudget {
+			s.recordRepeat(req, refusal.RepeatUse, false)
+		}
 		return nil, s.finalFault(req, problemOf(refusal))
 	}
+	if resent {
+		s.recordRepeat(req, ticket.RepeatUse, true)
+	}
 	a.query, a.ticket = q, ticket
 	a.sentAt = s.now()
 	req.lastEndpoint = ticket.Target.ID
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -249,12 +249,3 @@
 	defer s.mu.Unlock()
 	s.targets.CountRequest(s.now(), service)
 }
-
-// takeRepeat counts a repeated send against the service's budget of repeats. It
-// returns false if the budget is used up. Part of the budget is reserved for
-// requests whose response has begun.
-func (s *State) takeRepeat(service string, begun bool) (dispatch.RepeatUse, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.targets.TakeRepeat(s.now(), service, begun)
-}
--- a/internal/node/constants.go
+++ b/internal/node/constants.go
@@ -88,7 +88,7 @@
 	stopNoticePeriod = 3 * time.Second
 	// stopMargin is subtracted from the grace period for stopping, but at most the
 	// grace period divided by stopMarginDivisor.
-	stopMargin = 700 * time.Millisecond
+	stopMargin        = 700 * time.Millisecond
 	stopMarginDivisor = 4
 	// leaveTimeout is how long a node that has ended its requests tries to remove its
 	// registration, at most half of what is left of the grace period.
