entry: log lines name what identifies a request that comes again

They now have a hash of account, method, host, path and body; it is never equal to a part of a prompt, and says nothing of the content. No change of logic.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -334,7 +334,7 @@
 	}
 	s.endAttempt(a, outcome)
 	s.log.Info("attempt broke off", "request", req.id, "endpoint", a.ticket.Target.ID, "send", req.sends,
-		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "error", err.Error())
+		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "identity", req.identity.String(), "error", err.Error())
 	if ctx.Err() != nil {
 		return s.withRunStatus(req, problem.New(problem.DeadlineExceeded, "the endpoint did not answer in time", "retry if the request may run twice"))
 	}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -19,7 +19,7 @@
 		list = rest
 		id, _, _ := strings.Cut(strings.TrimSpace(entry), ":")
 		if id != "" {
-			parts = append(parts, quarantine.ParsePart(id))
+			parts = append(parts, quarantine.ParsePromptPart(id))
 		}
 	}
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -34,6 +34,7 @@
 	model          string
 	promptTokens   int
 	parts          []quarantine.Part // the parts of the prompt that others may share
+	identity       quarantine.Part   // what stays the same when the request comes again
 	catalogVersion int64
 	outgoing       upstream.Request
 	draw           uint64
@@ -102,6 +103,8 @@
 	if fault != nil {
 		return nil, fault
 	}
+	identity := quarantine.Request{Account: req.account, Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body}
+	req.identity = identity.Part()
 	req.outgoing = upstream.Request{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, Header: s.forwardHeader(req, r.Header),
 	}
