--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -204,9 +204,15 @@
 	}
 }
 
-// answer streams events, or ends the endpoint if the prompt has the deadly part.
+// deadlyBody is the body of a request that ends each endpoint which begins to answer
+// it.
+const deadlyBody = "the deadly request"
+
+// answer streams events, or ends the endpoint if the prompt has the deadly part or
+// the request is deadly.
 func (s *crashSite) answer(id string, w http.ResponseWriter, r *http.Request) {
-	deadly := strings.Contains(r.Header.Get("X-Parts"), deadlyPart)
+	body, _ := io.ReadAll(r.Body) // the whole body is there, or the request is not deadly
+	deadly := strings.Contains(r.Header.Get("X-Parts"), deadlyPart) || string(body) == deadlyBody
 	if deadly {
 		s.mu.Lock()
 		s.deadly = append(s.deadly, deadlySend{time.Now(), s.nodeNamed(r.Header.Get("X-Node"))})
@@ -271,10 +277,13 @@
 
 // late returns the number of deadly requests that reached endpoints later than
 // contact after the fifth end, from entry VMs in touch.
-func (s *crashSite) late() int {
+func (s *crashSite) late() int { return s.lateAfter(5) }
+
+// lateAfter is late for the end with the given number.
+func (s *crashSite) lateAfter(n int) int {
 	late := 0
 	for _, d := range s.deadly {
-		if len(s.ends) >= 5 && d.at.After(s.ends[4].Add(contact)) && d.at.Sub(d.passed.startedAt) >= contact {
+		if len(s.ends) >= n && d.at.After(s.ends[n-1].Add(contact)) && d.at.Sub(d.passed.startedAt) >= contact {
 			late++
 		}
 	}
@@ -389,9 +398,14 @@
 	return n
 }
 
-// send sends requests with the given parts, each followed by a part of its own, to
-// the entry VMs in turn. It returns once all are answered.
+// send sends different requests with the given parts, each followed by a part of its
+// own, to the entry VMs in turn. It returns once all are answered.
 func (s *crashSite) send(rate int, d time.Duration, parts func(i int) string) *outcomes {
+	return s.sendBodies(rate, d, parts, func(i int) string { return fmt.Sprint("request ", i, " of ", time.Now()) })
+}
+
+// sendBodies is send for requests with the given bodies.
+func (s *crashSite) sendBodies(rate int, d time.Duration, parts, body func(i int) string) *outcomes {
 	out := &outcomes{}
 	client := &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return s.network.dial(ctx, address) }}
 	defer client.CloseIdleConnections()
@@ -402,7 +416,7 @@
 		if s.skewed && i%2 == 0 {
 			n = s.node(1)
 		}
-		req, err := http.NewRequest(http.MethodPost, n.front.URL+"/ask/", nil)
+		req, err := http.NewRequest(http.MethodPost, n.front.URL+"/ask/", strings.NewReader(body(i)))
 		assert.NilError(s.t, err)
 		id := fmt.Sprintf("%s-%d-%d", parts(i), time.Now().UnixNano(), i)
 		req.Host = "h"
@@ -468,6 +482,34 @@
 	})
 }
 
+// The deadly request shares its first part with sound ones.
+func TestRequestThatEndsEndpointsIsNotSentOn(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newCrashSite(t, 4, 12)
+		ctx, cancel := context.WithCancel(t.Context())
+		var ticks, wg sync.WaitGroup
+		ticks.Go(func() { s.run(ctx) })
+		time.Sleep(time.Second)
+		before := s.send(40, 4*time.Second, soundParts)
+		var deadly, sound, recovered *outcomes
+		wg.Go(func() {
+			deadly = s.sendBodies(2, 20*time.Second, soundParts, func(int) string { return deadlyBody })
+		})
+		wg.Go(func() {
+			sound = s.send(40, 10*time.Second, soundParts)
+			recovered = s.send(40, 10*time.Second, soundParts)
+		})
+		wg.Wait()
+		cancel()
+		ticks.Wait()
+
+		late := s.lateAfter(3)
+		t.Logf("%d endpoints ended; deadly: %v, before: %v, during: %v, afterwards: %v", len(s.ends), deadly.by, before.by, sound.by, recovered.by)
+		assert.Assert(t, late <= 3, "the request reached endpoints %d times later than %s after the third end", late, contact)
+		assert.Assert(t, 2*recovered.by[http.StatusOK] >= recovered.total(), "sound requests with the same first parts: %v", recovered.by)
+	})
+}
+
 // Endpoints that end for other causes, several at a time, rule out no requests.
 func TestCrashesOfOtherCausesQuarantineNothing(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
