quarantine: a request that ends endpoints is known again and kept away

Cause: ends were compared by the parts of prompts but the last one. What came again was the last part, or a body without parts: nothing counted against it. Fix: each request has one part more, a hash of client account, method, host, path and body, with the evidence, the exchange and the rows that parts have. Two ends quarantine a request that was never answered if no other one explains them, three otherwise; a complete answer, a failure too, clears it. Ends of a quarantined request still count against a part that other requests share, and not against one that only this request had. Plain servers take part; whether they have ended shows when they are sent the next request.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -46,7 +46,8 @@
 	Model   string // empty for a plain service
 	// Exclude lists the IDs of targets at which the request has failed.
 	Exclude []string
-	// Parts are the parts of the prompt that other requests may share.
+	// Parts are the parts of the prompt that other requests may share, and the one
+	// that identifies the request.
 	Parts []quarantine.Part
 	// PromptTokens is the length of the prompt, 0 if there is none.
 	PromptTokens int
@@ -99,8 +100,9 @@
 	Limited Reason = "endpoints limit their requests"
 	// NoBudget is left to send the request another time.
 	NoBudget Reason = "the budget of repeats is used up"
-	// Quarantined requests hold a part of a prompt that ends endpoints.
-	Quarantined Reason = "endpoints ended under a part of the prompt"
+	// Quarantined requests hold a part of a prompt that ends endpoints, or do so
+	// themselves.
+	Quarantined Reason = "endpoints ended under this input"
 )
 
 // Pick chooses a target for a request and counts the request there until Done is
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -64,7 +64,8 @@
 	// first did.
 	Begun   bool
 	BegunAt time.Time
-	// Parts are the parts of the prompt that other requests may share.
+	// Parts are the parts of the prompt that other requests may share, and the one
+	// that identifies the request.
 	Parts []quarantine.Part
 	// RepeatUse is the use of the budget of repeats before the request took part of
 	// it, if its query was Resent.
@@ -82,6 +83,15 @@
 	born   int64 // start time of the VM that runs it
 }
 
+// AnswerBegan returns when the endpoint began to answer, or when the request was sent
+// if that is unknown.
+func (t *Ticket) AnswerBegan() time.Time {
+	if t.BegunAt.IsZero() {
+		return t.sentAt
+	}
+	return t.BegunAt
+}
+
 // ownLoad is the load of this node's requests at the target. Each counts as one,
 // and as more until its prompt has been processed.
 func (t *Target) ownLoad() float64 {
--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -9,8 +9,11 @@
 const (
 	// endsToQuarantine is the number of ends that quarantine a part which was never
 	// answered, and answeredEndsToQuarantine that for one which was.
+	// requestEndsToQuarantine is that for a request which was never answered, if no
+	// other one explains the same ends.
 	endsToQuarantine         = 3
 	answeredEndsToQuarantine = 5
+	requestEndsToQuarantine  = 2
 	// minEndGap separates ends with causes of their own. VMs that end closer
 	// together, as those of a rack, count as one end.
 	minEndGap = 100 * time.Millisecond
@@ -56,7 +59,7 @@
 	suspects := r.suspects()
 	r.updateCandidates(now, suspects)
 	for _, s := range suspects {
-		if !s.wasAnswered && s.causes >= endsToQuarantine {
+		if !s.wasAnswered && s.causes >= endsNeeded(s, suspects) {
 			return s
 		}
 		if since, ok := r.candidates[s.part]; ok && now.Sub(since) >= clearingPeriod {
@@ -66,6 +69,30 @@
 	return nil
 }
 
+// endsNeeded returns the number of ends that quarantine a suspect which was never
+// answered.
+func endsNeeded(s *suspect, suspects []*suspect) int {
+	if !s.part.IsRequest() {
+		return endsToQuarantine
+	}
+	for _, other := range suspects {
+		if other != s && other.part.IsRequest() && !other.wasAnswered && other.explains(s.ends) {
+			return endsToQuarantine
+		}
+	}
+	return requestEndsToQuarantine
+}
+
+// explains reports whether the suspect is held by all of the given ends.
+func (s *suspect) explains(ends []*end) bool {
+	for _, e := range ends {
+		if _, held := e.depths[s.part]; !held {
+			return false
+		}
+	}
+	return true
+}
+
 // updateCandidates records which parts that were answered before have enough ends
 // to be quarantined, and since when.
 func (r *Record) updateCandidates(now time.Time, suspects []*suspect) {
@@ -87,15 +114,18 @@
 }
 
 // suspects returns the parts that are not cleared of the confirmed ends, the prime
-// one first. Ends under a quarantined part are explained and don't count.
+// one first. Ends under a quarantined part of prompts are explained and don't count.
+// Those under a quarantined request count against no other request, and against
+// parts unless this request explains all of a part's ends.
 func (r *Record) suspects() []*suspect {
 	byPart := make(map[Part]*suspect)
 	for _, e := range r.ends {
-		if !e.confirmed || r.isExplained(e) {
+		if !e.confirmed || r.isExplained(e, isPromptPart) {
 			continue
 		}
+		explained := r.isExplained(e, Part.IsRequest)
 		for p, depth := range e.depths {
-			if !e.at.After(r.answeredAt(p)) {
+			if !e.at.After(r.answeredAt(p)) || p.IsRequest() && explained {
 				continue
 			}
 			s := byPart[p]
@@ -109,6 +139,9 @@
 	}
 	out := make([]*suspect, 0, len(byPart))
 	for _, s := range byPart {
+		if !s.part.IsRequest() && r.isOneRequest(s.ends) {
+			continue
+		}
 		slices.SortFunc(s.ends, func(a, b *end) int {
 			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.vms[0].VM, b.vms[0].VM))
 		})
@@ -119,9 +152,21 @@
 	return out
 }
 
+func isPromptPart(p Part) bool { return !p.IsRequest() }
+
+// isOneRequest reports whether one quarantined request accounts for all of the ends.
+func (r *Record) isOneRequest(ends []*end) bool {
+	for p := range r.quarantined {
+		if s := (suspect{part: p}); p.IsRequest() && s.explains(ends) {
+			return true
+		}
+	}
+	return false
+}
+
 // compareSuspects orders parts that were never answered before others, then by the
-// ends that they explain. Of parts that explain the same ends the last one of the
-// prompts goes first: fewest sound requests share it.
+// ends that they explain. Of parts that explain the same ends a request goes first,
+// and then the last one of the prompts: fewest sound requests share it.
 func compareSuspects(a, b *suspect) int {
 	if a.wasAnswered != b.wasAnswered {
 		if b.wasAnswered {
@@ -145,10 +190,10 @@
 	return n
 }
 
-// isExplained reports whether a quarantined part accounts for an end.
-func (r *Record) isExplained(e *end) bool {
+// isExplained reports whether a quarantined part of a kind accounts for an end.
+func (r *Record) isExplained(e *end, ofKind func(Part) bool) bool {
 	for p := range r.quarantined {
-		if _, held := e.depths[p]; held {
+		if _, held := e.depths[p]; held && ofKind(p) {
 			return true
 		}
 	}
--- a/coord/quarantine/record.go
+++ b/coord/quarantine/record.go
@@ -17,19 +17,20 @@
 	maxAnswered = maxEnds * maxPartsPerEnd
 )
 
-// Record holds what a node knows about endpoints that ended and the prompts that
+// Record holds what a node knows about endpoints that ended and the requests that
 // they held, from its own requests and from other nodes. It is not safe for
 // concurrent use.
 //
-// A part is suspected by the ends after the newest answer to a prompt that
+// A part is suspected by the ends after the newest answer to a request that
 // contained it. Its own answers clear it: an endpoint that begins to answer and
-// goes on shows that none of the prompt's parts ends endpoints.
+// goes on shows that neither the request nor a part of its prompt ends endpoints.
 type Record struct {
 	ends map[Start]*end
 	// answered contains the newest known answer by part, of parts of ends.
 	answered map[Part]answered
-	// own contains the answers that this node has seen, by part.
-	own recentParts
+	// own and ownRequests contain the answers that this node has seen, by part of
+	// prompts and by request. Requests are many, and leave the parts their place.
+	own, ownRequests recentParts
 	// candidates contains when each part that was answered before reached its
 	// threshold; see decide.
 	candidates  map[Part]time.Time
@@ -59,7 +60,7 @@
 // NewRecord returns an empty record.
 func NewRecord() *Record {
 	return &Record{
-		ends: make(map[Start]*end), answered: make(map[Part]answered), own: newRecentParts(),
+		ends: make(map[Start]*end), answered: make(map[Part]answered), own: newRecentParts(), ownRequests: newRecentParts(),
 		candidates: make(map[Part]time.Time), quarantined: make(map[Part]*entry),
 	}
 }
@@ -84,7 +85,7 @@
 func (r *Record) RecordAnswered(now, at time.Time, parts []Part) []Part {
 	var released []Part
 	for _, p := range parts {
-		r.own.record(p, at)
+		r.ownAnswers(p).record(p, at)
 		if r.learnAnswered(now, p, at) {
 			released = append(released, p)
 		}
@@ -92,6 +93,14 @@
 	return released
 }
 
+// ownAnswers returns the answers that this node has seen to parts of the same kind.
+func (r *Record) ownAnswers(p Part) *recentParts {
+	if p.IsRequest() {
+		return &r.ownRequests
+	}
+	return &r.own
+}
+
 // learnAnswered stores the time of an answer if it is the first that is known of
 // a part of an end, or if it clears the part of an end. It reports whether it
 // releases the part from quarantine.
@@ -150,7 +159,7 @@
 	if known, held := e.depths[p]; held && known >= depth {
 		return
 	}
-	own := r.own.get(p)
+	own := r.ownAnswers(p).get(p)
 	if _, held := e.depths[p]; !held && len(e.depths) >= maxPartsPerEnd && (!own.IsZero() || !r.dropAnsweredPart(e)) {
 		return
 	}
@@ -174,13 +183,13 @@
 }
 
 func (r *Record) wasAnswered(p Part) bool {
-	return !r.answered[p].at.IsZero() || !r.own.get(p).IsZero()
+	return !r.answered[p].at.IsZero() || !r.ownAnswers(p).get(p).IsZero()
 }
 
 // answeredAt returns the time of the newest known answer to a part, or zero.
 func (r *Record) answeredAt(p Part) time.Time {
 	at := r.answered[p].at
-	if own := r.own.get(p); own.After(at) {
+	if own := r.ownAnswers(p).get(p); own.After(at) {
 		return own
 	}
 	return at
--- /dev/null
+++ b/coord/quarantine/request_test.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// request returns the part that identifies the request with a number.
+func request(n int) Part { return Part(n) | requestBit }
+
+func TestRequestUnderWhichTwoEndpointsEndedIsQuarantined(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range requestEndsToQuarantine {
+		s.end(i, []Part{first, request(1)}, []Part{first, request(10 + i)})
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined(request(1))
+}
+
+// The part that all of its ends share is not blamed for a request.
+func TestPartOfADeadlyRequestIsNotQuarantined(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 2 * endsToQuarantine {
+		s.end(i%3, []Part{first, request(1)})
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined(request(1))
+}
+
+// Every request with the deadly part ends two endpoints, as after one repeat.
+func TestRequestsWithADeadlyPartDoNotHideIt(t *testing.T) {
+	s := newSite(t, 3)
+	s.answer(0, first)
+	for i := range 4 {
+		s.end(i%3, []Part{first, deadly, request(i / 2)})
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	assert.Assert(t, s.nodes[2].Check(s.now, Query{Parts: []Part{first, deadly, request(9)}}) != nil)
+	assert.Assert(t, s.nodes[2].Check(s.now, Query{Parts: []Part{first, request(9)}}) == nil)
+}
+
+func TestTwoRequestsWithTheSameTwoEndsAreNotQuarantined(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range requestEndsToQuarantine {
+		s.end(i, []Part{first, request(1)}, []Part{first, request(2)})
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined()
+	s.end(2, []Part{first, request(2)})
+	s.pass(time.Second)
+	s.assertQuarantined(request(2))
+}
+
+// A request that is often the same, as a look at a status, and was answered.
+func TestAnsweredRequestIsClearedOfEarlierEnds(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 8 {
+		s.end(i%3, []Part{request(1)})
+		s.pass(300 * time.Millisecond)
+		s.answer((i+1)%3, request(1))
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined()
+}
+
+func TestEndsAtOneMomentQuarantineNoRequest(t *testing.T) {
+	s := newSite(t, 3)
+	for i := range 12 {
+		s.end(i%3, []Part{request(1)})
+	}
+	s.pass(10 * time.Second)
+	s.assertQuarantined()
+}
+
+// A node that starts later learns of a quarantined request from its row.
+func TestQuarantinedRequestHasARow(t *testing.T) {
+	s := newSite(t, 1)
+	for range requestEndsToQuarantine {
+		s.end(0, []Part{request(1)})
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(time.Second)
+	other, wall := NewRecord(), time.Now()
+	for _, row := range s.nodes[0].Rows(s.now, wall) {
+		other.ApplyRow(s.now, wall, row)
+	}
+	assert.Assert(t, other.Check(s.now, Query{Parts: []Part{request(1)}}) != nil)
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -184,7 +184,7 @@
 	case dispatch.NoTarget:
 		kind = problem.NoEndpoint
 	case dispatch.Quarantined:
-		kind, remedy = problem.Quarantined, "leave the part out, or retry later"
+		kind, remedy = problem.Quarantined, "leave out the part or change the request, or retry later"
 	}
 	message := string(r.Reason)
 	if r.Detail != "" {
@@ -334,7 +334,7 @@
 	}
 	s.endAttempt(a, outcome)
 	s.log.Info("attempt broke off", "request", req.id, "endpoint", a.ticket.Target.ID, "send", req.sends,
-		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "identity", req.identity.String(), "error", err.Error())
+		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "error", err.Error())
 	if ctx.Err() != nil {
 		return s.withRunStatus(req, problem.New(problem.DeadlineExceeded, "the endpoint did not answer in time", "retry if the request may run twice"))
 	}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -90,6 +90,7 @@
 	if got.status >= http.StatusInternalServerError {
 		outcome = dispatch.Neutral
 		req.exclude = append(req.exclude, got.vm)
+		s.state.recordFailure(a.ticket)
 	}
 	s.endAttempt(a, outcome)
 	return got, nil
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -235,7 +236,13 @@
 		vms = append(vms, st.Targets.Members(s.VM)...)
 	}
 	p.scheduleEach(out, vms, p.opts.VerifyEvery, reasonStalled)
-	p.scheduleEach(out, st.Quarantine.Unconfirmed(), p.opts.FastEvery, reasonBroken)
+	// Plain servers give no reports: whether they have ended shows when they are sent
+	// the next request.
+	broken := slices.DeleteFunc(st.Quarantine.Unconfirmed(), func(id string) bool {
+		vm := st.VMs.Get(id)
+		return vm == nil || !vm.Engine
+	})
+	p.scheduleEach(out, broken, p.opts.FastEvery, reasonBroken)
 }
 
 // scheduleEach adds probes of VMs at the given interval, or a longer one if all of
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -20,23 +20,27 @@
 	s.triesQuarantined = tries
 }
 
-// checkQuarantine returns why a request may not be sent because of its prompt, or
+// checkQuarantine returns why a request may not be sent because of what it contains, or
 // nil. s.mu must be held.
 func (s *State) checkQuarantine(now time.Time, q dispatch.Query) *dispatch.Refusal {
 	v := s.quarantine.Check(now, quarantine.Query{Parts: q.Parts, Repeat: q.Repeat, MayTry: s.triesQuarantined})
 	if v == nil {
 		return nil
 	}
-	detail := v.Part.String() + " at " + strings.Join(v.Ends, ", ")
+	kind := "part "
+	if v.Part.IsRequest() {
+		kind = "request "
+	}
+	detail := kind + v.Part.String() + " at " + strings.Join(v.Ends, ", ")
 	return &dispatch.Refusal{Reason: dispatch.Quarantined, RetryAfter: v.RetryAfter, Detail: detail}
 }
 
-// recordOutcome records what the end of a request says about its prompt. s.mu must
+// recordOutcome records what the end of a request says about what it contains. s.mu must
 // be held.
 func (s *State) recordOutcome(now time.Time, t *dispatch.Ticket, outcome dispatch.Outcome) {
 	switch {
 	case t.Proven || len(t.Parts) == 0:
-	case outcome == dispatch.Succeeded && t.Begun:
+	case outcome == dispatch.Succeeded:
 		s.recordProven(now, t)
 	case outcome == dispatch.Failed:
 		s.quarantine.RecordBreak(now, s.targets.RunsOf(t), t.Parts)
@@ -47,7 +51,15 @@
 // must be held.
 func (s *State) recordProven(now time.Time, t *dispatch.Ticket) {
 	t.Proven = true
-	s.logReleased(s.quarantine.RecordAnswered(now, t.BegunAt, t.Parts))
+	s.logReleased(s.quarantine.RecordAnswered(now, t.AnswerBegan(), t.Parts))
+}
+
+// recordFailure records that the endpoint of a ticket has answered with a complete
+// failure, which it survived.
+func (s *State) recordFailure(t *dispatch.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordProven(s.now(), t)
 }
 
 // recordRefusal records that the endpoint of a ticket refused a connection.
@@ -57,8 +69,8 @@
 	s.targets.RecordRefusal(t)
 }
 
-// tickQuarantine finds out which endpoints have ended, and quarantines the parts of
-// prompts under which they did. s.mu must be held.
+// tickQuarantine finds out which endpoints have ended, and quarantines what they
+// ended under. s.mu must be held.
 func (s *State) tickQuarantine(now time.Time) {
 	for _, vm := range s.quarantine.Confirm(now, s.statusSince) {
 		s.log.Info("endpoint ended under requests", "endpoint", vm, "parts", partIDs(s.quarantine.PartsOf(vm)))
@@ -85,12 +97,12 @@
 
 func (s *State) logQuarantined(added []quarantine.Quarantined, from string) {
 	for _, q := range added {
-		s.log.Warn("part of prompts quarantined", "part", q.Part.String(), "endpoints", strings.Join(q.Ends, ","), "newest_end_age", q.EndAge, "from", from)
+		s.log.Warn("input quarantined", "part", q.Part.String(), "is_request", q.Part.IsRequest(), "endpoints", strings.Join(q.Ends, ","), "newest_end_age", q.EndAge, "from", from)
 	}
 }
 
 func (s *State) logReleased(released []quarantine.Part) {
 	for _, p := range released {
-		s.log.Warn("part of prompts released", "part", p.String())
+		s.log.Warn("input released", "part", p.String(), "is_request", p.IsRequest())
 	}
 }
--- a/internal/entry/quarantinerows.go
+++ b/internal/entry/quarantinerows.go
@@ -28,7 +28,7 @@
 	for _, row := range u.Rows {
 		s.savedQuarantine[row.Part] = row.EndedMS
 		if s.quarantine.ApplyRow(now, wall, row) {
-			s.log.Warn("part of prompts quarantined", "part", row.Part.String(), "endpoints", strings.Join(row.Ends, ","), "from", "platform")
+			s.log.Warn("input quarantined", "part", row.Part.String(), "is_request", row.Part.IsRequest(), "endpoints", strings.Join(row.Ends, ","), "from", "platform")
 		}
 	}
 	for _, p := range u.Removed {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -27,14 +27,15 @@
 	id      string
 	started time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
-	deadline       time.Time
-	route          *catalog.Route
-	account        string
-	service        *catalog.Service
-	model          string
-	promptTokens   int
-	parts          []quarantine.Part // the parts of the prompt that others may share
-	identity       quarantine.Part   // what stays the same when the request comes again
+	deadline     time.Time
+	route        *catalog.Route
+	account      string
+	service      *catalog.Service
+	model        string
+	promptTokens int
+	// parts are the parts of the prompt that others may share, and last the one that
+	// identifies the request.
+	parts          []quarantine.Part
 	catalogVersion int64
 	outgoing       upstream.Request
 	draw           uint64
@@ -104,7 +105,7 @@
 		return nil, fault
 	}
 	identity := quarantine.Request{Account: req.account, Method: r.Method, Host: r.Host, Target: r.RequestURI, Body: body}
-	req.identity = identity.Part()
+	req.parts = append(req.parts, identity.Part())
 	req.outgoing = upstream.Request{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Body: body, Header: s.forwardHeader(req, r.Header),
 	}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -136,6 +136,7 @@
 	}
 	rl.req.countRun()
 	got := &response{status: a.resp.Status, header: a.resp.Header, body: body, vm: a.ticket.Target.ID}
+	rl.state.recordFailure(a.ticket)
 	rl.endAttempt(a, failureOutcome(a))
 	if got.status >= http.StatusInternalServerError && rl.canRetry(rl.ctx, rl.req) {
 		return false, rl.withRunStatus(rl.req, problem.New(problem.EndpointFailed, "the endpoint failed", "retry"))
--- a/internal/timeline/timeline_test.go
+++ b/internal/timeline/timeline_test.go
@@ -88,7 +88,7 @@
 func TestSelectPart(t *testing.T) {
 	const log = `{"time":"2026-01-01T00:00:01Z","msg":"attempt broke off","request":"r1","parts":"f1,dead"}
 {"time":"2026-01-01T00:00:02Z","msg":"endpoint ended under requests","endpoint":"i-1","parts":"dead,f1"}
-{"time":"2026-01-01T00:00:03Z","msg":"part of prompts quarantined","part":"dead"}
+{"time":"2026-01-01T00:00:03Z","msg":"input quarantined","part":"dead"}
 {"time":"2026-01-01T00:00:04Z","msg":"request failed","request":"r2","parts":"f1,dead"}
 {"time":"2026-01-01T00:00:05Z","msg":"attempt broke off","request":"r3","parts":"f1,deadbeef"}
 `
@@ -98,5 +98,5 @@
 	for _, l := range Select(lines, Query{Part: "dead"}) {
 		got = append(got, l.Message)
 	}
-	assert.Equal(t, strings.Join(got, ", "), "attempt broke off, endpoint ended under requests, part of prompts quarantined")
+	assert.Equal(t, strings.Join(got, ", "), "attempt broke off, endpoint ended under requests, input quarantined")
 }
