node: a failing test of an order at the end of a planned stop

Report of other operators: requests that come late in a stop were passed on and cut with no answer. Here one that comes after the notice of 3 s isn't passed on (its connection closes), but one that was read in time, at an endpoint that is still silent, ends with a closed connection.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -69,11 +69,14 @@
 			"slo-ms": 500, "gap-target-ms": 300, "resumable": kind == "stream",
 		}
 	}
+	slow := route("/slow/", "unsafe", "slow")
+	slow["timeout-ms"] = 30000
 	err := s.store.Put("op", "config", map[string]any{
 		"version": version,
-		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")},
+		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop"), slow},
 		"services": []any{
 			map[string]any{"name": "shop"},
+			map[string]any{"name": "slow"},
 			map[string]any{"name": "llm", "engine": map[string]any{
 				"slots": 26, "loads-per-s": 4, "loads_at_once": 6, "form-ms": 20, "report_lag_ms": 10,
 				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 1, "warm-s": 0.1}},
