node: requests that still run at the end of a planned stop are answered

What callers saw (report of other operators, shown here by TestOrderInAPlannedStopIsAnsweredBeforeItsEnd, which failed): an order that was read in time and passed on to a silent endpoint ended with a closed connection when the grace period did. It may not be repeated, and its caller couldn't tell whether it had run. Cause: the end of the grace period was known to the listener only; a request's own deadline may lie beyond it, and the process closed what was left. Fix: 0.2 s before the end the requests that still run are given up. One that may have run gets 502, one that wasn't sent 503 with Retry-After; a stream that has begun is broken off, as before.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -43,6 +43,7 @@
 // Causes for cancelling an attempt, or for taking its response as broken off.
 var (
 	errDeadline   = errors.New("the request's deadline has passed")
+	errStopped    = errors.New("this entry VM stops")
 	errNoProgress = errors.New("the endpoint made no progress")
 	errNoEvents   = errors.New("the connection ended before the first event")
 )
@@ -214,7 +215,7 @@
 // waited: its deadline and the age of the catalog.
 func (s *Server) checkStillValid(ctx context.Context, req *request) *problem.Error {
 	if ctx.Err() != nil || req.deadline.Sub(s.now()) < minTimeLeft {
-		return s.finalFault(req, problem.New(problem.DeadlineExceeded, "the deadline has passed", "allow more time"))
+		return s.finalFault(req, endProblem(ctx, "the deadline has passed", "allow more time"))
 	}
 	if !s.keysValid(req) {
 		return s.finalFault(req, problem.New(problem.PlatformDown, "the configuration is too old to trust keys", "retry").WithRetryAfter(time.Second))
@@ -222,6 +223,15 @@
 	return nil
 }
 
+// endProblem returns the problem of a request whose context has ended: the message
+// and remedy if its deadline has passed, or that this entry VM stops.
+func endProblem(ctx context.Context, message, remedy string) *problem.Error {
+	if errors.Is(context.Cause(ctx), errStopped) {
+		return problem.New(problem.Stopping, errStopped.Error(), "retry if the request may run twice").WithRetryAfter(time.Second)
+	}
+	return problem.New(problem.DeadlineExceeded, message, remedy)
+}
+
 // finalFault rules out further attempts and returns the problem as withRunStatus
 // does.
 func (s *Server) finalFault(req *request, p *problem.Error) *problem.Error {
@@ -336,7 +346,7 @@
 	s.log.Info("attempt broke off", "request", req.id, "endpoint", a.ticket.Target.ID, "send", req.sends,
 		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "error", err.Error())
 	if ctx.Err() != nil {
-		return s.withRunStatus(req, problem.New(problem.DeadlineExceeded, "the endpoint did not answer in time", "retry if the request may run twice"))
+		return s.withRunStatus(req, endProblem(ctx, "the endpoint did not answer in time", "retry if the request may run twice"))
 	}
 	return s.withRunStatus(req, problem.New(problem.EndpointFailed, "the endpoint broke off", "retry if the request may run twice"))
 }
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -25,6 +25,8 @@
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, req *request) {
 	ctx, cancel := context.WithTimeoutCause(r.Context(), req.deadline.Sub(s.now()), errDeadline)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer context.AfterFunc(s.serving, func() { giveUp(context.Cause(s.serving)) })()
 	defer func() { s.bodies.release(req.buffered) }()
 	if req.route.Kind == catalog.Stream {
 		s.serveStream(ctx, w, r, req)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -40,14 +41,23 @@
 	bodies *bodyBudget
 	// stopping is closed when callers should move to another entry VM.
 	stopping <-chan struct{}
+	// serving ends when requests that still run are to be given up.
+	serving context.Context
+	giveUp  context.CancelCauseFunc
 }
 
 // NewServer returns a server that uses the given state. Once stopping is
 // closed, responses ask callers to close their connections.
 func NewServer(opts Options, proto Protocol, state *State, client *upstream.Client, stopping <-chan struct{}) *Server {
-	return &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: newBodyBudget(opts.BodyBytes), stopping: stopping}
+	s := &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: newBodyBudget(opts.BodyBytes), stopping: stopping}
+	s.serving, s.giveUp = context.WithCancelCause(context.Background())
+	return s
 }
 
+// EndRequests gives up the requests that still run, as this entry VM stops. Those
+// whose response has not begun are answered.
+func (s *Server) EndRequests() { s.giveUp(errStopped) }
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	select {
--- a/internal/node/constants.go
+++ b/internal/node/constants.go
@@ -90,6 +90,11 @@
 	// grace period divided by stopMarginDivisor.
 	stopMargin        = 700 * time.Millisecond
 	stopMarginDivisor = 4
+	// lastAnswersPeriod is how long before the end of a stop the requests that still
+	// run are given up, so that their callers get an answer, at most the time for
+	// stopping divided by lastAnswersDivisor.
+	lastAnswersPeriod  = 200 * time.Millisecond
+	lastAnswersDivisor = 20
 	// leaveTimeout is how long a node that has ended its requests tries to remove its
 	// registration, at most half of what is left of the grace period.
 	leaveTimeout = 400 * time.Millisecond
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,7 @@
 	coord    *coordinator.Coordinator
 	follower *relay.Follower
 	backends Backends
+	callers  *entry.Server // nil until callerServer
 	stopping chan struct{}
 	// process identifies this start of the process.
 	process        string
@@ -242,6 +243,10 @@
 	time.Sleep(notice)
 	ctx, cancel := context.WithTimeout(ctx, total-time.Since(started))
 	defer cancel()
+	if n.callers != nil {
+		lastAnswers := time.AfterFunc(total-time.Since(started)-min(lastAnswersPeriod, total/lastAnswersDivisor), n.callers.EndRequests)
+		defer lastAnswers.Stop()
+	}
 	if err := server.Shutdown(ctx); err != nil {
 		n.log.Warn("requests were aborted by the shutdown", "left", n.activeRequests.Load(), "error", err)
 	}
@@ -270,7 +275,7 @@
 
 // callerServer returns the server for callers.
 func (n *Node) callerServer() *http.Server {
-	handler := entry.NewServer(entry.Options{
+	n.callers = entry.NewServer(entry.Options{
 		KeysValidFor: n.cfg.Bounds.KeysValid - keyValidityMargin, UnknownAfter: unknownRouteAge, BodyBytes: n.cfg.Memory.LimitMB << 20 / bodyMemoryDivisor,
 		Log: n.log, Metrics: n.registry, Now: boottime.Now,
 	}, n.backends.Protocol, n.state, n.client, n.stopping)
@@ -278,7 +283,7 @@
 		n.activeRequests.Add(1)
 		defer n.activeRequests.Add(-1)
 		defer n.logPanic(r)
-		handler.ServeHTTP(w, r)
+		n.callers.ServeHTTP(w, r)
 	})
 	return &http.Server{
 		Handler: counted, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
