quarantine: a request is released once another one explains its ends

Cause: what is known of the ends when a node decides may be a part of it, and a quarantine was never looked at again. Fix: a quarantined request all of whose ends another quarantined part shares, with more ends, is released, at all nodes; and a request with more ends than the one that explains them counts with all of its own.

--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -31,16 +31,16 @@
 	wasAnswered bool // whether the part was ever answered
 }
 
-// Tick decides which parts to quarantine and returns those that were added. It
-// also drops what is out of date.
-func (r *Record) Tick(now time.Time) []Quarantined {
+// Tick decides which parts to quarantine, and which requests to release because
+// another one accounts for their ends. It returns both, and drops what is out of
+// date.
+func (r *Record) Tick(now time.Time) (added []Quarantined, released []Part) {
 	r.expire(now)
 	if !r.pending && len(r.candidates) == 0 {
-		return nil
+		return nil, nil
 	}
 	r.pending = false
 	r.extendEntries(now)
-	var added []Quarantined
 	for {
 		s := r.nextSuspect(now)
 		if s == nil {
@@ -49,7 +49,11 @@
 		r.add(now, s)
 		added = append(added, r.quarantined[s.part].message(now, s.part))
 	}
-	return added
+	for _, p := range r.explainedRequests() {
+		r.Release(now, p)
+		released = append(released, p)
+	}
+	return added, released
 }
 
 // nextSuspect returns the part that explains most ends, if these are enough to
@@ -70,17 +74,42 @@
 }
 
 // endsNeeded returns the number of ends that quarantine a suspect which was never
-// answered.
+// answered. Two are enough for a request whose ends no other one shares. Nodes that
+// have not heard of such another one yet may be wrong, until it has more ends; see
+// explainedRequests.
 func endsNeeded(s *suspect, suspects []*suspect) int {
-	if !s.part.IsRequest() {
-		return endsToQuarantine
+	isShared := slices.ContainsFunc(suspects, func(other *suspect) bool {
+		return other != s && other.part.IsRequest() && !other.wasAnswered && other.explains(s.ends)
+	})
+	if s.part.IsRequest() && !isShared {
+		return requestEndsToQuarantine
 	}
-	for _, other := range suspects {
-		if other != s && other.part.IsRequest() && !other.wasAnswered && other.explains(s.ends) {
-			return endsToQuarantine
+	return endsToQuarantine
+}
+
+// explainedRequests returns the quarantined requests all of whose ends are also those
+// of another quarantined part with more ends, sorted.
+func (r *Record) explainedRequests() []Part {
+	var out []Part
+	for _, p := range r.Parts() {
+		ends := r.confirmedEndsUnder(p)
+		if !p.IsRequest() || len(ends) == 0 {
+			continue
+		}
+		for _, other := range r.Parts() {
+			s := suspect{part: other}
+			if s.explains(ends) && len(r.confirmedEndsUnder(other)) > len(ends) {
+				out = append(out, p)
+				break
+			}
 		}
 	}
-	return requestEndsToQuarantine
+	return out
+}
+
+// confirmedEndsUnder returns the confirmed ends with a part.
+func (r *Record) confirmedEndsUnder(p Part) []*end {
+	return slices.DeleteFunc(r.endsUnder(p), func(e *end) bool { return !e.confirmed })
 }
 
 // explains reports whether the suspect is held by all of the given ends.
@@ -115,17 +144,17 @@
 
 // suspects returns the parts that are not cleared of the confirmed ends, the prime
 // one first. Ends under a quarantined part of prompts are explained and don't count.
-// Those under a quarantined request count against no other request, and against
-// parts unless this request explains all of a part's ends.
+// Those under a quarantined request don't count against other requests that have no
+// more ends, nor against parts if this request explains all of a part's ends.
 func (r *Record) suspects() []*suspect {
 	byPart := make(map[Part]*suspect)
 	for _, e := range r.ends {
 		if !e.confirmed || r.isExplained(e, isPromptPart) {
 			continue
 		}
-		explained := r.isExplained(e, Part.IsRequest)
+		explainedBy := r.mostEndsOfRequests(e)
 		for p, depth := range e.depths {
-			if !e.at.After(r.answeredAt(p)) || p.IsRequest() && explained {
+			if !e.at.After(r.answeredAt(p)) || p.IsRequest() && explainedBy > 0 && len(r.confirmedEndsUnder(p)) <= explainedBy {
 				continue
 			}
 			s := byPart[p]
@@ -152,6 +181,18 @@
 	return out
 }
 
+// mostEndsOfRequests returns the largest number of ends of a quarantined request that
+// accounts for an end, 0 if none does.
+func (r *Record) mostEndsOfRequests(e *end) int {
+	most := 0
+	for p := range r.quarantined {
+		if _, held := e.depths[p]; held && p.IsRequest() {
+			most = max(most, len(r.confirmedEndsUnder(p)))
+		}
+	}
+	return most
+}
+
 func isPromptPart(p Part) bool { return !p.IsRequest() }
 
 // isOneRequest reports whether one quarantined request accounts for all of the ends.
--- a/coord/quarantine/quarantine_test.go
+++ b/coord/quarantine/quarantine_test.go
@@ -40,7 +40,8 @@
 		s.now = s.now.Add(min(interval, left))
 		for i, n := range s.nodes {
 			n.Confirm(s.now, s.status)
-			for _, q := range n.Tick(s.now) {
+			quarantined, _ := n.Tick(s.now)
+			for _, q := range quarantined {
 				added = append(added, q.Part)
 			}
 			if i > 0 {
--- a/coord/quarantine/request_test.go
+++ b/coord/quarantine/request_test.go
@@ -93,3 +93,37 @@
 	}
 	assert.Assert(t, other.Check(s.now, Query{Parts: []Part{request(1)}}) != nil)
 }
+
+// A node that has seen only its own requests break off hears of the others' later.
+func TestRequestBesideADeadlyOneIsNotKeptInQuarantine(t *testing.T) {
+	s := newSite(t, 3)
+	const sound, bad = 1, 2
+	for range requestEndsToQuarantine {
+		s.end(1, []Part{request(sound)})
+		s.vms-- // the same endpoint
+		s.end(2, []Part{request(bad)})
+		s.pass(200 * time.Millisecond)
+	}
+	s.end(2, []Part{request(bad)})
+	s.pass(2 * time.Second)
+	s.assertQuarantined(request(bad))
+}
+
+// More ends show that another request accounts for those of one in quarantine.
+func TestRequestWhoseEndsAnotherExplainsIsReleased(t *testing.T) {
+	s := newSite(t, 3)
+	const sound, bad = 1, 2
+	for range requestEndsToQuarantine {
+		s.end(1, []Part{request(sound)})
+		s.pass(time.Second)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined(request(sound))
+	for vm := range 3 { // the breaks of the other one at the same endpoints, told late
+		s.vms = vm
+		s.end(2, []Part{request(bad)})
+		s.pass(time.Second)
+	}
+	s.pass(time.Second)
+	s.assertQuarantined(request(bad))
+}
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -75,7 +75,9 @@
 	for _, vm := range s.quarantine.Confirm(now, s.statusSince) {
 		s.log.Info("endpoint ended under requests", "endpoint", vm, "parts", partIDs(s.quarantine.PartsOf(vm)))
 	}
-	s.logQuarantined(s.quarantine.Tick(now), "")
+	added, released := s.quarantine.Tick(now)
+	s.logQuarantined(added, "")
+	s.logReleased(released)
 }
 
 // statusSince returns what is known of a start of a VM since a time. s.mu must be
