quarantine: a part beside a deadly request is not blamed for it

Fix: a part is suspected beside a quarantined request only with two ends that this request does not explain, and only a request releases a request.

--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -14,6 +14,10 @@
 	endsToQuarantine         = 3
 	answeredEndsToQuarantine = 5
 	requestEndsToQuarantine  = 2
+	// minOtherEnds is the number of ends beside those under a quarantined request from
+	// which a part that shares these is suspected. A node may not have heard yet that
+	// the request was at one of them.
+	minOtherEnds = 2
 	// minEndGap separates ends with causes of their own. VMs that end closer
 	// together, as those of a rack, count as one end.
 	minEndGap = 100 * time.Millisecond
@@ -88,7 +92,7 @@
 }
 
 // explainedRequests returns the quarantined requests all of whose ends are also those
-// of another quarantined part with more ends, sorted.
+// of another quarantined request with more ends, sorted.
 func (r *Record) explainedRequests() []Part {
 	var out []Part
 	for _, p := range r.Parts() {
@@ -98,7 +102,7 @@
 		}
 		for _, other := range r.Parts() {
 			s := suspect{part: other}
-			if s.explains(ends) && len(r.confirmedEndsUnder(other)) > len(ends) {
+			if other.IsRequest() && s.explains(ends) && len(r.confirmedEndsUnder(other)) > len(ends) {
 				out = append(out, p)
 				break
 			}
@@ -145,7 +149,7 @@
 // suspects returns the parts that are not cleared of the confirmed ends, the prime
 // one first. Ends under a quarantined part of prompts are explained and don't count.
 // Those under a quarantined request don't count against other requests that have no
-// more ends, nor against parts if this request explains all of a part's ends.
+// more ends, and against parts only beside ends that this request does not explain.
 func (r *Record) suspects() []*suspect {
 	byPart := make(map[Part]*suspect)
 	for _, e := range r.ends {
@@ -168,12 +172,12 @@
 	}
 	out := make([]*suspect, 0, len(byPart))
 	for _, s := range byPart {
-		if !s.part.IsRequest() && r.isOneRequest(s.ends) {
-			continue
-		}
 		slices.SortFunc(s.ends, func(a, b *end) int {
 			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.vms[0].VM, b.vms[0].VM))
 		})
+		if !s.part.IsRequest() && r.isOneRequest(s.ends) {
+			continue
+		}
 		s.causes = countCauses(s.ends)
 		out = append(out, s)
 	}
@@ -195,10 +199,20 @@
 
 func isPromptPart(p Part) bool { return !p.IsRequest() }
 
-// isOneRequest reports whether one quarantined request accounts for all of the ends.
+// isOneRequest reports whether one quarantined request accounts for the ends of a part
+// of prompts, or for all but less than minOtherEnds of them, sorted by time.
 func (r *Record) isOneRequest(ends []*end) bool {
 	for p := range r.quarantined {
-		if s := (suspect{part: p}); p.IsRequest() && s.explains(ends) {
+		if !p.IsRequest() {
+			continue
+		}
+		var others []*end
+		for _, e := range ends {
+			if _, held := e.depths[p]; !held {
+				others = append(others, e)
+			}
+		}
+		if len(others) < len(ends) && countCauses(others) < minOtherEnds {
 			return true
 		}
 	}
--- a/coord/quarantine/request_test.go
+++ b/coord/quarantine/request_test.go
@@ -127,3 +127,20 @@
 	s.pass(time.Second)
 	s.assertQuarantined(request(bad))
 }
+
+// Sound requests share a part that was not answered yet, and stand beside the deadly
+// one at its endpoints. One node doesn't know yet that it was at the last of them.
+func TestPartBesideADeadlyRequestIsNotQuarantined(t *testing.T) {
+	s := newSite(t, 1)
+	const other Part = 0x0abc
+	for i := range 4 {
+		prompts := [][]Part{{other, request(10 + i)}}
+		if i < 3 {
+			prompts = append(prompts, []Part{first, request(1)})
+		}
+		s.end(0, prompts...)
+		s.pass(300 * time.Millisecond)
+	}
+	s.pass(2 * time.Second)
+	s.assertQuarantined(request(1))
+}
