quarantine: a part is tried again twice at most

Now two trials that end an endpoint are the last; then an operator releases the part by deleting its row. The number of trials is in the row and in what nodes tell each other. TestRequestIsTriedAgainTwiceAtMost.

--- a/coord/quarantine/exchange.go
+++ b/coord/quarantine/exchange.go
@@ -91,7 +91,7 @@
 func (r *Record) applyEntry(now, asOf time.Time, remote Quarantined) bool {
 	b := &entry{
 		at: asOf.Add(-remote.Age), lastEndAt: asOf.Add(-remote.EndAge),
-		ends: slices.Clone(remote.Ends[:min(len(remote.Ends), maxEndsListed)]), changedAt: now,
+		ends: slices.Clone(remote.Ends[:min(len(remote.Ends), maxEndsListed)]), trials: max(0, remote.Trials), changedAt: now,
 	}
 	if r.answeredAt(remote.Part).After(b.lastEndAt) {
 		return false
@@ -104,5 +104,8 @@
 	if b.lastEndAt.Sub(known.lastEndAt) >= minEndGap {
 		known.lastEndAt, known.changedAt = b.lastEndAt, now
 	}
+	if b.trials > known.trials {
+		known.trials, known.changedAt = b.trials, now
+	}
 	return false
 }
--- a/coord/quarantine/messages.go
+++ b/coord/quarantine/messages.go
@@ -45,6 +45,8 @@
 	Age, EndAge time.Duration
 	// Ends are the endpoints that ended, oldest first, at most maxEndsListed.
 	Ends []string
+	// Trials is the number of trials of the part that ended an endpoint.
+	Trials int `json:",omitempty"`
 }
 
 // Update is what a node tells another one.
--- a/coord/quarantine/quarantined.go
+++ b/coord/quarantine/quarantined.go
@@ -10,6 +10,9 @@
 	// quarantineTerm is how long a part is quarantined after the newest end under it,
 	// until one request is sent to find out whether it still ends endpoints.
 	quarantineTerm = 10 * time.Minute
+	// maxTrials is the number of trials that may end an endpoint. After them only an
+	// operator releases the part.
+	maxTrials = 2
 	// trialTimeout is how long the outcome of that request is awaited.
 	trialTimeout = 30 * time.Second
 	// maxQuarantined limits the quarantined parts. The one whose last end is longest ago
@@ -27,6 +30,7 @@
 	at        time.Time
 	lastEndAt time.Time
 	ends      []string // VMs that ended, oldest first
+	trials    int      // number of trials that ended an endpoint
 	trialAt   time.Time
 	changedAt time.Time
 }
@@ -116,16 +120,20 @@
 
 // isDue reports whether the part may be tried again.
 func (b *entry) isDue(now time.Time) bool {
-	return now.Sub(b.lastEndAt) >= quarantineTerm && now.Sub(b.trialAt) >= trialTimeout
+	return b.trials < maxTrials && now.Sub(b.lastEndAt) >= quarantineTerm && now.Sub(b.trialAt) >= trialTimeout
 }
 
-// retryAfter returns the time until the part may be tried again.
+// retryAfter returns the time until the part may be tried again, or a whole term if
+// an operator has to release it.
 func (b *entry) retryAfter(now time.Time) time.Duration {
+	if b.trials >= maxTrials {
+		return quarantineTerm
+	}
 	return max(trialTimeout, b.lastEndAt.Add(quarantineTerm).Sub(now))
 }
 
 func (b *entry) message(now time.Time, p Part) Quarantined {
-	return Quarantined{Part: p, Age: now.Sub(b.at), EndAge: now.Sub(b.lastEndAt), Ends: slices.Clone(b.ends)}
+	return Quarantined{Part: p, Age: now.Sub(b.at), EndAge: now.Sub(b.lastEndAt), Ends: slices.Clone(b.ends), Trials: b.trials}
 }
 
 // add quarantines a suspect.
@@ -140,6 +148,9 @@
 			if !e.confirmed || !e.at.After(b.lastEndAt) {
 				continue
 			}
+			if e.at.Sub(b.lastEndAt) >= quarantineTerm {
+				b.trials++
+			}
 			b.lastEndAt, b.changedAt = e.at, now
 			if len(b.ends) < maxEndsListed {
 				b.ends = append(b.ends, e.vms[0].VM)
--- a/coord/quarantine/request_test.go
+++ b/coord/quarantine/request_test.go
@@ -144,3 +144,25 @@
 	s.pass(2 * time.Second)
 	s.assertQuarantined(request(1))
 }
+
+// Each trial of a request that is still deadly costs an endpoint.
+func TestRequestIsTriedAgainTwiceAtMost(t *testing.T) {
+	s := newSite(t, 2)
+	s.end(0, []Part{request(1)})
+	s.pass(time.Second)
+	s.end(0, []Part{request(1)})
+	s.pass(time.Second)
+	s.assertQuarantined(request(1))
+	trials := 0
+	for range 20 {
+		s.pass(quarantineTerm / 2)
+		if s.nodes[0].Check(s.now, Query{Parts: []Part{request(1)}, MayTry: true}) == nil {
+			trials++
+			s.end(0, []Part{request(1)})
+			s.pass(time.Second)
+		}
+	}
+	assert.Equal(t, trials, maxTrials)
+	row := s.nodes[1].Rows(s.now, time.Now())[0]
+	assert.Equal(t, row.Trials, maxTrials, "a node that starts later knows it")
+}
--- a/coord/quarantine/row.go
+++ b/coord/quarantine/row.go
@@ -13,6 +13,8 @@
 	EndedMS int64
 	// Ends are the endpoints that ended, oldest first.
 	Ends []string
+	// Trials is the number of trials of the part that ended an endpoint.
+	Trials int
 }
 
 // Rows returns the rows of the quarantined parts, sorted by part. wall is the time
@@ -21,7 +23,7 @@
 	var out []Row
 	for _, p := range r.Parts() {
 		b := r.quarantined[p]
-		out = append(out, Row{Part: p, EndedMS: wall.Add(-now.Sub(b.lastEndAt)).UnixMilli(), Ends: slices.Clone(b.ends)})
+		out = append(out, Row{Part: p, EndedMS: wall.Add(-now.Sub(b.lastEndAt)).UnixMilli(), Ends: slices.Clone(b.ends), Trials: b.trials})
 	}
 	return out
 }
@@ -29,7 +31,7 @@
 // ApplyRow applies a row. It reports whether the part is newly quarantined.
 func (r *Record) ApplyRow(now, wall time.Time, row Row) bool {
 	age := max(0, wall.Sub(time.UnixMilli(row.EndedMS)))
-	return r.applyEntry(now, now, Quarantined{Part: row.Part, Age: age, EndAge: age, Ends: row.Ends})
+	return r.applyEntry(now, now, Quarantined{Part: row.Part, Age: age, EndAge: age, Ends: row.Ends, Trials: row.Trials})
 }
 
 // Release releases a part that another node has released, and reports whether it
