--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -17,7 +17,8 @@
 	requests, repeats []time.Time
 }
 
-func newRepeatSite(t *testing.T, nodes int) *repeatSite {
+func newRepeatSite(t *testing.T) *repeatSite {
+	const nodes = 4
 	s := &repeatSite{t: t, opts: testOptions(), now: start}
 	for range nodes {
 		s.nodes = append(s.nodes, s.newNode())
@@ -99,7 +100,7 @@
 }
 
 func TestRestartsDoNotRefillTheBudgetOfRepeats(t *testing.T) {
-	s := newRepeatSite(t, 4)
+	s := newRepeatSite(t)
 	for range 6 {
 		s.spend(1500 * time.Millisecond)
 		for i := range s.nodes {
@@ -113,7 +114,7 @@
 
 // Nodes that stop leave the list of nodes first, and learn no shorter one.
 func TestStoppingNodesKeepTheirShareOfTheBudget(t *testing.T) {
-	s := newRepeatSite(t, 4)
+	s := newRepeatSite(t)
 	for listed := 4; listed > 0; listed-- {
 		for i := range listed {
 			s.nodes[i].SetNodes(s.now, listed, i)
@@ -126,7 +127,7 @@
 
 // A node that has heard of no list knows of no others.
 func TestNodeWithoutAListOfNodesHasNoSlack(t *testing.T) {
-	s := newRepeatSite(t, 4)
+	s := newRepeatSite(t)
 	for i := range s.nodes {
 		s.nodes[i] = s.newNode()
 	}
@@ -138,7 +139,7 @@
 // The first repeats come at the end of a bucket, and more as soon as their bucket
 // has left the window.
 func TestBurstsOfRepeatsAWindowApartStayWithinTheBudget(t *testing.T) {
-	s := newRepeatSite(t, 4)
+	s := newRepeatSite(t)
 	const step = 50 * time.Millisecond
 	isBurst := func(elapsed time.Duration) bool {
 		return elapsed >= 9950*time.Millisecond && elapsed < 10*time.Second || elapsed >= 19*time.Second
