dispatch: a node whose callers have moved leaves them their part of the budget

Fix: a node counts no more than twice the requests of the newer half of its window. With an even or rising load that is all of them. Evidence: TestBudgetOfRepeatsFollowsCallersThatMove failed (644 repeats, 616 allowed) and passes.

--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -25,6 +25,13 @@
 // bucket returns the number of the bucket at a time.
 func (r *repeatCounter) bucket(now time.Time) int64 { return now.UnixNano() / int64(r.bucketLength) }
 
+// countRequests returns the requests that count for the budget: those of the window,
+// but no more than twice those of its newer half. A node whose callers have moved to
+// others leaves them the budget of these callers.
+func (r *repeatCounter) countRequests(bucket int64) int {
+	return min(r.requests.sum(bucket), 2*r.requests.sumOf(bucket, repeatBuckets/2+1))
+}
+
 // bucketCounts counts events in the newest buckets.
 type bucketCounts struct {
 	counts []int
@@ -38,11 +45,14 @@
 }
 
 // sum returns the number of events in the buckets up to the given one.
-func (c *bucketCounts) sum(bucket int64) int {
+func (c *bucketCounts) sum(bucket int64) int { return c.sumOf(bucket, len(c.counts)) }
+
+// sumOf returns the number of events in the n buckets up to the given one.
+func (c *bucketCounts) sumOf(bucket int64, n int) int {
 	c.advance(bucket)
 	total := 0
-	for _, n := range c.counts {
-		total += n
+	for i := range int64(n) {
+		total += c.counts[(c.newest-i)%int64(len(c.counts))]
 	}
 	return total
 }
@@ -74,7 +84,8 @@
 
 // RepeatUse is a node's use of its share of a service's budget of repeats.
 type RepeatUse struct {
-	// Requests and Repeats are the counts of the window.
+	// Requests and Repeats are the counts of the window. Requests are fewer if they
+	// have become rarer in it.
 	Requests, Repeats int
 	// Limit is the largest number of repeats that the share allows now.
 	Limit float64
@@ -101,7 +112,7 @@
 func (t *Table) RepeatUse(now time.Time, service string, begun bool) RepeatUse {
 	b := t.budget(service)
 	bucket := b.bucket(now)
-	use := RepeatUse{Requests: b.requests.sum(bucket), Repeats: b.repeats.sum(bucket), Nodes: t.nodeCounts.sharers(now)}
+	use := RepeatUse{Requests: b.countRequests(bucket), Repeats: b.repeats.sum(bucket), Nodes: t.nodeCounts.sharers(now)}
 	fraction := newFraction
 	if begun {
 		fraction = begunFraction
--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -155,3 +155,27 @@
 	}
 	s.assertWithinBudget()
 }
+
+// Load: the callers of two nodes move to the two others. Later all answers begin to
+// break off, also those of streams that the first two still serve.
+func TestBudgetOfRepeatsFollowsCallersThatMove(t *testing.T) {
+	const step, moved, broken, ended = 50 * time.Millisecond, 10 * time.Second, 13 * time.Second, 16 * time.Second
+	s := newRepeatSite(t)
+	for elapsed := time.Duration(0); elapsed < 25*time.Second; elapsed += step {
+		for i, n := range s.nodes {
+			left := i < 2 && elapsed >= moved
+			switch {
+			case left:
+			case elapsed >= moved:
+				s.request(n, 6)
+			default:
+				s.request(n, 3)
+			}
+			if elapsed >= broken && !(left && elapsed >= ended) {
+				s.repeat(n, 100, true)
+			}
+		}
+		s.pass(step)
+	}
+	s.assertWithinBudget()
+}
