--- a/coord/dispatch/repeat.go
+++ b/coord/dispatch/repeat.go
@@ -137,8 +137,9 @@
 
 // newFraction and begunFraction are the fractions of the budget available to
 // requests whose answer has not begun and has begun. The rest is a margin for
-// sends that arrive late and for nodes that are not counted yet.
+// sends that arrive late, nodes that are not counted yet, and callers that move
+// between nodes within a window, whose requests then count at both.
 const (
 	newFraction   = 0.65
-	begunFraction = 0.85
+	begunFraction = 0.75
 )
