--- a/coord/dispatch/repeat_test.go
+++ b/coord/dispatch/repeat_test.go
@@ -171,7 +171,8 @@
 			default:
 				s.request(n, 3)
 			}
-			if elapsed >= broken && !(left && elapsed >= ended) {
+			served := !left || elapsed < ended
+			if served && elapsed >= broken {
 				s.repeat(n, 100, true)
 			}
 		}
