--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -91,29 +91,21 @@
 	return endsToQuarantine
 }
 
-// explainedRequests returns the quarantined requests all of whose ends are also those
-// of another quarantined request with more ends, sorted.
+// explainedRequests returns the quarantined requests all of whose confirmed ends are
+// also those of another quarantined request with more ends, sorted.
 func (r *Record) explainedRequests() []Part {
-	var out []Part
-	for _, p := range r.Parts() {
-		ends := r.confirmedEndsUnder(p)
-		if !p.IsRequest() || len(ends) == 0 {
-			continue
-		}
-		for _, other := range r.Parts() {
-			s := suspect{part: other}
-			if other.IsRequest() && s.explains(ends) && len(r.confirmedEndsUnder(other)) > len(ends) {
-				out = append(out, p)
-				break
-			}
-		}
+	requests := slices.DeleteFunc(r.Parts(), func(p Part) bool { return !p.IsRequest() })
+	if len(requests) < 2 {
+		return nil
 	}
-	return out
-}
-
-// confirmedEndsUnder returns the confirmed ends with a part.
-func (r *Record) confirmedEndsUnder(p Part) []*end {
-	return slices.DeleteFunc(r.endsUnder(p), func(e *end) bool { return !e.confirmed })
+	counts := r.countConfirmedEnds()
+	return slices.DeleteFunc(slices.Clone(requests), func(p Part) bool {
+		ends := slices.DeleteFunc(r.endsUnder(p), func(e *end) bool { return !e.confirmed })
+		isExplained := slices.ContainsFunc(requests, func(other Part) bool {
+			return counts[other] > len(ends) && (&suspect{part: other}).explains(ends)
+		})
+		return len(ends) == 0 || !isExplained
+	})
 }
 
 // explains reports whether the suspect is held by all of the given ends.
@@ -152,13 +144,14 @@
 // more ends, and against parts only beside ends that this request does not explain.
 func (r *Record) suspects() []*suspect {
 	byPart := make(map[Part]*suspect)
+	ends := r.countConfirmedEnds()
 	for _, e := range r.ends {
-		if !e.confirmed || r.isExplained(e, isPromptPart) {
+		if !e.confirmed || r.isExplained(e) {
 			continue
 		}
-		explainedBy := r.mostEndsOfRequests(e)
+		explainedBy := r.mostEndsOfRequests(e, ends)
 		for p, depth := range e.depths {
-			if !e.at.After(r.answeredAt(p)) || p.IsRequest() && explainedBy > 0 && len(r.confirmedEndsUnder(p)) <= explainedBy {
+			if !e.at.After(r.answeredAt(p)) || p.IsRequest() && ends[p] <= explainedBy {
 				continue
 			}
 			s := byPart[p]
@@ -185,20 +178,32 @@
 	return out
 }
 
+// countConfirmedEnds returns the number of confirmed ends by part.
+func (r *Record) countConfirmedEnds() map[Part]int {
+	out := make(map[Part]int)
+	for _, e := range r.ends {
+		if !e.confirmed {
+			continue
+		}
+		for p := range e.depths {
+			out[p]++
+		}
+	}
+	return out
+}
+
 // mostEndsOfRequests returns the largest number of ends of a quarantined request that
-// accounts for an end, 0 if none does.
-func (r *Record) mostEndsOfRequests(e *end) int {
+// accounts for an end, 0 if none does. ends are the numbers by part.
+func (r *Record) mostEndsOfRequests(e *end, ends map[Part]int) int {
 	most := 0
 	for p := range r.quarantined {
 		if _, held := e.depths[p]; held && p.IsRequest() {
-			most = max(most, len(r.confirmedEndsUnder(p)))
+			most = max(most, ends[p])
 		}
 	}
 	return most
 }
 
-func isPromptPart(p Part) bool { return !p.IsRequest() }
-
 // isOneRequest reports whether one quarantined request accounts for the ends of a part
 // of prompts, or for all but less than minOtherEnds of them, sorted by time.
 func (r *Record) isOneRequest(ends []*end) bool {
@@ -245,10 +250,10 @@
 	return n
 }
 
-// isExplained reports whether a quarantined part of a kind accounts for an end.
-func (r *Record) isExplained(e *end, ofKind func(Part) bool) bool {
+// isExplained reports whether a quarantined part of prompts accounts for an end.
+func (r *Record) isExplained(e *end) bool {
 	for p := range r.quarantined {
-		if _, held := e.depths[p]; held && ofKind(p) {
+		if _, held := e.depths[p]; held && !p.IsRequest() {
 			return true
 		}
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -85,7 +85,7 @@
 		if fault := s.checkStillValid(ctx, req); fault != nil {
 			return nil, fault
 		}
-		// An endpoint that could not be reached has used no budget of repeats.
+		// Further dials belong to the same send, for which the budget has been taken.
 		resent := req.sends > 0 && dials == 0
 		a, fault := s.place(ctx, req, resent)
 		if fault != nil {
