quarantine: a request is released only once all of its ends are known

Cause: at one node a sound request had three known ends and the deadly one two, since its third was known to another node only; the deadly one was released, and counted as answered from then on. Fix: a request is released for another one when the ends of that have been settled for 2 s, looked at once a second.

--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -24,6 +24,9 @@
 	// clearingPeriod is how long answers at other nodes can clear a part that was
 	// answered before, from when its ends are enough to quarantine it.
 	clearingPeriod = time.Second
+	// settlingPeriod is how long after an end all nodes have heard which requests were
+	// there.
+	settlingPeriod = 2 * time.Second
 )
 
 // suspect is a part with the ends that count against it.
@@ -39,9 +42,11 @@
 // another one accounts for their ends. It returns both, and drops what is out of
 // date.
 func (r *Record) Tick(now time.Time) (added []Quarantined, released []Part) {
-	r.expire(now)
+	if r.expire(now) {
+		released = r.releaseExplained(now)
+	}
 	if !r.pending && len(r.candidates) == 0 {
-		return nil, nil
+		return nil, released
 	}
 	r.pending = false
 	r.extendEntries(now)
@@ -53,11 +58,16 @@
 		r.add(now, s)
 		added = append(added, r.quarantined[s.part].message(now, s.part))
 	}
-	for _, p := range r.explainedRequests() {
+	return added, released
+}
+
+// releaseExplained releases the requests that another one explains, and returns them.
+func (r *Record) releaseExplained(now time.Time) []Part {
+	explained := r.explainedRequests(now)
+	for _, p := range explained {
 		r.Release(now, p)
-		released = append(released, p)
 	}
-	return added, released
+	return explained
 }
 
 // nextSuspect returns the part that explains most ends, if these are enough to
@@ -92,8 +102,9 @@
 }
 
 // explainedRequests returns the quarantined requests all of whose confirmed ends are
-// also those of another quarantined request with more ends, sorted.
-func (r *Record) explainedRequests() []Part {
+// also those of another quarantined request with more ends, sorted. Ends of both must
+// have settled: the one with fewer may have been at others that are not known yet.
+func (r *Record) explainedRequests(now time.Time) []Part {
 	requests := slices.DeleteFunc(r.Parts(), func(p Part) bool { return !p.IsRequest() })
 	if len(requests) < 2 {
 		return nil
@@ -102,7 +113,8 @@
 	return slices.DeleteFunc(slices.Clone(requests), func(p Part) bool {
 		ends := slices.DeleteFunc(r.endsUnder(p), func(e *end) bool { return !e.confirmed })
 		isExplained := slices.ContainsFunc(requests, func(other Part) bool {
-			return counts[other] > len(ends) && (&suspect{part: other}).explains(ends)
+			isSettled := now.Sub(r.quarantined[other].lastEndAt) >= settlingPeriod
+			return isSettled && counts[other] > len(ends) && (&suspect{part: other}).explains(ends)
 		})
 		return len(ends) == 0 || !isExplained
 	})
--- a/coord/quarantine/record.go
+++ b/coord/quarantine/record.go
@@ -288,10 +288,11 @@
 // expireInterval is the time between searches for what is out of date.
 const expireInterval = time.Second
 
-// expire drops what is older than its retention.
-func (r *Record) expire(now time.Time) {
+// expire drops what is older than its retention, once in expireInterval. It reports
+// whether it has looked.
+func (r *Record) expire(now time.Time) bool {
 	if now.Sub(r.expiredAt) < expireInterval {
-		return
+		return false
 	}
 	r.expiredAt = now
 	for s, e := range r.ends {
@@ -305,6 +306,7 @@
 			delete(r.answered, p)
 		}
 	}
+	return true
 }
 
 // isHeld reports whether any end has a part.
