quarantine: a request needs three ends, as a part does

A sound request was held for two ends of one mass crash: its repeat broke off 0.1 s later at a second endpoint that had ended together with the first. Cause: what is known of the moment of an end are breaks of requests that had not been answered; with two ends one wrong moment is enough. Fix: three ends for requests as well; the rule for two is gone.

--- a/coord/quarantine/decide.go
+++ b/coord/quarantine/decide.go
@@ -9,11 +9,8 @@
 const (
 	// endsToQuarantine is the number of ends that quarantine a part which was never
 	// answered, and answeredEndsToQuarantine that for one which was.
-	// requestEndsToQuarantine is that for a request which was never answered, if no
-	// other one explains the same ends.
 	endsToQuarantine         = 3
 	answeredEndsToQuarantine = 5
-	requestEndsToQuarantine  = 2
 	// minOtherEnds is the number of ends beside those under a quarantined request from
 	// which a part that shares these is suspected. A node may not have heard yet that
 	// the request was at one of them.
@@ -77,7 +74,7 @@
 	suspects := r.suspects()
 	r.updateCandidates(now, suspects)
 	for _, s := range suspects {
-		if !s.wasAnswered && s.causes >= endsNeeded(s, suspects) {
+		if !s.wasAnswered && s.causes >= endsToQuarantine {
 			return s
 		}
 		if since, ok := r.candidates[s.part]; ok && now.Sub(since) >= clearingPeriod {
@@ -87,20 +84,6 @@
 	return nil
 }
 
-// endsNeeded returns the number of ends that quarantine a suspect which was never
-// answered. Two are enough for a request whose ends no other one shares. Nodes that
-// have not heard of such another one yet may be wrong, until it has more ends; see
-// explainedRequests.
-func endsNeeded(s *suspect, suspects []*suspect) int {
-	isShared := slices.ContainsFunc(suspects, func(other *suspect) bool {
-		return other != s && other.part.IsRequest() && !other.wasAnswered && other.explains(s.ends)
-	})
-	if s.part.IsRequest() && !isShared {
-		return requestEndsToQuarantine
-	}
-	return endsToQuarantine
-}
-
 // explainedRequests returns the quarantined requests all of whose confirmed ends are
 // also those of another quarantined request with more ends, sorted. Ends of both must
 // have settled: the one with fewer may have been at others that are not known yet.
