--- a/review/_harness/memory.go
+++ b/review/_harness/memory.go
@@ -20,8 +20,8 @@
 	bodyBytes = 4 << 20
 	// burstClients send a large order at the same moment, and usualClients send small
 	// ones all the while: together the 97 clients of the site.
-	burstClients = 66
-	usualClients = 31
+	burstClients = 80
+	usualClients = 17
 )
 
 // playMemory lets most clients send one order with a body of the allowed size at the
