--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/httpstatus"
 )
 
 // response is a complete response of an endpoint.
@@ -136,8 +137,14 @@
 	return s.withRunStatus(req, problem.New(problem.EndpointFailed, "the endpoint did not run the request", "retry").WithRetryAfter(time.Second/2))
 }
 
-// deliver sends an endpoint's response to the caller.
+// deliver sends an endpoint's response to the caller, or a problem in its place if
+// the status would promise that a request has not run that may have.
 func (s *Server) deliver(w http.ResponseWriter, req *request, got *response) {
+	if !req.route.Repeatable() && httpstatus.PromisesNotRun(got.status) {
+		s.refuse(w, req.id, req, problem.New(problem.EndpointFailed,
+			"the endpoint answered "+strconv.Itoa(got.status)+" and did not state that the request has not run", "check whether it took effect"))
+		return
+	}
 	copyHeader(w.Header(), got.header)
 	w.Header().Set("Content-Length", strconv.Itoa(len(got.body)))
 	w.WriteHeader(got.status)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -97,8 +97,13 @@
 	return http.StatusServiceUnavailable
 }
 
-// refuse responds with a problem. req is nil if the request was not accepted.
+// refuse responds with a problem. req is nil if the request was not accepted. All
+// answers of this entry VM's own are sent here, so that none promises that a request
+// has not run that may have.
 func (s *Server) refuse(w http.ResponseWriter, id string, req *request, p *problem.Error) {
+	if req != nil {
+		p = s.withRunStatus(req, p)
+	}
 	status := statusOf(p)
 	h := w.Header()
 	if id != "" {
