entry: a run of a standby attempt is remembered in the stream's answer

Callers of a resumable stream heard 503, "not run", although a standby attempt had run it: the attempt failed, and the stream's own endpoint then stated that it had not run the request. Cause: addSends brought the counts of a standby attempt back to the stream's request, but not the flag that it may have run. The flag is a count now. TestRunOfAStandbyIsRememberedWhenTheOwnEndpointRefuses failed before (503).

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -140,7 +140,7 @@
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun, PromptTokens: req.promptTokens, Parts: req.parts, Resent: resent}
+		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Parts: req.parts, Resent: resent}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
 	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
@@ -241,7 +241,7 @@
 
 // withRunStatus returns the problem, marked if the request may have run.
 func (s *Server) withRunStatus(req *request, p *problem.Error) *problem.Error {
-	if req.mayHaveRun {
+	if req.mayHaveRun() {
 		return p.WithRanUnknown()
 	}
 	return p
@@ -360,9 +360,12 @@
 func (req *request) countRun() {
 	req.sends++
 	req.attempts++
-	req.mayHaveRun = true
+	req.runs++
 }
 
+// mayHaveRun reports whether any send may have run.
+func (req *request) mayHaveRun() bool { return req.runs > 0 }
+
 // canRepeat reports whether the request may be sent again after a send that may
 // have run.
 func (req *request) canRepeat() bool {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -67,7 +67,7 @@
 	if req.final || ctx.Err() != nil || req.sends >= maxSends {
 		return false
 	}
-	return !req.mayHaveRun || req.canRepeat()
+	return !req.mayHaveRun() || req.canRepeat()
 }
 
 // fetchOnce makes one attempt and reads the complete response.
--- a/internal/entry/promise_test.go
+++ b/internal/entry/promise_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	"gotest.tools/v3/assert"
 
@@ -59,6 +60,44 @@
 	assert.Assert(t, !httpstatus.PromisesNotRun(status), "status %d", status)
 }
 
+// Guards against a stream that ran at a standby attempt's endpoint and is answered as
+// not run, since its own endpoint refused it in the end.
+func TestRunOfAStandbyIsRememberedWhenTheOwnEndpointRefuses(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		var sent atomic.Int32
+		first, release, failed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+		handler := func(w http.ResponseWriter, r *http.Request) {
+			switch sent.Add(1) {
+			case 1:
+				close(first)
+				<-release
+				refuseBusy(w, r)
+			case 2:
+				defer close(failed)
+				w.WriteHeader(http.StatusInternalServerError)
+			default:
+				refuseBusy(w, r)
+			}
+		}
+		for range 3 {
+			s.add(handler)
+		}
+		answered := make(chan int, 1)
+		go func() {
+			status, _, _, _ := s.do(s.request(http.MethodPost, "/stream/"))
+			answered <- status
+		}()
+		<-first
+		assert.Equal(t, s.doubtAll(), 1)
+		<-failed
+		synctest.Wait() // the standby attempt has ended
+		close(release)
+		status := <-answered
+		assert.Assert(t, !httpstatus.PromisesNotRun(status), "status %d", status)
+	})
+}
+
 // Guards against worse answers to requests that may be repeated: their endpoint's own
 // failure is delivered, with the time after which it wants to be asked again.
 func TestFailureOfARepeatableRequestIsDelivered(t *testing.T) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -46,8 +46,9 @@
 	// unansweredBreaks is the number of endpoints that broke the request off
 	// without an event of its answer.
 	unansweredBreaks int
-	// mayHaveRun reports whether any send may have run.
-	mayHaveRun bool
+	// runs is the number of sends that may have run, at endpoints that have ended
+	// since too.
+	runs int
 	// responseBegun reports whether part of the response was sent to the caller.
 	responseBegun bool
 	// final reports whether further attempts are ruled out.
--- a/internal/entry/standby.go
+++ b/internal/entry/standby.go
@@ -45,11 +45,11 @@
 
 // sendCounts are the counts of a request's sends.
 type sendCounts struct {
-	sends, attempts, unansweredBreaks, excluded int
+	sends, attempts, runs, unansweredBreaks, excluded int
 }
 
 func (req *request) counts() sendCounts {
-	return sendCounts{req.sends, req.attempts, req.unansweredBreaks, len(req.exclude)}
+	return sendCounts{req.sends, req.attempts, req.runs, req.unansweredBreaks, len(req.exclude)}
 }
 
 // addSends adds the sends that another copy of the request has made since it had
@@ -57,6 +57,7 @@
 func (req *request) addSends(other *request, since sendCounts) {
 	req.sends += other.sends - since.sends
 	req.attempts += other.attempts - since.attempts
+	req.runs += other.runs - since.runs
 	req.unansweredBreaks += other.unansweredBreaks - since.unansweredBreaks
 	req.exclude = append(req.exclude, other.exclude[since.excluded:]...)
 }
