--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -89,8 +89,12 @@
 	return s.vm + hopSeparator + next
 }
 
-// write sends the stored response to the caller.
+// write sends the stored response to the caller, or a problem in its place if its
+// status would make a false promise.
 func (r StoredAnswer) write(c echo.Context) error {
+	if p := falsePromise(c, r.Status); p != nil {
+		return writeProblem(c, p)
+	}
 	h := c.Response().Header()
 	for name, values := range r.Header {
 		h[name] = values
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,7 @@
 	forwardedKey = "forwarded_account" // inventory.ClientAccount of a forwarded request
 	outcomeKey   = "outcome"           // *problem.Error that ended the request
 	recordKey    = "record"            // *Record of an authenticated request
+	onceKey      = "once"              // true if the request must not run twice
 )
 
 // Options configures a Server.
--- a/internal/gateway/problems.go
+++ b/internal/gateway/problems.go
@@ -103,6 +103,7 @@
 // the error as the request's outcome.
 func writeProblem(c echo.Context, e *problem.Error) error {
 	doc := newProblemDocument(e, c.Response().Header().Get(headerRequestID))
+	doc.Status = problemStatus(c, e)
 	h := c.Response().Header()
 	h.Set(headerProblem, string(e.Kind))
 	c.Set(outcomeKey, e)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -29,6 +29,7 @@
 	path := "/" + c.Param("*")
 	sc := &serviceCall{server: s, req: req, service: service, path: path}
 	if !sc.isIdempotent() {
+		c.Set(onceKey, true)
 		defer req.detach(s.now())()
 	}
 	key := c.Request().Header.Get(headerIdempotencyKey)
