--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -201,7 +201,9 @@
 	return problem.New(problem.BodyTooLarge, "the body exceeds the limit", "send at most "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
-// forwardHeader returns the headers to send to the endpoint.
+// forwardHeader returns the headers to send to the endpoint. Callers' credentials are
+// for this entry VM, which may not know yet whose they are or that they are needed:
+// no endpoint gets them.
 func (s *Server) forwardHeader(req *request, in http.Header) http.Header {
 	out := in.Clone()
 	for _, field := range in.Values("Connection") {
@@ -214,8 +216,8 @@
 	}
 	out.Del(s.proto.Account)
 	out.Del(s.proto.ExpectVM)
+	out.Del(s.proto.Authorization)
 	if req.account != "" {
-		out.Del(s.proto.Authorization)
 		out.Set(s.proto.Account, req.account)
 	}
 	return out
