--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -207,6 +207,9 @@
 // NeedsKey reports whether requests of the route must carry an account's key.
 func (c *Catalog) NeedsKey(r *Route) bool { return c.keyed && !r.Public }
 
+// HasAccounts reports whether there are client accounts, so that keys mean something.
+func (c *Catalog) HasAccounts() bool { return c.keyed }
+
 // Account returns the account to which the key belongs, or nil.
 func (c *Catalog) Account(key string) *Account { return c.accounts[key] }
 
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -300,14 +300,18 @@
 		s := newHarnessWith(t, newPipes(), 0)
 		s.add(answerOK)
 		s.clockOffset.Store(int64(5 * time.Second))
-		for path, want := range map[string]int{
-			"/safe/": http.StatusServiceUnavailable,
-			"/none/": http.StatusServiceUnavailable,
-			"/open/": http.StatusOK,
+		for _, c := range []struct {
+			path, key string
+			want      int
+		}{
+			{"/safe/", "Bearer key", http.StatusServiceUnavailable},
+			{"/none/", "Bearer key", http.StatusServiceUnavailable},
+			{"/open/", "Bearer key", http.StatusServiceUnavailable},
+			{"/open/", "", http.StatusOK},
 		} {
-			status, _, _, err := s.do(s.request(http.MethodGet, path))
+			status, _, _, err := s.do(s.request(http.MethodGet, c.path, "Authorization", c.key))
 			assert.NilError(t, err)
-			assert.Equal(t, status, want, path)
+			assert.Equal(t, status, c.want, c.path+" "+c.key)
 		}
 		s.configure()
 		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -71,6 +72,49 @@
 	return false
 }
 
+// Guards against a request that runs under no account although its key has one: the
+// route needs a key in a configuration that this node doesn't have yet.
+func TestKeyOnAPublicRouteNamesItsAccount(t *testing.T) {
+	s := newHarness(t)
+	got := s.recordHeaders()
+	status, _, _, err := s.do(s.request(http.MethodGet, "/open/", "X-Account", "forged"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, got.Get("X-Account"), "acc")
+	status, _, _, err = s.do(s.request(http.MethodGet, "/open/", "Authorization", "", "X-Account", "forged"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, got.Get("X-Account"), "", "no key, no account")
+}
+
+// Guards against a request that runs although nobody knows whose key it bears, or
+// whether that key was taken away.
+func TestKeyOnAPublicRouteIsChecked(t *testing.T) {
+	for name, c := range map[string]struct {
+		key  string
+		age  time.Duration
+		want int
+	}{
+		"unknown":                              {"Bearer other", 0, http.StatusUnauthorized},
+		"unknown, old configuration":           {"Bearer other", 3 * time.Second, http.StatusServiceUnavailable},
+		"known, old configuration":             {"Bearer key", 5 * time.Second, http.StatusServiceUnavailable},
+		"none, old configuration":              {"", 5 * time.Second, http.StatusOK},
+		"other credentials, old configuration": {"Basic other", 5 * time.Second, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				s := newHarnessWith(t, newPipes(), 0)
+				e := s.add(answerOK)
+				s.clockOffset.Store(int64(c.age))
+				status, _, _, err := s.do(s.request(http.MethodGet, "/open/", "Authorization", c.key))
+				assert.NilError(t, err)
+				assert.Equal(t, status, c.want)
+				assert.Equal(t, e.runs.Load() > 0, c.want == http.StatusOK)
+			})
+		})
+	}
+}
+
 // Guards against a request that is refused, or sent under an account, where a
 // configuration has no accounts.
 func TestKeyWithoutAccountsIsIgnored(t *testing.T) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -129,39 +129,7 @@
 		}
 		return problem.New(problem.NotFound, "no route matches "+host+path, "check the host and path")
 	}
-	if !view.Catalog.NeedsKey(req.route) {
-		return nil
-	}
-	if age > s.opts.KeysValidFor {
-		return staleCatalog(age)
-	}
-	scheme, key, _ := strings.Cut(r.Header.Get(s.proto.Authorization), " ")
-	account := view.Catalog.Account(key)
-	if account == nil || !strings.EqualFold(scheme, s.proto.KeyScheme) {
-		if age > s.opts.UnknownAfter {
-			return staleCatalog(age)
-		}
-		return problem.New(problem.Unauthorized, "the key does not belong to any account", "send a valid key")
-	}
-	req.account = account.Name
-	return nil
-}
-
-// staleCatalog returns the problem for a catalog that may be outdated.
-func staleCatalog(age time.Duration) *problem.Error {
-	return problem.New(problem.PlatformDown,
-		"the configuration was last read "+age.Round(time.Millisecond).String()+" ago",
-		"retry, if possible through another data centre").WithRetryAfter(time.Second)
-}
-
-// keysValid reports whether the catalog is recent enough to accept the request's
-// key. Requests without an account need none.
-func (s *Server) keysValid(req *request) bool {
-	view := s.state.View()
-	if req.account == "" {
-		return true
-	}
-	return s.now().Sub(view.AsOf) <= s.opts.KeysValidFor
+	return s.authenticate(req, r, view)
 }
 
 func (s *Server) deadline(req *request, r *http.Request) time.Time {
