bodylimit: the budget of bodies that are read whole becomes a package

The platform's path had it to itself (entry/bodies.go); the product's own path and the clients of other processes need the same.

--- /dev/null
+++ b/internal/bodylimit/budget.go
@@ -0,0 +1,88 @@
+// Package bodylimit bounds the memory for what other processes send: a faulty one may
+// send bytes without end.
+package bodylimit
+
+import (
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// MaxBody limits a body that is read whole before any of it is used, in bytes.
+	MaxBody = 16 << 20
+	// MaxHead limits the head of a response, in bytes.
+	MaxHead = 64 << 10
+	// initialBody is the initial buffer size of a body in bytes.
+	initialBody = 4 << 10
+	// defaultBudget limits all bodies of a Budget together, in bytes, if the settings
+	// specify no limit.
+	defaultBudget = 128 << 20
+)
+
+// Budget limits the memory of the bodies that are read whole, each and all together.
+// It is safe for concurrent use.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget returns a budget of limit bytes for all bodies together; 0 selects a
+// default.
+func NewBudget(limit int64) *Budget {
+	if limit <= 0 {
+		limit = defaultBudget
+	}
+	return &Budget{limit: limit}
+}
+
+// Used returns the number of reserved bytes.
+func (b *Budget) Used() int64 { return b.used.Load() }
+
+// reserve reserves n more bytes. Its error is an *OversizeError.
+func (b *Budget) reserve(n int64) error {
+	if b.used.Add(n) <= b.limit {
+		return nil
+	}
+	b.used.Add(-n)
+	return &OversizeError{What: "the memory of all answers that are read whole", Limit: b.limit, Unit: "bytes"}
+}
+
+// Release releases n reserved bytes.
+func (b *Budget) Release(n int64) { b.used.Add(-n) }
+
+// Read reads a body to its end. reserved is the number of bytes that the caller must
+// release later; it is 0 if an error is returned. The error is an *OversizeError if the
+// body is over MaxBody or all together are over the budget.
+func (b *Budget) Read(r io.Reader) (body []byte, reserved int64, err error) {
+	for {
+		if len(body) == cap(body) {
+			grown, err := b.grow(body)
+			if err != nil {
+				b.Release(reserved)
+				return nil, 0, err
+			}
+			body, reserved = grown, int64(cap(grown))
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, reserved, nil
+		}
+		if err != nil {
+			b.Release(reserved)
+			return nil, 0, err
+		}
+	}
+}
+
+// grow returns a copy of body with twice the capacity.
+func (b *Budget) grow(body []byte) ([]byte, error) {
+	next := max(initialBody, 2*cap(body))
+	if next > MaxBody {
+		return nil, &OversizeError{What: "the body of the answer", Limit: MaxBody, Unit: "bytes"}
+	}
+	if err := b.reserve(int64(next - cap(body))); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, next), body...), nil
+}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"github.com/pimentoshore/pimentoshore/internal/upstream"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 // maxEventSize limits a single event of a stream in bytes, together with the
@@ -60,7 +60,7 @@
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
 		if e.idle+len(e.buf) > maxEventSize {
-			return ev, &upstream.OversizeError{What: "an event of the stream", Limit: maxEventSize, Unit: "bytes"}
+			return ev, &bodylimit.OversizeError{What: "an event of the stream", Limit: maxEventSize, Unit: "bytes"}
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -28,7 +28,7 @@
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer context.AfterFunc(s.serving, func() { giveUp(context.Cause(s.serving)) })()
-	defer func() { s.bodies.release(req.buffered) }()
+	defer func() { s.bodies.Release(req.buffered) }()
 	if req.route.Kind == catalog.Stream {
 		s.serveStream(ctx, w, r, req)
 		return
@@ -102,7 +102,7 @@
 // readBody reads an endpoint's complete response body. Its memory is released
 // when the request ends.
 func (s *Server) readBody(a *attempt, req *request) ([]byte, error) {
-	body, reserved, err := s.bodies.read(a.resp.Body)
+	body, reserved, err := s.bodies.Read(a.resp.Body)
 	req.buffered += reserved
 	return body, err
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
@@ -38,7 +39,7 @@
 	client *upstream.Client
 	log    *slog.Logger
 	now    func() time.Time
-	bodies *bodyBudget
+	bodies *bodylimit.Budget
 	// stopping is closed when callers should move to another entry VM.
 	stopping <-chan struct{}
 	// serving ends when requests that still run are to be given up.
@@ -49,7 +50,7 @@
 // NewServer returns a server that uses the given state. Once stopping is
 // closed, responses ask callers to close their connections.
 func NewServer(opts Options, proto Protocol, state *State, client *upstream.Client, stopping <-chan struct{}) *Server {
-	s := &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: newBodyBudget(opts.BodyBytes), stopping: stopping}
+	s := &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: bodylimit.NewBudget(opts.BodyBytes), stopping: stopping}
 	s.serving, s.giveUp = context.WithCancelCause(context.Background())
 	return s
 }
--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -286,7 +286,7 @@
 	wg.Wait()
 	peak := watch.Peak()
 	assert.Assert(t, peak < maxHeap, "the heap grew to %d MB", peak>>20)
-	assert.Equal(t, s.server.bodies.used.Load(), int64(0), "all memory should be released")
+	assert.Equal(t, s.server.bodies.Used(), int64(0), "all memory should be released")
 }
 
 // An endpoint that sent an endless response is excluded for a while and then tried
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 const (
@@ -179,7 +181,7 @@
 		cn.idleTimeout = keepAliveTimeout(resp.Header)
 		return out, nil
 	}
-	return nil, &OversizeError{What: "the number of interim answers", Limit: maxInterimResponses, Unit: "answers"}
+	return nil, &bodylimit.OversizeError{What: "the number of interim answers", Limit: maxInterimResponses, Unit: "answers"}
 }
 
 // encode returns the request as one buffer that is sent in a single write, so
--- a/internal/upstream/limits.go
+++ b/internal/upstream/limits.go
@@ -1,15 +1,16 @@
 package upstream
 
 import (
-	"fmt"
 	"net"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 const (
 	// maxHeadBytes is the maximum size of a response head (status line and
 	// headers), including interim responses.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = bodylimit.MaxHead
 	// maxInterimResponses is how many interim (1xx) responses may precede the
 	// final one.
 	maxInterimResponses = 8
@@ -22,20 +23,7 @@
 	maxIDsPerConn = 256
 )
 
-// OversizeError means that a response of an endpoint exceeds a limit, for
-// example because its head never ends.
-type OversizeError struct {
-	What  string
-	Limit int64
-	Unit  string
-}
-
-// Error implements error.
-func (e *OversizeError) Error() string {
-	return fmt.Sprintf("%s is over the limit of %d %s; look at what the endpoint sends", e.What, e.Limit, e.Unit)
-}
-
-var errHeadTooLong = &OversizeError{What: "the head of the answer", Limit: maxHeadBytes, Unit: "bytes"}
+var errHeadTooLong = &bodylimit.OversizeError{What: "the head of the answer", Limit: maxHeadBytes, Unit: "bytes"}
 
 // headReader is a connection on which the number of bytes read can be limited
 // while a response head is being read.
