gateway: answers without end are bounded on the product's own path

Cause: the bounds of the platform's path (internal/entry, internal/upstream) were never made here: io.ReadAll in three places, net/http's 10 MB for heads, nothing for what a stream sends between two events. Fix: answers that are read whole share a budget (bodylimit), which the request gives back when it ends; heads have 64 KB, interim answers included; a stream may send 512 KB without a new event. What may have run is answered with 502 and ran: unknown, and not repeated unless it may be.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strings"
 
@@ -49,9 +48,9 @@
 	c := newCall(req.echo.Request(), path, path, req.body)
 	var rec StoredAnswer
 	_, p := s.dispatchAttempts(req, need, func() call { return c }, true, func(ans *answer) *problem.Error {
-		body, err := io.ReadAll(ans.resp.Body)
-		if err != nil {
-			return endpointError("the endpoint's response was truncated")
+		body, p := s.readWhole(req, ans.resp, "the endpoint")
+		if p != nil {
+			return p
 		}
 		rec = StoredAnswer{Status: ans.resp.StatusCode, Header: s.answerHeader(ans), Body: body}
 		return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
@@ -46,6 +47,9 @@
 	MaxTimeout time.Duration // longest time a request may take
 	MaxRetries int           // attempts after the first
 	Recorder   Recorder      // nil means that no records are kept
+	// AnswerBytes limits the memory of all answers that are read whole; 0 selects a
+	// default.
+	AnswerBytes int64
 }
 
 // Server serves callers and other entry VMs.
@@ -62,6 +66,8 @@
 	maxRetries int
 	recorder   Recorder
 	now        func() time.Time
+	// answers bounds the memory of the answers that are read whole.
+	answers *bodylimit.Budget
 }
 
 // New returns a server. CallerHandler and ForwardHandler return its handlers.
@@ -69,7 +75,7 @@
 	return &Server{
 		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
 		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody,
-		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, recorder: o.Recorder, now: time.Now,
+		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, recorder: o.Recorder, now: time.Now, answers: bodylimit.NewBudget(o.AnswerBytes),
 	}
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
 	"github.com/pimentoshore/pimentoshore/internal/transport"
 )
@@ -73,7 +74,7 @@
 
 func newTestServer(b Backend, log io.Writer) *Server {
 	plain := transport.New(nil)
-	plain.Transport = &http.Transport{DisableCompression: true} // dials without a timeout, which a busy machine could exceed
+	plain.Transport = &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: bodylimit.MaxHead} // dials without a timeout, which a busy machine could exceed
 	client := endpoint.NewClient(plain)
 	return New(Options{
 		VM: "e1", Backend: b, Endpoints: client, Peers: client,
--- a/internal/gateway/keyed.go
+++ b/internal/gateway/keyed.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 
@@ -93,8 +92,9 @@
 	if resp.Header.Get(headerProblem) != "" {
 		return Succeeded, result{err: readProblem(resp)}
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	body, p := s.readWhole(req, resp, "the entry VM")
+	if p != nil {
+		s.log.Info("forwarding a keyed call failed", "request_id", req.id(), "entry_vm", t.Endpoint, "error", p.Message)
 		return Failed, result{}
 	}
 	rec := StoredAnswer{Status: resp.StatusCode, Header: proxiedAnswerHeader(resp), Body: body}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -71,6 +71,8 @@
 	// claimed marks a request that runs under another entry VM's claim.
 	claimed   bool
 	admission Admission
+	// held is the memory of the responses that were read whole, in bytes.
+	held int64
 }
 
 // authenticate returns the client account of the bearer key.
@@ -120,7 +122,8 @@
 	return body, nil
 }
 
-// openRequest authenticates a call, reads its body and sets its deadline.
+// openRequest authenticates a call, reads its body and sets its deadline. The
+// returned function ends the request and releases what it holds.
 func (s *Server) openRequest(c echo.Context) (*request, context.CancelFunc, *problem.Error) {
 	r := c.Request()
 	req := &request{echo: c}
@@ -143,7 +146,11 @@
 	req.deadline = s.now().Add(timeout)
 	ctx, cancel := context.WithTimeout(r.Context(), timeout)
 	c.SetRequest(r.WithContext(ctx))
-	return req, cancel, nil
+	end := func() {
+		cancel()
+		s.releaseHeld(req)
+	}
+	return req, end, nil
 }
 
 func (r *request) ctx() context.Context { return r.echo.Request().Context() }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -132,9 +131,9 @@
 	if slices.Contains(route.NotRunStatuses, ans.resp.StatusCode) {
 		return StoredAnswer{}, problem.New(problem.Overloaded, "the service refused the call", "retry later").WithRetryAfter(retryDelay)
 	}
-	body, err := io.ReadAll(ans.resp.Body)
-	if err != nil {
-		return StoredAnswer{}, endpointError("the service's response was truncated")
+	body, p := sc.server.readWhole(sc.req, ans.resp, "the service")
+	if p != nil {
+		return StoredAnswer{}, p
 	}
 	return StoredAnswer{Status: ans.resp.StatusCode, Header: sc.server.answerHeader(ans), Body: body}, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -83,15 +83,21 @@
 	attempt := stream.Attempt{ID: r.attemptID(), Incarnation: ans.resp.Header.Get(endpoint.HeaderIncarnation)}
 	r.applyEffects(r.state.Step(r.server.now(), stream.Opened{Number: number, Incarnation: attempt.Incarnation}))
 	r.lastID, r.lastField = r.state.Delivered(), ""
-	for event, err := range sse.Read(ans.resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	body := &eventBody{r: ans.resp.Body}
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
+			r.server.log.Info("stream broke off", "request_id", r.req.id(), "endpoint", ans.attempt.Target().Endpoint,
+				"after_event", r.lastID, "error", err)
 			break
 		}
-		delivered := r.state.Delivered()
+		delivered, lastID := r.state.Delivered(), r.lastID
 		if p := r.deliver(attempt, event); p != nil {
 			r.applyEffects(r.state.Step(r.server.now(), stream.Broken{Number: number}))
 			return p
 		}
+		if r.lastID != lastID {
+			body.recordProgress()
+		}
 		ans.progressed = ans.progressed || r.state.Delivered() > delivered
 		if r.ended {
 			return nil
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 const (
@@ -87,6 +89,8 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: bodylimit.MaxHead,
 	}
 	if config != nil {
 		c.scheme = "https"
