--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -105,14 +105,23 @@
 	digests            map[string]config.Digest
 }
 
+// Limits of what other processes answer, in bytes: of one message between entry VMs
+// and of all that are being read, and of the reports of VMs.
+const (
+	maxControlAnswer  = 16 << 20
+	maxControlAnswers = 48 << 20
+	maxReport         = 64 << 10
+	maxReports        = 16 << 20
+)
+
 // New returns a node that is idle until Run is called.
 func New(o Options) *Node {
 	set := o.Settings
 	incarnation := strconv.FormatUint(rand.Uint64(), 36)
 	seed := rand.Uint64()
-	control := o.wrapClient(newControlTransport(o.TLS))
-	probes := o.wrapClient(transport.New(nil))
-	orderCalls := o.wrapClient(transport.New(nil))
+	control := o.wrapClient(newControlTransport(o.TLS).LimitBodies(maxControlAnswer, maxControlAnswers))
+	probes := o.wrapClient(transport.New(nil).LimitBodies(maxReport, maxReports))
+	orderCalls := o.wrapClient(transport.New(nil).LimitBodies(maxReport, maxReports))
 	n := &Node{
 		settings: set, incarnation: incarnation,
 		log: o.Logger, registry: o.Registry, tracer: o.Tracer,
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,11 +12,15 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 const (
-	defaultTimeout      = 2 * time.Second
-	maxAnswerBytes      = 64 << 20
+	defaultTimeout = 2 * time.Second
+	// maxAnswerBytes limits one answer, and maxAnswersBytes all that are being read.
+	maxAnswerBytes      = 32 << 20
+	maxAnswersBytes     = 64 << 20
 	maxIdleConnsPerHost = 16
 	idleConnTimeout     = 30 * time.Second
 )
@@ -51,13 +55,17 @@
 		opts.Timeout = defaultTimeout
 	}
 	if opts.Transport == nil {
-		opts.Transport = &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout}
+		opts.Transport = &http.Transport{
+			MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: bodylimit.MaxHead,
+		}
 	}
 	urls := make([]string, 0, len(opts.URLs))
 	for _, u := range opts.URLs {
 		urls = append(urls, strings.TrimRight(u, "/"))
 	}
-	return &Client{urls: urls, timeout: opts.Timeout, http: &http.Client{Transport: opts.Transport}}
+	return &Client{urls: urls, timeout: opts.Timeout, http: &http.Client{
+		Transport: bodylimit.NewTransport(opts.Transport, maxAnswerBytes, maxAnswersBytes),
+	}}
 }
 
 // Get implements Table. Every error wraps ErrUnavailable.
@@ -156,7 +164,7 @@
 // decodeAnswer decodes the response and maps its status to what is known about the
 // write.
 func decodeAnswer(resp *http.Response, url string, answer any) (notWritten bool, err error) {
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	raw, err := io.ReadAll(resp.Body)
 	switch status := resp.StatusCode; {
 	case status == http.StatusConflict:
 		return false, ErrConflict
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
@@ -70,10 +71,15 @@
 	dialer := &net.Dialer{Timeout: opts.Timeout, KeepAlive: time.Second}
 	return &Follower{
 		opts: opts, listener: l, sources: updates.NewSources(opts.VM, opts.DataCentre),
-		http: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout}},
+		http: http.Client{Transport: bodylimit.NewTransport(&http.Transport{
+			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: bodylimit.MaxHead,
+		}, maxAnswerBytes, maxAnswerBytes)},
 	}
 }
 
+// maxAnswerBytes limits an answer of another node. One is asked at a time.
+const maxAnswerBytes = 16 << 20
+
 // idleTimeout is how long an unused connection to a node is kept.
 const idleTimeout = 30 * time.Second
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -139,6 +139,14 @@
 	return tlsConn, nil
 }
 
+// LimitBodies bounds the bodies of responses, for a client whose callers read them
+// whole: each, and all whose responses are not closed, in bytes. It must be called
+// before the first request.
+func (c *Client) LimitBodies(each, together int64) *Client {
+	c.Transport = bodylimit.NewTransport(c.Transport, each, together)
+	return c
+}
+
 // URL returns the base URL of an address: its scheme is https if the client uses
 // TLS, http otherwise.
 func (c *Client) URL(address string) string { return c.scheme + "://" + address }
