entry: refuse alone marks what may have run; problems in a file of their own

Four places marked a problem on its way to refuse, which marks it now anyway; one of those on the way had forgotten to. No behaviour changes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -106,7 +106,7 @@
 			if dials+1 < maxDials {
 				continue
 			}
-			return nil, s.finalFault(req, problem.New(problem.EndpointFailed, "no endpoint could be reached", "retry").WithRetryAfter(time.Second))
+			return nil, finalFault(req, problem.New(problem.EndpointFailed, "no endpoint could be reached", "retry").WithRetryAfter(time.Second))
 		}
 		return nil, s.endBroken(ctx, a, req, err)
 	}
@@ -163,7 +163,7 @@
 		if refusal.Reason == dispatch.NoBudget {
 			s.recordRepeat(req, refusal.RepeatUse, false)
 		}
-		return nil, s.finalFault(req, problemOf(refusal))
+		return nil, finalFault(req, problemOf(refusal))
 	}
 	if resent {
 		s.recordRepeat(req, ticket.RepeatUse, true)
@@ -178,22 +178,6 @@
 	return a, nil
 }
 
-// problemOf returns the problem of a request for which no endpoint was chosen.
-func problemOf(r *dispatch.Refusal) *problem.Error {
-	kind, remedy := problem.Overloaded, "retry later"
-	switch r.Reason {
-	case dispatch.NoTarget:
-		kind = problem.NoEndpoint
-	case dispatch.Quarantined:
-		kind, remedy = problem.Quarantined, "leave out the part or change the request, or retry later"
-	}
-	message := string(r.Reason)
-	if r.Detail != "" {
-		message += ": " + r.Detail
-	}
-	return problem.New(kind, message, remedy).WithRetryAfter(r.RetryAfter)
-}
-
 // placeDeadline returns the time until which a request may wait for a place. A
 // request may spend half of the difference between its objective and the typical
 // latency on waiting, so that its response still meets the objective. One whose
@@ -215,38 +199,14 @@
 // waited: its deadline and the age of the catalog.
 func (s *Server) checkStillValid(ctx context.Context, req *request) *problem.Error {
 	if ctx.Err() != nil || req.deadline.Sub(s.now()) < minTimeLeft {
-		return s.finalFault(req, endProblem(ctx, "the deadline has passed", "allow more time"))
+		return finalFault(req, endProblem(ctx, "the deadline has passed", "allow more time"))
 	}
 	if !s.keysValid(req) {
-		return s.finalFault(req, problem.New(problem.PlatformDown, "the configuration is too old to trust keys", "retry").WithRetryAfter(time.Second))
+		return finalFault(req, problem.New(problem.PlatformDown, "the configuration is too old to trust keys", "retry").WithRetryAfter(time.Second))
 	}
 	return nil
 }
 
-// endProblem returns the problem of a request whose context has ended: the message
-// and remedy if its deadline has passed, or that this entry VM stops.
-func endProblem(ctx context.Context, message, remedy string) *problem.Error {
-	if errors.Is(context.Cause(ctx), errStopped) {
-		return problem.New(problem.Stopping, errStopped.Error(), "retry if the request may run twice").WithRetryAfter(time.Second)
-	}
-	return problem.New(problem.DeadlineExceeded, message, remedy)
-}
-
-// finalFault rules out further attempts and returns the problem as withRunStatus
-// does.
-func (s *Server) finalFault(req *request, p *problem.Error) *problem.Error {
-	req.final = true
-	return s.withRunStatus(req, p)
-}
-
-// withRunStatus returns the problem, marked if the request may have run.
-func (s *Server) withRunStatus(req *request, p *problem.Error) *problem.Error {
-	if req.mayHaveRun() {
-		return p.WithRanUnknown()
-	}
-	return p
-}
-
 // send sends the request of an attempt and waits for the response header.
 func (s *Server) send(a *attempt, req *request, lastEvent string) error {
 	out := req.outgoing
@@ -346,9 +306,9 @@
 	s.log.Info("attempt broke off", "request", req.id, "endpoint", a.ticket.Target.ID, "send", req.sends,
 		"after", s.now().Sub(a.sentAt), "begun", a.ticket.Begun, "parts", partIDs(req.parts), "error", err.Error())
 	if ctx.Err() != nil {
-		return s.withRunStatus(req, endProblem(ctx, "the endpoint did not answer in time", "retry if the request may run twice"))
+		return endProblem(ctx, "the endpoint did not answer in time", "retry if the request may run twice")
 	}
-	return s.withRunStatus(req, problem.New(problem.EndpointFailed, "the endpoint broke off", "retry if the request may run twice"))
+	return problem.New(problem.EndpointFailed, "the endpoint broke off", "retry if the request may run twice")
 }
 
 // isNotRun reports whether a response states that the request did not run.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -134,7 +134,7 @@
 	s.endAttempt(a, dispatch.Rejected)
 	s.log.Info("endpoint did not run the request", "request", req.id, "endpoint", a.ticket.Target.ID,
 		"status", status, "faulty", faulty, "after", s.now().Sub(a.sentAt))
-	return s.withRunStatus(req, problem.New(problem.EndpointFailed, "the endpoint did not run the request", "retry").WithRetryAfter(time.Second/2))
+	return problem.New(problem.EndpointFailed, "the endpoint did not run the request", "retry").WithRetryAfter(time.Second / 2)
 }
 
 // deliver sends an endpoint's response to the caller, or a problem in its place if
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -75,35 +75,12 @@
 	s.serve(w, r, req)
 }
 
-// statusByKind contains the status codes of problems with requests that
-// certainly did not run; kinds not listed map to 503. A request that may have
-// run gets 502 or 504.
-var statusByKind = map[problem.Kind]int{
-	problem.MalformedRequest: http.StatusBadRequest,
-	problem.Unauthorized:     http.StatusUnauthorized,
-	problem.NotFound:         http.StatusNotFound,
-	problem.BodyTooLarge:     http.StatusRequestEntityTooLarge,
-}
-
-func statusOf(p *problem.Error) int {
-	switch {
-	case p.Ran == problem.RanUnknown && p.Kind == problem.DeadlineExceeded:
-		return http.StatusGatewayTimeout
-	case p.Ran == problem.RanUnknown:
-		return http.StatusBadGateway
-	}
-	if status, ok := statusByKind[p.Kind]; ok {
-		return status
-	}
-	return http.StatusServiceUnavailable
-}
-
 // refuse responds with a problem. req is nil if the request was not accepted. All
 // answers of this entry VM's own are sent here, so that none promises that a request
 // has not run that may have.
 func (s *Server) refuse(w http.ResponseWriter, id string, req *request, p *problem.Error) {
 	if req != nil {
-		p = s.withRunStatus(req, p)
+		p = req.markRan(p)
 	}
 	status := statusOf(p)
 	h := w.Header()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -139,7 +139,7 @@
 	rl.state.recordFailure(a.ticket)
 	rl.endAttempt(a, failureOutcome(a))
 	if got.status >= http.StatusInternalServerError && rl.canRetry(rl.ctx, rl.req) {
-		return false, rl.withRunStatus(rl.req, problem.New(problem.EndpointFailed, "the endpoint failed", "retry"))
+		return false, problem.New(problem.EndpointFailed, "the endpoint failed", "retry")
 	}
 	rl.deliver(rl.w, rl.req, got)
 	return true, nil
