--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -14,13 +14,16 @@
 	MaxHead = 64 << 10
 	// initialBody is the initial buffer size of a body in bytes.
 	initialBody = 4 << 10
+	// freeBytes is how much of each body does not count in a budget, in bytes. Small
+	// answers are read even if others have used the budget up.
+	freeBytes = 16 << 10
 	// defaultBudget limits all bodies of a Budget together, in bytes, if the settings
 	// specify no limit.
 	defaultBudget = 128 << 20
 )
 
 // Budget limits the memory of the bodies that are read whole, each and all together.
-// It is safe for concurrent use.
+// The first freeBytes of a body do not count. It is safe for concurrent use.
 type Budget struct {
 	limit int64
 	used  atomic.Int64
@@ -40,7 +43,7 @@
 
 // reserve reserves n more bytes. Its error is an *OversizeError.
 func (b *Budget) reserve(n int64) error {
-	if b.used.Add(n) <= b.limit {
+	if n == 0 || b.used.Add(n) <= b.limit {
 		return nil
 	}
 	b.used.Add(-n)
@@ -50,6 +53,9 @@
 // Release releases n reserved bytes.
 func (b *Budget) Release(n int64) { b.used.Add(-n) }
 
+// charge returns how much of a body with n bytes counts in a budget.
+func charge(n int64) int64 { return max(0, n-freeBytes) }
+
 // Read reads a body to its end. reserved is the number of bytes that the caller must
 // release later; it is 0 if an error is returned. The error is an *OversizeError if the
 // body is over MaxBody or all together are over the budget.
@@ -61,7 +67,7 @@
 				b.Release(reserved)
 				return nil, 0, err
 			}
-			body, reserved = grown, int64(cap(grown))
+			body, reserved = grown, charge(int64(cap(grown)))
 		}
 		n, err := r.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
@@ -81,7 +87,7 @@
 	if next > MaxBody {
 		return nil, &OversizeError{What: "the body of the answer", Limit: MaxBody, Unit: "bytes"}
 	}
-	if err := b.reserve(int64(next - cap(body))); err != nil {
+	if err := b.reserve(charge(int64(next)) - charge(int64(cap(body)))); err != nil {
 		return nil, err
 	}
 	return append(make([]byte, 0, next), body...), nil
--- a/internal/bodylimit/transport.go
+++ b/internal/bodylimit/transport.go
@@ -42,11 +42,11 @@
 type countedBody struct {
 	io.ReadCloser
 	transport *Transport
-	// mu guards reserved, the number of bytes taken from the budget: a body may be
-	// closed while it is being read.
-	mu       sync.Mutex
-	reserved int64
-	closed   bool
+	// mu guards read, the number of bytes read so far, and closed: a body may be closed
+	// while it is being read.
+	mu     sync.Mutex
+	read   int64
+	closed bool
 }
 
 // Read implements io.Reader.
@@ -58,20 +58,20 @@
 	return n, err
 }
 
-// count reserves n more bytes.
+// count counts n more bytes and reserves what the budget is charged for them.
 func (b *countedBody) count(n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.closed {
 		return nil
 	}
-	if b.reserved+n > b.transport.maxBody {
+	if b.read+n > b.transport.maxBody {
 		return &OversizeError{What: "the body of the answer", Limit: b.transport.maxBody, Unit: "bytes"}
 	}
-	if err := b.transport.budget.reserve(n); err != nil {
+	if err := b.transport.budget.reserve(charge(b.read+n) - charge(b.read)); err != nil {
 		return err
 	}
-	b.reserved += n
+	b.read += n
 	return nil
 }
 
@@ -80,7 +80,7 @@
 	b.mu.Lock()
 	if !b.closed {
 		b.closed = true
-		b.transport.budget.Release(b.reserved)
+		b.transport.budget.Release(charge(b.read))
 	}
 	b.mu.Unlock()
 	return b.ReadCloser.Close()
--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -289,6 +289,26 @@
 	assert.Equal(t, s.server.bodies.Used(), int64(0), "all memory should be released")
 }
 
+// Guards against orders that run and whose answers are lost because endless answers of
+// other endpoints use up the memory for answers.
+func TestAnswersOfSoundEndpointsAreDeliveredBesideEndlessOnes(t *testing.T) {
+	const bodyBytes = 64 << 10
+	s := newHarnessWithMemory(t, bodyBytes)
+	s.add(answerOK)
+	for s.server.bodies.Used() < bodyBytes/2 { // as answers that are being read
+		_, _, err := s.server.bodies.Read(strings.NewReader(strings.Repeat("x", bodyBytes/2)))
+		assert.NilError(t, err)
+	}
+	_, _, err := s.server.bodies.Read(strings.NewReader(strings.Repeat("x", bodyBytes)))
+	assert.Assert(t, err != nil, "the memory should be used up")
+	for range 20 {
+		status, body, _, err := s.do(s.request(http.MethodPost, "/once/"))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK)
+		assert.Equal(t, body, "done")
+	}
+}
+
 // An endpoint that sent an endless response is excluded for a while and then tried
 // again.
 func TestEndpointWithEndlessResponseIsExcludedTemporarily(t *testing.T) {
