--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -105,11 +105,13 @@
 	digests            map[string]config.Digest
 }
 
-// Limits of what other processes answer, in bytes: of one message between entry VMs
-// and of all that are being read, and of the reports of VMs.
+// Limits of what other processes answer, in bytes: of all answers of endpoints that are
+// read whole, of one message between entry VMs and of all that are being read, and of
+// the reports of VMs.
 const (
+	maxAnswers        = 64 << 20
 	maxControlAnswer  = 16 << 20
-	maxControlAnswers = 48 << 20
+	maxControlAnswers = 32 << 20
 	maxReport         = 64 << 10
 	maxReports        = 16 << 20
 )
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -95,6 +95,7 @@
 		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
 		MaxBody:    n.settings.Limits.MaxBodyBytes,
 		MaxTimeout: n.settings.Limits.RequestTimeout, MaxRetries: maxRetries, Recorder: n.requests,
+		AnswerBytes: maxAnswers,
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
 	mux := http.NewServeMux()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -20,7 +20,7 @@
 	defaultTimeout = 2 * time.Second
 	// maxAnswerBytes limits one answer, and maxAnswersBytes all that are being read.
 	maxAnswerBytes      = 32 << 20
-	maxAnswersBytes     = 64 << 20
+	maxAnswersBytes     = 48 << 20
 	maxIdleConnsPerHost = 16
 	idleConnTimeout     = 30 * time.Second
 )
