--- a/internal/entry/trouble_test.go
+++ b/internal/entry/trouble_test.go
@@ -136,14 +136,18 @@
 	}
 }
 
+// failWithPause answers that it failed and asks for a pause, without stating that the
+// request has not run.
+func failWithPause(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Retry-After", "5")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // An endpoint whose error response asks for a pause is paused, and does not count
 // as failed.
 func TestErrorResponseWithPauseIsDelivered(t *testing.T) {
 	s := newHarness(t)
-	e := s.add(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Retry-After", "5")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
+	e := s.add(failWithPause)
 	status, _, header, err := s.do(s.request(http.MethodGet, "/safe/"))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusServiceUnavailable)
@@ -157,10 +161,7 @@
 // nothing.
 func TestErrorResponseWithPauseToARequestThatRanPausesItsEndpoint(t *testing.T) {
 	s := newHarness(t)
-	e := s.add(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Retry-After", "5")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	})
+	e := s.add(failWithPause)
 	status, _, header, err := s.do(s.request(http.MethodPost, "/once/"))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway)
