upstream: large bodies are sent without a copy

A send copied the body behind the head, so that each send of a request took the size of its body in memory once more. Bodies over 16 KB are now written after the head from their own buffer; smaller ones still need one write.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -30,6 +30,9 @@
 	// kernel closes the connection.
 	tcpUserTimeout  = 2 * time.Second
 	readBufferBytes = 4 << 10
+	// maxCopiedBody is the largest body that is copied behind the head, so that a
+	// small request needs only one write.
+	maxCopiedBody = 16 << 10
 )
 
 // NotSentError means that no byte of the request left this process. It is safe
@@ -159,7 +162,7 @@
 // exchange writes the request and reads the response head, skipping interim (1xx)
 // responses.
 func (c *Client) exchange(cn *conn, req *Request) (*Response, error) {
-	if _, err := cn.Write(req.encode()); err != nil {
+	if err := req.write(cn); err != nil {
 		return nil, err
 	}
 	cn.raw.setLimit(maxHeadBytes)
@@ -184,19 +187,40 @@
 	return nil, &bodylimit.OversizeError{What: "the number of interim answers", Limit: maxInterimResponses, Unit: "answers"}
 }
 
-// encode returns the request as one buffer that is sent in a single write, so
-// that an endpoint that responds early still receives the whole body.
-func (r *Request) encode() []byte {
-	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+// write sends the request. A body up to maxCopiedBody is sent with the head in one
+// write. A larger one is written after the head from its own buffer, since a copy for
+// each send would take its size in memory once more. The whole body is written before
+// the response is read, so that an endpoint that responds early still receives it.
+func (r *Request) write(w io.Writer) error {
+	head := r.encodeHead()
+	if len(r.Body) <= maxCopiedBody {
+		head.Write(r.Body)
+		_, err := w.Write(head.Bytes())
+		return err
+	}
+	if _, err := w.Write(head.Bytes()); err != nil {
+		return err
+	}
+	_, err := w.Write(r.Body)
+	return err
+}
+
+// encodeHead returns the request line and the headers in a buffer that has room for a
+// body that is sent with them.
+func (r *Request) encodeHead() *bytes.Buffer {
+	b := &bytes.Buffer{}
+	room := 512
+	if len(r.Body) <= maxCopiedBody {
+		room += len(r.Body)
+	}
+	b.Grow(room)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
-	_ = r.Header.Write(&b) // writing to a bytes.Buffer does not fail
+	_ = r.Header.Write(b) // writing to a bytes.Buffer does not fail
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	return b
 }
 
 // keepAliveTimeout returns how long an idle connection may be reused, according
