--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,11 +113,26 @@
 	StopGrace time.Duration `toml:"stop_grace"`
 }
 
-// Limits restricts the size of callers' requests and how long they may take.
+// Limits restricts callers' requests and connections and the memory that they take.
 type Limits struct {
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
 	MaxHeaderBytes int           `toml:"max_header_bytes"`
 	RequestTimeout time.Duration `toml:"request_timeout"`
+	// RequestMemoryMB limits the memory of all request bodies together. The daemon
+	// uses more if a single body of MaxBodyBytes needs it.
+	RequestMemoryMB int64 `toml:"request_memory_mb"`
+	// Connections is the maximum number of callers' connections; 0 derives it from
+	// OpenFiles.
+	Connections int `toml:"connections"`
+	// OpenFiles is the number of descriptors that the daemon may use; 0 selects the
+	// process's limit.
+	OpenFiles int `toml:"open_files"`
+	// IdleTimeout is how long a caller's connection may be idle.
+	IdleTimeout time.Duration `toml:"idle_timeout"`
+	// HeaderTimeout is how long a caller may take to send a header.
+	HeaderTimeout time.Duration `toml:"header_timeout"`
+	// StalledWrite is how long a caller may read nothing of a response.
+	StalledWrite time.Duration `toml:"stalled_write"`
 }
 
 // Default returns the values of keys that are absent from the file.
@@ -135,9 +150,13 @@
 			StopGrace:  30 * time.Second,
 		},
 		Limits: Limits{
-			MaxBodyBytes:   8 << 20,
-			MaxHeaderBytes: 64 << 10,
-			RequestTimeout: 10 * time.Minute,
+			MaxBodyBytes:    8 << 20,
+			MaxHeaderBytes:  64 << 10,
+			RequestTimeout:  10 * time.Minute,
+			RequestMemoryMB: 64,
+			IdleTimeout:     2 * time.Minute,
+			HeaderTimeout:   10 * time.Second,
+			StalledWrite:    15 * time.Second,
 		},
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -38,6 +38,20 @@
 	assert.Equal(t, s.Peers[0].Address, "127.0.0.1:7100")
 }
 
+// Guards against settings files of earlier versions that become invalid or lose the
+// limits of callers' connections and memory.
+func TestAbsentLimitsTakeDefaults(t *testing.T) {
+	s, err := Parse("daemon.toml", []byte(validSettings+"[limits]\nmax_body_bytes = 1073741824\n"))
+	assert.NilError(t, err)
+	want := Default().Limits
+	want.MaxBodyBytes = 1 << 30
+	assert.Equal(t, s.Limits, want)
+	assert.Equal(t, want.RequestMemoryMB, int64(64))
+	assert.Equal(t, want.IdleTimeout, 2*time.Minute)
+	assert.Equal(t, want.HeaderTimeout, 10*time.Second)
+	assert.Equal(t, want.StalledWrite, 15*time.Second)
+}
+
 func settingsError(t *testing.T, err error) *Error {
 	t.Helper()
 	var e *Error
@@ -58,6 +72,13 @@
 		{"shared address", "127.0.0.1:7001", "127.0.0.1:7000", "listen.operators"},
 		{"host name", "127.0.0.1:7100", "brno:7100", "peers[0].address"},
 		{"not a URL", "http://127.0.0.1:9000", "127.0.0.1:9000", "platform.urls[0]"},
+		{"no request memory", "[intervals]", "[limits]\nrequest_memory_mb = 0\n[intervals]", "limits.request_memory_mb"},
+		{"request memory overflows", "[intervals]", "[limits]\nrequest_memory_mb = 9223372036854775807\n[intervals]", "limits.request_memory_mb"},
+		{"negative connections", "[intervals]", "[limits]\nconnections = -1\n[intervals]", "limits.connections"},
+		{"few descriptors", "[intervals]", "[limits]\nopen_files = 200\n[intervals]", "limits.open_files"},
+		{"no idle timeout", "[intervals]", "[limits]\nidle_timeout = \"0s\"\n[intervals]", "limits.idle_timeout"},
+		{"no header timeout", "[intervals]", "[limits]\nheader_timeout = \"0s\"\n[intervals]", "limits.header_timeout"},
+		{"negative stalled write", "[intervals]", "[limits]\nstalled_write = \"-1s\"\n[intervals]", "limits.stalled_write"},
 		{"half of TLS", "[intervals]", "[tls]\nca = \"ca.pem\"\ncert = \"cert.pem\"\n[intervals]", "tls.key"},
 	}
 	for _, tc := range tests {
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -13,6 +13,15 @@
 // prevents a lease from expiring because of one lost message.
 const minProbesPerLease = 3
 
+const (
+	// maxMemoryMB is the largest amount of memory in a setting, 1 TB. Its number of
+	// bytes and small multiples of it fit into an int64.
+	maxMemoryMB = 1 << 20
+	// minOpenFiles is the smallest useful number of descriptors: 200 are reserved for
+	// files, and each request needs one for its caller and one for its endpoint.
+	minOpenFiles = 256
+)
+
 type validator struct {
 	faults []inventory.Fault
 }
@@ -161,6 +170,19 @@
 		v.addFault("limits.max_header_bytes", "is below 1", "set the largest request header in bytes")
 	}
 	v.checkPositive("limits.request_timeout", l.RequestTimeout)
+	if l.RequestMemoryMB < 1 || l.RequestMemoryMB > maxMemoryMB {
+		v.addFault("limits.request_memory_mb", fmt.Sprintf("is not between 1 and %d", maxMemoryMB), "set the memory for request bodies in MB")
+	}
+	if l.Connections < 0 {
+		v.addFault("limits.connections", "is negative", "set the largest number of callers' connections, or 0 to derive it from the descriptors")
+	}
+	if l.OpenFiles != 0 && l.OpenFiles < minOpenFiles {
+		v.addFault("limits.open_files", fmt.Sprintf("is below %d", minOpenFiles),
+			"set the number of descriptors that the daemon may use, or 0 for the limit of the process")
+	}
+	v.checkPositive("limits.idle_timeout", l.IdleTimeout)
+	v.checkPositive("limits.header_timeout", l.HeaderTimeout)
+	v.checkPositive("limits.stalled_write", l.StalledWrite)
 }
 
 func (v *validator) checkPositive(key string, d time.Duration) {
