gateway: a completion's prompt and model name are not copied

Decoding copied the prompt, which took the memory of a body once more, and the records of recent requests kept the names of models and services at any length.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -18,15 +18,16 @@
 	}
 	defer cancel()
 	head, p := parseCompletion(req.body)
-	s.setRecordTarget(c, head.Model)
+	model := string(head.Model)
+	s.setRecordTarget(c, model)
 	if p == nil {
-		p = s.checkModel(head.Model)
+		p = s.checkModel(model)
 	}
 	if p != nil {
 		return writeProblem(c, p)
 	}
 	need := Requirements{
-		Kind: ModelEndpoint, Name: head.Model, Account: req.account, Deadline: req.deadline,
+		Kind: ModelEndpoint, Name: model, Account: req.account, Deadline: req.deadline,
 		Prefix: head.prefixHashes(), Forwarded: req.forwarded, Exclude: req.excluded(),
 	}
 	adm, err := s.backend.Admit(req.ctx(), need)
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"strings"
+
 	"github.com/labstack/echo/v4"
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
@@ -35,10 +37,15 @@
 	s.putRecord(rec)
 }
 
-// setRecordTarget sets the model or service in the request's record.
+// maxRecordedName limits the name of a model or service in a record, in bytes. Callers
+// choose it, and many records are kept.
+const maxRecordedName = 128
+
+// setRecordTarget sets the model or service in the request's record. The name is
+// copied, since it may be part of a long path.
 func (s *Server) setRecordTarget(c echo.Context, name string) {
 	if rec, ok := c.Get(recordKey).(*Record); ok {
-		rec.Target = name
+		rec.Target = strings.Clone(name[:min(len(name), maxRecordedName)])
 		s.putRecord(rec)
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
@@ -17,6 +18,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
 // Headers of callers' requests and of requests between entry VMs. The account,
@@ -179,10 +181,35 @@
 
 // completionHead contains the fields of a completion request that routing uses.
 type completionHead struct {
-	Model    string          `json:"model"`
-	Stream   bool            `json:"stream"`
-	Prompt   json.RawMessage `json:"prompt"`
-	Messages json.RawMessage `json:"messages"`
+	Model    modelName   `json:"model"`
+	Stream   bool        `json:"stream"`
+	Prompt   promptStart `json:"prompt"`
+	Messages promptStart `json:"messages"`
+}
+
+// maxModelNameBytes limits the name of a model as it is sent. Names are kept in logs
+// and records, which would otherwise hold as much as a body for each request.
+const maxModelNameBytes = 1 << 10
+
+// modelName is the name of a model. Longer names than maxModelNameBytes are errors.
+type modelName string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *modelName) UnmarshalJSON(raw []byte) error {
+	if len(raw) > maxModelNameBytes {
+		return &bodylimit.OversizeError{What: "the name of the model", Limit: maxModelNameBytes, Unit: "bytes"}
+	}
+	return json.Unmarshal(raw, (*string)(m))
+}
+
+// promptStart is the part of a prompt's JSON text that is hashed. The rest is not
+// copied, since the body's memory would then count only in part.
+type promptStart []byte
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *promptStart) UnmarshalJSON(raw []byte) error {
+	*s = bytes.Clone(raw[:min(len(raw), maxPrefixBlocks*prefixBlockBytes)])
+	return nil
 }
 
 func parseCompletion(body []byte) (completionHead, *problem.Error) {
@@ -203,7 +230,7 @@
 	if len(text) == 0 {
 		text = h.Messages
 	}
-	blocks := min(len(text)/prefixBlockBytes, maxPrefixBlocks)
+	blocks := len(text) / prefixBlockBytes
 	hashes := make([]uint64, 0, blocks)
 	d := xxhash.New()
 	for i := range blocks {
