bodylimit, ingress: budgets for request bodies and limits of callers' connections

The total size of request bodies was unbounded, idle connections were kept for two minutes, and a caller that read nothing blocked its handler for good. Neither is used yet.

--- a/internal/bodylimit/budget.go
+++ b/internal/bodylimit/budget.go
@@ -23,10 +23,12 @@
 )
 
 // Budget limits the memory of the bodies that are read whole, each and all together.
-// The first freeBytes of a body do not count. It is safe for concurrent use.
+// The first freeBytes of a body do not count. A budget may be part of another one, in
+// which its reservations count too. It is safe for concurrent use.
 type Budget struct {
-	limit int64
-	used  atomic.Int64
+	parent *Budget
+	limit  int64
+	used   atomic.Int64
 }
 
 // NewBudget returns a budget of limit bytes for all bodies together; 0 selects a
@@ -38,20 +40,48 @@
 	return &Budget{limit: limit}
 }
 
+// Sub returns a budget of limit bytes that is part of b: a reservation needs room in
+// both.
+func (b *Budget) Sub(limit int64) *Budget { return &Budget{parent: b, limit: limit} }
+
 // Used returns the number of reserved bytes.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
 // reserve reserves n more bytes. Its error is an *OversizeError.
 func (b *Budget) reserve(n int64) error {
-	if n == 0 || b.used.Add(n) <= b.limit {
+	full := b.tryReserve(n)
+	if full == nil {
 		return nil
 	}
-	b.used.Add(-n)
-	return &OversizeError{What: "the memory of all answers that are read whole", Limit: b.limit, Unit: "bytes"}
+	return &OversizeError{What: "the memory of all answers that are read whole", Limit: full.limit, Unit: "bytes"}
+}
+
+// tryReserve reserves n more bytes. If there is no room, it reserves nothing and
+// returns the budget that is full, b or one that b is part of.
+func (b *Budget) tryReserve(n int64) (full *Budget) {
+	if n == 0 {
+		return nil
+	}
+	if b.used.Add(n) > b.limit {
+		b.used.Add(-n)
+		return b
+	}
+	if b.parent == nil {
+		return nil
+	}
+	full = b.parent.tryReserve(n)
+	if full != nil {
+		b.used.Add(-n)
+	}
+	return full
 }
 
 // Release releases n reserved bytes.
-func (b *Budget) Release(n int64) { b.used.Add(-n) }
+func (b *Budget) Release(n int64) {
+	for ; b != nil; b = b.parent {
+		b.used.Add(-n)
+	}
+}
 
 // charge returns how much of a body with n bytes counts in a budget.
 func charge(n int64) int64 { return max(0, n-freeBytes) }
--- /dev/null
+++ b/internal/ingress/conn.go
@@ -0,0 +1,391 @@
+package ingress
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+)
+
+const (
+	// progressBytes is the least number of bytes that count as progress of a header
+	// or body, so that a byte a second does not.
+	progressBytes = 1 << 10
+	// maxPiece is the largest number of bytes written at once. The time of a piece
+	// tells whether a write makes progress.
+	maxPiece = 32 << 10
+	// writeBufferBytes is the size of a connection's send buffer in the kernel. In a
+	// buffer that the kernel enlarges by itself, to several MB, a slow but steady
+	// reader makes no room for longer than a write may stall.
+	writeBufferBytes = 128 << 10
+	// headerLineBytes is the memory of one line of a parsed header and of its copies
+	// for the endpoint, beyond the bytes of the line.
+	headerLineBytes = 300
+	// freeHeaderBytes is the memory of a header that does not count in the budget.
+	freeHeaderBytes = 16 << 10
+	// headerStep is the memory by which the reservation for a header grows at least.
+	headerStep = 16 << 10
+	// refusalTimeout limits writing a refusal, and lingerPeriod is how long its
+	// connection stays open for the caller to read it: closing a connection with
+	// unread bytes discards what was sent last.
+	refusalTimeout = time.Second
+	lingerPeriod   = 500 * time.Millisecond
+)
+
+// errClosing means that the connection was chosen to be closed. It is of the type that
+// a closed connection returns, to which a server doesn't respond.
+var errClosing = &net.OpError{Op: "read", Err: net.ErrClosed}
+
+// phase is what a connection is used for.
+type phase string
+
+// Phases of a connection.
+const (
+	phaseIdle   phase = "idle"
+	phaseHeader phase = "header"
+	phaseServed phase = "served"
+	phaseBody   phase = "body"
+)
+
+// Conn is a caller's connection. The methods for handlers may be called on a nil Conn,
+// where they do nothing.
+type Conn struct {
+	net.Conn
+	set    *Connections
+	ip     string
+	opened time.Time
+
+	// mu is not held during I/O.
+	mu sync.Mutex
+	// phase is idle, header or served. While bodies isn't 0 it is that of a body.
+	phase phase
+	// reason is why the connection was chosen to be closed, or empty.
+	reason Reason
+	// since is when the phase began, and progressAt when the connection last made
+	// progress in it; progress is the number of bytes received after that.
+	since, progressAt time.Time
+	progress          int
+	read, written     int64
+	// http2 reports whether the connection uses HTTP/2, whose frames say nothing
+	// about the phase.
+	http2 bool
+	// ahead reports whether the first byte of the next request was read while this
+	// one was being served.
+	ahead bool
+	// deadlines is the number of read deadlines set since the connection became idle.
+	deadlines int
+	// bodies is the number of bodies being read, and holder holds the memory of the
+	// latest one.
+	bodies int
+	holder string
+	// headerBytes and headerLines count the header that is being read, for which
+	// headerMemory is reserved.
+	headerBytes, headerLines int
+	headerMemory             bodylimit.Reservation
+	// writers is the number of writes in progress, and wroteAt when one of them last
+	// made progress.
+	writers int
+	wroteAt time.Time
+}
+
+type connKey struct{}
+
+// FromContext returns the connection of a request's context, or nil if it isn't one of
+// a Connections.
+func FromContext(ctx context.Context) *Conn {
+	c, _ := ctx.Value(connKey{}).(*Conn)
+	return c
+}
+
+// BeginRequest tells the connection that a handler begins to serve a request. It
+// returns false if the connection was chosen to be closed: the request must not be
+// served then.
+func (c *Conn) BeginRequest(protoMajor int) bool {
+	if c == nil {
+		return true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http2 = protoMajor >= 2
+	if c.phase != phaseServed {
+		c.enter(phaseServed)
+	}
+	return c.reason == ""
+}
+
+// EndRequest tells the connection that a handler has ended.
+func (c *Conn) EndRequest() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headerMemory.Release()
+}
+
+// BeginBody tells the connection that the body of a request is read from now on.
+// holder is the holder of its memory.
+func (c *Conn) BeginBody(holder string) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.bodies == 0 {
+		c.resetProgress()
+	}
+	c.bodies++
+	c.holder = holder
+}
+
+// EndBody tells the connection that the body is complete or no longer read. It must be
+// called once after each BeginBody.
+func (c *Conn) EndBody() {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.bodies--
+}
+
+// Closing reports whether the connection was chosen to be closed.
+func (c *Conn) Closing() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reason != ""
+}
+
+// enter begins a phase. c.mu is locked.
+func (c *Conn) enter(p phase) {
+	c.phase = p
+	c.resetProgress()
+	c.since = c.progressAt
+	if p == phaseHeader {
+		c.headerBytes, c.headerLines = 0, 0
+	}
+}
+
+func (c *Conn) resetProgress() { c.progress, c.progressAt = 0, time.Now() }
+
+// setState follows the server's view of the connection.
+func (c *Conn) setState(state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		if c.phase != phaseServed {
+			c.enter(phaseServed)
+		}
+	case http.StateIdle:
+		c.headerMemory.Release()
+		c.deadlines = 0
+		next := phaseIdle
+		if c.ahead && !c.http2 {
+			next = phaseHeader
+		}
+		c.ahead = false
+		c.enter(next)
+	}
+}
+
+// Read implements net.Conn. It delivers nothing of a connection that was chosen to be
+// closed.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	refusal, closing := c.recordRead(p[:n], len(p) == 1)
+	if refusal != "" {
+		c.refuse(refusal)
+	}
+	if closing {
+		return 0, errClosing
+	}
+	return n, err
+}
+
+// recordRead records what was read. single reports whether a single byte was wanted:
+// a server does so only to notice a caller that leaves while it is being served.
+// refusal is the response to send before the connection ends, or empty.
+func (c *Conn) recordRead(p []byte, single bool) (refusal string, closing bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason != "" {
+		return "", true
+	}
+	if len(p) == 0 {
+		return "", false
+	}
+	if c.read == 0 && bytes.HasPrefix(p, []byte("PRI")) {
+		c.http2 = true
+	}
+	c.read += int64(len(p))
+	switch {
+	case c.phase == phaseIdle && !c.http2, c.phase == phaseIdle && c.read == int64(len(p)):
+		c.enter(phaseHeader)
+	case c.phase == phaseServed && c.bodies == 0 && single:
+		c.ahead = true
+	}
+	c.recordProgress(len(p))
+	if c.phase == phaseHeader {
+		return c.recordHeader(p)
+	}
+	return "", false
+}
+
+// recordProgress counts received bytes.
+func (c *Conn) recordProgress(n int) {
+	c.progress += n
+	if c.progress >= progressBytes && (c.phase == phaseHeader || c.bodies > 0) {
+		c.resetProgress()
+	}
+}
+
+// recordHeader counts a part of a header, and reserves memory for what it takes when
+// parsed.
+func (c *Conn) recordHeader(p []byte) (refusal string, closing bool) {
+	// The server reads on only if what it has read before is not a complete header.
+	if c.headerBytes > c.set.limits.Load().HeaderBytes {
+		c.choose(HeaderTooLarge)
+		return headerTooLarge, true
+	}
+	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
+		p = p[:end+4]
+	}
+	c.headerBytes += len(p)
+	c.headerLines += bytes.Count(p, []byte("\n"))
+	cost := int64(c.headerBytes+c.headerLines*headerLineBytes) - freeHeaderBytes
+	if c.set.opts.Memory == nil || cost <= c.headerMemory.Size() {
+		return "", false
+	}
+	if c.headerMemory.Size() == 0 {
+		c.headerMemory = c.set.opts.Memory.Hold(c.ip, 0)
+	}
+	if err := c.headerMemory.Grow(max(cost-c.headerMemory.Size(), headerStep)); err != nil {
+		c.choose(NoMemory)
+		return noMemory, true
+	}
+	return "", false
+}
+
+// SetReadDeadline implements net.Conn. An HTTP/1 server sets one as a connection
+// becomes idle, and another one once it has the first bytes of the next request: a
+// second one without a read means that these had been read ahead.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	if c.phase == phaseIdle && !c.http2 && c.read > 0 {
+		c.deadlines++
+		if c.deadlines == 2 {
+			c.enter(phaseHeader)
+		}
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Write implements net.Conn. It writes in pieces, each of which is progress.
+func (c *Conn) Write(p []byte) (int, error) {
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+maxPiece)]
+		c.beginWrite()
+		n, err := c.Conn.Write(piece)
+		c.endWrite(n)
+		written += n
+		if err != nil || written >= len(p) {
+			return written, err
+		}
+	}
+}
+
+func (c *Conn) beginWrite() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writers == 0 {
+		c.wroteAt = time.Now()
+	}
+	c.writers++
+}
+
+func (c *Conn) endWrite(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writers--
+	if n > 0 && c.writers > 0 {
+		c.wroteAt = time.Now()
+	}
+	c.written += int64(n)
+}
+
+// CloseWrite closes the sending side, if the connection has one.
+func (c *Conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn.
+func (c *Conn) Close() error {
+	c.set.remove(c)
+	return c.Conn.Close()
+}
+
+// refuse sends a response to a request whose header is not read to its end, and waits
+// for the caller to read it.
+func (c *Conn) refuse(response string) {
+	c.set.record(c)
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // the write fails too
+	if _, err := io.WriteString(c.Conn, response); err != nil {
+		return
+	}
+	_ = c.CloseWrite() // the caller may have left
+	time.Sleep(lingerPeriod)
+}
+
+// choose chooses the connection to be closed. It returns false if it was before. c.mu
+// is locked.
+func (c *Conn) choose(reason Reason) bool {
+	if c.reason != "" {
+		return false
+	}
+	c.reason = reason
+	return true
+}
+
+// stalledSince returns when a connection that receives a header or body or sends a
+// response last made progress. ok is false if it does neither, or is being closed.
+// c.mu is locked.
+func (c *Conn) stalledSince() (at time.Time, ok bool) {
+	switch {
+	case c.reason != "":
+		return time.Time{}, false
+	case c.bodies > 0, c.phase == phaseHeader:
+		return c.progressAt, true
+	case c.writers > 0:
+		return c.wroteAt, true
+	}
+	return time.Time{}, false
+}
+
+// overdue chooses the connection to be closed if it exceeds a time limit.
+func (c *Conn) overdue(now time.Time, limits *Limits, stalledWrite time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase == phaseIdle && now.Sub(c.since) >= limits.IdleTimeout:
+		return c.choose(IdleTimeout)
+	case c.phase == phaseHeader && now.Sub(c.since) >= limits.HeaderTimeout:
+		return c.choose(HeaderTimeout)
+	case c.writers > 0 && now.Sub(c.wroteAt) >= stalledWrite:
+		return c.choose(StalledWrite)
+	}
+	return false
+}
