entry: bound the memory and the time of request bodies

80 bodies of 4 MiB ended a VM of 414 MB, and a body that never ended held its buffer for as long as its connection lived, since the request's deadline didn't apply while the body was read. Bodies now share a budget, of which a client account gets half, and are read until the request's deadline at most: callers see 503 with Retry-After and 408, both for requests that were not sent to any endpoint. A header over the limit gets 431. After the refusal of a body that wasn't read the connection is closed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,8 @@
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
@@ -43,6 +45,7 @@
 	t           testing.TB
 	state       *State
 	server      *Server
+	conns       *ingress.Connections
 	network     network
 	front       *httptest.Server
 	client      *http.Transport
@@ -81,15 +84,26 @@
 	}
 	s.state.Locked(func(st LockedState) { st.Targets.SetNodes(st.Now, 1, 0) })
 	s.configure()
+	registry, memory := metrics.NewRegistry(), bodylimit.NewMemory(bodylimit.Sizes{Requests: requestBytes, Responses: bodyBytes})
+	s.conns = ingress.New(ingress.Options{Max: 1000, Limits: s.connectionLimits, Memory: memory.Requests, Log: log, Metrics: registry})
 	s.server = NewServer(Options{
-		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, BodyBytes: bodyBytes, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
+		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, Memory: memory, Connections: s.conns, Log: log, Metrics: registry, Now: clock,
 	}, testProtocol, s.state, upstream.New(n.dial), make(chan struct{}))
-	s.front = serve(t, n, s.server)
+	s.front = serveCallers(t, n, s.conns, s.server)
 	s.client = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, address) }}
 	t.Cleanup(s.client.CloseIdleConnections)
 	return s
 }
 
+// requestBytes is the memory of a harness for request bodies.
+const requestBytes = 1 << 20
+
+// connectionLimits returns the limits of the configuration in force.
+func (s *harness) connectionLimits() ingress.Limits {
+	limits := s.state.View().Catalog.Limits
+	return ingress.Limits{IdleTimeout: limits.IdleTimeout, HeaderTimeout: limits.HeaderTimeout, HeaderBytes: limits.MaxHeaderBytes}
+}
+
 func (s *harness) configure() {
 	cat := catalog.New(1, s.routes, []catalog.Service{{Name: "shop"}},
 		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 1000})
--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 // network connects callers, the entry VM and endpoints.
@@ -29,6 +31,18 @@
 	return server
 }
 
+// serveCallers starts a server whose connections are limited.
+func serveCallers(t testing.TB, n network, conns *ingress.Connections, handler http.Handler) *httptest.Server {
+	server := &httptest.Server{Listener: conns.Listen(n.listen(t)), Config: &http.Server{Handler: handler}}
+	conns.Configure(server.Config)
+	server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	var sweeps sync.WaitGroup
+	sweeps.Go(func() { conns.Run(ctx) })
+	t.Cleanup(func() { server.Close(); cancel(); sweeps.Wait() })
+	return server
+}
+
 // loopback is TCP on loopback. It dials without a timeout, so that a busy machine
 // doesn't turn a request into one that wasn't sent.
 type loopback struct{}
--- a/internal/entry/problems.go
+++ b/internal/entry/problems.go
@@ -58,6 +58,8 @@
 	problem.Unauthorized:     http.StatusUnauthorized,
 	problem.NotFound:         http.StatusNotFound,
 	problem.BodyTooLarge:     http.StatusRequestEntityTooLarge,
+	problem.BodyTimeout:      http.StatusRequestTimeout,
+	problem.HeaderTooLarge:   http.StatusRequestHeaderFieldsTooLarge,
 }
 
 func statusOf(p *problem.Error) int {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -15,6 +13,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -63,8 +62,10 @@
 	// whether another attempt is made meanwhile. Both may be nil.
 	placed     func(*attempt)
 	hasStandby func() bool
-	// buffered is the memory reserved for buffered responses, in bytes.
+	// buffered is the memory reserved for buffered responses, in bytes, and held that
+	// for the request's body.
 	buffered int64
+	held     bodylimit.Reservation
 }
 
 // hopByHop lists the headers that apply to a single connection.
@@ -74,7 +75,7 @@
 }
 
 // accept validates a caller's request against the catalog and reads its body.
-func (s *Server) accept(r *http.Request) (*request, *problem.Error) {
+func (s *Server) accept(w http.ResponseWriter, r *http.Request) (*request, *problem.Error) {
 	now := s.now()
 	id := r.Header.Get(s.proto.RequestID)
 	if id == "" {
@@ -84,6 +85,9 @@
 	if view == nil {
 		return nil, problem.New(problem.NotReady, "no configuration has been read yet", "retry shortly").WithRetryAfter(time.Second)
 	}
+	if fault := checkHeaderSize(r, view.Catalog.Limits.MaxHeaderBytes); fault != nil {
+		return nil, fault
+	}
 	req := &request{id: id, started: now, catalogVersion: view.Catalog.Version, draw: xxhash.Sum64String(id)}
 	if fault := s.matchRoute(req, r, view); fault != nil {
 		return nil, fault
@@ -101,7 +105,7 @@
 			req.promptTokens = n
 		}
 	}
-	body, fault := readBody(r, view.Catalog.Limits.MaxBodyBytes)
+	body, fault := s.readRequestBody(w, r, req, view.Catalog.Limits.MaxBodyBytes)
 	if fault != nil {
 		return nil, fault
 	}
@@ -144,31 +148,6 @@
 	return req.started.Add(d)
 }
 
-func readBody(r *http.Request, limit int64) ([]byte, *problem.Error) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = 4 << 20
-	}
-	if r.ContentLength > limit {
-		return nil, tooLarge(limit)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	var tooBig *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooBig):
-		return nil, tooLarge(limit)
-	case err != nil:
-		return nil, problem.New(problem.MalformedRequest, "the body is truncated: "+err.Error(), "send the complete body")
-	}
-	return body, nil
-}
-
-func tooLarge(limit int64) *problem.Error {
-	return problem.New(problem.BodyTooLarge, "the body exceeds the limit", "send at most "+strconv.FormatInt(limit, 10)+" bytes")
-}
-
 // forwardHeader returns the headers to send to the endpoint. Callers' credentials are
 // for this entry VM, which may not know yet whose they are or that they are needed:
 // no endpoint gets them.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
@@ -23,12 +24,14 @@
 	// UnknownAfter is the age of the catalog above which an unknown route or
 	// key may have been added since the catalog was read.
 	UnknownAfter time.Duration
-	// BodyBytes limits the memory for buffered response bodies; 0 selects a
-	// default.
-	BodyBytes int64
-	Log       *slog.Logger
-	Metrics   metrics.Registry
-	Now       func() time.Time
+	// Memory is the memory for request bodies and buffered responses; nil selects
+	// defaults.
+	Memory *bodylimit.Memory
+	// Connections are the callers' connections, or nil if they aren't limited.
+	Connections *ingress.Connections
+	Log         *slog.Logger
+	Metrics     metrics.Registry
+	Now         func() time.Time
 }
 
 // Server handles requests of callers. It implements http.Handler.
@@ -39,7 +42,9 @@
 	client *upstream.Client
 	log    *slog.Logger
 	now    func() time.Time
-	bodies *bodylimit.Budget
+	// requests is the memory for request bodies, and bodies that for responses.
+	requests *bodylimit.HolderBudget
+	bodies   *bodylimit.Budget
 	// stopping is closed when callers should move to another entry VM.
 	stopping <-chan struct{}
 	// serving ends when requests that still run are to be given up.
@@ -50,7 +55,13 @@
 // NewServer returns a server that uses the given state. Once stopping is
 // closed, responses ask callers to close their connections.
 func NewServer(opts Options, proto Protocol, state *State, client *upstream.Client, stopping <-chan struct{}) *Server {
-	s := &Server{opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now, bodies: bodylimit.NewBudget(opts.BodyBytes), stopping: stopping}
+	if opts.Memory == nil {
+		opts.Memory = bodylimit.NewMemory(bodylimit.Sizes{})
+	}
+	s := &Server{
+		opts: opts, proto: proto, state: state, client: client, log: opts.Log, now: opts.Now,
+		requests: opts.Memory.Requests, bodies: opts.Memory.Responses, stopping: stopping,
+	}
 	s.serving, s.giveUp = context.WithCancelCause(context.Background())
 	return s
 }
@@ -61,16 +72,29 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn := ingress.FromContext(r.Context())
+	if !conn.BeginRequest(r.ProtoMajor) {
+		panic(http.ErrAbortHandler) // the connection is being closed
+	}
+	defer conn.EndRequest()
 	select {
 	case <-s.stopping:
 		w.Header().Set("Connection", "close")
 	default:
 	}
-	req, fault := s.accept(r)
+	req, fault := s.accept(w, r)
 	if fault != nil {
-		s.refuse(w, r.Header.Get(s.proto.RequestID), nil, fault)
+		id := r.Header.Get(s.proto.RequestID)
+		if conn.Closing() {
+			s.count("connection closed")
+			s.log.Info("request not read", "request", id, "cause", "its connection was closed", "detail", fault.Message)
+			panic(http.ErrAbortHandler)
+		}
+		endUnreadBody(w, r, fault)
+		s.refuse(w, id, nil, fault)
 		return
 	}
+	defer req.held.Release()
 	s.state.countRequest(req.service.Name)
 	s.serve(w, r, req)
 }
@@ -100,6 +124,9 @@
 	w.WriteHeader(status)
 	_, _ = w.Write([]byte(body)) // the caller may have disconnected
 	s.count(string(p.Kind))
+	if p.Kind == problem.MemoryShort {
+		telemetry.Counter(s.opts.Metrics, "requests_refused_memory_total").Inc(1)
+	}
 	if req == nil {
 		s.log.Warn("request refused", "request", id, "status", status, "kind", string(p.Kind), "detail", p.Message)
 		return
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -230,7 +230,7 @@
 	switch {
 	case c.phase == phaseIdle && !c.http2, c.phase == phaseIdle && c.read == int64(len(p)):
 		c.enter(phaseHeader)
-	case c.phase == phaseServed && c.bodies == 0 && single:
+	case c.phase == phaseServed && single:
 		c.ahead = true
 	}
 	c.recordProgress(len(p))
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -339,15 +339,6 @@
 	return &limits
 }
 
-// HeaderBytes returns the limit in force of a request's header, in bytes, or 0 for
-// nil Connections.
-func (s *Connections) HeaderBytes() int {
-	if s == nil {
-		return 0
-	}
-	return s.limits.Load().HeaderBytes
-}
-
 // end closes a connection that was chosen to be closed and has been removed.
 func (s *Connections) end(c *Conn) {
 	s.record(c)
