node, settings: limit the callers' connections

76 new connections a second used up all descriptors, since idle ones were kept for two minutes, and the node still said that it was ready. The number of connections is now limited by descriptors and memory (limits.connections, limits.open_files), idle ones and headers end at the time that the configuration in force says, a write without progress ends after limits.stalled_write, and /readyz tells that there is no room.

--- a/internal/node/constants.go
+++ b/internal/node/constants.go
@@ -109,16 +109,12 @@
 	// gcPercent is below the default of 100 to save memory at the cost of
 	// processor time.
 	gcPercent = 50
-	// bodyMemoryDivisor sets the memory for response bodies that are buffered
-	// whole: the memory limit divided by it.
-	bodyMemoryDivisor = 4
 )
 
-// Connections of callers and peers.
+// Connections of peers.
 const (
-	maxHeaderBytes = 64 << 10
 	// readHeaderTimeout limits the time for reading a request's header.
 	readHeaderTimeout = 10 * time.Second
-	// idleTimeout is longer than callers keep an idle connection.
+	// idleTimeout is longer than peers keep an idle connection.
 	idleTimeout = 2 * time.Minute
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,11 @@
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/replica"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 	"github.com/pimentoshore/pimentoshore/internal/coordinator"
 	"github.com/pimentoshore/pimentoshore/internal/entry"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/relay"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
@@ -55,8 +57,11 @@
 	coord    *coordinator.Coordinator
 	follower *relay.Follower
 	backends Backends
-	callers  *entry.Server // nil until callerServer
-	stopping chan struct{}
+	callers  *entry.Server // nil until callerServer, as are memory and connections
+	memory   *bodylimit.Memory
+	// connections are the callers' connections.
+	connections *ingress.Connections
+	stopping    chan struct{}
 	// process identifies this start of the process.
 	process        string
 	activeRequests atomic.Int64
@@ -104,15 +109,15 @@
 	return hex.EncodeToString(b[:]), nil
 }
 
-// Reload applies new settings, except for the node's name, data centre and
-// addresses, which need a restart. If err isn't nil, the settings could not be
+// Reload applies new settings, except for the node's name, data centre, addresses and
+// limits of callers, which need a restart. If err isn't nil, the settings could not be
 // read and the current ones remain in force.
 func (n *Node) Reload(cfg settings.Entry, err error) {
 	if err != nil {
 		n.log.Error("settings not reloaded; the current settings remain in force", "error", err)
 		return
 	}
-	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store
+	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits
 	limitMemory(cfg.Memory)
 	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", cfg.Memory.LimitMB)
 }
@@ -150,7 +155,8 @@
 	g, runCtx := errgroup.WithContext(runCtx)
 	server := n.callerServer()
 	readiness := n.readyServer()
-	g.Go(func() error { return ignoreServerClosed(server.Serve(callers)) })
+	g.Go(func() error { return ignoreServerClosed(server.Serve(n.connections.Listen(callers))) })
+	g.Go(func() error { n.connections.Run(runCtx); return nil })
 	g.Go(func() error { return ignoreServerClosed(readiness.Serve(ready)) })
 	if n.cfg.Listen.Peers != "" {
 		if err := n.servePeers(runCtx, g); err != nil {
@@ -275,8 +281,17 @@
 
 // callerServer returns the server for callers.
 func (n *Node) callerServer() *http.Server {
+	memoryLimit := n.cfg.Memory.LimitMB << 20
+	n.memory = bodylimit.NewMemory(bodylimit.SizesFor(memoryLimit))
+	maxConnections := n.cfg.Limits.Connections
+	if maxConnections == 0 {
+		maxConnections = ingress.DefaultConnections(ingress.OpenFiles(n.cfg.Limits.OpenFiles), memoryLimit)
+	}
+	n.connections = ingress.New(ingress.Options{
+		Max: maxConnections, Limits: n.connectionLimits, StalledWrite: n.cfg.Limits.StalledWrite, Memory: n.memory.Requests, Log: n.log, Metrics: n.registry,
+	})
 	n.callers = entry.NewServer(entry.Options{
-		KeysValidFor: n.cfg.Bounds.KeysValid - keyValidityMargin, UnknownAfter: unknownRouteAge, BodyBytes: n.cfg.Memory.LimitMB << 20 / bodyMemoryDivisor,
+		KeysValidFor: n.cfg.Bounds.KeysValid - keyValidityMargin, UnknownAfter: unknownRouteAge, Memory: n.memory, Connections: n.connections,
 		Log: n.log, Metrics: n.registry, Now: boottime.Now,
 	}, n.backends.Protocol, n.state, n.client, n.stopping)
 	counted := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -285,10 +300,21 @@
 		defer n.logPanic(r)
 		n.callers.ServeHTTP(w, r)
 	})
-	return &http.Server{
-		Handler: counted, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ReadHeaderTimeout: readHeaderTimeout, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	n.log.Info("limits of callers", "connections", maxConnections, "memory_mb", n.cfg.Memory.LimitMB)
+	server := &http.Server{Handler: counted, ErrorLog: slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)}
+	n.connections.Configure(server)
+	return server
+}
+
+// connectionLimits returns the limits of callers' connections of the configuration in
+// force.
+func (n *Node) connectionLimits() ingress.Limits {
+	view := n.state.View()
+	if view == nil {
+		return ingress.Limits{}
 	}
+	limits := view.Catalog.Limits
+	return ingress.Limits{IdleTimeout: limits.IdleTimeout, HeaderTimeout: limits.HeaderTimeout, HeaderBytes: limits.MaxHeaderBytes}
 }
 
 // logPanic logs a panic of a request's handler, which ends the connection without
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -40,6 +40,9 @@
 	if boottime.Now().Sub(view.AsOf) > n.cfg.Bounds.KeysValid-keyValidityMargin {
 		return "the configuration is too old"
 	}
+	if n.connections.Full() {
+		return "no room for more connections"
+	}
 	listed := false
 	n.state.Locked(func(k entry.LockedState) { listed = k.Listed })
 	if !listed {
@@ -61,6 +64,7 @@
 			telemetry.Gauge(n.registry, "configuration_number").Update(view.Catalog.Version)
 			telemetry.Gauge(n.registry, "configuration_age_seconds").Update(int64(boottime.Now().Sub(view.AsOf).Seconds()))
 		}
+		telemetry.Gauge(n.registry, "request_memory_bytes").Update(n.memory.Requests.Used())
 		telemetry.WriteMetrics(c.Response(), n.registry)
 		return nil
 	})
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -20,6 +20,7 @@
 	// Store is the IP address and port of the platform's store.
 	Store  string      `toml:"store"`
 	Memory EntryMemory `toml:"memory"`
+	Limits EntryLimits `toml:"limits"`
 	Bounds EntryBounds `toml:"bounds"`
 	Log    Log         `toml:"log"`
 }
@@ -43,6 +44,18 @@
 	LimitMB int64 `toml:"limit_mb"`
 }
 
+// EntryLimits limits what callers' connections may hold.
+type EntryLimits struct {
+	// Connections is the maximum number of callers' connections. 0 derives it from
+	// the number of descriptors and the memory limit.
+	Connections int `toml:"connections"`
+	// OpenFiles is the number of descriptors that the process may use. 0 means the
+	// process's own limit, which also applies if it is lower.
+	OpenFiles int64 `toml:"open_files"`
+	// StalledWrite is how long a write to a caller may make no progress.
+	StalledWrite time.Duration `toml:"stalled_write"`
+}
+
 // EntryBounds contains the bounds that the operators require.
 type EntryBounds struct {
 	// KeysValid is the maximum time for which a withdrawn key may still be
@@ -67,7 +80,8 @@
 // DefaultEntry returns the values of keys that are absent from the file.
 func DefaultEntry() Entry {
 	return Entry{
-		Log: Log{Format: LogJSON, Level: "info"},
+		Log:    Log{Format: LogJSON, Level: "info"},
+		Limits: EntryLimits{StalledWrite: 15 * time.Second},
 		Bounds: EntryBounds{
 			KeysValid: 5 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second, GroupStall: 5 * time.Second,
 			RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
@@ -106,10 +120,26 @@
 		v.addFault("store", fmt.Sprintf("%q is not an IP address and port", e.Store), "write it as 10.0.0.1:8000")
 	}
 	v.checkLog(e.Log)
+	if e.Memory.LimitMB < 0 {
+		v.addFault("memory.limit_mb", "is negative", "use 0 for no limit")
+	}
+	v.checkEntryLimits(e.Limits)
 	v.checkEntryBounds(e.Bounds)
 	return v.faults
 }
 
+func (v *validator) checkEntryLimits(l EntryLimits) {
+	if l.Connections < 0 {
+		v.addFault("limits.connections", "is negative", "leave it out for the default")
+	}
+	if l.OpenFiles < 0 {
+		v.addFault("limits.open_files", "is negative", "leave it out for the process's own limit")
+	}
+	if l.StalledWrite <= 0 {
+		v.addFault("limits.stalled_write", "is not a positive duration", `write it as "15s"`)
+	}
+}
+
 func (v *validator) checkEntryBounds(b EntryBounds) {
 	positive := []struct {
 		key   string
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -55,6 +55,7 @@
 	s, err := loadEntry(t, head)
 	assert.NilError(t, err)
 	assert.Equal(t, s.Bounds, DefaultEntry().Bounds)
+	assert.Equal(t, s.Limits, EntryLimits{StalledWrite: 15 * time.Second})
 }
 
 func TestInvalidEntrySettingsNameKey(t *testing.T) {
@@ -64,6 +65,16 @@
 		`ready = "10.0.0.1:8220"|ready = "here"`:       "listen.ready",
 		`limit_mb = 414|limit_gb = 1`:                  "memory.limit_gb",
 		`cold_slack = 5|cold_slack = -5`:               "negative",
+		`limit_mb = 414|limit_mb = -1`:                 "memory.limit_mb",
+		`[bounds]|[limits]
+connections = -1
+[bounds]`: "limits.connections",
+		`[bounds]|[limits]
+open_files = -1
+[bounds]`: "limits.open_files",
+		`[bounds]|[limits]
+stalled_write = "0s"
+[bounds]`: "limits.stalled_write",
 	} {
 		from, to, _ := strings.Cut(change, "|")
 		_, err := loadEntry(t, strings.Replace(entryFile, from, to, 1))
@@ -77,7 +88,7 @@
 	assert.NilError(t, err)
 	values := strings.NewReplacer(
 		"{{node}}", "entry-1", "{{zone}}", "dc-a", "{{platform.address}}", "10.0.0.7:8223", "{{listen.front}}", "10.0.0.1:8227",
-		"{{listen.ready}}", "10.0.0.1:8220", "{{ip}}", "10.0.0.1", "{{port-range.0}}", "7340", "{{limits.memory-mb}}", "414", "{{bounds.revoke-ms}}", "5000",
+		"{{listen.ready}}", "10.0.0.1:8220", "{{ip}}", "10.0.0.1", "{{port-range.0}}", "7340", "{{limits.memory-mb}}", "414", "{{limits.max-fds}}", "2870", "{{bounds.revoke-ms}}", "5000",
 		"{{bounds.drain-ms}}", "2000", "{{bounds.grace-s}}", "8", "{{bounds.stall-ms}}", "5000", "{{bounds.retry-ratio}}", "0.2",
 		"{{bounds.retry-slack}}", "136", "{{bounds.retry-window-s}}", "10", "{{bounds.cold-overage}}", "1.5",
 		"{{bounds.cold-slack}}", "5", "{{bounds.ceiling-window-s}}", "5",
