--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -52,6 +52,8 @@
 	clockOffset atomic.Int64 // added to the clock, in nanoseconds
 	vms         int
 	routes      []catalog.Route
+	limits      catalog.Limits
+	version     int64 // of the configuration
 }
 
 func newHarness(t testing.TB) *harness { return newHarnessWith(t, loopback{}, 0) }
@@ -67,7 +69,7 @@
 }
 
 func newHarnessWithClock(t testing.TB, n network, now func() time.Time, bodyBytes int64) *harness {
-	s := &harness{t: t, network: n}
+	s := &harness{t: t, network: n, limits: catalog.Limits{MaxBodyBytes: 1000}}
 	log := discardLogger()
 	clock := func() time.Time { return now().Add(time.Duration(s.clockOffset.Load())) }
 	s.state = NewState(log, clock, dispatch.Options{
@@ -105,9 +107,10 @@
 }
 
 func (s *harness) configure() {
-	cat := catalog.New(1, s.routes, []catalog.Service{{Name: "shop"}},
-		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 1000})
-	s.state.Operators(s.state.now(), updates.Operators{Version: 1, Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
+	s.version++
+	cat := catalog.New(s.version, s.routes, []catalog.Service{{Name: "shop"}},
+		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}, {Name: "acc-2", Keys: []string{"key-2"}}}, s.limits)
+	s.state.Operators(s.state.now(), updates.Operators{Version: uint64(s.version), Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
 }
 
 // add starts and lists an endpoint that responds with the handler.
