--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -310,3 +310,16 @@
 		c.assertClosed()
 	})
 }
+
+// Guards against a connection that is reset before its caller, which is still sending,
+// has read the refusal. Pipes aren't reset, so it uses TCP.
+func TestRefusalReachesACallerThatIsSending(t *testing.T) {
+	for _, header := range []string{"Content-Length: 8000000", "Transfer-Encoding: chunked"} {
+		s := newHarness(t)
+		c := s.connect(t)
+		c.begin("/once/", "key", header)
+		go func() { _, _ = io.WriteString(c, "7a1200\r\n"+strings.Repeat("x", 8_000_000)) }() // the connection is closed
+		status, _, _ := c.response()
+		assert.Equal(t, status, http.StatusRequestEntityTooLarge)
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -112,7 +112,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.http2 = protoMajor >= 2
-	if c.phase != phaseServed {
+	// An HTTP/1 server doesn't tell of a request that it had read ahead. One of HTTP/2
+	// always does, and may have ended the request before its handler begins.
+	if c.phase != phaseServed && !c.http2 {
 		c.enter(phaseServed)
 	}
 	return c.reason == ""
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -49,7 +49,10 @@
 			Limits: func() Limits { s.mu.Lock(); defer s.mu.Unlock(); return s.limits },
 		}
 		s.conns = New(s.opts)
-		server := &http.Server{Handler: http.HandlerFunc(s.serve)}
+		protocols := &http.Protocols{}
+		protocols.SetHTTP1(true)
+		protocols.SetUnencryptedHTTP2(true)
+		server := &http.Server{Handler: http.HandlerFunc(s.serve), Protocols: protocols}
 		s.conns.Configure(server)
 		go func() { _ = server.Serve(s.conns.Listen(s)) }() // ends with the test
 		ctx, cancel := context.WithCancel(t.Context())
