gateway, daemon: bound the memory and the connections of callers

The bodies of requests had no common limit, and the deadline of a request did not apply while its body was read. Bodies, also those of forwarded requests, now share limits.request_memory_mb, of which one client account gets half, and are read until the request's deadline at most: callers get 503 with Retry-After and 408. A refusal no longer waits without a bound for the rest of a body.

Callers' connections have the limits of package ingress. All streams beyond the first of each connection together are limited to the number of connections, and the memory of their headers counts.

A write to a caller that makes no progress ends after limits.stalled_write. The deadline of 10 s that each event of a stream set before also reset HTTP/2 streams that paused for longer.

--- a/internal/daemon/node.go
+++ b/internal/daemon/node.go
@@ -21,7 +21,9 @@
 	"github.com/pimentoshore/pimentoshore/coord/group"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/route"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/peers"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
@@ -65,22 +67,26 @@
 
 // Node is the daemon of one entry VM.
 type Node struct {
-	settings      settings.Settings
-	incarnation   string
-	log           *slog.Logger
-	registry      metrics.Registry
-	tracer        trace.Tracer
-	platform      platform.Table
-	endpoints     *endpoint.Client
-	forwards      *endpoint.Client
-	control       *transport.Client // control messages to peers
-	probes        *transport.Client // reports
-	prober        *endpoint.Client
-	orderCalls    *transport.Client // orders, apart from reports: see endpoint.Client.Order
-	orders        *endpoint.Client
-	peers         *peers.Client
-	tls           *tlsconf.Store // nil means plain TCP
-	requests      *requestRing
+	settings    settings.Settings
+	incarnation string
+	log         *slog.Logger
+	registry    metrics.Registry
+	tracer      trace.Tracer
+	platform    platform.Table
+	endpoints   *endpoint.Client
+	forwards    *endpoint.Client
+	control     *transport.Client // control messages to peers
+	probes      *transport.Client // reports
+	prober      *endpoint.Client
+	orderCalls  *transport.Client // orders, apart from reports: see endpoint.Client.Order
+	orders      *endpoint.Client
+	peers       *peers.Client
+	tls         *tlsconf.Store // nil means plain TCP
+	requests    *requestRing
+	// callers are the callers' connections, and requestMemory is the memory of request
+	// bodies and headers. Both are set before start.
+	callers       *ingress.Connections
+	requestMemory *bodylimit.HolderBudget
 	stopRequested chan struct{} // closed when an operator requests a shutdown
 	requestStop   func()
 
@@ -200,6 +206,7 @@
 // start starts the node's periodic work, which runs until the context ends.
 func (n *Node) start(ctx context.Context) {
 	n.ctx = ctx
+	n.spawn(n.callers.Run)
 	n.runEvery(n.settings.Intervals.Tick, func(context.Context) { n.locked(n.tick) })
 	n.runEvery(n.settings.Intervals.Exchange, n.exchangeGossip)
 	n.runEvery(n.settings.Intervals.Probe, func(context.Context) { n.locked(n.probeVMs) })
@@ -223,13 +230,14 @@
 	n.routes.Step(now, route.Tick{})
 	n.applyAdmissionEffects(now, n.admission.Tick(now))
 	n.stepClaims(now, claim.Tick{})
-	n.recordControlTraffic()
+	n.recordTickMetrics()
 }
 
-// recordControlTraffic updates the metrics of control traffic and of the
-// configuration's number.
-func (n *Node) recordControlTraffic() {
+// recordTickMetrics updates the metrics of control traffic, of the memory of requests
+// and of the configuration's number.
+func (n *Node) recordTickMetrics() {
 	telemetry.Gauge(n.registry, "control_peer_bytes").Update(n.control.Bytes())
 	telemetry.Gauge(n.registry, "control_endpoint_bytes").Update(n.probes.Bytes() + n.orderCalls.Bytes())
+	telemetry.Gauge(n.registry, "request_memory_bytes").Update(n.requestMemory.Used())
 	telemetry.Gauge(n.registry, "configuration_number").Update(int64(n.config.Number()))
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,12 +12,14 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/claim"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/gateway"
 	"github.com/pimentoshore/pimentoshore/internal/peers"
 	"github.com/pimentoshore/pimentoshore/internal/peers/peerspb"
 )
 
 const (
+	// readHeaderTimeout and idleTimeout are for the peers' and operators' connections.
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 2 * time.Minute
 	maxRetries        = 3
@@ -90,21 +92,24 @@
 }
 
 func (n *Node) servers(l Listeners) map[net.Listener]*http.Server {
+	memory := bodylimit.NewMemory(bodylimit.Sizes{Requests: requestMemory(n.settings.Limits), Responses: maxAnswers})
+	n.requestMemory = memory.Requests
+	n.callers = n.newCallers(memory)
 	gw := gateway.New(gateway.Options{
 		VM: n.settings.VM, Backend: n, Endpoints: n.endpoints, Peers: n.forwards,
 		Logger: n.log, Registry: n.registry, Tracer: n.tracer,
 		MaxBody:    n.settings.Limits.MaxBodyBytes,
 		MaxTimeout: n.settings.Limits.RequestTimeout, MaxRetries: maxRetries, Recorder: n.requests,
-		AnswerBytes: maxAnswers,
+		Memory: memory, Connections: n.callers, MaxStreams: int64(n.maxConnections()), StalledWrite: n.settings.Limits.StalledWrite,
 	})
 	twirp := peerspb.NewPeersServer(peers.NewServer(n))
 	mux := http.NewServeMux()
 	mux.Handle(twirp.PathPrefix(), peers.Traced(twirp, n.tracer))
 	mux.Handle(gateway.ForwardPrefix+"/", gw.ForwardHandler())
 	return map[net.Listener]*http.Server{
-		l.Callers:   n.server(gw.CallerHandler()),
-		l.Peers:     n.server(mux),
-		l.Operators: n.server(n.operatorHandler()),
+		n.callers.Listen(l.Callers): n.callersServer(gw.CallerHandler()),
+		l.Peers:                     n.server(mux),
+		l.Operators:                 n.server(n.operatorHandler()),
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 import (
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,6 +20,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/endpoint"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
@@ -47,9 +49,17 @@
 	MaxTimeout time.Duration // longest time a request may take
 	MaxRetries int           // attempts after the first
 	Recorder   Recorder      // nil means that no records are kept
-	// AnswerBytes limits the memory of all answers that are read whole; 0 selects a
+	// Memory limits the memory of requests and of the answers that are read whole.
+	// Nil selects the default limits.
+	Memory *bodylimit.Memory
+	// Connections are the callers' connections, or nil if they aren't limited.
+	Connections *ingress.Connections
+	// MaxStreams limits the HTTP/2 streams beyond the first one of each caller's
+	// connection, all together; 0 means no limit.
+	MaxStreams int64
+	// StalledWrite is how long a caller may read nothing of a response; 0 selects a
 	// default.
-	AnswerBytes int64
+	StalledWrite time.Duration
 }
 
 // Server serves callers and other entry VMs.
@@ -66,35 +76,50 @@
 	maxRetries int
 	recorder   Recorder
 	now        func() time.Time
-	// answers bounds the memory of the answers that are read whole.
-	answers *bodylimit.Budget
+	// bodies bounds the memory of request bodies, and answers that of the answers that
+	// are read whole.
+	bodies       *bodylimit.HolderBudget
+	answers      *bodylimit.Budget
+	connections  *ingress.Connections
+	stalledWrite time.Duration
+	maxStreams   int64
+	// furtherStreams is the number of open streams that count towards maxStreams.
+	furtherStreams atomic.Int64
 }
 
 // New returns a server. CallerHandler and ForwardHandler return its handlers.
 func New(o Options) *Server {
+	if o.Memory == nil {
+		o.Memory = bodylimit.NewMemory(bodylimit.Sizes{})
+	}
+	if o.StalledWrite <= 0 {
+		o.StalledWrite = defaultStalledWrite
+	}
 	return &Server{
 		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
 		registry: o.Registry, tracer: o.Tracer, maxBody: o.MaxBody,
-		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, recorder: o.Recorder, now: time.Now, answers: bodylimit.NewBudget(o.AnswerBytes),
+		maxTimeout: o.MaxTimeout, maxRetries: o.MaxRetries, recorder: o.Recorder, now: time.Now,
+		bodies: o.Memory.Requests, answers: o.Memory.Responses, connections: o.Connections,
+		stalledWrite: o.StalledWrite, maxStreams: o.MaxStreams,
 	}
 }
 
 // CallerHandler returns the handler for the callers' listener.
 func (s *Server) CallerHandler() http.Handler {
-	e := s.router("")
+	e := s.router("", s.limitStreams)
 	e.GET("/healthz", s.healthz)
 	e.GET("/readyz", s.readyz)
 	e.GET("/metrics", s.metrics)
 	e.POST("/v1/idempotency-keys", s.issueKey)
 	e.GET("/v1/models", s.listModels)
 	e.GET("/v1/models/:model", s.getModel)
-	return e
+	return s.boundWrites(serveOpen(e))
 }
 
 // ForwardHandler returns the handler for requests from other entry VMs. It must be
 // served only to peers, because it trusts the client account that they name.
 func (s *Server) ForwardHandler() http.Handler {
-	return s.router(ForwardPrefix, s.readForwarded)
+	return s.boundWrites(s.router(ForwardPrefix, s.readForwarded))
 }
 
 func (s *Server) router(prefix string, middleware ...echo.MiddlewareFunc) *echo.Echo {
@@ -141,6 +166,7 @@
 		defer span.End()
 		telemetry.Propagator.Inject(ctx, propagation.HeaderCarrier(h))
 		c.SetRequest(r.WithContext(ctx))
+		boundUnread(c)
 
 		err := next(c)
 		if err != nil {
@@ -189,6 +215,10 @@
 	if p := s.backend.Ready(); p != nil {
 		return writeProblem(c, p)
 	}
+	if s.connections.Full() {
+		return writeProblem(c, problem.New(problem.Overloaded,
+			"this node has as many callers' connections as it may have", "use another entry VM").WithRetryAfter(retryDelay))
+	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,8 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -73,6 +71,8 @@
 	// claimed marks a request that runs under another entry VM's claim.
 	claimed   bool
 	admission Admission
+	// bodyMemory is the reserved memory of the body.
+	bodyMemory bodylimit.Reservation
 	// held is the memory of the responses that were read whole, in bytes.
 	held int64
 }
@@ -111,20 +111,7 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
-func (s *Server) readBody(r *http.Request) ([]byte, *problem.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, problem.New(problem.BodyTooLarge,
-			"the body is larger than "+strconv.FormatInt(s.maxBody, 10)+" bytes", "send a smaller body")
-	}
-	if err != nil {
-		return nil, problem.New(problem.MalformedRequest, "the request body was truncated", "send the complete body")
-	}
-	return body, nil
-}
-
-// openRequest authenticates a call, reads its body and sets its deadline. The
+// openRequest authenticates a call, sets its deadline and reads its body. The
 // returned function ends the request and releases what it holds.
 func (s *Server) openRequest(c echo.Context) (*request, context.CancelFunc, *problem.Error) {
 	r := c.Request()
@@ -142,14 +129,15 @@
 	if p != nil {
 		return nil, nil, p
 	}
-	if req.body, p = s.readBody(r); p != nil {
+	req.deadline = s.now().Add(timeout)
+	if p = s.readBody(req); p != nil {
 		return nil, nil, p
 	}
-	req.deadline = s.now().Add(timeout)
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	c.SetRequest(r.WithContext(ctx))
 	end := func() {
 		cancel()
+		req.bodyMemory.Release()
 		s.releaseHeld(req)
 	}
 	return req, end, nil
@@ -158,7 +146,9 @@
 func (r *request) ctx() context.Context { return r.echo.Request().Context() }
 
 // id returns the request id.
-func (r *request) id() string { return r.echo.Response().Header().Get(headerRequestID) }
+func (r *request) id() string { return requestID(r.echo) }
+
+func requestID(c echo.Context) string { return c.Response().Header().Get(headerRequestID) }
 
 // excluded returns the endpoints at which a forwarded request has failed.
 func (r *request) excluded() []string {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/tmaxmax/go-sse"
@@ -19,10 +18,8 @@
 const (
 	// streamEnd is the data of the last event of a completion stream. That event
 	// has no id.
-	streamEnd = "[DONE]"
-	// callerWriteTimeout is the timeout for writing one event to the caller.
-	callerWriteTimeout = 10 * time.Second
-	maxEventBytes      = 256 << 10
+	streamEnd     = "[DONE]"
+	maxEventBytes = 256 << 10
 )
 
 // relay copies a stream to the caller. It writes each event before it reads the
@@ -200,8 +197,6 @@
 
 func (r *relay) write(text string) *problem.Error {
 	resp := r.req.echo.Response()
-	ctl := http.NewResponseController(resp)
-	_ = ctl.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := resp.Write([]byte(text)); err != nil {
 		r.state.Step(r.server.now(), stream.CallerGone{})
 		return problem.New(problem.EndpointFailed, "the caller closed the connection", "no action is needed").WithRanUnknown()
