--- a/internal/daemon/cluster_test.go
+++ b/internal/daemon/cluster_test.go
@@ -150,7 +150,10 @@
 }
 
 // addNode opens an entry VM's listeners and adds it to the document.
-func (c *cluster) addNode(dc, vm string) {
+func (c *cluster) addNode(dc, vm string) { c.addNodeWith(dc, vm, func(*settings.Settings) {}) }
+
+// addNodeWith adds an entry VM as addNode does, with changed settings.
+func (c *cluster) addNodeWith(dc, vm string, change func(*settings.Settings)) {
 	l, err := Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
 	assert.NilError(c.t, err)
 	set := settings.Default()
@@ -162,6 +165,7 @@
 	set.Intervals.ConfigPoll = 200 * time.Millisecond
 	set.Intervals.StopGrace = 2 * time.Second
 	set.Limits.RequestTimeout = 20 * time.Second
+	change(&set)
 	c.doc.VMs = append(c.doc.VMs, inventory.VM{Name: vm, DataCentre: dc, Role: inventory.RoleEntry, Address: set.Listen.Peers})
 	c.startFuncs = append(c.startFuncs, func() { c.start(set, l) })
 }
