ingress: one account gets at most half of the connections while they are short

Cause: a connection that is being served isn't replaced, and nothing bounded how many of them one account has. Fix: while more than three quarters are in use, an account (an address without one) that has half of them gets 503 for further requests, before their body is read.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -14,6 +14,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
 
@@ -92,6 +93,9 @@
 	if fault := s.matchRoute(req, r, view); fault != nil {
 		return nil, fault
 	}
+	if !ingress.FromContext(r.Context()).Claim(holderOf(r, req)) {
+		return nil, problem.New(problem.Overloaded, "the account has half of this entry VM's connections, which are short", "send fewer requests at once").WithRetryAfter(time.Second)
+	}
 	req.deadline = s.deadline(req, r)
 	req.service = view.Catalog.Service(req.route.PickService(req.draw))
 	if req.service == nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -17,6 +17,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 // Headers of callers' requests and of requests between entry VMs. The account,
@@ -125,6 +126,11 @@
 		return nil, nil, p
 	}
 	s.beginRecord(c, req)
+	if !ingress.FromContext(r.Context()).Claim(req.account.Name) {
+		closeAfterResponse(c)
+		return nil, nil, problem.New(problem.Overloaded,
+			"the client account has half of this node's connections, which are short", "send fewer requests at once").WithRetryAfter(retryDelay)
+	}
 	timeout, p := s.timeout(r)
 	if p != nil {
 		return nil, nil, p
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -87,6 +87,10 @@
 	// headerMemory is reserved.
 	headerBytes, headerLines int
 	headerMemory             bodylimit.Reservation
+	// requests is the number of requests being served, and claimant the holder for which
+	// the connection counts meanwhile, or empty.
+	requests int
+	claimant string
 	// writers is the number of writes in progress, and wroteAt when one of them last
 	// made progress.
 	writers int
@@ -117,17 +121,38 @@
 	if c.phase != phaseServed && !c.http2 {
 		c.enter(phaseServed)
 	}
-	return c.reason == ""
+	if c.reason != "" {
+		return false
+	}
+	c.requests++
+	return true
 }
 
-// EndRequest tells the connection that a handler has ended.
+// EndRequest tells the connection that a handler has ended. It must be called once
+// after each BeginRequest.
 func (c *Conn) EndRequest() {
 	if c == nil {
 		return
 	}
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.headerMemory.Release()
+	c.requests--
+	ended := ""
+	if c.requests == 0 {
+		ended, c.claimant = c.claimant, ""
+	}
+	c.mu.Unlock()
+	c.set.unclaim(ended)
+}
+
+// Claim counts the connection for a holder, a client account or a remote address, until
+// its requests have ended. It returns false if connections are short and the holder
+// has half of them already: the request must be refused then.
+func (c *Conn) Claim(holder string) bool {
+	if c == nil {
+		return true
+	}
+	return c.set.claim(c, holder)
 }
 
 // BeginBody tells the connection that the body of a request is read from now on.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -76,6 +76,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer conn.EndRequest()
+	if !conn.Claim(r.Header.Get("X-Holder")) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	conn.BeginBody(r.Header.Get("X-Holder"))
 	_, err := io.Copy(io.Discard, r.Body)
 	conn.EndBody()
@@ -392,6 +396,33 @@
 }
 
 // Guards against defaults that a deployment's connections exceed.
+// Guards against one account whose long requests take all connections, so that no
+// other account gets one.
+func TestHolderHasHalfOfTheConnectionsAtMost(t *testing.T) {
+	inSite(t, 8, func(t *testing.T, s *site) {
+		ask := func(holder string, seconds int) string {
+			c := s.dial()
+			fmt.Fprintf(c, "GET /1/%d HTTP/1.1\r\nHost: h\r\nX-Holder: %s\r\n\r\n", seconds, holder)
+			synctest.Wait()
+			if seconds > 0 {
+				return ""
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			assert.NilError(t, err)
+			return resp.Status
+		}
+		for range 6 {
+			ask("large", 60)
+		}
+		assert.Equal(t, ask("large", 0), "503 Service Unavailable")
+		assert.Equal(t, ask("small", 0), "200 OK")
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		assert.Equal(t, ask("large", 0), "200 OK")
+		assert.Equal(t, len(s.conns.claims), 0, "claims left")
+	})
+}
+
 func TestDefaultConnections(t *testing.T) {
 	assert.Equal(t, DefaultConnections(2870, 414<<20), 1068)
 	assert.Equal(t, DefaultConnections(12300, 112<<20), 597)
