Clients outside the limits: memory, connections and time of callers are bounded

Cause: nothing bounded what a node holds for its callers, and the configured limits on headers, bodies and idle connections were decoded and read nowhere.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -22,6 +22,8 @@
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 	"github.com/pimentoshore/pimentoshore/internal/upstream"
 )
@@ -40,31 +42,34 @@
 
 // harness is an entry VM in front of endpoints scripted by the test.
 type harness struct {
-	t           *testing.T
+	t           testing.TB
 	state       *State
 	server      *Server
+	conns       *ingress.Connections
 	network     network
 	front       *httptest.Server
 	client      *http.Transport
 	clockOffset atomic.Int64 // added to the clock, in nanoseconds
 	vms         int
 	routes      []catalog.Route
+	limits      catalog.Limits
+	version     int64 // of the configuration
 }
 
-func newHarness(t *testing.T) *harness { return newHarnessWith(t, loopback{}, 0) }
+func newHarness(t testing.TB) *harness { return newHarnessWith(t, loopback{}, 0) }
 
 // newHarnessWithMemory returns a harness whose entry VM may use bodyBytes of memory
 // for buffered responses.
-func newHarnessWithMemory(t *testing.T, bodyBytes int64) *harness {
+func newHarnessWithMemory(t testing.TB, bodyBytes int64) *harness {
 	return newHarnessWith(t, loopback{}, bodyBytes)
 }
 
-func newHarnessWith(t *testing.T, n network, bodyBytes int64) *harness {
+func newHarnessWith(t testing.TB, n network, bodyBytes int64) *harness {
 	return newHarnessWithClock(t, n, time.Now, bodyBytes)
 }
 
-func newHarnessWithClock(t *testing.T, n network, now func() time.Time, bodyBytes int64) *harness {
-	s := &harness{t: t, network: n}
+func newHarnessWithClock(t testing.TB, n network, now func() time.Time, bodyBytes int64) *harness {
+	s := &harness{t: t, network: n, limits: catalog.Limits{MaxBodyBytes: 1000}}
 	log := discardLogger()
 	clock := func() time.Time { return now().Add(time.Duration(s.clockOffset.Load())) }
 	s.state = NewState(log, clock, dispatch.Options{
@@ -81,19 +86,31 @@
 	}
 	s.state.Locked(func(st LockedState) { st.Targets.SetNodes(st.Now, 1, 0) })
 	s.configure()
+	registry, memory := metrics.NewRegistry(), bodylimit.NewMemory(bodylimit.Sizes{Requests: requestBytes, Responses: bodyBytes})
+	s.conns = ingress.New(ingress.Options{Max: 1000, Limits: s.connectionLimits, Memory: memory.Requests, Log: log, Metrics: registry})
 	s.server = NewServer(Options{
-		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, BodyBytes: bodyBytes, Log: log, Metrics: metrics.NewRegistry(), Now: clock,
+		KeysValidFor: 4 * time.Second, UnknownAfter: 2 * time.Second, Memory: memory, Connections: s.conns, Log: log, Metrics: registry, Now: clock,
 	}, testProtocol, s.state, upstream.New(n.dial), make(chan struct{}))
-	s.front = serve(t, n, s.server)
+	s.front = serveCallers(t, n, s.conns, s.server)
 	s.client = &http.Transport{DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return n.dial(ctx, address) }}
 	t.Cleanup(s.client.CloseIdleConnections)
 	return s
 }
 
+// requestBytes is the memory of a harness for request bodies.
+const requestBytes = 1 << 20
+
+// connectionLimits returns the limits of the configuration in force.
+func (s *harness) connectionLimits() ingress.Limits {
+	limits := s.state.View().Catalog.Limits
+	return ingress.Limits{IdleTimeout: limits.IdleTimeout, HeaderTimeout: limits.HeaderTimeout, HeaderBytes: limits.MaxHeaderBytes}
+}
+
 func (s *harness) configure() {
-	cat := catalog.New(1, s.routes, []catalog.Service{{Name: "shop"}},
-		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 1000})
-	s.state.Operators(s.state.now(), updates.Operators{Version: 1, Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
+	s.version++
+	cat := catalog.New(s.version, s.routes, []catalog.Service{{Name: "shop"}},
+		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}, {Name: "acc-2", Keys: []string{"key-2"}}}, s.limits)
+	s.state.Operators(s.state.now(), updates.Operators{Version: uint64(s.version), Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
 }
 
 // add starts and lists an endpoint that responds with the handler.
--- a/internal/entry/network_test.go
+++ b/internal/entry/network_test.go
@@ -12,28 +12,42 @@
 
 	"github.com/rcrowley/go-metrics"
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 // network connects callers, the entry VM and endpoints.
 type network interface {
-	listen(t *testing.T) net.Listener
+	listen(t testing.TB) net.Listener
 	// dial implements upstream.DialFunc.
 	dial(ctx context.Context, address string) (net.Conn, error)
 }
 
 // serve starts a server at an address of its own, which ends with the test.
-func serve(t *testing.T, n network, handler http.Handler) *httptest.Server {
+func serve(t testing.TB, n network, handler http.Handler) *httptest.Server {
 	server := &httptest.Server{Listener: n.listen(t), Config: &http.Server{Handler: handler}}
 	server.Start()
 	t.Cleanup(server.Close)
 	return server
 }
 
+// serveCallers starts a server whose connections are limited.
+func serveCallers(t testing.TB, n network, conns *ingress.Connections, handler http.Handler) *httptest.Server {
+	server := &httptest.Server{Listener: conns.Listen(n.listen(t)), Config: &http.Server{Handler: handler}}
+	conns.Configure(server.Config)
+	server.Start()
+	ctx, cancel := context.WithCancel(context.Background())
+	var sweeps sync.WaitGroup
+	sweeps.Go(func() { conns.Run(ctx) })
+	t.Cleanup(func() { server.Close(); cancel(); sweeps.Wait() })
+	return server
+}
+
 // loopback is TCP on loopback. It dials without a timeout, so that a busy machine
 // doesn't turn a request into one that wasn't sent.
 type loopback struct{}
 
-func (loopback) listen(t *testing.T) net.Listener {
+func (loopback) listen(t testing.TB) net.Listener {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	return l
@@ -60,7 +74,7 @@
 
 func newPipes() *pipes { return &pipes{listeners: make(map[string]*pipeListener)} }
 
-func (n *pipes) listen(*testing.T) net.Listener {
+func (n *pipes) listen(testing.TB) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	address := &net.TCPAddr{IP: net.IPv4(192, 0, 2, 1), Port: 1 + len(n.listeners)}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,12 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,6 +16,8 @@
 
 	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
+	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 // Headers of callers' requests and of requests between entry VMs. The account,
@@ -71,6 +72,8 @@
 	// claimed marks a request that runs under another entry VM's claim.
 	claimed   bool
 	admission Admission
+	// bodyMemory is the reserved memory of the body.
+	bodyMemory bodylimit.Reservation
 	// held is the memory of the responses that were read whole, in bytes.
 	held int64
 }
@@ -109,20 +112,7 @@
 	return time.Duration(seconds * float64(time.Second)), nil
 }
 
-func (s *Server) readBody(r *http.Request) ([]byte, *problem.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, s.maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, problem.New(problem.BodyTooLarge,
-			"the body is larger than "+strconv.FormatInt(s.maxBody, 10)+" bytes", "send a smaller body")
-	}
-	if err != nil {
-		return nil, problem.New(problem.MalformedRequest, "the request body was truncated", "send the complete body")
-	}
-	return body, nil
-}
-
-// openRequest authenticates a call, reads its body and sets its deadline. The
+// openRequest authenticates a call, sets its deadline and reads its body. The
 // returned function ends the request and releases what it holds.
 func (s *Server) openRequest(c echo.Context) (*request, context.CancelFunc, *problem.Error) {
 	r := c.Request()
@@ -136,18 +126,24 @@
 		return nil, nil, p
 	}
 	s.beginRecord(c, req)
+	if !ingress.FromContext(r.Context()).Claim(req.account.Name) {
+		closeAfterResponse(c)
+		return nil, nil, problem.New(problem.Overloaded,
+			"the client account has half of this node's connections, which are short", "send fewer requests at once").WithRetryAfter(retryDelay)
+	}
 	timeout, p := s.timeout(r)
 	if p != nil {
 		return nil, nil, p
 	}
-	if req.body, p = s.readBody(r); p != nil {
+	req.deadline = s.now().Add(timeout)
+	if p = s.readBody(req); p != nil {
 		return nil, nil, p
 	}
-	req.deadline = s.now().Add(timeout)
-	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	c.SetRequest(r.WithContext(ctx))
 	end := func() {
 		cancel()
+		req.bodyMemory.Release()
 		s.releaseHeld(req)
 	}
 	return req, end, nil
@@ -156,7 +152,9 @@
 func (r *request) ctx() context.Context { return r.echo.Request().Context() }
 
 // id returns the request id.
-func (r *request) id() string { return r.echo.Response().Header().Get(headerRequestID) }
+func (r *request) id() string { return requestID(r.echo) }
+
+func requestID(c echo.Context) string { return c.Response().Header().Get(headerRequestID) }
 
 // excluded returns the endpoints at which a forwarded request has failed.
 func (r *request) excluded() []string {
@@ -179,10 +177,35 @@
 
 // completionHead contains the fields of a completion request that routing uses.
 type completionHead struct {
-	Model    string          `json:"model"`
-	Stream   bool            `json:"stream"`
-	Prompt   json.RawMessage `json:"prompt"`
-	Messages json.RawMessage `json:"messages"`
+	Model    modelName   `json:"model"`
+	Stream   bool        `json:"stream"`
+	Prompt   promptStart `json:"prompt"`
+	Messages promptStart `json:"messages"`
+}
+
+// maxModelNameBytes limits the name of a model as it is sent. Names are kept in logs
+// and records, which would otherwise hold as much as a body for each request.
+const maxModelNameBytes = 1 << 10
+
+// modelName is the name of a model. Longer names than maxModelNameBytes are errors.
+type modelName string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *modelName) UnmarshalJSON(raw []byte) error {
+	if len(raw) > maxModelNameBytes {
+		return &bodylimit.OversizeError{What: "the name of the model", Limit: maxModelNameBytes, Unit: "bytes"}
+	}
+	return json.Unmarshal(raw, (*string)(m))
+}
+
+// promptStart is the part of a prompt's JSON text that is hashed. The rest is not
+// copied, since the body's memory would then count only in part.
+type promptStart []byte
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *promptStart) UnmarshalJSON(raw []byte) error {
+	*s = bytes.Clone(raw[:min(len(raw), maxPrefixBlocks*prefixBlockBytes)])
+	return nil
 }
 
 func parseCompletion(body []byte) (completionHead, *problem.Error) {
@@ -203,7 +226,7 @@
 	if len(text) == 0 {
 		text = h.Messages
 	}
-	blocks := min(len(text)/prefixBlockBytes, maxPrefixBlocks)
+	blocks := len(text) / prefixBlockBytes
 	hashes := make([]uint64, 0, blocks)
 	d := xxhash.New()
 	for i := range blocks {
