--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -140,7 +140,11 @@
 	services map[string]*Service
 	accounts map[string]*Account // by key
 	keyed    bool
-	spec     spec
+	// ranks are the ranks in use for each ranked service, in ascending order, and
+	// accountRanks those of the accounts that have one, by name.
+	ranks        map[string][]int
+	accountRanks map[string]int
+	spec         spec
 }
 
 // spec contains the arguments of New and is the JSON form of a catalog.
@@ -191,6 +195,7 @@
 			c.accounts[key] = &accounts[i]
 		}
 	}
+	c.indexRanks()
 	return c
 }
 
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
@@ -60,6 +61,9 @@
 	// it. It then avoids targets that are likely to be lost, since it may not survive another
 	// failure.
 	Repeat bool
+	// Rank is how urgent the request is. It has no effect on requests that are Begun,
+	// Repeat or Resent.
+	Rank catalog.Rank
 	// Resent is whether the request was sent before, so that another send takes part
 	// of the budget of repeats.
 	Resent bool
@@ -114,7 +118,7 @@
 			return nil, &Refusal{Reason: NoBudget, RetryAfter: retryAfterNoBudget, RepeatUse: use}
 		}
 	}
-	best, reasons := t.choose(now, q)
+	best, reasons := t.chooseByRank(now, q)
 	if best == nil {
 		return nil, reasons.refusal(q.Draw)
 	}
@@ -179,7 +183,7 @@
 	switch {
 	case paused > 0:
 		r.pausedFor = shortest(r.pausedFor, paused)
-	case target.pause.isTrialPending(now) || isFull(target, q.Begun):
+	case target.pause.isTrialPending(now) || isFull(target, q.Begun) || t.isReserved(target, q):
 		r.reason = AllFull
 	case !t.hasColdCapacity(now, target, vm):
 		r.reason = AllCold
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -54,6 +54,8 @@
 	groups       map[fleet.Formation][]*fleet.VM
 	joiningHeads []string
 	ranks        []int // reused by listMembers
+	// heldSince is since when requests of a rank have been held back.
+	heldSince map[rankKey]time.Time
 }
 
 // poolKey identifies the pool of endpoints from which a request's target is
@@ -71,6 +73,7 @@
 		broken:         make(map[fleet.Formation]bool),
 		reportedBroken: make(map[fleet.Formation]bool),
 		groups:         make(map[fleet.Formation][]*fleet.VM),
+		heldSince:      make(map[rankKey]time.Time),
 	}
 }
 
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -41,6 +41,8 @@
 	// newest report.
 	otherRequests int
 	reportedAt    time.Time
+	// reportedOwn is the number of this node's own requests in the newest report.
+	reportedOwn int
 	// quota is how many requests this node may have at a group's head until
 	// the next report.
 	quota   int
@@ -134,12 +136,12 @@
 	t.reportedAt = vm.ReportedAt
 	own := t.history.countAt(vm.ReportedAt.Add(-lag))
 	total := max(own, vm.Running+vm.Waiting)
-	t.otherRequests = total - own
+	t.otherRequests, t.reportedOwn = total-own, own
 	t.pace = max(1, vm.Pace)
 	free := t.Slots - total
 	if free >= 0 {
 		share := float64(free) * min(1, freeShareFactor/float64(nodes))
-		t.quota = own + t.roundRandomly(share, uint64(vm.ReportedAt.UnixNano()/int64(reportInterval)), rank)
+		t.quota = own + t.roundRandomly(share, t.reportSeed(), rank)
 		return
 	}
 	t.quota = max(1, own*t.Slots/total)
@@ -157,6 +159,11 @@
 	return int(whole)
 }
 
+// reportSeed returns the seed for rounding shares of the newest report.
+func (t *Target) reportSeed() uint64 {
+	return uint64(t.reportedAt.UnixNano() / int64(reportInterval))
+}
+
 // reportInterval is the approximate time between two reports.
 const reportInterval = 500 * time.Millisecond
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -140,7 +140,10 @@
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Parts: req.parts, Resent: resent}
+		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Parts: req.parts, Rank: req.rank, Resent: resent}
+	if req.sends > 0 {
+		q.Rank = catalog.Rank{} // a further dial of a repeated send isn't held back either
+	}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
 	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
@@ -160,6 +163,7 @@
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
 	if refusal != nil {
 		a.cancel(nil)
+		telemetry.Counter(s.opts.Metrics, "placements_refused_total", "reason", string(refusal.Reason), "rank", req.rank.String()).Inc(1)
 		if refusal.Reason == dispatch.NoBudget {
 			s.recordRepeat(req, refusal.RepeatUse, false)
 		}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -32,6 +32,7 @@
 	RequestID: "X-Id", Deadline: "X-Deadline", Authorization: "Authorization", KeyScheme: "Bearer", Account: "X-Account",
 	ExpectVM: "X-Expect", NotRun: "X-Not-Run", Seal: "X-Seal", Model: "X-Model", Tokens: "X-Tokens",
 	PromptParts: "X-Parts", LastEventID: "Last-Event-Id", Faulty: "X-Faulty", Leaving: "X-Leaving", Limit: "X-Limit",
+	Priority: "X-Priority",
 }
 
 // endpoint is a server behind the entry VM that counts the requests it runs.
--- a/internal/entry/protocol.go
+++ b/internal/entry/protocol.go
@@ -33,4 +33,6 @@
 	// Limit is the number of requests a second, a decimal number, that a VM takes
 	// from all nodes together.
 	Limit string
+	// Priority is the rank of a request, from 0, the most urgent one, to 9.
+	Priority string
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -31,6 +31,7 @@
 	route        *catalog.Route
 	account      string
 	service      *catalog.Service
+	rank         catalog.Rank
 	model        string
 	promptTokens int
 	// parts are the parts of the prompt that others may share, and last the one that
@@ -101,6 +102,7 @@
 	if req.service == nil {
 		return nil, problem.New(problem.NoEndpoint, "the route's service is not in the configuration", "retry shortly").WithRetryAfter(time.Second)
 	}
+	req.rank = view.Catalog.Rank(req.service.Name, req.route, req.account)
 	if req.service.Engine != nil {
 		req.model = r.Header.Get(s.proto.Model)
 		req.parts = sharedParts(r.Header.Get(s.proto.PromptParts))
@@ -171,5 +173,8 @@
 	if req.account != "" {
 		out.Set(s.proto.Account, req.account)
 	}
+	if req.rank.Ranked {
+		out.Set(s.proto.Priority, req.rank.String())
+	}
 	return out
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -132,7 +132,7 @@
 		return
 	}
 	s.log.Warn("request failed", "request", id, "status", status, "kind", string(p.Kind), "detail", p.Message,
-		"route", req.route.Name, "model", req.model, "sends", req.sends, "endpoint", req.lastEndpoint, "version", req.catalogVersion, "parts", partIDs(req.parts),
+		"route", req.route.Name, "model", req.model, "rank", req.rank.String(), "sends", req.sends, "endpoint", req.lastEndpoint, "version", req.catalogVersion, "parts", partIDs(req.parts),
 		"elapsed", s.now().Sub(req.started))
 }
 
