--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -79,6 +79,16 @@
 	RepeatUse RepeatUse
 }
 
+// WithDraw returns the refusal of another request, with that draw, that is refused
+// for the same reason, so that they don't all retry at the same time.
+func (r *Refusal) WithDraw(draw uint64) *Refusal {
+	switch r.Reason {
+	case NoTarget, AllFull, AllCold:
+		return refusal(r.Reason, draw)
+	}
+	return r
+}
+
 // MayClearWithin reports whether a slot may become free within d, so that waiting
 // for one is worthwhile.
 func (r *Refusal) MayClearWithin(d time.Duration) bool {
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -85,6 +85,9 @@
 	born   int64 // start time of the VM that runs it
 }
 
+// Work is the predicted work of the request: one, and more for its prompt.
+func (t *Ticket) Work() float64 { return 1 + promptWeight*t.promptWork }
+
 // AnswerBegan returns when the endpoint began to answer, or when the request was sent
 // if that is unknown.
 func (t *Ticket) AnswerBegan() time.Time {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -151,13 +151,12 @@
 			req.doubted(a, t, reason)
 		}
 	}
-	ticket, refusal := s.state.pick(q, cancel, doubt)
-	if refusal != nil {
-		until := s.placeDeadline(req)
-		for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
-			time.Sleep(placeRetryInterval)
-			ticket, refusal = s.state.pick(q, cancel, doubt)
-		}
+	var ticket *dispatch.Ticket
+	var refusal *dispatch.Refusal
+	if q.Rank.Ranked && !q.Begun {
+		ticket, refusal = s.placeInTurn(ctx, &placement{query: q, account: req.account, cancel: cancel, doubt: doubt, until: s.placeDeadline(req)})
+	} else {
+		ticket, refusal = s.placeAtOnce(ctx, req, q, cancel, doubt)
 	}
 	placed := strconv.FormatBool(refusal == nil)
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
@@ -182,6 +181,21 @@
 	return a, nil
 }
 
+// placeAtOnce chooses an endpoint for a request as soon as one accepts it, whatever
+// others wait.
+func (s *Server) placeAtOnce(ctx context.Context, req *request, q dispatch.Query, cancel func(dispatch.LossReason), doubt func(*dispatch.Ticket, dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
+	ticket, refusal := s.state.pick(q, cancel, doubt)
+	if refusal == nil {
+		return ticket, nil
+	}
+	until := s.placeDeadline(req)
+	for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
+		time.Sleep(placeRetryInterval)
+		ticket, refusal = s.state.pick(q, cancel, doubt)
+	}
+	return ticket, refusal
+}
+
 // placeDeadline returns the time until which a request may wait for a place. A
 // request may spend half of the difference between its objective and the typical
 // latency on waiting, so that its response still meets the objective. One whose
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/coord/waitqueue"
 )
 
 // State is the fleet state and configuration known to this node, shared by its
@@ -50,6 +51,11 @@
 	peerCatalogOutdated bool
 	suspects            *updates.Suspects
 
+	// waiting are the requests of ranked services that wait for a slot, and shares the
+	// work served for the accounts of each of these services.
+	waiting map[waitKey]*waitList
+	shares  map[string]*waitqueue.Shares
+
 	// demand knows which part of all requests this node gets.
 	demand *updates.Demand
 
@@ -91,6 +97,7 @@
 		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: updates.NewRecord(),
 		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: updates.NewSuspects(),
 		quarantine: quarantine.NewRecord(), demand: updates.NewDemand(),
+		waiting: make(map[waitKey]*waitList), shares: make(map[string]*waitqueue.Shares),
 	}
 }
 
@@ -168,7 +175,11 @@
 func (s *State) pick(q dispatch.Query, cancel func(dispatch.LossReason), doubt func(*dispatch.Ticket, dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.now()
+	return s.pickLocked(s.now(), q, cancel, doubt)
+}
+
+// pickLocked chooses a target like pick. The state must be locked.
+func (s *State) pickLocked(now time.Time, q dispatch.Query, cancel func(dispatch.LossReason), doubt func(*dispatch.Ticket, dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
 	if refusal := s.checkQuarantine(now, q); refusal != nil {
 		return nil, refusal
 	}
