--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -27,7 +27,7 @@
 	doubt   func(*dispatch.Ticket, dispatch.LossReason)
 	until   time.Time // until when it may wait
 
-	ticket  *dispatch.Ticket
+	ticket *dispatch.Ticket
 	// refusal is the newest one; it counts only without a ticket.
 	refusal *dispatch.Refusal
 	// ended is whether it no longer waits; done is closed then.
