--- a/coord/dispatch/reserve.go
+++ b/coord/dispatch/reserve.go
@@ -67,19 +67,33 @@
 	}
 	if best != nil {
 		delete(t.heldSince, key)
+	} else if reasons.reason == AllFull {
+		t.recordHeld(now, key)
 	}
 	return best, reasons
 }
 
-// isOverdue reports whether the requests of a rank have been held back for so long
-// that this node may place one in the reserve. It records since when they are.
+// recordHeld records that requests of a rank are held back from now on, unless they
+// are already.
+func (t *Table) recordHeld(now time.Time, key rankKey) {
+	if _, held := t.heldSince[key]; held {
+		return
+	}
+	if len(t.heldSince) >= maxHeldRanks {
+		clear(t.heldSince)
+	}
+	t.heldSince[key] = now
+}
+
+// IsOverdue reports whether the requests of a rank for a model have been held back or
+// refused for so long that this node may place one as if it were the most urgent.
+func (t *Table) IsOverdue(now time.Time, service, model string, rank int) bool {
+	return t.isOverdue(now, rankKey{poolKey{service, model}, rank})
+}
+
 func (t *Table) isOverdue(now time.Time, key rankKey) bool {
 	since, held := t.heldSince[key]
 	if !held {
-		if len(t.heldSince) >= maxHeldRanks {
-			clear(t.heldSince)
-		}
-		t.heldSince[key] = now
 		return false
 	}
 	slots := 0.0
--- a/coord/waitqueue/queue.go
+++ b/coord/waitqueue/queue.go
@@ -22,7 +22,9 @@
 	Alike bool
 	Value T
 
-	served float64 // work of the account, set by sort
+	// served is the work of the account, and place the rank or -1, set by sort.
+	served float64
+	place  int
 }
 
 // Verdict is the result of an attempt to serve a waiter.
@@ -43,6 +45,9 @@
 	waiters []*Waiter[T]
 	// ranAt is the time of the last Run.
 	ranAt time.Time
+	// Overdue reports whether one request of a rank goes before all others, because
+	// the rank has got nothing for long. It may be nil.
+	Overdue func(now time.Time, rank int) bool
 }
 
 // Len returns the number of waiters.
@@ -93,9 +98,7 @@
 		}
 		switch try(w) {
 		case Served:
-			if shares.has(w.Account) { // its other waiters go back behind those of other accounts
-				sortWaiters(now, pending, shares)
-			}
+			q.sortWaiters(now, pending, shares) // its account has more work, and its rank isn't overdue any more
 		case Refused:
 			kept = append(kept, w)
 			if w.Alike {
@@ -107,14 +110,26 @@
 	q.waiters = kept
 }
 
-func (q *Queue[T]) sort(now time.Time, shares *Shares) { sortWaiters(now, q.waiters, shares) }
+func (q *Queue[T]) sort(now time.Time, shares *Shares) { q.sortWaiters(now, q.waiters, shares) }
 
 // sortWaiters sorts waiters by the order in which they are served.
-func sortWaiters[T any](now time.Time, waiters []*Waiter[T], shares *Shares) {
+func (q *Queue[T]) sortWaiters(now time.Time, waiters []*Waiter[T], shares *Shares) {
+	overdue := make(map[int]bool)
 	for _, w := range waiters {
-		w.served = shares.Served(now, w.Account)
+		w.served, w.place = shares.Served(now, w.Account), w.Rank
+		if q.Overdue == nil {
+			continue
+		}
+		is, known := overdue[w.Rank]
+		if !known {
+			is = q.Overdue(now, w.Rank)
+			overdue[w.Rank] = is
+		}
+		if is {
+			w.place = -1
+		}
 	}
 	slices.SortStableFunc(waiters, func(a, b *Waiter[T]) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.served, b.served), a.Until.Compare(b.Until))
+		return cmp.Or(cmp.Compare(a.place, b.place), cmp.Compare(a.served, b.served), a.Until.Compare(b.Until))
 	})
 }
--- a/coord/waitqueue/queue_test.go
+++ b/coord/waitqueue/queue_test.go
@@ -205,3 +205,26 @@
 		})
 	})
 }
+
+// Guards against a low rank that waits behind higher ones for ever, and against all of
+// its requests going first at once. Load: more urgent requests than slots.
+func TestOneRequestOfAnOverdueRankGoesFirst(t *testing.T) {
+	var q Queue[string]
+	var shares Shares
+	overdue := true
+	q.Overdue = func(_ time.Time, rank int) bool { return rank == 2 && overdue }
+	for range 3 {
+		add(&q, &shares, "low", "a", 2, 100)
+		add(&q, &shares, "high", "a", 0, 100)
+	}
+	var served []string
+	q.Run(start, &shares, func(w *Waiter[string]) Verdict {
+		if len(served) == 3 {
+			return Refused
+		}
+		overdue = overdue && w.Rank != 2
+		served = append(served, w.Value)
+		return Served
+	})
+	assert.DeepEqual(t, served, []string{"low", "high", "high"})
+}
--- a/internal/entry/waiting.go
+++ b/internal/entry/waiting.go
@@ -81,6 +81,7 @@
 			return nil
 		}
 		list = &waitList{refusals: make(map[int]*dispatch.Refusal)}
+		list.queue.Overdue = func(now time.Time, rank int) bool { return s.targets.IsOverdue(now, key.service, key.model, rank) }
 		s.waiting[key] = list
 	}
 	w := &waitqueue.Waiter[*placement]{
