--- a/coord/dispatch/reserve_test.go
+++ b/coord/dispatch/reserve_test.go
@@ -101,6 +101,9 @@
 		s.pickRank(least, 1)
 		s.now = s.now.Add(time.Hour)
 		s.pickRank(least, 1)
+		target := s.table.targets[vmID(0, 0)]
+		reserve := reservedSlots(target.Slots, 1)
+		assert.Assert(t, reserve >= 0 && reserve <= target.Slots/8, "%d of %d slots are reserved", reserve, target.Slots)
 	}
 }
 
--- a/coord/waitqueue/queue_test.go
+++ b/coord/waitqueue/queue_test.go
@@ -128,6 +128,26 @@
 	assert.Equal(t, s.Served(start, "never"), 0.0)
 }
 
+func drawWaiter(t *rapid.T, now time.Time, value int) *Waiter[int] {
+	return &Waiter[int]{
+		Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Account: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account"),
+		Until: now.Add(time.Duration(rapid.IntRange(-5, 500).Draw(t, "left")) * time.Millisecond),
+		Alike: rapid.Bool().Draw(t, "alike"), Value: value,
+	}
+}
+
+// checkContents fails unless the queue contains just the waiters that wait.
+func checkContents(t *rapid.T, q *Queue[int], waiting map[*Waiter[int]]bool) {
+	if q.Len() != len(waiting) || q.Len() > MaxWaiting {
+		t.Fatalf("%d waiters in the queue, %d wait", q.Len(), len(waiting))
+	}
+	for _, w := range q.waiters {
+		if !waiting[w] {
+			t.Fatalf("waiter %d is in the queue after it left", w.Value)
+		}
+	}
+}
+
 // Guards against a waiter that is lost or served twice, whatever the order of
 // arrivals, departures and free slots.
 func TestNoWaiterIsLostOrServedTwice(t *testing.T) {
@@ -147,11 +167,7 @@
 			"arrive": func(t *rapid.T) {
 				for range rapid.IntRange(1, 60).Draw(t, "n") {
 					next++
-					w := &Waiter[int]{
-						Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Account: rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account"),
-						Until: now.Add(time.Duration(rapid.IntRange(-5, 500).Draw(t, "left")) * time.Millisecond),
-						Alike: rapid.Bool().Draw(t, "alike"), Value: next,
-					}
+					w := drawWaiter(t, now, next)
 					waiting[w] = true
 					if displaced := q.Add(now, w, &shares); displaced != nil {
 						leave(displaced)
@@ -192,16 +208,7 @@
 			"wait": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			},
-			"": func(t *rapid.T) {
-				if q.Len() != len(waiting) || q.Len() > MaxWaiting {
-					t.Fatalf("%d waiters in the queue, %d wait", q.Len(), len(waiting))
-				}
-				for _, w := range q.waiters {
-					if !waiting[w] {
-						t.Fatalf("waiter %d is in the queue after it left", w.Value)
-					}
-				}
-			},
+			"": func(t *rapid.T) { checkContents(t, &q, waiting) },
 		})
 	})
 }
--- a/internal/entry/rank_test.go
+++ b/internal/entry/rank_test.go
@@ -138,7 +138,6 @@
 // line is a set of requests of one ranked service that wait at a node.
 type line struct {
 	*harness
-	now  time.Time
 	wg   sync.WaitGroup
 	mu   sync.Mutex
 	done []string // names of those placed, in order
