hostile: tests of clients outside the limits, fixed on the unfixed code

Part C of docs/design/overload.md: eleven attacks, run against the entry path (10) and the product path (11), each a test of its own. Crowds and bounds are fixed on this code, before the product is changed. Bounds: memory 112 MB (entry) and 256 MB (product); descriptors 2770 of 2870, or 160 of 260, that is, half of the 200 that are reserved for files stay free.

--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	go run ./cmd/pimentoshore demo
 
 # Packages whose tests run whole systems, which share the machine with nothing.
-SYSTEMS = ./cmd/... ./internal/daemon ./internal/demo ./internal/node ./internal/soak
+SYSTEMS = ./cmd/... ./internal/daemon ./internal/demo ./internal/hostile ./internal/node ./internal/soak
 
 # Names of the tests that KNOWN-RED.txt lists as "skip: NAME": they fail because of
 # a known fault, and are passed over until it is mended.
