entry, gateway: a request whose connection is being closed is not sent

Callers saw their connection closed without a response to a request that an endpoint had run. A body that made no progress for a second was chosen to be closed for its memory while its last bytes, already received, waited for memory themselves; once they had it, the body was complete and the request was sent. The choice is now checked again after the body, when nothing but the response can be a reason to close the connection.

--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -16,6 +16,7 @@
 	is "gotest.tools/v3/assert/cmp"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
@@ -323,3 +324,31 @@
 		assert.Equal(t, status, http.StatusRequestEntityTooLarge)
 	}
 }
+
+// Guards against requests that are sent to an endpoint though their connection was
+// chosen to be closed while the last bytes of their body, already received, waited for
+// memory.
+func TestRequestIsNotSentIfItsConnectionIsBeingClosed(t *testing.T) {
+	for range 20 { // the server may notice the closed connection first
+		inBodySite(t, func(t *testing.T, s *harness, e *endpoint) {
+			others := s.server.requests.Hold("others", requestBytes)
+			assert.NilError(t, others.Grow(requestBytes))
+			c := s.connect(t)
+			c.begin("/patient/", "key", "Transfer-Encoding: chunked")
+			c.send("4006\r\n" + strings.Repeat("x", 16380)) // 4 bytes below the free 16 KB
+			time.Sleep(2 * time.Second)
+			c.send(strings.Repeat("x", 10) + "\r\n0\r\n\r\n")
+			for !s.closedFor(ingress.StalledBody) {
+				time.Sleep(time.Millisecond)
+			}
+			others.Release()
+			time.Sleep(time.Second)
+			assert.Equal(t, e.runs.Load(), int32(0), "runs of a request without a response")
+		})
+	}
+}
+
+// closedFor reports whether a connection was closed for a reason.
+func (s *harness) closedFor(reason ingress.Reason) bool {
+	return telemetry.Counter(s.server.opts.Metrics, "caller_connections_closed_total", "reason", string(reason)).Count() > 0
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -86,15 +86,18 @@
 	if fault != nil {
 		id := r.Header.Get(s.proto.RequestID)
 		if conn.Closing() {
-			s.count("connection closed")
-			s.log.Info("request not read", "request", id, "cause", "its connection was closed", "detail", fault.Message)
-			panic(http.ErrAbortHandler)
+			s.abortForClosing(id, fault.Message)
 		}
 		endUnreadBody(w, r, fault)
 		s.refuse(w, id, nil, fault)
 		return
 	}
 	defer req.held.Release()
+	// The connection may have been chosen to be closed just before its body was complete.
+	// Now that it is, only the response can be a reason to close the connection.
+	if conn.Closing() {
+		s.abortForClosing(req.id, "it was chosen as the end of the body arrived")
+	}
 	s.state.countRequest(req.service.Name)
 	s.serve(w, r, req)
 }
@@ -136,6 +139,14 @@
 		"elapsed", s.now().Sub(req.started))
 }
 
+// abortForClosing counts and logs a request that is not served, because its connection
+// was chosen to be closed.
+func (s *Server) abortForClosing(id, detail string) {
+	s.count("connection closed")
+	s.log.Info("request not read", "request", id, "cause", "its connection was closed", "detail", detail)
+	panic(http.ErrAbortHandler)
+}
+
 // abortForCallerGone counts and logs a caller that left before its answer was
 // complete, and closes its connection: it may still read, and must get no answer that
 // looks complete.
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -35,11 +35,17 @@
 	}
 	closeAfterResponse(req.echo)
 	if conn.Closing() {
-		return problem.New(problem.BodyTimeout, "the connection was closed while the body made no progress", "send the body faster")
+		return closingProblem()
 	}
 	return s.bodyProblem(req, err)
 }
 
+// closingProblem returns the problem of a request whose connection was chosen to be
+// closed while its body was being read.
+func closingProblem() *problem.Error {
+	return problem.New(problem.BodyTimeout, "the connection was closed while the body made no progress", "send the body faster")
+}
+
 // closeStalledBody closes a connection to free the memory of its request's body.
 func (s *Server) closeStalledBody(holder string) { s.connections.CloseStalledBody(holder) }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -139,6 +139,12 @@
 	if p = s.readBody(req); p != nil {
 		return nil, nil, p
 	}
+	// The connection may have been chosen to be closed just before its body was complete.
+	// Now that it is, only the response can be a reason to close the connection.
+	if ingress.FromContext(r.Context()).Closing() {
+		req.bodyMemory.Release()
+		return nil, nil, closingProblem()
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	c.SetRequest(r.WithContext(ctx))
 	end := func() {
