ingress: a stalled body does not end the other requests of its HTTP/2 connection

Callers over HTTP/2 saw requests that were running at an endpoint end without a response when another request on their connection paused in its body for a second while memory or connections were short: the whole connection was closed for that body. A connection is now closed for a body only while each of its requests is still receiving its own.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -387,6 +387,11 @@
 	return true
 }
 
+// receivesOnlyBodies reports whether a body is being read for each request of the
+// connection. Otherwise one of an HTTP/2 connection may be running at an endpoint, and
+// closing the connection would lose its response. c.mu is locked.
+func (c *Conn) receivesOnlyBodies() bool { return c.bodies > 0 && c.bodies >= c.requests }
+
 // stalledSince returns when a connection that receives a header or body or sends a
 // response last made progress. ok is false if it does neither, or is being closed.
 // c.mu is locked.
@@ -394,7 +399,7 @@
 	switch {
 	case c.reason != "":
 		return time.Time{}, false
-	case c.bodies > 0, c.phase == phaseHeader:
+	case c.receivesOnlyBodies(), c.phase == phaseHeader:
 		return c.progressAt, true
 	case c.writers > 0:
 		return c.wroteAt, true
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -267,7 +267,7 @@
 	}
 	found.mu.Lock()
 	defer found.mu.Unlock()
-	if found.bodies == 0 || !found.progressAt.Equal(foundAt) || !found.choose(StalledBody) {
+	if !found.receivesOnlyBodies() || !found.progressAt.Equal(foundAt) || !found.choose(StalledBody) {
 		return nil
 	}
 	delete(s.conns, found)
@@ -275,11 +275,12 @@
 }
 
 // bodyStalledSince returns when the body that the connection receives last made
-// progress. ok is false if it receives none, or its memory has another holder.
+// progress. ok is false if it receives none, serves another request meanwhile, or the
+// memory has another holder.
 func (c *Conn) bodyStalledSince(holder string) (at time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodies == 0 || c.reason != "" || holder != "" && holder != c.holder {
+	if !c.receivesOnlyBodies() || c.reason != "" || holder != "" && holder != c.holder {
 		return time.Time{}, false
 	}
 	return c.progressAt, true
--- a/internal/ingress/doc.go
+++ b/internal/ingress/doc.go
@@ -23,5 +23,6 @@
 //	conn.EndBody()
 //
 // Several requests of one HTTP/2 connection may do so at the same time. Their bodies
-// then share one progress, that of the connection, and are closed together.
+// then share one progress, that of the connection, and are closed together, but only
+// while all of its requests have a body that is being read.
 package ingress
--- a/internal/ingress/http2_test.go
+++ b/internal/ingress/http2_test.go
@@ -70,3 +70,37 @@
 		assert.NilError(t, <-long)
 	})
 }
+
+// Guards against closing an HTTP/2 connection for the stalled body of one request while
+// another one is being served, whose response would be lost.
+func TestHTTP2ConnectionOfAServedRequestIsNotClosedForABody(t *testing.T) {
+	inSite(t, 1, func(t *testing.T, s *site) {
+		client := s.http2Client()
+		served := make(chan error, 1)
+		go func() {
+			resp, err := client.Get("http://h/1/5")
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			served <- err
+		}()
+		synctest.Wait()
+		body, rest := io.Pipe()
+		t.Cleanup(func() { rest.Close() })
+		stalled := make(chan error, 1)
+		go func() {
+			resp, err := client.Post("http://h/1", "text/plain", body)
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			stalled <- err
+		}()
+		time.Sleep(2 * stallTimeout)
+		assert.Assert(t, !s.conns.CloseStalledBody(""))
+		assert.Assert(t, s.dial().isClosed(), "there is no connection to replace")
+		assert.NilError(t, <-served)
+		time.Sleep(time.Second)
+		assert.Assert(t, s.conns.CloseStalledBody(""))
+		assert.Assert(t, <-stalled != nil)
+	})
+}
