ingress, gateway: a slow but steady reader is not cut off

Callers that read a large response slowly but steadily lost their connection. The kernel wakes a blocked write only once a third of the send buffer, about 85 KB, is free, so that a write made no visible progress for longer than limits.stalled_write (or than the second after which a connection may be replaced) although the caller read all the time. The gateway no longer sets a write deadline of its own on HTTP/1 connections that the listener bounds, since it cuts off the same callers.

--- a/internal/gateway/callerwriter.go
+++ b/internal/gateway/callerwriter.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 const (
@@ -30,11 +32,15 @@
 // boundWrites returns a handler that bounds the writes of h to the caller.
 func (s *Server) boundWrites(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && ingress.FromContext(r.Context()) != nil {
+			h.ServeHTTP(w, r) // the listener bounds its writes
+			return
+		}
 		cw := newCallerWriter(w, s.stalledWrite)
 		h.ServeHTTP(cw, r)
 		if r.ProtoMajor == 2 {
 			// After the handler, net/http would write the rest of the response
-			// without a deadline. On HTTP/1, the listener bounds it.
+			// without a deadline.
 			_ = cw.FlushError() // the server closes a stream that fails
 		}
 	})
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -7,8 +7,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 )
 
@@ -92,9 +95,11 @@
 	requests int
 	claimant string
 	// writers is the number of writes in progress, and wroteAt when one of them last
-	// made progress.
+	// made progress. queued is how much the caller had not acknowledged when this
+	// was last checked or counted as progress.
 	writers int
 	wroteAt time.Time
+	queued  int
 }
 
 type connKey struct{}
@@ -336,7 +341,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writers == 0 {
-		c.wroteAt = time.Now()
+		c.wroteAt, c.queued = time.Now(), 0
 	}
 	c.writers++
 }
@@ -346,11 +351,51 @@
 	defer c.mu.Unlock()
 	c.writers--
 	if n > 0 && c.writers > 0 {
-		c.wroteAt = time.Now()
+		c.wroteAt, c.queued = time.Now(), 0
 	}
 	c.written += int64(n)
 }
 
+// waits reports whether a write has been in progress since before the last sweep.
+func (c *Conn) waits(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writers > 0 && now.Sub(c.wroteAt) >= sweepInterval
+}
+
+// recordAcknowledged counts what the caller has acknowledged as progress of a write that
+// waits. The kernel reports room in the send buffer only once a third of it is free, which
+// a slow but steady reader takes longer to read than a write may stall.
+func (c *Conn) recordAcknowledged() {
+	queued, ok := sendQueue(c.Conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case queued > c.queued: // more was written
+		c.queued = queued
+	case c.queued-queued >= progressBytes:
+		c.wroteAt, c.queued = time.Now(), queued
+	}
+}
+
+// sendQueue returns the number of sent bytes of a TCP connection that the other side has
+// not acknowledged. ok is false if it is unknown.
+func sendQueue(nc net.Conn) (n int, ok bool) {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	controlErr := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
+	return n, controlErr == nil && err == nil
+}
+
 // CloseWrite closes the sending side, if the connection has one.
 func (c *Conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -352,6 +352,9 @@
 // sweep applies the limits in force to all connections.
 func (s *Connections) sweep(now time.Time) {
 	limits := s.updateLimits()
+	for _, c := range s.waiting(now) {
+		c.recordAcknowledged()
+	}
 	var ended []*Conn
 	s.mu.Lock()
 	for c := range s.conns {
@@ -371,6 +374,18 @@
 	}
 }
 
+// waiting returns the connections with a write that waits for the caller.
+func (s *Connections) waiting(now time.Time) (found []*Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.waits(now) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
 func (s *Connections) updateLimits() *Limits {
 	limits := Limits{}
 	if s.opts.Limits != nil {
