--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -267,7 +267,7 @@
 	}
 	found.mu.Lock()
 	defer found.mu.Unlock()
-	if found.bodies == 0 || !found.progressAt.Equal(foundAt) || !found.choose(StalledBody) {
+	if !found.receivesOnlyBodies() || !found.progressAt.Equal(foundAt) || !found.choose(StalledBody) {
 		return nil
 	}
 	delete(s.conns, found)
@@ -275,11 +275,12 @@
 }
 
 // bodyStalledSince returns when the body that the connection receives last made
-// progress. ok is false if it receives none, or its memory has another holder.
+// progress. ok is false if it receives none, serves another request meanwhile, or the
+// memory has another holder.
 func (c *Conn) bodyStalledSince(holder string) (at time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.bodies == 0 || c.reason != "" || holder != "" && holder != c.holder {
+	if !c.receivesOnlyBodies() || c.reason != "" || holder != "" && holder != c.holder {
 		return time.Time{}, false
 	}
 	return c.progressAt, true
@@ -351,6 +352,9 @@
 // sweep applies the limits in force to all connections.
 func (s *Connections) sweep(now time.Time) {
 	limits := s.updateLimits()
+	for _, c := range s.waiting(now) {
+		c.recordAcknowledged()
+	}
 	var ended []*Conn
 	s.mu.Lock()
 	for c := range s.conns {
@@ -370,6 +374,18 @@
 	}
 }
 
+// waiting returns the connections with a write that waits for the caller.
+func (s *Connections) waiting(now time.Time) (found []*Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.waits(now) {
+			found = append(found, c)
+		}
+	}
+	return found
+}
+
 func (s *Connections) updateLimits() *Limits {
 	limits := Limits{}
 	if s.opts.Limits != nil {
