--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -87,8 +87,30 @@
 	FormTime time.Duration
 	// ReportLag is the age of the figures in an engine's report.
 	ReportLag time.Duration
-	// MeanPrompt is the usual number of tokens of a prompt.
+	// MeanPrompt and MeanAnswer are the usual numbers of tokens of a prompt and of
+	// an answer; 0 means unknown.
 	MeanPrompt float64
+	MeanAnswer float64
+
+	// The following figures are the engine's times at a pace of 1; 0 means unknown.
+	// Nodes with earlier software ignore them.
+
+	// StepTime is the time of a token step, RequestTime what each request that is
+	// being answered adds to it, and ContextTime what each 1,000 tokens of such
+	// requests' prompts and answers add.
+	StepTime    time.Duration
+	RequestTime time.Duration
+	ContextTime time.Duration
+	// ReadRate is the number of prompt tokens read in a second. PairTime is added
+	// for each million pairs of a token and an earlier one of the prompt.
+	ReadRate float64
+	PairTime time.Duration
+	// Chunk bounds the prompt tokens that are read in a step.
+	Chunk int
+	// Stride is the number of steps of a pass in which requests are answered.
+	Stride int
+	// TokenCapacity is the number of tokens that fit in the memory of an engine.
+	TokenCapacity int
 }
 
 // Model describes a model and the groups that run it.
--- a/coord/catalog/validate.go
+++ b/coord/catalog/validate.go
@@ -96,6 +96,15 @@
 	checkRange(v, key+"forming time", e.FormTime, 0, maxTime)
 	checkRange(v, key+"report lag", e.ReportLag, 0, maxTime)
 	checkRange(v, key+"mean prompt", e.MeanPrompt, 0, maxCount)
+	checkRange(v, key+"mean answer", e.MeanAnswer, 0, maxCount)
+	checkRange(v, key+"step time", e.StepTime, 0, maxTime)
+	checkRange(v, key+"step time for each request", e.RequestTime, 0, maxTime)
+	checkRange(v, key+"step time for 1,000 tokens of context", e.ContextTime, 0, maxTime)
+	checkRange(v, key+"tokens read a second", e.ReadRate, 0, maxCount)
+	checkRange(v, key+"time of a million pairs", e.PairTime, 0, maxTime)
+	checkRange(v, key+"chunk", e.Chunk, 0, maxCount)
+	checkRange(v, key+"stride", e.Stride, 0, maxCount)
+	checkRange(v, key+"token capacity", e.TokenCapacity, 0, maxCount)
 	for _, m := range e.Models {
 		key := key + "model " + m.Name + ": "
 		checkRange(v, key+"group size", m.GroupSize, 1, maxGroupSize)
