--- a/coord/catalog/validate_test.go
+++ b/coord/catalog/validate_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"encoding/json"
 	"math"
 	"testing"
 	"time"
@@ -99,3 +100,41 @@
 		assert.Check(t, s.catalog().Validate() != nil, name)
 	}
 }
+
+// Guards against a rolling update in which nodes lose an engine's figures, or nodes
+// with earlier software can't read the catalog that a newer one passes on.
+func TestFiguresPassBetweenNodesOfDifferentVersions(t *testing.T) {
+	sound := soundSpec()
+	raw, err := json.Marshal(sound.catalog())
+	assert.NilError(t, err)
+	var got Catalog
+	assert.NilError(t, json.Unmarshal(raw, &got))
+	assert.DeepEqual(t, got.Service("llm").Engine, sound.Services[0].Engine)
+
+	// The fields that earlier software reads.
+	var earlier struct {
+		Services []struct {
+			Engine *struct {
+				Slots           int
+				Models          []Model
+				LoadsPerSecond  float64
+				ConcurrentLoads int
+				FormTime        time.Duration
+				ReportLag       time.Duration
+				MeanPrompt      float64
+			}
+		}
+	}
+	assert.NilError(t, json.Unmarshal(raw, &earlier))
+	e := earlier.Services[0].Engine
+	assert.Equal(t, e.Slots, 26)
+	assert.Equal(t, e.MeanPrompt, 1000.0)
+	assert.Equal(t, e.ReportLag, time.Second)
+	assert.DeepEqual(t, e.Models, sound.Services[0].Engine.Models)
+	raw, err = json.Marshal(earlier)
+	assert.NilError(t, err)
+	var restored Catalog
+	assert.NilError(t, json.Unmarshal(raw, &restored))
+	assert.NilError(t, restored.Validate())
+	assert.Equal(t, restored.spec.Services[0].Engine.StepTime, time.Duration(0))
+}
