--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -126,6 +126,7 @@
 	best.limiter.take()
 	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use}
 	best.add(now, ticket)
+	t.recordPrompt(&q)
 	best.pause.recordSend(now, ticket)
 	return ticket, nil
 }
--- /dev/null
+++ b/coord/dispatch/promptlength.go
@@ -0,0 +1,32 @@
+package dispatch
+
+// promptLengthWeight is the weight of the newest request in the running mean of the
+// length of prompts. Prompts differ more from each other than times to the first
+// byte, so that the mean covers more of them.
+const promptLengthWeight = 1.0 / 128
+
+// MeanPromptTokens returns the running mean of the prompt tokens of the requests
+// that this node has placed at the endpoints for a model, or 0 if it has placed
+// none whose length was stated.
+func (t *Table) MeanPromptTokens(service, model string) float64 {
+	return t.promptLengths[poolKey{service, model}].mean
+}
+
+// promptLength is the running mean of the prompts of a pool.
+type promptLength struct {
+	mean float64
+	n    int // number of requests, at most 1/promptLengthWeight
+}
+
+// recordPrompt updates the mean prompt of a pool with a request that has been
+// placed there for the first time.
+func (t *Table) recordPrompt(q *Query) {
+	if q.PromptTokens <= 0 || q.Repeat || q.Resent || q.Begun {
+		return
+	}
+	key := poolKey{q.Service, q.Model}
+	l := t.promptLengths[key]
+	l.n = min(l.n+1, 1/promptLengthWeight)
+	l.mean += (float64(q.PromptTokens) - l.mean) / float64(l.n)
+	t.promptLengths[key] = l
+}
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -46,6 +46,8 @@
 	budgets     map[string]*repeatCounter
 	// firstByteTimes are the mean times to the first byte, by pool.
 	firstByteTimes map[poolKey]time.Duration
+	// promptLengths are the mean lengths of prompts, by pool.
+	promptLengths map[poolKey]promptLength
 	// broken contains the groups that this node found to be missing a VM,
 	// reportedBroken those that another node of its data centre found.
 	broken, reportedBroken map[fleet.Formation]bool
@@ -68,6 +70,7 @@
 		pools:          make(map[poolKey][]*Target),
 		budgets:        make(map[string]*repeatCounter),
 		firstByteTimes: make(map[poolKey]time.Duration),
+		promptLengths:  make(map[poolKey]promptLength),
 		broken:         make(map[fleet.Formation]bool),
 		reportedBroken: make(map[fleet.Formation]bool),
 		groups:         make(map[fleet.Formation][]*fleet.VM),
