--- a/coord/engineload/predict.go
+++ b/coord/engineload/predict.go
@@ -77,7 +77,9 @@
 	if l.Answering > 0 {
 		wait += f.stride * step / 2 // a request arrives in the middle of a pass on average
 	}
-	reading := f.readingSteps(l.Unread*l.Prompt+prompt, l.Answering > 0)*step + l.Unread*f.readTime(l.Prompt) + f.readTime(prompt)
+	// Only the request's own steps are rounded to passes: Unread is an expected value.
+	steps := f.readingSteps(prompt, l.Answering > 0) + l.Unread*l.Prompt/f.chunk
+	reading := steps*step + l.Unread*f.readTime(l.Prompt) + f.readTime(prompt)
 	event := f.eventPasses() * f.stride * f.stepTime(l.Answering+1, (l.Context*l.Answering+prompt)/(l.Answering+1))
 	return wait + reading + event
 }
