--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -55,8 +55,19 @@
 	Running, Waiting int
 	// Pace is greater than 1 while the VM is slow.
 	Pace float64
+	// MemoryShort is whether little memory for tokens is left. It is the outcome, not
+	// the numbers, because each node passes on the reports of all groups.
+	MemoryShort bool `json:",omitempty"`
 }
 
+// memoryShortFraction is the fraction of the memory for tokens in use from which it
+// counts as short: a request of usual length may not fit in the rest.
+const memoryShortFraction = 0.9
+
+// IsMemoryShort reports whether the memory for tokens is short if the given number
+// of them is in use out of a total, 0 if that is unknown.
+func IsMemoryShort(used, total float64) bool { return total > 0 && used >= memoryShortFraction*total }
+
 // State is what a VM states about itself in its row or in a report.
 type State struct {
 	// Born identifies the VM's newest start by its time, in Unix milliseconds.
