--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -51,6 +51,8 @@
 	Parts []quarantine.Part
 	// PromptTokens is the length of the prompt, 0 if there is none.
 	PromptTokens int
+	// Prefix is the beginning of the prompt that other requests may share, or nil.
+	Prefix *Prefix
 	// Draw is a random number drawn for the request.
 	Draw uint64
 	// Begun is whether the caller has received a part of the answer. Such a
@@ -118,14 +120,19 @@
 	if best == nil {
 		return nil, reasons.refusal(q.Draw)
 	}
+	var reuse *Reuse
+	if held := t.newHeldChoice(now, &q); held != nil {
+		best, reuse = held.choose(best)
+	}
 	var use RepeatUse
 	if q.Resent {
 		use, _ = t.takeRepeat(now, q.Service, q.Begun) // checked above
 	}
 	best.cold.record(now)
 	best.limiter.take()
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use}
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use, Reuse: reuse}
 	best.add(now, ticket)
+	t.prefixHolders.add(ticket, q.Prefix)
 	t.recordPrompt(&q)
 	best.pause.recordSend(now, ticket)
 	return ticket, nil
@@ -145,10 +152,10 @@
 	reasons.reason = NoTarget
 	for i, target := range t.pools[poolKey{q.Service, q.Model}] {
 		vm := t.vms.Get(target.ID)
-		if !isEligible(now, target, vm, q) || !reasons.accepts(t, now, target, vm, q) {
+		if !isEligible(now, target, vm, &q) || !reasons.accepts(t, now, target, vm, &q) {
 			continue
 		}
-		score := t.score(target) + t.penaltyWeight(target)*t.penalty(target, q.Repeat) + jitter*unitHash(q.Draw, i)
+		score := t.fullScore(target, &q, i)
 		if best == nil || score < bestScore {
 			best, bestScore = target, score
 		}
@@ -156,10 +163,16 @@
 	return best, reasons
 }
 
+// fullScore rates the target with the given index in its pool for a request; the
+// lowest score is best.
+func (t *Table) fullScore(target *Target, q *Query, i int) float64 {
+	return t.score(target) + t.penaltyWeight(target)*t.penalty(target, q.Repeat) + jitter*unitHash(q.Draw, i)
+}
+
 // isEligible reports whether a target, whose VM is vm, may be considered for a
 // request. It does not check whether the target has a free slot. The pools don't
 // reflect that a VM has announced that it is leaving until the next Update.
-func isEligible(now time.Time, target *Target, vm *fleet.VM, q Query) bool {
+func isEligible(now time.Time, target *Target, vm *fleet.VM, q *Query) bool {
 	leaving := vm != nil && vm.Leaving
 	return !leaving && !slices.Contains(q.Exclude, target.ID) && !now.Before(target.health.avoidUntil)
 }
@@ -175,7 +188,7 @@
 
 // accepts reports whether a target, whose VM is vm, accepts a request now, and
 // records the reason if it doesn't.
-func (r *refusals) accepts(t *Table, now time.Time, target *Target, vm *fleet.VM, q Query) bool {
+func (r *refusals) accepts(t *Table, now time.Time, target *Target, vm *fleet.VM, q *Query) bool {
 	paused, limited := target.pause.remaining(now), t.limitWait(now, target, vm)
 	switch {
 	case paused > 0:
@@ -374,6 +387,7 @@
 // Done removes a finished request from its target and records its outcome.
 func (t *Table) Done(now time.Time, ticket *Ticket, outcome Outcome) {
 	ticket.Target.remove(now, ticket)
+	t.prefixHolders.remove(ticket)
 	ticket.Target.pause.recordEnd(ticket, outcome)
 	switch outcome {
 	case Succeeded:
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -48,6 +48,7 @@
 	firstByteTimes map[poolKey]time.Duration
 	// promptLengths are the mean lengths of prompts, by pool.
 	promptLengths map[poolKey]promptLength
+	prefixHolders prefixHolders
 	// broken contains the groups that this node found to be missing a VM,
 	// reportedBroken those that another node of its data centre found.
 	broken, reportedBroken map[fleet.Formation]bool
@@ -71,6 +72,7 @@
 		budgets:        make(map[string]*repeatCounter),
 		firstByteTimes: make(map[poolKey]time.Duration),
 		promptLengths:  make(map[poolKey]promptLength),
+		prefixHolders:  make(prefixHolders),
 		broken:         make(map[fleet.Formation]bool),
 		reportedBroken: make(map[fleet.Formation]bool),
 		groups:         make(map[fleet.Formation][]*fleet.VM),
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -46,9 +46,12 @@
 	quota   int
 	history history
 	pace    float64
-	cold    coldRate
-	limiter limiter
-	health  health
+	// memoryShort is whether the newest report said that the memory for tokens is
+	// short.
+	memoryShort bool
+	cold        coldRate
+	limiter     limiter
+	health      health
 }
 
 // Ticket is a request that has been placed at a target.
@@ -70,6 +73,10 @@
 	// RepeatUse is the use of the budget of repeats before the request took part of
 	// it, if its query was Resent.
 	RepeatUse RepeatUse
+	// Reuse is set if the target was chosen because it holds the beginning of the
+	// prompt.
+	Reuse *Reuse
+	held  *heldPrefix // nil if there is nothing that other requests may share
 	// Proven is set once the endpoint has gone on for a while after it began to
 	// answer, which shows that the request does not end endpoints.
 	Proven bool
@@ -135,7 +142,7 @@
 	own := t.history.countAt(vm.ReportedAt.Add(-lag))
 	total := max(own, vm.Running+vm.Waiting)
 	t.otherRequests = total - own
-	t.pace = max(1, vm.Pace)
+	t.pace, t.memoryShort = max(1, vm.Pace), vm.MemoryShort
 	free := t.Slots - total
 	if free >= 0 {
 		share := float64(free) * min(1, freeShareFactor/float64(nodes))
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -124,6 +124,18 @@
 		"window_requests", use.Requests, "window_repeats", use.Repeats, "limit", use.Limit, "nodes", use.Nodes)
 }
 
+// recordReuse counts and logs that the endpoint of a ticket was chosen because it
+// holds the beginning of the prompt.
+func (s *Server) recordReuse(req *request, ticket *dispatch.Ticket) {
+	r := ticket.Reuse
+	if r == nil {
+		return
+	}
+	telemetry.Counter(s.opts.Metrics, "held_prompt_choices_total", "service", req.service.Name).Inc(1)
+	s.log.Info("endpoint holds the beginning of the prompt", "request", req.id, "endpoint", ticket.Target.ID, "instead", r.Instead,
+		"tokens", r.Tokens, "saved", r.Saved, "wait", r.Wait, "load", ticket.Load, "report_age", r.ReportAge)
+}
+
 // endNotSent ends an attempt of which nothing was sent.
 func (s *Server) endNotSent(a *attempt, err error) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
@@ -140,7 +152,7 @@
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Parts: req.parts, Resent: resent}
+		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Prefix: req.prefix, Parts: req.parts, Resent: resent}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
 	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
@@ -168,6 +180,7 @@
 	if resent {
 		s.recordRepeat(req, ticket.RepeatUse, true)
 	}
+	s.recordReuse(req, ticket)
 	a.query, a.ticket = q, ticket
 	a.sentAt = s.now()
 	req.lastEndpoint = ticket.Target.ID
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -35,7 +35,9 @@
 	promptTokens int
 	// parts are the parts of the prompt that others may share, and last the one that
 	// identifies the request.
-	parts          []quarantine.Part
+	parts []quarantine.Part
+	// prefix is the beginning of the prompt that other requests may share, or nil.
+	prefix         *dispatch.Prefix
 	catalogVersion int64
 	outgoing       upstream.Request
 	draw           uint64
@@ -108,6 +110,7 @@
 		if n, err := strconv.Atoi(prompt); err == nil && n > 0 {
 			req.promptTokens = n
 		}
+		req.prefix = prefixOf(r.Header.Get(s.proto.PromptParts), req.promptTokens)
 	}
 	body, fault := s.readRequestBody(w, r, req, view.Catalog.Limits.MaxBodyBytes)
 	if fault != nil {
