--- a/coord/replica/assemble.go
+++ b/coord/replica/assemble.go
@@ -72,13 +72,19 @@
 
 // targetGroups returns how many groups of a model the fleet should run.
 func (p *Planner) targetGroups(model *catalog.Model) float64 {
+	return p.groupsForShare(model, p.share(model))
+}
+
+// groupsForShare returns how many groups of a model the fleet should run if the
+// model has the given share of the work.
+func (p *Planner) groupsForShare(model *catalog.Model, share float64) float64 {
 	alive := 0
 	for _, m := range p.members {
 		if m.Listed && !m.Departing() && m.FailedProbes < minSilentProbes && !p.evacuated[m.DataCentre] {
 			alive++
 		}
 	}
-	return float64(alive) * (1 - p.spareShare()) * p.share(model) / float64(model.GroupSize)
+	return float64(alive) * (1 - p.spareShare()) * share / float64(model.GroupSize)
 }
 
 // hasDeficit reports whether a model has fewer groups than its target.
@@ -125,12 +131,7 @@
 }
 
 func (p *Planner) assembleOne(now time.Time, domains []*domain) bool {
-	models := make([]*catalog.Model, 0, len(p.engine.Models))
-	for i := range p.engine.Models {
-		models = append(models, &p.engine.Models[i])
-	}
-	slices.SortStableFunc(models, func(a, b *catalog.Model) int { return cmp.Compare(p.coverage(a), p.coverage(b)) })
-	for _, model := range models {
+	for _, model := range p.modelsByCoverage() {
 		if !p.hasDeficit(model) {
 			continue
 		}
--- a/coord/replica/demand.go
+++ b/coord/replica/demand.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"maps"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
@@ -32,6 +31,7 @@
 		return
 	}
 	d.sampledAt = now
+	p.sampleLoad(now)
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		requests, slots := p.slotUsage(model.Name)
@@ -54,14 +54,31 @@
 		head := p.members[g.Members[0]]
 		if g.Model == model && g.Phase == Serving && head != nil && head.Stage == fleet.Open && !p.evacuated[head.DataCentre] {
 			requests += head.Running + head.Waiting
-			slots += p.engine.Slots
+			slots += p.groupSlots(model)
 		}
 	}
 	return requests, slots
 }
 
-// share returns the fraction of the work that is configured for a model.
-func (p *Planner) share(model *catalog.Model) float64 { return model.Share / p.totalShare() }
+// groupSlots returns the number of requests that a group of a model can run at
+// once, within the objectives while shares follow the load.
+func (p *Planner) groupSlots(name string) int {
+	if model := p.engine.Model(name); p.load.follow && model != nil {
+		return p.capacity(model)
+	}
+	return p.engine.Slots
+}
+
+// share returns the fraction of the work to plan for a model.
+func (p *Planner) share(model *catalog.Model) float64 {
+	if share, known := p.load.shares[model.Name]; known {
+		return share
+	}
+	return p.configuredShare(model)
+}
+
+// configuredShare returns the fraction of the work that is configured for a model.
+func (p *Planner) configuredShare(model *catalog.Model) float64 { return model.Share / p.totalShare() }
 
 // totalShare returns the sum of the configured shares, or 1 if it isn't
 // positive.
@@ -86,6 +103,3 @@
 	scale := (noSparesUse - use) / (noSparesUse - fullSparesUse)
 	return p.opts.SpareShare * min(1, max(0, scale))
 }
-
-// SlotUse returns the fraction of each model's slots in use.
-func (p *Planner) SlotUse() map[string]float64 { return maps.Clone(p.demand.use) }
--- a/coord/replica/group.go
+++ b/coord/replica/group.go
@@ -126,12 +126,21 @@
 		g.Members = append(g.Members, m.ID)
 		g.born = append(g.born, m.VM.Born)
 		m.group = g
+		m.setGroupModel(now, model)
 	}
 	g.setPhase(now, Forming)
 	p.groups[g.key()] = g
 	return g
 }
 
+// setGroupModel records the model of a VM's new group.
+func (m *member) setGroupModel(now time.Time, model string) {
+	if m.groupModel != "" && m.groupModel != model {
+		m.modelChangedAt = now
+	}
+	m.groupModel = model
+}
+
 // release frees a group's members and removes the group. A group with unknown
 // members is not marked as released, because those members may still report it.
 func (p *Planner) release(g *Group) {
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -108,6 +108,7 @@
 	unreachableAt   map[string]time.Time // by data centre
 	loadStarts      []time.Time          // recent starts of loads
 	demand          demand
+	load            shareState
 
 	startedAt time.Time
 	// rebalancedAt is when groups were last dissolved in favour of another
@@ -143,6 +144,10 @@
 	// last one could not be reached.
 	cooldownUntil time.Time
 	donation      donation
+	// groupModel is the model of the last group that this planner formed with the
+	// VM or adopted, and modelChangedAt when it last changed.
+	groupModel     string
+	modelChangedAt time.Time
 	// freeSince is when the VM became free, or zero if it is not.
 	freeSince time.Time
 	// standbyAt is when the VM was last ordered to join a standby group.
--- a/coord/replica/rebalance.go
+++ b/coord/replica/rebalance.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
@@ -22,6 +24,10 @@
 // with a deficit. It does so only if this raises the lowest coverage of all
 // models, so that rebalancing terminates.
 func (p *Planner) rebalance(now time.Time) {
+	if p.load.follow {
+		p.move(now)
+		return
+	}
 	due := now.Sub(p.startedAt) >= rebalanceDelay && now.Sub(p.rebalancedAt) >= rebalanceInterval
 	if !p.hasTraffic || !due || p.isRebalancing() {
 		return
@@ -33,19 +39,25 @@
 		}
 		donors, free := p.findDonors(now, model)
 		if len(donors) > 0 {
-			p.rebalancedAt = now
-			for _, g := range donors {
-				g.donate(now, model.Name)
-				free = append(free, p.membersOf(g)...)
-			}
-			for _, m := range free {
-				m.donation = donation{model.Name, now.Add(donorTimeout)}
-			}
+			p.donateTo(now, model, donors, free)
 			return
 		}
 	}
 }
 
+// donateTo starts to dissolve the donors and keeps their VMs, and the free ones,
+// for a model.
+func (p *Planner) donateTo(now time.Time, model *catalog.Model, donors []*Group, free []*member) {
+	p.rebalancedAt = now
+	for _, g := range donors {
+		g.donate(now, model.Name)
+		free = append(free, p.membersOf(g)...)
+	}
+	for _, m := range free {
+		m.donation = donation{model.Name, now.Add(donorTimeout)}
+	}
+}
+
 // donation keeps a VM for a model until the groups that are dissolved in its
 // favour have finished.
 type donation struct {
@@ -79,7 +91,7 @@
 				free = append(free, m)
 			}
 		}
-		donors := p.findDonorsIn(d, model, model.GroupSize-len(free))
+		donors := p.findDonorsIn(now, d, model, model.GroupSize-len(free))
 		if len(donors) > 0 && (best == nil || len(donors) < len(best)) && p.coverageGain(model, donors) >= minRebalanceGain {
 			best, bestFree = donors, free
 		}
@@ -101,15 +113,18 @@
 // findDonorsIn returns serving groups of other models in a domain that together
 // have n VMs able to join a group of the model without a load, or nil if there
 // are too few.
-func (p *Planner) findDonorsIn(d *domain, model *catalog.Model, n int) []*Group {
+func (p *Planner) findDonorsIn(now time.Time, d *domain, model *catalog.Model, n int) []*Group {
 	if n <= 0 {
 		return nil
 	}
 	var out []*Group
-	for _, g := range p.sortedGroups() {
+	for _, g := range p.donorCandidates() {
 		if g.Model == model.Name || g.Phase != Serving || p.members[g.Members[0]].Domain != d.name {
 			continue
 		}
+		if p.load.follow && p.changedModelRecently(now, g) {
+			continue
+		}
 		usable := 0
 		for _, id := range g.Members {
 			if m := p.members[id]; m.loading == "" && joinCost(m, model.Name) < joinLoad {
@@ -127,6 +142,19 @@
 	return nil
 }
 
+// donorCandidates returns the groups in the order in which they are dissolved for
+// others: by epoch, or while shares follow the load those with the fewest requests
+// first, since they close soonest.
+func (p *Planner) donorCandidates() []*Group {
+	groups := p.sortedGroups()
+	if p.load.follow {
+		slices.SortStableFunc(groups, func(a, b *Group) int {
+			return cmp.Compare(p.requestsAt([]*Group{a}), p.requestsAt([]*Group{b}))
+		})
+	}
+	return groups
+}
+
 // coverageGain returns how much the lowest ratio of running to target groups
 // over all models rises if the donors are dissolved for one more group of the
 // model.
--- a/coord/replica/reform.go
+++ b/coord/replica/reform.go
@@ -81,7 +81,7 @@
 		if d.name != domainName {
 			continue
 		}
-		donors := p.findDonorsIn(d, model, n)
+		donors := p.findDonorsIn(now, d, model, n)
 		if len(donors) == 0 || p.coverageGain(model, donors) <= 0 {
 			return false
 		}
--- a/coord/replica/stage.go
+++ b/coord/replica/stage.go
@@ -81,6 +81,14 @@
 	if p.canRestage(now) {
 		p.stageFree(now, domains, p.mayRestage)
 	}
+	if p.load.follow {
+		// A model that is short gets groups only from hosts that have its weights,
+		// so staging them can't wait until no model is.
+		for _, model := range p.modelsByCoverage() {
+			p.stageSecondModel(now, model)
+		}
+		return
+	}
 	if p.hasTraffic && p.anyDeficit() {
 		return // loads are scarce and needed for VMs without weights
 	}
