--- a/coord/catalog/validate_test.go
+++ b/coord/catalog/validate_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"encoding/json"
 	"math"
 	"testing"
 	"time"
@@ -18,7 +19,9 @@
 		}},
 		Services: []Service{{Name: "llm", MaxConns: 474, ColdPerSecond: 36, Engine: &Engine{
 			Slots: 26, Models: []Model{{Name: "m", GroupSize: 4, Pace: 1, Share: 0.5, LoadTime: time.Minute, WarmTime: time.Second}},
-			LoadsPerSecond: 4, ConcurrentLoads: 6, FormTime: time.Second, ReportLag: time.Second, MeanPrompt: 1000,
+			LoadsPerSecond: 4, ConcurrentLoads: 6, FormTime: time.Second, ReportLag: time.Second, MeanPrompt: 1000, MeanAnswer: 116,
+			StepTime: 6 * time.Millisecond, RequestTime: time.Millisecond, ContextTime: time.Millisecond,
+			ReadRate: 46000, PairTime: time.Millisecond, Chunk: 512, Stride: 5, TokenCapacity: 90000,
 		}}, {Name: "other"}},
 		Accounts: []Account{{Name: "a", Keys: []string{"k"}}},
 		Limits:   Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 4 << 20, HeaderTimeout: time.Second, IdleTimeout: time.Second},
@@ -60,6 +63,24 @@
 		"negative form time":  func(s *spec) { s.Services[0].Engine.FormTime = -1 },
 		"report lag too long": func(s *spec) { s.Services[0].Engine.ReportLag = math.MaxInt64 },
 		"prompt too long":     func(s *spec) { s.Services[0].Engine.MeanPrompt = 1e300 },
+		"negative answer":     func(s *spec) { s.Services[0].Engine.MeanAnswer = -1 },
+		"answer no number":    func(s *spec) { s.Services[0].Engine.MeanAnswer = math.NaN() },
+		"negative step":       func(s *spec) { s.Services[0].Engine.StepTime = -1 },
+		"step too long":       func(s *spec) { s.Services[0].Engine.StepTime = math.MaxInt64 },
+		"negative request":    func(s *spec) { s.Services[0].Engine.RequestTime = -1 },
+		"request too long":    func(s *spec) { s.Services[0].Engine.RequestTime = math.MaxInt64 },
+		"negative context":    func(s *spec) { s.Services[0].Engine.ContextTime = -1 },
+		"context too long":    func(s *spec) { s.Services[0].Engine.ContextTime = math.MaxInt64 },
+		"negative reading":    func(s *spec) { s.Services[0].Engine.ReadRate = -1 },
+		"reading too fast":    func(s *spec) { s.Services[0].Engine.ReadRate = math.Inf(1) },
+		"negative pairs":      func(s *spec) { s.Services[0].Engine.PairTime = -1 },
+		"pairs too long":      func(s *spec) { s.Services[0].Engine.PairTime = math.MaxInt64 },
+		"negative chunk":      func(s *spec) { s.Services[0].Engine.Chunk = -1 },
+		"chunk too large":     func(s *spec) { s.Services[0].Engine.Chunk = math.MaxInt },
+		"negative stride":     func(s *spec) { s.Services[0].Engine.Stride = -1 },
+		"stride too large":    func(s *spec) { s.Services[0].Engine.Stride = math.MaxInt },
+		"negative capacity":   func(s *spec) { s.Services[0].Engine.TokenCapacity = -1 },
+		"capacity too large":  func(s *spec) { s.Services[0].Engine.TokenCapacity = math.MaxInt },
 		"group of none":       func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = 0 },
 		"negative group":      func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = -4 },
 		"group too large":     func(s *spec) { s.Services[0].Engine.Models[0].GroupSize = math.MaxInt },
@@ -79,3 +100,41 @@
 		assert.Check(t, s.catalog().Validate() != nil, name)
 	}
 }
+
+// Guards against a rolling update in which nodes lose an engine's figures, or nodes
+// with earlier software can't read the catalog that a newer one passes on.
+func TestFiguresPassBetweenNodesOfDifferentVersions(t *testing.T) {
+	sound := soundSpec()
+	raw, err := json.Marshal(sound.catalog())
+	assert.NilError(t, err)
+	var got Catalog
+	assert.NilError(t, json.Unmarshal(raw, &got))
+	assert.DeepEqual(t, got.Service("llm").Engine, sound.Services[0].Engine)
+
+	// The fields that earlier software reads.
+	var earlier struct {
+		Services []struct {
+			Engine *struct {
+				Slots           int
+				Models          []Model
+				LoadsPerSecond  float64
+				ConcurrentLoads int
+				FormTime        time.Duration
+				ReportLag       time.Duration
+				MeanPrompt      float64
+			}
+		}
+	}
+	assert.NilError(t, json.Unmarshal(raw, &earlier))
+	e := earlier.Services[0].Engine
+	assert.Equal(t, e.Slots, 26)
+	assert.Equal(t, e.MeanPrompt, 1000.0)
+	assert.Equal(t, e.ReportLag, time.Second)
+	assert.DeepEqual(t, e.Models, sound.Services[0].Engine.Models)
+	raw, err = json.Marshal(earlier)
+	assert.NilError(t, err)
+	var restored Catalog
+	assert.NilError(t, json.Unmarshal(raw, &restored))
+	assert.NilError(t, restored.Validate())
+	assert.Equal(t, restored.spec.Services[0].Engine.StepTime, time.Duration(0))
+}
