--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -250,6 +250,25 @@
 	return out
 }
 
+// ServiceRoutes returns the routes that have the service as a backend.
+func (c *Catalog) ServiceRoutes(service string) []*Route {
+	var out []*Route
+	for i := range c.spec.Routes {
+		r := &c.spec.Routes[i]
+		if slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service }) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// RanksRoutes reports whether two routes of the service have different
+// priorities, so that its callers compete for capacity.
+func (c *Catalog) RanksRoutes(service string) bool {
+	routes := c.ServiceRoutes(service)
+	return slices.ContainsFunc(routes, func(r *Route) bool { return r.Priority != routes[0].Priority })
+}
+
 // PickService returns the service for a request according to draw, a random number, so
 // that each backend receives requests in proportion to its weight.
 func (r *Route) PickService(draw uint64) string {
--- a/coord/catalog/catalog_test.go
+++ b/coord/catalog/catalog_test.go
@@ -47,3 +47,29 @@
 	assert.Assert(t, !(&Route{Kind: Stream}).Repeatable())
 	assert.Assert(t, (&Route{Kind: Stream, Resumable: true}).Repeatable())
 }
+
+// Guards against capacity that follows demand where a deployment's configuration
+// doesn't rank the routes of that service.
+func TestRanksRoutes(t *testing.T) {
+	route := func(priority int, services ...string) Route {
+		r := Route{Host: "h", Priority: priority}
+		for _, s := range services {
+			r.Backends = append(r.Backends, Backend{s, 1})
+		}
+		return r
+	}
+	for name, test := range map[string]struct {
+		routes []Route
+		want   bool
+	}{
+		"none":                 {nil, false},
+		"one":                  {[]Route{route(1, "llm")}, false},
+		"same priority":        {[]Route{route(1, "llm"), route(1, "llm")}, false},
+		"different":            {[]Route{route(1, "llm"), route(1, "llm"), route(0, "llm")}, true},
+		"of different service": {[]Route{route(1, "llm"), route(0, "other")}, false},
+		"one of two backends":  {[]Route{route(1, "llm"), route(0, "other", "llm")}, true},
+	} {
+		c := New(1, test.routes, nil, nil, Limits{})
+		assert.Equal(t, c.RanksRoutes("llm"), test.want, name)
+	}
+}
--- a/coord/replica/adopt.go
+++ b/coord/replica/adopt.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		g.Members, g.born = append(g.Members, m.ID), append(g.born, m.VM.Born)
-		m.group = g
+		m.group, m.groupModel = g, model
 	}
 	p.groups[g.key()] = g
 	return g
--- a/coord/replica/follow.go
+++ b/coord/replica/follow.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/engineload"
 )
 
 const (
@@ -31,6 +32,10 @@
 	// configured ones to those by load.
 	calmUse = 0.10
 	busyUse = 0.30
+	// minCapacityFactor bounds the capacity of a group, as a fraction of its slots.
+	// Where an objective can't be met at all, the predicted capacity is 1, and all
+	// models would always appear full.
+	minCapacityFactor = 0.25
 	// shortUse is the fraction of a model's capacity from which on it may get
 	// groups of another one. Below it, requests find free capacity anyway, and
 	// closing a group would cost more than it gains.
@@ -114,7 +119,9 @@
 
 // shareState is the planner's state for shares that follow the load.
 type shareState struct {
-	follow  bool
+	follow bool
+	// capacities holds the capacity of a group by model, where known.
+	capacities map[string]int
 	history map[string]*loadHistory
 	// seenAt is when load was first seen, or zero.
 	seenAt time.Time
@@ -133,8 +140,38 @@
 	}
 }
 
-// capacity returns the number of requests that one group of a model can serve.
-func (p *Planner) capacity(_ *catalog.Model) int { return p.engine.Slots }
+// SetWorkloads sets the mean requests of each model with the objectives of the
+// routes, one per route. They determine the capacity of the model's groups.
+func (p *Planner) SetWorkloads(workloads map[string][]engineload.Workload) {
+	p.workloads = workloads
+}
+
+// capacity returns the number of requests that one group of a model can serve
+// within the objectives.
+func (p *Planner) capacity(m *catalog.Model) int {
+	if c, known := p.load.capacities[m.Name]; known {
+		return c
+	}
+	return p.engine.Slots
+}
+
+// updateCapacities predicts the capacities: the mean over the routes, whose parts
+// in the load the planner doesn't know.
+func (p *Planner) updateCapacities() {
+	p.load.capacities = make(map[string]int, len(p.engine.Models))
+	for i := range p.engine.Models {
+		m := &p.engine.Models[i]
+		sum, n := 0, 0
+		for _, w := range p.workloads[m.Name] {
+			sum += engineload.Capacity(p.engine, m, w)
+			n++
+		}
+		if n > 0 {
+			least := int(math.Ceil(minCapacityFactor * float64(p.engine.Slots)))
+			p.load.capacities[m.Name] = max(1, least, sum/n)
+		}
+	}
+}
 
 // sampleLoad records the load of the models and updates their shares.
 func (p *Planner) sampleLoad(now time.Time) {
@@ -142,6 +179,7 @@
 	if !s.follow {
 		return
 	}
+	p.updateCapacities()
 	for i := range p.engine.Models {
 		model := &p.engine.Models[i]
 		requests, slots := p.slotUsage(model.Name)
--- a/coord/replica/planner.go
+++ b/coord/replica/planner.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/engineload"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
@@ -109,6 +110,8 @@
 	loadStarts      []time.Time          // recent starts of loads
 	demand          demand
 	load            shareState
+	// workloads holds the mean requests and objectives by model, one per route.
+	workloads map[string][]engineload.Workload
 
 	startedAt time.Time
 	// rebalancedAt is when groups were last dissolved in favour of another
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -74,6 +74,10 @@
 	donated map[string]donationRecord
 	// probeInterval is the time between two regular probes of a VM.
 	probeInterval time.Duration
+	// setUp configures each new planner further if it isn't nil.
+	setUp func(*Planner)
+	// loadOf returns the load that a VM reports; nil means none.
+	loadOf func(*engineVM) fleet.Load
 	// probeCount counts the probes sent.
 	probeCount int
 }
@@ -141,6 +145,9 @@
 	}, w.table)
 	clear(w.donated)
 	w.p.Configure(testEngine(), nil)
+	if w.setUp != nil {
+		w.setUp(w.p)
+	}
 	if w.hasTraffic {
 		w.p.SetTrafficStarted()
 	}
@@ -195,7 +202,11 @@
 			w.table.RecordProbeFailure(w.now, id)
 			continue
 		}
-		w.table.ApplyReport(w.now, w.now, id, fleet.Report{State: vm.state})
+		report := fleet.Report{State: vm.state}
+		if w.loadOf != nil {
+			report.Load = w.loadOf(vm)
+		}
+		w.table.ApplyReport(w.now, w.now, id, report)
 	}
 }
 
@@ -212,6 +223,9 @@
 	if w.isGroupStalled(vm) {
 		return stalledInterval
 	}
+	if w.loadOf != nil && vm.state.Stage == fleet.Open {
+		return headInterval
+	}
 	return backgroundInterval
 }
 
@@ -226,6 +240,9 @@
 	return false
 }
 
+// headInterval is the time between two reports of a head that gets requests.
+const headInterval = 800 * time.Millisecond
+
 // backgroundInterval is the time between two probes of a member of a serving
 // group, stalledInterval the same while its group is stalled.
 const (
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/lease"
 	"github.com/pimentoshore/pimentoshore/coord/replica"
@@ -39,6 +40,9 @@
 type Options struct {
 	Lease   lease.Options
 	Replica replica.Options
+	// FollowDemand returns whether the planning of a service follows the demand.
+	// nil means never.
+	FollowDemand func(c *catalog.Catalog, service string) bool
 	// OrderTimeout limits the time from sending an order to its response.
 	OrderTimeout time.Duration
 	// ProbeInterval is the minimum interval between the lease holder's probes
@@ -162,6 +166,7 @@
 		c.opts.Log.Warn("lease lost", "term", e.Term, "reason", string(e.Reason))
 		for service := range c.planners {
 			c.setActivityGauges(service, nil)
+			c.clearShareGauges(service, c.planners[service])
 		}
 		c.term, c.planners = 0, nil
 		c.setGroupGauges(0, 0)
@@ -279,12 +284,14 @@
 		for _, svc := range k.Catalog.Engines() {
 			p := c.plannerFor(svc.Name, k)
 			p.Configure(svc.Engine, k.Evacuated)
+			c.followDemand(p, svc, k)
 			if c.state.Traffic() > 0 {
 				p.SetTrafficStarted()
 			}
 			for _, o := range p.Tick(now) {
 				c.runAsync(func() { c.sendOrder(ctx, p, o) })
 			}
+			c.reportShares(now, svc.Name, p)
 			groups = append(groups, p.Groups()...)
 			if summaryDue {
 				c.summarise(now, svc.Name, p)
--- a/internal/coordinator/report.go
+++ b/internal/coordinator/report.go
@@ -11,6 +11,7 @@
 func (c *Coordinator) summarise(now time.Time, service string, p *replica.Planner) {
 	activities := p.Activities(now)
 	c.setActivityGauges(service, activities)
+	c.setShareGauges(service, p)
 	c.opts.Log.Info("VMs", "service", service, "activities", activities, "domains", p.Summary(now), "use", p.SlotUse())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 			OrderTimeout: orderTimeout, Margin: leaseRetryInterval,
 		},
 		Replica:      replica.Options{Stall: cfg.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: cfg.Bounds.LoadWindow},
+		FollowDemand: coordinator.FollowsDemand(cfg.Planning.FollowDemand),
 		OrderTimeout: orderTimeout, ProbeInterval: probeInterval, FastProbeInterval: fastProbeInterval, MemberProbeInterval: memberProbeInterval, ProbesPerSecond: maxProbesPerSecond,
 		Log: log, Metrics: registry, Now: boottime.Now,
 	}, b.Table, n.state, b.Orders, n.prober, n.follower)
@@ -109,15 +110,15 @@
 	return hex.EncodeToString(b[:]), nil
 }
 
-// Reload applies new settings, except for the node's name, data centre, addresses and
-// limits of callers, which need a restart. If err isn't nil, the settings could not be
+// Reload applies new settings, except for the node's name, data centre, addresses,
+// limits of callers and planning, which need a restart. If err isn't nil, the settings could not be
 // read and the current ones remain in force.
 func (n *Node) Reload(cfg settings.Entry, err error) {
 	if err != nil {
 		n.log.Error("settings not reloaded; the current settings remain in force", "error", err)
 		return
 	}
-	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits
+	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits || cfg.Planning != n.cfg.Planning
 	limitMemory(cfg.Memory)
 	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", cfg.Memory.LimitMB)
 }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -22,7 +22,9 @@
 	Memory EntryMemory `toml:"memory"`
 	Limits EntryLimits `toml:"limits"`
 	Bounds EntryBounds `toml:"bounds"`
-	Log    Log         `toml:"log"`
+	// Planning applies while this VM plans the groups of endpoint VMs.
+	Planning EntryPlanning `toml:"planning"`
+	Log      Log           `toml:"log"`
 }
 
 // EntryListen contains the addresses on which the entry VM listens.
@@ -56,6 +58,21 @@
 	StalledWrite time.Duration `toml:"stalled_write"`
 }
 
+// Values of EntryPlanning.FollowDemand.
+const (
+	// FollowAuto means on for services whose routes have different priorities.
+	FollowAuto = "auto"
+	FollowOn   = "on"
+	FollowOff  = "off"
+)
+
+// EntryPlanning contains the settings of planning.
+type EntryPlanning struct {
+	// FollowDemand is whether the number of groups of each model follows its load
+	// instead of its configured share.
+	FollowDemand string `toml:"follow_demand"`
+}
+
 // EntryBounds contains the bounds that the operators require.
 type EntryBounds struct {
 	// KeysValid is the maximum time for which a withdrawn key may still be
@@ -80,8 +97,9 @@
 // DefaultEntry returns the values of keys that are absent from the file.
 func DefaultEntry() Entry {
 	return Entry{
-		Log:    Log{Format: LogJSON, Level: "info"},
-		Limits: EntryLimits{StalledWrite: 15 * time.Second},
+		Log:      Log{Format: LogJSON, Level: "info"},
+		Limits:   EntryLimits{StalledWrite: 15 * time.Second},
+		Planning: EntryPlanning{FollowDemand: FollowAuto},
 		Bounds: EntryBounds{
 			KeysValid: 5 * time.Second, DrainWithin: 2 * time.Second, StopGrace: 8 * time.Second, GroupStall: 5 * time.Second,
 			RepeatRatio: 0.2, RepeatSlack: 20, RepeatWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 5,
@@ -125,6 +143,11 @@
 	}
 	v.checkEntryLimits(e.Limits)
 	v.checkEntryBounds(e.Bounds)
+	switch e.Planning.FollowDemand {
+	case FollowAuto, FollowOn, FollowOff:
+	default:
+		v.addFault("planning.follow_demand", fmt.Sprintf("%q is not a known value", e.Planning.FollowDemand), `use "auto", "on" or "off"`)
+	}
 	return v.faults
 }
 
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -56,6 +56,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Bounds, DefaultEntry().Bounds)
 	assert.Equal(t, s.Limits, EntryLimits{StalledWrite: 15 * time.Second})
+	assert.Equal(t, s.Planning, EntryPlanning{FollowDemand: FollowAuto})
 }
 
 func TestInvalidEntrySettingsNameKey(t *testing.T) {
@@ -75,6 +76,9 @@
 		`[bounds]|[limits]
 stalled_write = "0s"
 [bounds]`: "limits.stalled_write",
+		`[bounds]|[planning]
+follow_demand = "yes"
+[bounds]`: "planning.follow_demand",
 	} {
 		from, to, _ := strings.Cut(change, "|")
 		_, err := loadEntry(t, strings.Replace(entryFile, from, to, 1))
