--- a/coord/replica/follow.go
+++ b/coord/replica/follow.go
@@ -22,9 +22,11 @@
 	// model of a group.
 	minLoadAge = 3 * time.Second
 	// fullLoadAge is when the peaks that a new planner has seen are taken to be
-	// complete: from any phase, a swing with a period of 15 s comes close to its
-	// peak within 10 s. Until then a model keeps part of the groups that it had.
-	fullLoadAge = 10 * time.Second
+	// complete: 12 s of a swing with a period of 15 s include at least 0.93 of its
+	// peak. Until then the load is assumed to be able to rise by swingFactor, that
+	// of a swing by 55% from its lowest to its highest point.
+	fullLoadAge = 12 * time.Second
+	swingFactor = 1.55 / 0.45
 	// minShareFactor is the fraction of its configured share that a model always
 	// keeps.
 	minShareFactor = 0.25
@@ -57,9 +59,6 @@
 type loadHistory struct {
 	samples []loadSample // within meanWindow
 	means   []loadSample // means over meanWindow, within peakWindow
-	// groups is the highest number of groups while the history was shorter than
-	// fullLoadAge.
-	groups int
 }
 
 // add appends a sample and removes those that are too old.
@@ -122,7 +121,7 @@
 	follow bool
 	// capacities holds the capacity of a group by model, where known.
 	capacities map[string]int
-	history map[string]*loadHistory
+	history    map[string]*loadHistory
 	// seenAt is when load was first seen, or zero.
 	seenAt time.Time
 	// shares holds the shares by model. It is empty while they are the configured
@@ -195,9 +194,6 @@
 			s.history[model.Name] = h
 		}
 		h.add(now, float64(requests))
-		if now.Sub(s.seenAt) < fullLoadAge {
-			h.groups = max(h.groups, p.activeGroups(model.Name))
-		}
 	}
 	if p.hasSeenLoad(now) {
 		s.shares = p.sharesByLoad(nil)
--- a/coord/replica/move.go
+++ b/coord/replica/move.go
@@ -214,16 +214,11 @@
 		return true
 	}
 	h := p.load.history[m.Name]
-	if h == nil {
-		return true
-	}
-	if age := now.Sub(p.load.seenAt); age < fullLoadAge {
-		kept := 1 - float64(age-minLoadAge)/float64(fullLoadAge-minLoadAge)
-		if left < kept*float64(h.groups) {
-			return false
-		}
+	peak := h.peak()
+	if p.LoadAge(now) < fullLoadAge {
+		peak = max(peak, swingFactor*h.mean())
 	}
-	return left*float64(p.capacity(m)) >= giveMargin*h.peak()
+	return left*float64(p.capacity(m)) >= giveMargin*peak
 }
 
 // changedModelRecently reports whether VMs of a group changed their model within
