--- a/coord/replica/follow_test.go
+++ b/coord/replica/follow_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/engineload"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 )
 
@@ -111,12 +112,12 @@
 	}
 }
 
-// requireCapacity fails the test while a model's groups can't serve a number of
-// requests.
-func (w *demandWorld) requireCapacity(model string, requests float64) func() {
+// requireLargeCapacity fails the test while the large model's groups can't serve a
+// number of requests.
+func (w *demandWorld) requireLargeCapacity(requests float64) func() {
 	return func() {
 		w.t.Helper()
-		assert.Assert(w.t, float64(w.serving(model)*demandSlots) >= requests, "%d groups of the %s model for %v requests", w.serving(model), model, requests)
+		assert.Assert(w.t, float64(w.serving(large)*demandSlots) >= requests, "%d groups of the large model for %v requests", w.serving(large), requests)
 	}
 }
 
@@ -134,14 +135,9 @@
 			w := newDemandWorld(t, 1, true)
 			peak := 0.10 * 9 * demandSlots
 			w.setDemand(constant(peak), constant(smallUse*18*demandSlots))
-			for range 15 {
-				w.runDemand(time.Second)
-				t.Logf("%.0f s: %d groups of the large model, %d of the small one, shares %v", w.now.Sub(w.start).Seconds(), w.serving(large), w.serving(small), w.p.Shares())
-			}
-			w.setDemand(constant(peak), constant(smallUse*18*demandSlots))
-			w.runDemand(15*time.Second, w.requireCapacity(large, peak))
+			w.runDemand(15*time.Second, w.requireLargeCapacity(peak))
 			assert.Assert(t, w.serving(small) >= 22, "%d groups of the small model, %d of the large one", w.serving(small), w.serving(large))
-			w.runDemand(45*time.Second, w.requireCapacity(large, peak))
+			w.runDemand(45*time.Second, w.requireLargeCapacity(peak))
 			assert.Assert(t, w.serving(large) >= 2, "a quarter of the configured share is kept")
 		})
 	}
@@ -185,9 +181,9 @@
 	const usual = 0.45 * 9 * demandSlots
 	for range 3 {
 		w.setDemand(constant(usual), constant(0.6*18*demandSlots))
-		w.runDemand(20*time.Second, w.requireCapacity(large, usual))
+		w.runDemand(20*time.Second, w.requireLargeCapacity(usual))
 		w.setDemand(constant(0.1*usual), constant(1.1*18*demandSlots))
-		w.runDemand(14*time.Second, w.requireCapacity(large, usual))
+		w.runDemand(14*time.Second, w.requireLargeCapacity(usual))
 		assert.Assert(t, w.serving(small) >= 20, "%d groups of the small model", w.serving(small))
 	}
 }
@@ -232,7 +228,7 @@
 		w.setDemand(swing(150, 0), swing(400, math.Pi))
 		w.runDemand(40*time.Second + time.Duration(i)*3*time.Second)
 		w.takeover()
-		w.runDemand(40*time.Second, w.requireCapacity(large, 150*1.55))
+		w.runDemand(40*time.Second, w.requireLargeCapacity(150*1.55))
 	}
 }
 
@@ -334,3 +330,55 @@
 	w.p.SetFollowDemand(false)
 	assert.DeepEqual(t, w.p.Shares(), map[string]float64{large: 0.5, small: 0.5})
 }
+
+// Guards against groups that move only once all slots are in use, although engines
+// with that many requests miss the objectives. Load: 0.45 of the small model's
+// slots, more than half of what its groups can serve within 400 ms.
+func TestCapacityFollowsObjectives(t *testing.T) {
+	workloads := func(objective time.Duration) map[string][]engineload.Workload {
+		w := []engineload.Workload{{Prompt: 1500, Answer: 200, FirstEvent: objective}}
+		return map[string][]engineload.Workload{large: w, small: w}
+	}
+	for objective, want := range map[time.Duration]int{400 * time.Millisecond: 20, time.Minute: 18} {
+		t.Run(objective.String(), func(t *testing.T) {
+			w := newDemandWorld(t, 1, true)
+			w.engine.StepTime, w.engine.RequestTime, w.engine.ReadRate = 10*time.Millisecond, time.Millisecond, 6000
+			w.p.SetWorkloads(workloads(objective))
+			w.setDemand(constant(31), constant(0.45*18*demandSlots))
+			w.runDemand(15 * time.Second)
+			capacity := w.p.capacity(w.engine.Model(small))
+			t.Logf("capacity %d, %d groups of the large model, %d of the small one", capacity, w.serving(large), w.serving(small))
+			assert.Equal(t, capacity < demandSlots, want > 18)
+			assert.Assert(t, w.serving(small) >= want && (want > 18 || w.serving(small) == 18), "%d groups of the small model", w.serving(small))
+		})
+	}
+}
+
+// Guards against a capacity of 1, with which every model always appears full. Load:
+// none; an objective that no request meets.
+func TestImpossibleObjectivesDoNotMakeEveryModelFull(t *testing.T) {
+	p := New(Options{Epochs: NewEpochs(1)}, fleet.NewTable())
+	engine := demandEngine()
+	engine.StepTime, engine.ReadRate = 10*time.Millisecond, 20000
+	p.Configure(engine, nil)
+	p.SetFollowDemand(true)
+	p.SetWorkloads(map[string][]engineload.Workload{small: {{Prompt: 1500, Answer: 200, FirstEvent: time.Millisecond}}})
+	p.updateCapacities()
+	assert.Equal(t, p.capacity(engine.Model(small)), 9)
+	assert.Equal(t, p.capacity(engine.Model(large)), demandSlots, "unknown requests")
+}
+
+// Guards against a model without groups that never gets any: without groups it
+// shows no load. Load: none.
+func TestModelWithoutGroupsGetsOneWithoutLoad(t *testing.T) {
+	w := newDemandWorld(t, 1, true)
+	w.setDemand(constant(0), constant(0))
+	for _, vm := range w.vms {
+		if vm.state.Model == large && !vm.isSpare() {
+			vm.dead = true
+		}
+	}
+	w.takeover()
+	w.runDemand(15 * time.Second)
+	assert.Assert(t, w.serving(large) > 0)
+}
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -20,6 +20,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/entry"
 	"github.com/pimentoshore/pimentoshore/internal/platform"
+	"github.com/pimentoshore/pimentoshore/internal/settings"
 	"github.com/pimentoshore/pimentoshore/internal/standin/memtable"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
@@ -32,6 +33,8 @@
 	log      bytes.Buffer
 	registry metrics.Registry
 	store    *memtable.Table
+	// loads holds the loads that VMs report; a VM without one has none.
+	loads map[string]fleet.Load
 }
 
 // epochs are the epochs of the services' groups.
@@ -50,7 +53,8 @@
 			PollEvery: 700 * time.Millisecond, RetryEvery: 300 * time.Millisecond, OrderTimeout: 500 * time.Millisecond, Margin: 300 * time.Millisecond,
 		},
 		Replica: replica.Options{Stall: 5 * time.Second, LoadWindow: 5 * time.Second}, OrderTimeout: 500 * time.Millisecond,
-		Log: log, Metrics: h.registry, Now: clock,
+		FollowDemand: FollowsDemand(settings.FollowAuto),
+		Log:          log, Metrics: h.registry, Now: clock,
 	}, h.store, state, h, prober, h)
 	h.store.SetVMs([]platform.VMStatus{{Name: "e-1"}})
 	h.listGroups(state, "llm-1", "llm-2")
@@ -82,7 +86,7 @@
 	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(step) {
 		h.state.Locked(func(st entry.LockedState) {
 			for _, vm := range st.VMs.All() {
-				st.VMs.ApplyReport(h.now, h.now, vm.ID, fleet.Report{State: servingState(vm.Service), Load: fleet.Load{Pace: 1}})
+				st.VMs.ApplyReport(h.now, h.now, vm.ID, h.report(vm))
 			}
 		})
 		h.Tick(context.Background())
@@ -90,6 +94,17 @@
 	}
 }
 
+// report returns a VM's report. It serves the model that its row states.
+func (h *harness) report(vm *fleet.VM) fleet.Report {
+	load, loaded := h.loads[vm.ID]
+	if !loaded {
+		return fleet.Report{State: servingState(vm.Service), Load: fleet.Load{Pace: 1}}
+	}
+	state := vm.State
+	state.Busy = false
+	return fleet.Report{State: state, Load: load}
+}
+
 func (h *harness) gauge(metric string, labels ...string) int64 {
 	return telemetry.Gauge(h.registry, metric, labels...).Value()
 }
@@ -142,6 +157,58 @@
 	assert.Equal(t, h.gauge("endpoint_vms_number", "service", "llm-1", "activity", string(replica.ActivityServing)), int64(0))
 }
 
+// Guards against shares that don't follow the demand, or still do under a new
+// version of the configuration that no longer ranks the service's routes.
+func TestSharesFollowDemandOfRankedRoutes(t *testing.T) {
+	h := newHarness(t)
+	engine := &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "a", GroupSize: 1, Share: 1}, {Name: "b", GroupSize: 1, Share: 1}}}
+	configure := func(version int64, priority int) {
+		backends := []catalog.Backend{{Service: "llm", Weight: 1}}
+		routes := []catalog.Route{
+			{Name: "r-1", Host: "h", Prefix: "/1", Kind: catalog.Stream, Backends: backends, MaxAttempts: 1},
+			{Name: "r-2", Host: "h", Prefix: "/2", Kind: catalog.Stream, Backends: backends, MaxAttempts: 1, Priority: priority},
+		}
+		services := []catalog.Service{{Name: "llm", Engine: engine}}
+		h.state.Operators(h.now, updates.Operators{Version: uint64(version), Whole: true, Catalog: catalog.New(version, routes, services, nil, catalog.Limits{})})
+	}
+	configure(2, 1)
+	var rows []fleet.Row
+	for i, model := range []string{"a", "b"} {
+		state := servingState("llm")
+		state.Model, state.Staged, state.Epoch, state.Group = model, []string{model}, uint64(i+1), "g-"+model
+		rows = append(rows, fleet.Row{ID: "vm-" + model, Service: "llm", Address: model + ":1", DataCentre: "dc", Slots: 4, Engine: true, State: state})
+	}
+	h.state.VMs(h.now, updates.VMs{Version: 2, Whole: true, Rows: rows})
+	h.loads = map[string]fleet.Load{"vm-a": {Running: 4, Pace: 1}, "vm-b": {Running: 1, Pace: 1}}
+	h.run(3 * time.Second)
+	h.planners["llm"].SetTrafficStarted()
+	h.run(15 * time.Second)
+	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(800), h.log.String())
+	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "b"), int64(200))
+	assert.Equal(t, strings.Count(h.log.String(), `msg="shares of models changed"`), 1, h.log.String())
+	configure(3, 0)
+	h.run(2 * summaryInterval)
+	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(500))
+	configure(4, 1)
+	h.run(15 * time.Second)
+	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(800))
+	h.store.SetFaults(memtable.Faults{Down: true})
+	h.run(5 * time.Second)
+	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(0), "the lease is lost")
+}
+
+// Guards against a setting that is read the wrong way round.
+func TestFollowsDemand(t *testing.T) {
+	ranked := catalog.New(1, []catalog.Route{
+		{Host: "h", Backends: []catalog.Backend{{Service: "llm"}}}, {Host: "h", Priority: 1, Backends: []catalog.Backend{{Service: "llm"}}},
+	}, nil, nil, catalog.Limits{})
+	plain := catalog.New(1, nil, nil, nil, catalog.Limits{})
+	for setting, want := range map[string][2]bool{settings.FollowAuto: {true, false}, settings.FollowOn: {true, true}, settings.FollowOff: {false, false}} {
+		follows := FollowsDemand(setting)
+		assert.Equal(t, [2]bool{follows(ranked, "llm"), follows(plain, "llm")}, want, setting)
+	}
+}
+
 // The probe interval grows with the number of VMs that need fresh reports. Urgent
 // probes keep their interval, and members of serving groups have the longest.
 func TestProbeRateIsBounded(t *testing.T) {
