--- a/coord/replica/doc.go
+++ b/coord/replica/doc.go
@@ -11,6 +11,11 @@
 // Spares wait with a model's weights in their accelerators: each is the only
 // member of a standby group, which never serves.
 //
+// Each model gets groups for its share of the work: the configured one, or, with
+// SetFollowDemand, the one that its load needs. A model keeps the groups for its
+// peak load and gets others for its mean load, and only groups whose hosts have the
+// weights change their model.
+//
 // It maintains these invariants even if messages are lost, delayed or repeated:
 //
 //   - A head is told to serve only after every member was seen ready under the
--- a/coord/replica/move.go
+++ b/coord/replica/move.go
@@ -98,7 +98,7 @@
 		plan.configured[m.Name] = p.groupsForShare(m, p.configuredShare(m))
 	}
 	for _, g := range p.donorCandidates() {
-		if head := p.members[g.Members[0]]; head != nil {
+		if head := p.members[g.Members[0]]; head != nil && !p.evacuated[head.DataCentre] {
 			plan.candidates[head.Domain] = append(plan.candidates[head.Domain], g)
 		}
 	}
