--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -74,6 +74,12 @@
 	donated map[string]donationRecord
 	// probeInterval is the time between two regular probes of a VM.
 	probeInterval time.Duration
+	// setUp configures each new planner further if it isn't nil.
+	setUp func(*Planner)
+	// loadOf returns the load that a VM reports; nil means none.
+	loadOf func(*engineVM) fleet.Load
+	// anyLost is whether any VM is dead or unreachable.
+	anyLost bool
 	// probeCount counts the probes sent.
 	probeCount int
 }
@@ -141,6 +147,9 @@
 	}, w.table)
 	clear(w.donated)
 	w.p.Configure(testEngine(), nil)
+	if w.setUp != nil {
+		w.setUp(w.p)
+	}
 	if w.hasTraffic {
 		w.p.SetTrafficStarted()
 	}
@@ -184,6 +193,10 @@
 }
 
 func (w *world) probeAll() {
+	w.anyLost = false
+	for _, vm := range w.vms {
+		w.anyLost = w.anyLost || vm.dead || vm.unreachable
+	}
 	for _, id := range w.ids {
 		vm := w.vms[id]
 		if w.now.Sub(vm.probedAt) < w.probeEvery(id, vm) {
@@ -195,7 +208,11 @@
 			w.table.RecordProbeFailure(w.now, id)
 			continue
 		}
-		w.table.ApplyReport(w.now, w.now, id, fleet.Report{State: vm.state})
+		report := fleet.Report{State: vm.state}
+		if w.loadOf != nil {
+			report.Load = w.loadOf(vm)
+		}
+		w.table.ApplyReport(w.now, w.now, id, report)
 	}
 }
 
@@ -209,9 +226,12 @@
 	case Regular:
 		return w.probeInterval
 	}
-	if w.isGroupStalled(vm) {
+	if w.anyLost && w.isGroupStalled(vm) {
 		return stalledInterval
 	}
+	if w.loadOf != nil && vm.state.Stage == fleet.Open {
+		return headInterval
+	}
 	return backgroundInterval
 }
 
@@ -226,6 +246,9 @@
 	return false
 }
 
+// headInterval is the time between two reports of a head that gets requests.
+const headInterval = 800 * time.Millisecond
+
 // backgroundInterval is the time between two probes of a member of a serving
 // group, stalledInterval the same while its group is stalled.
 const (
