--- a/coord/lease/events.go
+++ b/coord/lease/events.go
@@ -41,6 +41,13 @@
 // relies on this node's reads.
 type RowRequested struct{}
 
+// PeersAnswer reports that other nodes answer this one, so that it learns from them
+// when the row can be read again. It counts for peersAnswerPeriod.
+type PeersAnswer struct {
+	// Reader is whether this node reads for the other ones.
+	Reader bool
+}
+
 // ReadFailed reports that a ReadRows failed.
 type ReadFailed struct{ Read uint64 }
 
@@ -86,6 +93,7 @@
 func (RowsRead) isEvent()         {}
 func (RowRelayed) isEvent()       {}
 func (RowRequested) isEvent()     {}
+func (PeersAnswer) isEvent()      {}
 func (ReadFailed) isEvent()       {}
 func (WriteAnswered) isEvent()    {}
 func (PromiseRequested) isEvent() {}
--- a/coord/lease/machine.go
+++ b/coord/lease/machine.go
@@ -24,6 +24,7 @@
 
 	observedRow rowState
 	read        readState
+	outage      outageState
 	attempts    attempts
 	writes      uint64
 	// sentAt is when the newest write of the lease row was sent, and answerLost
@@ -95,6 +96,7 @@
 		rng:      rand.New(rand.NewPCG(opts.Seed, opts.Seed)),
 		promises: newPromiseTracker(),
 		presence: newPresence(),
+		outage:   newOutageState(opts),
 	}
 }
 
@@ -112,6 +114,8 @@
 		m.handleRowRelayed(now, ev)
 	case RowRequested:
 		m.handleRowRequested(now)
+	case PeersAnswer:
+		m.outage.peersAt, m.outage.isReader = now, ev.Reader
 	case ReadFailed:
 		m.handleReadFailed(now, ev)
 	case WriteAnswered:
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -5,7 +5,7 @@
 // startRead sends the next read when it is due. Reads and writes of one node
 // never overlap, so that each write follows a fresh read.
 func (m *Machine) startRead(now time.Time) {
-	if m.read.inFlight || m.hasWriteInFlight() || now.Before(m.read.next) {
+	if m.read.inFlight || m.hasWriteInFlight() || now.Before(m.read.next) || m.isReadDeferred(now) {
 		return
 	}
 	m.read.lastID++
@@ -46,6 +46,7 @@
 	}
 	m.read.inFlight = false
 	m.read.next = now.Add(m.retryInterval(now))
+	m.outage.failedAt, m.outage.random = now, m.outage.rng.Float64()
 }
 
 // retryInterval returns the delay after a failed read. It is the normal poll
@@ -63,6 +64,7 @@
 	}
 	m.read.inFlight = false
 	m.read.answeredAt = now
+	m.outage.failedAt = time.Time{}
 	m.enterEra(now, ev.Era)
 	if ev.Era < m.era || ev.Revision < m.observedRow.revision {
 		m.read.next = now.Add(m.opts.RetryEvery)
@@ -151,7 +153,7 @@
 // brings the next read forward if needed.
 func (m *Machine) handleRowRequested(now time.Time) {
 	m.read.requestedAt = now
-	if !m.isReadingForOthers(now) {
+	if !m.isReadingForOthers(now) || m.leavesReadsToOthers(now) {
 		return
 	}
 	if next := m.read.answeredAt.Add(m.opts.PollEvery); m.observedRow.hasRead && next.Before(m.read.next) {
--- a/coord/updates/sources.go
+++ b/coord/updates/sources.go
@@ -122,14 +122,8 @@
 // says that the platform does not answer this node; then the fallbacks are
 // candidates too. ok is false if there is no candidate.
 func (s *Sources) Next(now time.Time, platformUnreachable bool) (n Node, ok bool) {
-	candidates := s.preceding
-	if platformUnreachable {
-		candidates = slices.Concat(s.preceding, s.fallbacks)
-	}
-	for _, n := range candidates {
-		if !now.Before(s.failures[n.VM].until) {
-			return n, true
-		}
+	if candidates := s.Candidates(now, platformUnreachable); len(candidates) > 0 {
+		return candidates[0], true
 	}
 	return Node{}, false
 }
--- /dev/null
+++ b/coord/updates/spread.go
@@ -0,0 +1,152 @@
+package updates
+
+import (
+	"slices"
+	"time"
+)
+
+// Role is a node's part in finding out whether the platform can be read again.
+type Role int
+
+// Roles, from the node that reads most often to those that read least.
+const (
+	// RoleReader is the node before which no other one responds.
+	RoleReader Role = iota
+	// RoleNext is the node that becomes the reader if the present one is lost.
+	RoleNext
+	// RoleFirst is the first responding node of its data centre.
+	RoleFirst
+	// RoleOther is any other node.
+	RoleOther
+)
+
+// String returns the role's name in log lines.
+func (r Role) String() string { return [...]string{"reader", "next", "first", "other"}[r] }
+
+// Spread is what a node's pauses between reads depend on while its peers have no
+// fresh data of the platform. The zero value stands for a node that knows no others.
+type Spread struct {
+	// Nodes is the number of entry VMs, including this one, and DataCentres the
+	// number of their data centres. Both are zero before the list is known.
+	Nodes, DataCentres int
+	Role               Role
+	// Answering is whether another node has answered lately, with data of any age,
+	// and Fresh whether one has answered with fresh data.
+	Answering, Fresh bool
+}
+
+const (
+	// unspreadNodes is the number of nodes up to which each one reads by itself in
+	// an outage.
+	unspreadNodes = 12
+	// nextPause is the pause of RoleNext. With the reader's own pause of 350 ms, the
+	// return of the platform is noticed within 350 ms on average if either is lost.
+	nextPause = 700 * time.Millisecond
+	// firstReadsPerSecond and otherReadsPerSecond are the reads of all nodes of
+	// RoleFirst and RoleOther together. The reader adds 6.2 reads a second and the
+	// next one 1.4, so that 15.6 of the 20 allowed are used on average.
+	firstReadsPerSecond = 4
+	otherReadsPerSecond = 4
+)
+
+// IsLarge reports whether there are so many nodes that they don't each read by
+// themselves in an outage.
+func (s Spread) IsLarge() bool { return s.Nodes > unspreadNodes }
+
+// IsActive reports whether reads are spread out when fresh data are missing. A node
+// that no other node answers reads on its own schedule.
+func (s Spread) IsActive() bool { return s.IsLarge() && s.Answering }
+
+// Pause returns the mean pause between this node's reads while they fail, or base
+// if that is longer.
+func (s Spread) Pause(base time.Duration) time.Duration {
+	switch s.Role {
+	case RoleNext:
+		return nextPause
+	case RoleFirst:
+		return max(base, time.Second*time.Duration(s.DataCentres)/firstReadsPerSecond)
+	case RoleOther:
+		return max(base, time.Second*time.Duration(s.Nodes)/otherReadsPerSecond)
+	}
+	return base
+}
+
+// FirstPause returns the longest pause before the first read of a node whose peers
+// no longer have fresh data. The next reader reads at once, in case only the reader
+// has lost the platform.
+func (s Spread) FirstPause(base time.Duration) time.Duration {
+	if s.Role == RoleReader || s.Role == RoleNext {
+		return 0
+	}
+	return s.Pause(base)
+}
+
+// Jitter returns a pause around a mean for a random number in [0, 1).
+func Jitter(mean time.Duration, random float64) time.Duration {
+	return time.Duration(float64(mean) * (1 - jitterShare/2 + jitterShare*random))
+}
+
+// jitterShare is the width of the range of jittered pauses, as a part of their mean.
+const jitterShare = 0.5
+
+// Spread returns the node's situation; answering and fresh are as in Spread.
+func (s *Sources) Spread(answering, fresh bool) Spread {
+	out := Spread{Role: s.role(), Answering: answering, Fresh: fresh}
+	if len(s.listed) == 0 {
+		return out
+	}
+	places := map[string]bool{s.self.DataCentre: true}
+	for _, n := range s.listed {
+		places[n.DataCentre] = true
+	}
+	out.Nodes, out.DataCentres = len(s.listed), len(places)
+	if !slices.ContainsFunc(s.listed, func(n Node) bool { return n.VM == s.self.VM }) {
+		out.Nodes++
+	}
+	return out
+}
+
+// role returns the node's role, by which nodes before it respond.
+func (s *Sources) role() Role {
+	responding, local := 0, 0
+	for _, n := range s.preceding {
+		if s.failures[n.VM].consecutive > 0 {
+			continue
+		}
+		responding++
+		if n.DataCentre == s.self.DataCentre {
+			local++
+		}
+	}
+	switch {
+	case responding == 0:
+		return RoleReader
+	case responding == 1:
+		return RoleNext
+	case local == 0:
+		return RoleFirst
+	}
+	return RoleOther
+}
+
+// Candidates returns the nodes that may be asked now, in order. They are those that
+// Next would return if each one failed in turn.
+func (s *Sources) Candidates(now time.Time, platformUnreachable bool) []Node {
+	candidates := s.preceding
+	if platformUnreachable {
+		candidates = slices.Concat(s.preceding, s.fallbacks)
+	}
+	var out []Node
+	for _, n := range candidates {
+		if !now.Before(s.failures[n.VM].until) {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Precedes reports whether this node may ask n at any time. Answers of such nodes
+// can be passed on, because requests to them never form a cycle.
+func (s *Sources) Precedes(n Node) bool {
+	return slices.ContainsFunc(s.preceding, func(p Node) bool { return p.VM == n.VM })
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -48,9 +48,12 @@
 	// delayed.
 	ProbeInterval, FastProbeInterval, MemberProbeInterval time.Duration
 	ProbesPerSecond                                       int
-	Log                                                   *slog.Logger
-	Metrics                                               metrics.Registry
-	Now                                                   func() time.Time
+	// Spread returns whether other nodes answer, and this node's role among them. If
+	// it is nil, none do.
+	Spread  func() updates.Spread
+	Log     *slog.Logger
+	Metrics metrics.Registry
+	Now     func() time.Time
 }
 
 // Coordinator is a candidate for the lease, and plans groups while it holds it.
@@ -89,6 +92,11 @@
 func (c *Coordinator) Tick(ctx context.Context) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.opts.Spread != nil {
+		if s := c.opts.Spread(); s.IsActive() {
+			c.step(ctx, lease.PeersAnswer{Reader: s.Role == updates.RoleReader || !s.Fresh && c.state.ReadsPlatform()})
+		}
+	}
 	if c.peerRow != nil {
 		c.step(ctx, lease.RowRelayed{Era: c.peerRow.Era, Row: c.peerRow.Row, Revision: c.peerRow.Revision})
 		c.peerRow = nil
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -73,7 +73,7 @@
 		return updates.Answer{}
 	}
 	a := updates.Answer{
-		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now), OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
+		Known: true, Borrowed: s.isPlatformUnreachable(now) && s.hasPeerUpdates(now) && !s.relaysSource, OperatorsAge: now.Sub(view.AsOf), VMsAge: now.Sub(s.listedAsOf),
 		Operators: s.record.OperatorsAfter(after), VMs: s.record.VMsAfter(after.VMs, after.ReceivedVMs == after.VMs),
 		Era:            s.record.Position().VMs.Era,
 		CatalogVersion: s.cat.Version,
@@ -138,6 +138,25 @@
 	}
 }
 
+// SetSource records whether this node is one of so many that reads are spread out,
+// and whether the peer that answered may be followed at any time. Then this node's
+// answers count as its own, because requests to such peers never form a cycle.
+func (s *State) SetSource(spreadsReads, precedes bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spreadsReads, s.relaysSource = spreadsReads, spreadsReads && precedes
+}
+
+// ReadsPlatform reports whether this node's own reads of VMs succeed.
+func (s *State) ReadsPlatform() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.readFailedAt.IsZero() && !s.readAt.IsZero() && s.now().Sub(s.readAt) < ownReadTTL
+}
+
+// ownReadTTL is about twice the longest wait and round trip of a read.
+const ownReadTTL = 1500 * time.Millisecond
+
 // ClearPeerUpdates records that no peer currently provides updates.
 func (s *State) ClearPeerUpdates() {
 	s.mu.Lock()
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -79,9 +79,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readFailedAt, s.readAt = time.Time{}, asOf
+	if s.spreadsReads && s.listed && asOf.Sub(s.listedAsOf) > outageAge {
+		s.vmReadFailing = true // peers had no list in an outage, and this node didn't read
+	}
 	s.applyVMs(asOf, n)
 }
 
+// outageAge is the age of the list of VMs above which a node whose reads are spread
+// out takes the next one for the first after an outage, during which rows may have
+// lapsed. It is twice the age up to which peers' data count as fresh.
+const outageAge = 2 * time.Second
+
 // applyVMs applies rows of VMs that were read from the platform or received from
 // a peer. s.mu must be held.
 func (s *State) applyVMs(asOf time.Time, n updates.VMs) {
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -45,6 +45,8 @@
 	// peerAnsweredAt is when a peer last answered, and localPeerAnsweredAt when
 	// one in the same data centre did.
 	peerAnsweredAt, localPeerAnsweredAt time.Time
+	// spreadsReads and relaysSource are the arguments of SetSource.
+	spreadsReads, relaysSource bool
 	// peerCatalogOutdated reports whether the peer that answered last has an older
 	// configuration than this node.
 	peerCatalogOutdated bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 		StalledAfter: groupStallTimeout, StalledFirst: firstEventStallTimeout, SilentAfter: requestStallTimeout, FirstAfter: firstEventTimeout, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, Log: log, Metrics: registry,
+		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, ReadsPlatform: n.state.ReadsPlatform, Log: log, Metrics: registry,
 	}, (*peerListener)(n))
 	n.coord = coordinator.New(coordinator.Options{
 		Lease: lease.Options{
@@ -95,7 +95,8 @@
 		},
 		Replica:      replica.Options{Stall: cfg.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: cfg.Bounds.LoadWindow},
 		OrderTimeout: orderTimeout, ProbeInterval: probeInterval, FastProbeInterval: fastProbeInterval, MemberProbeInterval: memberProbeInterval, ProbesPerSecond: maxProbesPerSecond,
-		Log: log, Metrics: registry, Now: boottime.Now,
+		Spread: n.follower.Spread,
+		Log:    log, Metrics: registry, Now: boottime.Now,
 	}, b.Table, n.state, b.Orders, n.prober, n.follower)
 	return n, nil
 }
@@ -167,7 +168,7 @@
 		g.Go(func() error { return n.serveMetrics(runCtx) })
 	}
 	g.Go(func() error {
-		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor, QuarantineWait: quarantineReadWait, QuarantineRetryPause: quarantineRetryPause}
+		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor, QuarantineWait: quarantineReadWait, QuarantineRetryPause: quarantineRetryPause, Spread: n.follower.Spread}
 		return watch.Run(runCtx, n.backends.Source, n.state, opts)
 	})
 	g.Go(func() error { n.tick(runCtx); return nil })
@@ -218,12 +219,14 @@
 	defer ticker.Stop()
 	keeper := entry.NewQuarantineKeeper(n.state, n.backends.Quarantine)
 	lastSweep := time.Now()
+	spreadOut := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		n.logSpread(&spreadOut)
 		isReader := n.follower.IsReader()
 		n.state.SetTriesQuarantined(isReader)
 		n.prober.Tick(ctx, n.state.Tick())
@@ -238,6 +241,19 @@
 	}
 }
 
+// logSpread logs when reads of the platform begin or cease to be spread out. before is
+// whether they were at the last call.
+func (n *Node) logSpread(before *bool) {
+	s := n.follower.Spread()
+	spreadOut := s.IsActive() && !s.Fresh
+	if spreadOut == *before {
+		return
+	}
+	*before = spreadOut
+	n.log.Info("reads spread out", "on", spreadOut, "nodes", s.Nodes, "data_centres", s.DataCentres, "role", s.Role.String(),
+		"peers_answer", s.Answering, "peers_fresh", s.Fresh, "mean_pause", s.Pause(followerReadRetryPause), "reads_itself", n.state.ReadsPlatform())
+}
+
 // shutDown reports the node as not ready, releases the lease, waits for running
 // requests to complete within the grace period, and leaves the list of nodes.
 func (n *Node) shutDown(ctx context.Context, server *http.Server) {
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -40,6 +40,7 @@
 
 // ApplyAnswer implements relay.Listener.
 func (l *peerListener) ApplyAnswer(asked time.Time, from updates.Node, answer updates.Answer) {
+	l.state.SetSource(l.follower.Spread().IsLarge(), l.follower.Relays(from))
 	l.state.ApplyAnswer(asked, from.DataCentre == l.cfg.DataCentre, answer)
 	if answer.Lease != nil {
 		l.coord.ObserveRow(*answer.Lease)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -44,9 +44,12 @@
 	Every, Timeout time.Duration
 	// MaxAge is the maximum age of the data in an answer. An older answer is
 	// rejected, unless this node can't read from the platform.
-	MaxAge  time.Duration
-	Log     *slog.Logger
-	Metrics metrics.Registry
+	MaxAge time.Duration
+	// ReadsPlatform reports whether this node's own reads of the platform succeed.
+	// Such a node uses only fresh answers. Without it, none does.
+	ReadsPlatform func() bool
+	Log           *slog.Logger
+	Metrics       metrics.Registry
 }
 
 // Follower polls another node for updates, if there is one that may be asked. It
@@ -64,6 +67,11 @@
 	source     string
 	sourceMark int64
 	sourceVMs  updates.Revision
+	// answeredAt is when another node last answered with data of any age, and
+	// freshAt when one did with fresh data.
+	answeredAt, freshAt time.Time
+	// turn selects the second node that is asked while the data are old.
+	turn int
 }
 
 // NewFollower returns a follower without other nodes; see Set.
@@ -120,30 +128,135 @@
 	}
 }
 
+// Spread returns what this node's pauses between reads of the platform depend on in
+// an outage.
+func (f *Follower) Spread() updates.Spread {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := boottime.Now()
+	return f.sources.Spread(isRecent(f.answeredAt, now), isRecent(f.freshAt, now))
+}
+
+// answerTTL is how long an answer counts. A node that no other one answers any more
+// returns to its own schedule of reads after this time.
+const answerTTL = 700 * time.Millisecond
+
+func isRecent(at, now time.Time) bool { return !at.IsZero() && now.Sub(at) < answerTTL }
+
+// Relays reports whether answers of a node may be passed on as this node's own while
+// it can't read from the platform.
+func (f *Follower) Relays(n updates.Node) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sources.Spread(false, false).IsLarge() && f.sources.Precedes(n)
+}
+
 // ask asks one node after another until one returns a usable answer. If none
 // does, it tells the listener so.
 func (f *Follower) ask(ctx context.Context) {
 	platformDown := f.listener.IsPlatformUnreachable()
+	if f.Spread().IsLarge() && (f.opts.ReadsPlatform == nil || !f.opts.ReadsPlatform()) {
+		f.askForFresh(ctx, platformDown)
+		return
+	}
 	for ctx.Err() == nil {
 		f.mu.Lock()
 		n, ok := f.sources.Next(boottime.Now(), platformDown)
 		f.mu.Unlock()
 		if !ok {
-			f.listener.ClearPeerUpdates()
-			f.setSource("", updates.Answer{})
+			f.clear()
 			return
 		}
-		a, err := f.askOne(ctx, n, platformDown)
+		asked := boottime.Now()
+		a, err := f.askOne(ctx, n)
+		if err == nil {
+			err = f.check(a, platformDown)
+		}
+		f.countOutcome(err)
+		if err == nil {
+			f.use(asked, n, a)
+			return
+		}
+		f.handleFailure(n, err)
+	}
+}
+
+// askForFresh asks the first node that answers, and another one in turn if its data
+// are old. If both have old data, it uses the first answer. A node with old data does
+// not count as failed: it will know of the platform's return first.
+func (f *Follower) askForFresh(ctx context.Context, platformDown bool) {
+	f.mu.Lock()
+	candidates := f.sources.Candidates(boottime.Now(), platformDown)
+	f.mu.Unlock()
+	var first updates.Answer
+	var from *updates.Node
+	var askedFirst time.Time
+	for ctx.Err() == nil && len(candidates) > 0 {
+		i := 0
+		if from != nil {
+			i = f.secondCandidate(len(candidates))
+		}
+		n := candidates[i]
+		candidates = append(candidates[:i:i], candidates[i+1:]...)
+		asked := boottime.Now()
+		a, err := f.askOne(ctx, n)
+		if err != nil {
+			f.countOutcome(err)
+			f.handleFailure(n, err)
+			continue
+		}
+		err = f.check(a, false)
 		f.countOutcome(err)
 		if err == nil {
-			f.setSource(n.VM, a)
+			f.use(asked, n, a)
 			return
 		}
-		f.opts.Log.Info("node does not tell", "node", n.VM, "error", err)
+		if from != nil {
+			break
+		}
+		from, first, askedFirst = &n, a, asked
+	}
+	if from == nil {
+		f.clear()
+		return
+	}
+	f.use(askedFirst, *from, first)
+}
+
+// secondCandidate returns the index of the node to ask besides the first one that
+// answers. Every second time it is the next one in order, which reads if the reader
+// can't, and otherwise each one in turn, because any of them may have read first.
+func (f *Follower) secondCandidate(n int) int {
+	f.turn++
+	if f.turn%2 == 0 {
+		return 0
+	}
+	return f.turn / 2 % n
+}
+
+// clear records that no node answers.
+func (f *Follower) clear() {
+	f.listener.ClearPeerUpdates()
+	f.setSource("", updates.Answer{})
+}
+
+// use passes an answer to the listener.
+func (f *Follower) use(asked time.Time, n updates.Node, a updates.Answer) {
+	f.listener.ApplyAnswer(asked, n, a)
+	if f.check(a, false) == nil {
 		f.mu.Lock()
-		f.sources.Failed(boottime.Now(), n.VM)
+		f.freshAt = boottime.Now()
 		f.mu.Unlock()
 	}
+	f.setSource(n.VM, a)
+}
+
+// handleFailure records that a node gave no usable answer.
+func (f *Follower) handleFailure(n updates.Node, err error) {
+	f.opts.Log.Info("node does not tell", "node", n.VM, "error", err)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sources.Failed(boottime.Now(), n.VM)
 }
 
 // countOutcome counts an answer in told_answers_total, by whether it was used.
@@ -200,13 +313,11 @@
 	return req, errors.Trace(err)
 }
 
-// askOne asks a node for updates and passes its answer to the listener. The error
-// says why the node can't serve as the source: it failed, has no data, only
-// passes on data of others, or has data of an earlier era or older than MaxAge.
-func (f *Follower) askOne(ctx context.Context, n updates.Node, platformDown bool) (a updates.Answer, err error) {
+// askOne asks a node for updates. The error says why its answer can't be used at
+// all: it failed, has no data, or has data of an earlier era.
+func (f *Follower) askOne(ctx context.Context, n updates.Node) (a updates.Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.opts.Timeout)
 	defer cancel()
-	asked := boottime.Now() // before Position: what this node learns later goes with the next request
 	position := f.listener.Position()
 	if n.VM == f.source {
 		position.Mark, position.ReceivedVMs = f.sourceMark, f.sourceVMs
@@ -223,18 +334,27 @@
 	if err := json.Unmarshal(resp.Answer, &a); err != nil {
 		return a, errors.Annotate(err, "parsing the answer")
 	}
+	f.mu.Lock()
+	f.answeredAt = boottime.Now()
+	f.mu.Unlock()
 	if !a.Known {
 		return a, errors.New("the node has no data of the platform yet")
 	}
-	if a.Borrowed {
-		return a, errors.New("the node can't read from the platform itself")
-	}
 	if a.Era < position.VMs.Era {
 		return a, fmt.Errorf("the node has read nothing yet in era %d of the platform's store", position.VMs.Era)
 	}
+	return a, nil
+}
+
+// check returns why an answer can't replace own reads: the node only passes on data
+// of others, or its data are older than MaxAge. While the platform is unreachable,
+// data of any age are used.
+func (f *Follower) check(a updates.Answer, platformDown bool) error {
+	if a.Borrowed {
+		return errors.New("the node can't read from the platform itself")
+	}
 	if age := max(a.OperatorsAge, a.VMsAge); age > f.opts.MaxAge && !platformDown {
-		return a, fmt.Errorf("the node last read from the platform %s ago", age)
+		return fmt.Errorf("the node last read from the platform %s ago", age)
 	}
-	f.listener.ApplyAnswer(asked, n, a)
-	return a, nil
+	return nil
 }
--- a/internal/watch/loop.go
+++ b/internal/watch/loop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -35,6 +37,9 @@
 	// QuarantineWait is the maximum time that a read of quarantined parts waits
 	// for a change, and QuarantineRetryPause the pause after a failed one.
 	QuarantineWait, QuarantineRetryPause time.Duration
+	// Spread returns what the pauses depend on while peers answer without fresh data.
+	// If it is nil, reads are never spread out.
+	Spread func() updates.Spread
 }
 
 // Observer receives the results of the reads.
@@ -58,10 +63,11 @@
 // Run reads from src and passes the updates to obs until the context ends.
 func Run(ctx context.Context, src Source, obs Observer, opts Options) error {
 	w := &watcher{src: src, obs: obs, opts: opts, started: boottime.Now()}
+	w.schedule = updates.NewSchedule(updates.Pauses{Reader: opts.RetryPause, Follower: opts.FollowerRetryPause, Quarantine: opts.QuarantineRetryPause}, rand.Float64)
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { w.readRepeatedly(ctx, w.readOperators); return nil })
-	g.Go(func() error { w.readRepeatedly(ctx, w.readVMs); return nil })
-	g.Go(func() error { w.readRepeatedly(ctx, w.readQuarantine); return nil })
+	g.Go(func() error { w.readRepeatedly(ctx, updates.ListOperators, w.readOperators); return nil })
+	g.Go(func() error { w.readRepeatedly(ctx, updates.ListVMs, w.readVMs); return nil })
+	g.Go(func() error { w.readRepeatedly(ctx, updates.ListQuarantine, w.readQuarantine); return nil })
 	return g.Wait()
 }
 
@@ -73,20 +79,24 @@
 	started time.Time
 	// quarantineRevision is the revision of the last read of quarantined parts.
 	quarantineRevision updates.Revision
+
+	mu       sync.Mutex
+	schedule *updates.Schedule
 }
 
 // readRepeatedly repeats a read, except while a peer sends updates. read returns
 // the pause until the next read; if full is set, it requests all rows. All rows are
 // requested at once when there is no history, but not again and again.
-func (w *watcher) readRepeatedly(ctx context.Context, read func(ctx context.Context, full bool) (time.Duration, error)) {
+func (w *watcher) readRepeatedly(ctx context.Context, l updates.List, read func(ctx context.Context, full bool) (time.Duration, error)) {
 	full := false
 	gone := 0 // reads without history since the last one of changes
 	for ctx.Err() == nil {
-		if w.obs.HasPeerUpdates() {
-			sleep(ctx, peerCheckInterval)
+		if wait := w.untilRead(l); wait > 0 {
+			sleep(ctx, min(wait, updates.CheckInterval))
 			continue
 		}
 		pause, err := read(ctx, full)
+		w.record(l, err)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			gone++
@@ -97,13 +107,36 @@
 		if gone > 1 {
 			pause = max(pause, w.opts.RetryPause)
 		}
+		if err != nil && !full && w.spread().IsActive() {
+			continue // untilRead has the pause
+		}
 		sleep(ctx, pause)
 	}
 }
 
-// peerCheckInterval is the interval between checks whether a peer still sends
-// updates.
-const peerCheckInterval = 100 * time.Millisecond
+// spread returns what the pauses depend on while peers have no fresh data.
+func (w *watcher) spread() updates.Spread {
+	if w.opts.Spread == nil {
+		return updates.Spread{}
+	}
+	return w.opts.Spread()
+}
+
+// untilRead returns the time until the next read of a list. It must be called again
+// after updates.CheckInterval.
+func (w *watcher) untilRead(l updates.List) time.Duration {
+	spread, hasPeerUpdates := w.spread(), w.obs.HasPeerUpdates()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.schedule.Until(boottime.Now(), l, spread, hasPeerUpdates)
+}
+
+// record records the result of a read.
+func (w *watcher) record(l updates.List, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.schedule.Record(boottime.Now(), l, err != nil && !errors.Is(err, ErrHistoryGone))
+}
 
 // readOperators reads the operators' rows once.
 func (w *watcher) readOperators(ctx context.Context, full bool) (time.Duration, error) {
