--- a/coord/updates/schedule.go
+++ b/coord/updates/schedule.go
@@ -56,8 +56,14 @@
 	peerRetryPause = 2 * time.Second
 )
 
-// Record records the result of a read.
+// Record records the result of a read. The first success after a failure makes the
+// other lists due, because the platform has probably returned for all of them.
 func (s *Schedule) Record(now time.Time, l List, failed bool) {
+	if !failed && !s.attempts[l].failedAt.IsZero() {
+		for i := range s.attempts {
+			s.attempts[i].failedAt = time.Time{}
+		}
+	}
 	s.attempts[l] = attempt{random: s.random()}
 	if failed {
 		s.attempts[l].failedAt = now
@@ -129,7 +135,7 @@
 		if a.oldSince.IsZero() {
 			a.oldSince, a.random = now, s.random()
 		}
-		return a.oldSince.Add(time.Duration(a.random * float64(spread.FirstPause(base)))).Sub(now)
+		return a.oldSince.Add(spread.FirstPause(base, a.random)).Sub(now)
 	}
 	return 0
 }
--- a/coord/updates/sources.go
+++ b/coord/updates/sources.go
@@ -34,7 +34,10 @@
 	fallbacks  []Node // asked only while the platform is unreachable
 	failures   map[string]failure
 	listed     []Node
+	size       size            // of listed
 	requesters map[string]Node // nodes that have asked this one, by VM
+	// rounds is the number of rounds in which a second node was asked.
+	rounds int
 }
 
 type failure struct {
@@ -50,6 +53,7 @@
 // Set replaces the list of nodes from the platform.
 func (s *Sources) Set(nodes []Node) {
 	s.listed = slices.Clone(nodes)
+	s.size = s.measure()
 	s.rank()
 }
 
--- a/coord/updates/spread.go
+++ b/coord/updates/spread.go
@@ -30,6 +30,9 @@
 	// number of their data centres. Both are zero before the list is known.
 	Nodes, DataCentres int
 	Role               Role
+	// Slot is the node's place among those of its role, in [0, 1). It keeps their
+	// first reads in an outage apart. SlotWidth is the distance to the next one.
+	Slot, SlotWidth float64
 	// Answering is whether another node has answered lately, with data of any age,
 	// and Fresh whether one has answered with fresh data.
 	Answering, Fresh bool
@@ -71,14 +74,14 @@
 	return base
 }
 
-// FirstPause returns the longest pause before the first read of a node whose peers
-// no longer have fresh data. The next reader reads at once, in case only the reader
-// has lost the platform.
-func (s Spread) FirstPause(base time.Duration) time.Duration {
+// FirstPause returns the pause before the first read of a node whose peers no longer
+// have fresh data, for a random number in [0, 1). The next reader reads at once, in
+// case only the reader has lost the platform.
+func (s Spread) FirstPause(base time.Duration, random float64) time.Duration {
 	if s.Role == RoleReader || s.Role == RoleNext {
 		return 0
 	}
-	return s.Pause(base)
+	return time.Duration(float64(s.Pause(base)) * (s.Slot + s.SlotWidth*random))
 }
 
 // Jitter returns a pause around a mean for a random number in [0, 1).
@@ -91,17 +94,46 @@
 
 // Spread returns the node's situation; answering and fresh are as in Spread.
 func (s *Sources) Spread(answering, fresh bool) Spread {
-	out := Spread{Role: s.role(), Answering: answering, Fresh: fresh}
+	out := Spread{Nodes: s.size.nodes, DataCentres: s.size.dataCentres, Role: s.role(), Answering: answering, Fresh: fresh}
+	before, of := s.size.nodesBefore, out.Nodes
+	if out.Role == RoleFirst {
+		before, of = s.size.dataCentresBefore, out.DataCentres
+	}
+	if of > 0 {
+		out.Slot, out.SlotWidth = float64(before)/float64(of), 1/float64(of)
+	}
+	return out
+}
+
+// size is the number of nodes and data centres, including this node's, and of those
+// ordered before. It is zero while no nodes are listed.
+type size struct {
+	nodes, dataCentres, nodesBefore, dataCentresBefore int
+}
+
+// measure returns the size of the list of nodes.
+func (s *Sources) measure() size {
 	if len(s.listed) == 0 {
-		return out
+		return size{}
 	}
-	places := map[string]bool{s.self.DataCentre: true}
+	out := size{nodes: 1, dataCentres: 1}
+	seen := map[string]bool{s.self.DataCentre: true}
 	for _, n := range s.listed {
-		places[n.DataCentre] = true
-	}
-	out.Nodes, out.DataCentres = len(s.listed), len(places)
-	if !slices.ContainsFunc(s.listed, func(n Node) bool { return n.VM == s.self.VM }) {
-		out.Nodes++
+		if n.VM == s.self.VM {
+			continue
+		}
+		out.nodes++
+		if n.DataCentre < s.self.DataCentre || n.DataCentre == s.self.DataCentre && n.VM < s.self.VM {
+			out.nodesBefore++
+		}
+		if seen[n.DataCentre] {
+			continue
+		}
+		seen[n.DataCentre] = true
+		out.dataCentres++
+		if n.DataCentre < s.self.DataCentre {
+			out.dataCentresBefore++
+		}
 	}
 	return out
 }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -70,8 +70,6 @@
 	// answeredAt is when another node last answered with data of any age, and
 	// freshAt when one did with fresh data.
 	answeredAt, freshAt time.Time
-	// turn selects the second node that is asked while the data are old.
-	turn int
 }
 
 // NewFollower returns a follower without other nodes; see Set.
@@ -181,23 +179,24 @@
 	}
 }
 
-// askForFresh asks the first node that answers, and another one in turn if its data
-// are old. If both have old data, it uses the first answer. A node with old data does
-// not count as failed: it will know of the platform's return first.
+// askForFresh asks one node after another as updates.Round says. Without fresh data,
+// it uses the first answer.
 func (f *Follower) askForFresh(ctx context.Context, platformDown bool) {
 	f.mu.Lock()
-	candidates := f.sources.Candidates(boottime.Now(), platformDown)
+	round := f.sources.NewRound(boottime.Now(), platformDown)
 	f.mu.Unlock()
-	var first updates.Answer
-	var from *updates.Node
-	var askedFirst time.Time
-	for ctx.Err() == nil && len(candidates) > 0 {
-		i := 0
-		if from != nil {
-			i = f.secondCandidate(len(candidates))
+	var old struct {
+		answer updates.Answer
+		from   updates.Node
+		asked  time.Time
+	}
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		n, ok := round.Next()
+		f.mu.Unlock()
+		if !ok {
+			break
 		}
-		n := candidates[i]
-		candidates = append(candidates[:i:i], candidates[i+1:]...)
 		asked := boottime.Now()
 		a, err := f.askOne(ctx, n)
 		if err != nil {
@@ -211,27 +210,16 @@
 			f.use(asked, n, a)
 			return
 		}
-		if from != nil {
-			break
+		round.RecordOld()
+		if old.from.VM == "" {
+			old.answer, old.from, old.asked = a, n, asked
 		}
-		from, first, askedFirst = &n, a, asked
 	}
-	if from == nil {
+	if old.from.VM == "" {
 		f.clear()
 		return
 	}
-	f.use(askedFirst, *from, first)
-}
-
-// secondCandidate returns the index of the node to ask besides the first one that
-// answers. Every second time it is the next one in order, which reads if the reader
-// can't, and otherwise each one in turn, because any of them may have read first.
-func (f *Follower) secondCandidate(n int) int {
-	f.turn++
-	if f.turn%2 == 0 {
-		return 0
-	}
-	return f.turn / 2 % n
+	f.use(old.asked, old.from, old.answer)
 }
 
 // clear records that no node answers.
