--- a/coord/updates/round.go
+++ b/coord/updates/round.go
@@ -1,6 +1,7 @@
 package updates
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -16,9 +17,17 @@
 	old int
 }
 
-// NewRound begins a round.
-func (s *Sources) NewRound(now time.Time, platformUnreachable bool) *Round {
-	return &Round{sources: s, candidates: s.Candidates(now, platformUnreachable)}
+// NewRound begins a round. hasFresh reports whether the node has fresh data. If not,
+// nodes that have failed come last, because waiting for one that is dead would delay
+// the news of the platform's return.
+func (s *Sources) NewRound(now time.Time, platformUnreachable, hasFresh bool) *Round {
+	r := &Round{sources: s, candidates: s.Candidates(now, platformUnreachable)}
+	if !hasFresh {
+		slices.SortStableFunc(r.candidates, func(a, b Node) int {
+			return cmp.Compare(min(1, s.failures[a.VM].consecutive), min(1, s.failures[b.VM].consecutive))
+		})
+	}
+	return r
 }
 
 // maxOldAnswers is the number of old answers that end a round.
--- a/coord/updates/sources.go
+++ b/coord/updates/sources.go
@@ -27,7 +27,8 @@
 // preceding data centres. So the first live node is the reader, which reads from
 // the platform for all, one node in each other data centre relays the updates,
 // and requests never form a cycle. A node that gets no answer from the platform may ask any other node;
-// other nodes don't rely on it meanwhile.
+// other nodes don't rely on it meanwhile, unless it got its data from a preceding
+// node and there are so many nodes that reads are spread out (see Spread).
 type Sources struct {
 	self       Node
 	preceding  []Node // ordered before this one, asked in this order
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -28,7 +28,8 @@
 
 // HasPeerUpdates implements watch.Observer. It reports whether peers keep this
 // node up to date. From readRetryDelay after a failed read it returns false
-// regardless, so that the node retries the read.
+// regardless, so that the node retries the read. Where reads are spread out,
+// updates.Schedule decides instead.
 func (s *State) HasPeerUpdates() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -183,7 +183,7 @@
 // it uses the first answer.
 func (f *Follower) askForFresh(ctx context.Context, platformDown bool) {
 	f.mu.Lock()
-	round := f.sources.NewRound(boottime.Now(), platformDown)
+	round := f.sources.NewRound(boottime.Now(), platformDown, isRecent(f.freshAt, boottime.Now()))
 	f.mu.Unlock()
 	var old struct {
 		answer updates.Answer
