--- a/coord/updates/schedule.go
+++ b/coord/updates/schedule.go
@@ -54,6 +54,9 @@
 	// peerRetryPause is the shortest pause between failed reads of a node that has
 	// fresh data from a peer.
 	peerRetryPause = 2 * time.Second
+	// otherListsFactor multiplies the reader's pauses between reads of other lists
+	// than VMs. It leaves room for two nodes that each take themselves for the reader.
+	otherListsFactor = 3
 )
 
 // Record records the result of a read. The first success after a failure makes the
@@ -105,7 +108,7 @@
 }
 
 // untilReaderRead returns the time until the next read of the reader while no other
-// node has fresh data.
+// node has fresh data. While VMs can't be read, the other lists are read more rarely.
 func (s *Schedule) untilReaderRead(now time.Time, l List) time.Duration {
 	a := &s.attempts[l]
 	if a.failedAt.IsZero() {
@@ -115,6 +118,9 @@
 	if l == ListQuarantine {
 		pause = s.pauses.Quarantine
 	}
+	if l != ListVMs && !s.attempts[ListVMs].failedAt.IsZero() {
+		pause *= otherListsFactor
+	}
 	return a.failedAt.Add(pause).Sub(now)
 }
 
--- a/coord/updates/spread.go
+++ b/coord/updates/spread.go
@@ -46,10 +46,11 @@
 	// return of the platform is noticed within 350 ms on average if either is lost.
 	nextPause = 700 * time.Millisecond
 	// firstReadsPerSecond and otherReadsPerSecond are the reads of all nodes of
-	// RoleFirst and RoleOther together. The reader adds 6.2 reads a second and the
-	// next one 1.4, so that 15.6 of the 20 allowed are used on average.
-	firstReadsPerSecond = 4
-	otherReadsPerSecond = 4
+	// RoleFirst and RoleOther together. The reader adds 4.0 reads a second and the
+	// next one 1.4, so that 10.4 of the 20 allowed are used on average. The rest is for
+	// peaks, and for a second reader and next one where nodes disagree about who responds.
+	firstReadsPerSecond = 3
+	otherReadsPerSecond = 2
 )
 
 // IsLarge reports whether there are so many nodes that they don't each read by
