--- a/coord/updates/sources.go
+++ b/coord/updates/sources.go
@@ -27,14 +27,18 @@
 // preceding data centres. So the first live node is the reader, which reads from
 // the platform for all, one node in each other data centre relays the updates,
 // and requests never form a cycle. A node that gets no answer from the platform may ask any other node;
-// other nodes don't rely on it meanwhile.
+// other nodes don't rely on it meanwhile, unless it got its data from a preceding
+// node and there are so many nodes that reads are spread out (see Spread).
 type Sources struct {
 	self       Node
 	preceding  []Node // ordered before this one, asked in this order
 	fallbacks  []Node // asked only while the platform is unreachable
 	failures   map[string]failure
 	listed     []Node
+	size       size            // of listed
 	requesters map[string]Node // nodes that have asked this one, by VM
+	// rounds is the number of rounds in which a second node was asked.
+	rounds int
 }
 
 type failure struct {
@@ -50,6 +54,7 @@
 // Set replaces the list of nodes from the platform.
 func (s *Sources) Set(nodes []Node) {
 	s.listed = slices.Clone(nodes)
+	s.size = s.measure()
 	s.rank()
 }
 
@@ -122,14 +127,8 @@
 // says that the platform does not answer this node; then the fallbacks are
 // candidates too. ok is false if there is no candidate.
 func (s *Sources) Next(now time.Time, platformUnreachable bool) (n Node, ok bool) {
-	candidates := s.preceding
-	if platformUnreachable {
-		candidates = slices.Concat(s.preceding, s.fallbacks)
-	}
-	for _, n := range candidates {
-		if !now.Before(s.failures[n.VM].until) {
-			return n, true
-		}
+	if candidates := s.Candidates(now, platformUnreachable); len(candidates) > 0 {
+		return candidates[0], true
 	}
 	return Node{}, false
 }
