--- a/coord/dispatch/held_test.go
+++ b/coord/dispatch/held_test.go
@@ -67,18 +67,18 @@
 	return ticket
 }
 
-// hold places a request with a prefix at the head of a group.
-func (s *heldScenario) hold(t *testing.T, g int, prefix *Prefix) *Ticket {
+// hold places a request with a prefix at the head of group 1.
+func (s *heldScenario) hold(t *testing.T, prefix *Prefix) *Ticket {
 	t.Helper()
 	var exclude []string
-	for other := range s.vms.All() {
-		if other%2 == 0 && other/2 != g {
-			exclude = append(exclude, vmID(other/2, 0))
+	for id := range s.table.targets {
+		if id != vmID(1, 0) {
+			exclude = append(exclude, id)
 		}
 	}
 	ticket, refusal := s.table.Pick(s.now, Query{Service: "llm", Model: "m", PromptTokens: 3000, Prefix: prefix, Exclude: exclude})
 	assert.Assert(t, refusal == nil)
-	assert.Equal(t, ticket.Target.ID, vmID(g, 0))
+	assert.Equal(t, ticket.Target.ID, vmID(1, 0))
 	s.table.RecordProgress(s.now.Add(100*time.Millisecond), ticket)
 	return ticket
 }
@@ -90,7 +90,7 @@
 // them, and against a choice without a trace.
 func TestIdleHolderIsChosen(t *testing.T) {
 	s := newHeldScenario(3)
-	s.hold(t, 1, longPrefix())
+	s.hold(t, longPrefix())
 	for draw := range uint64(5) {
 		ticket := s.place(draw, 2500, longPrefix())
 		assert.Equal(t, ticket.Target.ID, vmID(1, 0))
@@ -111,7 +111,7 @@
 // read what the engine holds.
 func TestBusyHolderIsNotChosen(t *testing.T) {
 	s := newHeldScenario(2)
-	s.hold(t, 1, longPrefix())
+	s.hold(t, longPrefix())
 	s.wait(time.Second, 1, 20)
 	ticket := s.place(1, 2500, longPrefix())
 	assert.Equal(t, ticket.Target.ID, vmID(0, 0))
@@ -125,11 +125,11 @@
 // placed there are not in its report yet.
 func TestRequestsAfterALaggingReportCountAsLoad(t *testing.T) {
 	s := newHeldScenario(2)
-	s.hold(t, 1, longPrefix())
+	s.hold(t, longPrefix())
 	s.wait(time.Second, 1, 1)
 	assert.Equal(t, s.place(1, 2500, longPrefix()).Target.ID, vmID(1, 0))
 	for range 7 {
-		s.hold(t, 1, nil)
+		s.hold(t, nil)
 	}
 	assert.Equal(t, s.vms.Get(vmID(1, 0)).Running, 1)
 	ticket := s.place(1, 2500, longPrefix())
@@ -158,7 +158,7 @@
 	} {
 		for _, begun := range []bool{false, true} {
 			s := newHeldScenario(2)
-			s.hold(t, 1, longPrefix())
+			s.hold(t, longPrefix())
 			s.wait(time.Second, 1, 1)
 			change(s)
 			ticket, refusal := s.table.Pick(s.now, Query{Service: "llm", Model: "m", PromptTokens: 2500, Prefix: longPrefix(), Begun: begun})
@@ -189,7 +189,7 @@
 		},
 	} {
 		s := newHeldScenario(2)
-		ticket := s.hold(t, 1, longPrefix())
+		ticket := s.hold(t, longPrefix())
 		held, _ := s.table.prefixHolders.heldAt(longPrefix())
 		assert.Equal(t, len(held), 1)
 		change(s, ticket)
@@ -295,7 +295,7 @@
 	s.engine.StepTime, s.engine.RequestTime, s.engine.ContextTime = 720*time.Hour, 720*time.Hour, 720*time.Hour
 	s.engine.ReadRate, s.engine.Models[0].Pace = 1e-300, 1<<30
 	s.update()
-	s.hold(t, 1, prefixOf(most, 1, most))
+	s.hold(t, prefixOf(most, 1, most))
 	s.wait(time.Second, 0, 25)
 	for i := range 20 {
 		if ticket := s.place(uint64(i), most, prefixOf(most, 1, most)); ticket != nil && ticket.Reuse != nil {
@@ -304,6 +304,30 @@
 	}
 }
 
+// Guards against callers who attract their requests to one engine by stating more
+// shared tokens than an engine can hold.
+func TestSavingIsBoundedByMemoryOfEngine(t *testing.T) {
+	for capacity, want := range map[int]int{0: 100_000, 4000: 4000, 100: 0} {
+		s := newHeldScenario(2)
+		s.engine.TokenCapacity = capacity
+		s.update()
+		prefix := prefixOf(1<<20, 1, 100_000)
+		s.hold(t, prefix)
+		s.wait(time.Second, 1, 1)
+		for draw := range uint64(20) {
+			ticket := s.place(draw, 1<<20, prefix)
+			switch {
+			case ticket.Reuse != nil:
+				assert.Equal(t, ticket.Reuse.Tokens, want)
+				assert.Assert(t, ticket.Reuse.Saved <= engineload.ReadTime(s.engine, &s.engine.Models[0], want, 1))
+			default:
+				assert.Assert(t, want == 0 || ticket.Target.ID == vmID(1, 0))
+			}
+			s.table.Done(s.now, ticket, Succeeded)
+		}
+	}
+}
+
 // nodesWorld is a fleet of engines, and the tables of the nodes in front of it.
 type nodesWorld struct {
 	rng     *rand.Rand
