--- a/coord/dispatch/reserve.go
+++ b/coord/dispatch/reserve.go
@@ -33,7 +33,7 @@
 // that are more urgent. All nodes see about the same, since they have the same
 // reports: what the newest one leaves below the reserve is divided among them as
 // the free slots are for the most urgent requests.
-func (t *Table) isReserved(target *Target, q Query) bool {
+func (t *Table) isReserved(target *Target, q *Query) bool {
 	if target.Group == "" || !q.isHeldBack() {
 		return false
 	}
--- a/coord/lease/read.go
+++ b/coord/lease/read.go
@@ -5,7 +5,7 @@
 // startRead sends the next read when it is due. Reads and writes of one node
 // never overlap, so that each write follows a fresh read.
 func (m *Machine) startRead(now time.Time) {
-	if m.read.inFlight || m.hasWriteInFlight() || now.Before(m.read.next) {
+	if m.read.inFlight || m.hasWriteInFlight() || now.Before(m.read.next) || m.isReadDeferred(now) {
 		return
 	}
 	m.read.lastID++
@@ -46,6 +46,7 @@
 	}
 	m.read.inFlight = false
 	m.read.next = now.Add(m.retryInterval(now))
+	m.outage.failedAt, m.outage.random = now, m.outage.rng.Float64()
 }
 
 // retryInterval returns the delay after a failed read. It is the normal poll
@@ -63,6 +64,7 @@
 	}
 	m.read.inFlight = false
 	m.read.answeredAt = now
+	m.outage.failedAt = time.Time{}
 	m.enterEra(now, ev.Era)
 	if ev.Era < m.era || ev.Revision < m.observedRow.revision {
 		m.read.next = now.Add(m.opts.RetryEvery)
@@ -139,12 +141,13 @@
 }
 
 // isReadingForOthers reports whether other nodes rely on this one's own reads. A
-// node that receives relayed rows passes those on instead.
+// node that receives relayed rows passes those on instead, and so does one of many
+// nodes that gets answers of others.
 func (m *Machine) isReadingForOthers(now time.Time) bool {
 	r := &m.read
 	requested := !r.requestedAt.IsZero() && now.Sub(r.requestedAt) < requestedReadPeriod
 	relayed := !r.relayedAt.IsZero() && now.Sub(r.relayedAt) < relayedRenewals*m.opts.RenewEvery
-	return requested && !relayed
+	return requested && !relayed && !m.leavesReadsToOthers(now)
 }
 
 // handleRowRequested records that other nodes rely on this node's reads, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 		StalledAfter: groupStallTimeout, StalledFirst: firstEventStallTimeout, SilentAfter: requestStallTimeout, FirstAfter: firstEventTimeout, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, Log: log, Metrics: registry,
+		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, ReadsPlatform: n.state.ReadsPlatform, Log: log, Metrics: registry,
 	}, (*peerListener)(n))
 	n.coord = coordinator.New(coordinator.Options{
 		Lease: lease.Options{
@@ -94,8 +94,10 @@
 			OrderTimeout: orderTimeout, Margin: leaseRetryInterval,
 		},
 		Replica:      replica.Options{Stall: cfg.Bounds.GroupStall, SpareShare: spareShare, LoadWindow: cfg.Bounds.LoadWindow},
+		FollowDemand: coordinator.FollowsDemand(cfg.Planning.FollowDemand),
 		OrderTimeout: orderTimeout, ProbeInterval: probeInterval, FastProbeInterval: fastProbeInterval, MemberProbeInterval: memberProbeInterval, ProbesPerSecond: maxProbesPerSecond,
-		Log: log, Metrics: registry, Now: boottime.Now,
+		Spread: n.follower.Spread,
+		Log:    log, Metrics: registry, Now: boottime.Now,
 	}, b.Table, n.state, b.Orders, n.prober, n.follower)
 	return n, nil
 }
@@ -109,15 +111,15 @@
 	return hex.EncodeToString(b[:]), nil
 }
 
-// Reload applies new settings, except for the node's name, data centre, addresses and
-// limits of callers, which need a restart. If err isn't nil, the settings could not be
+// Reload applies new settings, except for the node's name, data centre, addresses,
+// limits of callers and planning, which need a restart. If err isn't nil, the settings could not be
 // read and the current ones remain in force.
 func (n *Node) Reload(cfg settings.Entry, err error) {
 	if err != nil {
 		n.log.Error("settings not reloaded; the current settings remain in force", "error", err)
 		return
 	}
-	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits
+	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits || cfg.Planning != n.cfg.Planning
 	limitMemory(cfg.Memory)
 	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", cfg.Memory.LimitMB)
 }
@@ -167,7 +169,7 @@
 		g.Go(func() error { return n.serveMetrics(runCtx) })
 	}
 	g.Go(func() error {
-		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor, QuarantineWait: quarantineReadWait, QuarantineRetryPause: quarantineRetryPause}
+		opts := watch.Options{OperatorWait: operatorReadWait, VMInterval: min(vmReadInterval, n.cfg.Bounds.DrainWithin/5), VMStartupInterval: vmStartupReadInterval, VMStartupPeriod: vmStartupPeriod, RetryPause: readRetryPause, FollowerRetryPause: followerReadRetryPause, IsReader: n.follower.IsReader, FollowerFactor: followerReadFactor, QuarantineWait: quarantineReadWait, QuarantineRetryPause: quarantineRetryPause, Spread: n.follower.Spread}
 		return watch.Run(runCtx, n.backends.Source, n.state, opts)
 	})
 	g.Go(func() error { n.tick(runCtx); return nil })
@@ -218,12 +220,14 @@
 	defer ticker.Stop()
 	keeper := entry.NewQuarantineKeeper(n.state, n.backends.Quarantine)
 	lastSweep := time.Now()
+	spreadOut := false
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		n.logSpread(&spreadOut)
 		isReader := n.follower.IsReader()
 		n.state.SetTriesQuarantined(isReader)
 		n.prober.Tick(ctx, n.state.Tick())
@@ -238,6 +242,19 @@
 	}
 }
 
+// logSpread logs when reads of the platform begin or cease to be spread out. before is
+// whether they were at the last call.
+func (n *Node) logSpread(before *bool) {
+	s := n.follower.Spread()
+	spreadOut := s.IsActive() && !s.Fresh
+	if spreadOut == *before {
+		return
+	}
+	*before = spreadOut
+	n.log.Info("reads spread out", "on", spreadOut, "nodes", s.Nodes, "data_centres", s.DataCentres, "role", s.Role.String(),
+		"peers_answer", s.Answering, "peers_fresh", s.Fresh, "mean_pause", s.Pause(followerReadRetryPause), "reads_itself", n.state.ReadsPlatform())
+}
+
 // shutDown reports the node as not ready, releases the lease, waits for running
 // requests to complete within the grace period, and leaves the list of nodes.
 func (n *Node) shutDown(ctx context.Context, server *http.Server) {
