--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/quarantine"
 )
@@ -62,6 +63,9 @@
 	// it. It then avoids targets that are likely to be lost, since it may not survive another
 	// failure.
 	Repeat bool
+	// Rank is how urgent the request is. It has no effect on requests that are Begun,
+	// Repeat or Resent.
+	Rank catalog.Rank
 	// Resent is whether the request was sent before, so that another send takes part
 	// of the budget of repeats.
 	Resent bool
@@ -77,6 +81,16 @@
 	RepeatUse RepeatUse
 }
 
+// WithDraw returns the refusal of another request, with that draw, that is refused
+// for the same reason, so that they don't all retry at the same time.
+func (r *Refusal) WithDraw(draw uint64) *Refusal {
+	switch r.Reason {
+	case NoTarget, AllFull, AllCold:
+		return refusal(r.Reason, draw)
+	}
+	return r
+}
+
 // MayClearWithin reports whether a slot may become free within d, so that waiting
 // for one is worthwhile.
 func (r *Refusal) MayClearWithin(d time.Duration) bool {
@@ -116,7 +130,7 @@
 			return nil, &Refusal{Reason: NoBudget, RetryAfter: retryAfterNoBudget, RepeatUse: use}
 		}
 	}
-	best, reasons := t.choose(now, q)
+	best, reasons := t.chooseByRank(now, q)
 	if best == nil {
 		return nil, reasons.refusal(q.Draw)
 	}
@@ -193,7 +207,7 @@
 	switch {
 	case paused > 0:
 		r.pausedFor = shortest(r.pausedFor, paused)
-	case target.pause.isTrialPending(now) || isFull(target, q.Begun):
+	case target.pause.isTrialPending(now) || isFull(target, q.Begun) || t.isReserved(target, q):
 		r.reason = AllFull
 	case !t.hasColdCapacity(now, target, vm):
 		r.reason = AllCold
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -41,6 +41,8 @@
 	// newest report.
 	otherRequests int
 	reportedAt    time.Time
+	// reportedOwn is the number of this node's own requests in the newest report.
+	reportedOwn int
 	// quota is how many requests this node may have at a group's head until
 	// the next report.
 	quota   int
@@ -90,6 +92,9 @@
 	born   int64 // start time of the VM that runs it
 }
 
+// Work is the predicted work of the request: one, and more for its prompt.
+func (t *Ticket) Work() float64 { return 1 + promptWeight*t.promptWork }
+
 // AnswerBegan returns when the endpoint began to answer, or when the request was sent
 // if that is unknown.
 func (t *Ticket) AnswerBegan() time.Time {
@@ -141,12 +146,12 @@
 	t.reportedAt = vm.ReportedAt
 	own := t.history.countAt(vm.ReportedAt.Add(-lag))
 	total := max(own, vm.Running+vm.Waiting)
-	t.otherRequests = total - own
+	t.otherRequests, t.reportedOwn = total-own, own
 	t.pace, t.memoryShort = max(1, vm.Pace), vm.MemoryShort
 	free := t.Slots - total
 	if free >= 0 {
 		share := float64(free) * min(1, freeShareFactor/float64(nodes))
-		t.quota = own + t.roundRandomly(share, uint64(vm.ReportedAt.UnixNano()/int64(reportInterval)), rank)
+		t.quota = own + t.roundRandomly(share, t.reportSeed(), rank)
 		return
 	}
 	t.quota = max(1, own*t.Slots/total)
@@ -164,6 +169,11 @@
 	return int(whole)
 }
 
+// reportSeed returns the seed for rounding shares of the newest report.
+func (t *Target) reportSeed() uint64 {
+	return uint64(t.reportedAt.UnixNano() / int64(reportInterval))
+}
+
 // reportInterval is the approximate time between two reports.
 const reportInterval = 500 * time.Millisecond
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -152,7 +152,10 @@
 	a := &attempt{sentAt: s.now()}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	q := dispatch.Query{Service: req.service.Name, Model: req.model, Exclude: req.exclude, Draw: req.draw, Begun: req.responseBegun,
-		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Prefix: req.prefix, Parts: req.parts, Resent: resent}
+		Repeat: req.mayHaveRun(), PromptTokens: req.promptTokens, Prefix: req.prefix, Parts: req.parts, Rank: req.rank, Resent: resent}
+	if req.sends > 0 {
+		q.Rank = catalog.Rank{} // a further dial of a repeated send isn't held back either
+	}
 	began := s.now()
 	cancel := func(reason dispatch.LossReason) { a.cancel(&lostError{reason}) }
 	doubt := func(t *dispatch.Ticket, reason dispatch.LossReason) {
@@ -160,18 +163,18 @@
 			req.doubted(a, t, reason)
 		}
 	}
-	ticket, refusal := s.state.pick(q, cancel, doubt)
-	if refusal != nil {
-		until := s.placeDeadline(req)
-		for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
-			time.Sleep(placeRetryInterval)
-			ticket, refusal = s.state.pick(q, cancel, doubt)
-		}
+	var ticket *dispatch.Ticket
+	var refusal *dispatch.Refusal
+	if q.Rank.Ranked && !q.Begun {
+		ticket, refusal = s.placeInTurn(ctx, &placement{query: q, account: req.account, cancel: cancel, doubt: doubt, until: s.placeDeadline(req)})
+	} else {
+		ticket, refusal = s.placeAtOnce(ctx, req, q, cancel, doubt)
 	}
 	placed := strconv.FormatBool(refusal == nil)
 	telemetry.Timer(s.opts.Metrics, "place_wait_seconds", "placed", placed).Update(s.now().Sub(began))
 	if refusal != nil {
 		a.cancel(nil)
+		telemetry.Counter(s.opts.Metrics, "placements_refused_total", "reason", string(refusal.Reason), "rank", req.rank.String()).Inc(1)
 		if refusal.Reason == dispatch.NoBudget {
 			s.recordRepeat(req, refusal.RepeatUse, false)
 		}
@@ -191,6 +194,21 @@
 	return a, nil
 }
 
+// placeAtOnce chooses an endpoint for a request as soon as one accepts it, whatever
+// others wait.
+func (s *Server) placeAtOnce(ctx context.Context, req *request, q dispatch.Query, cancel func(dispatch.LossReason), doubt func(*dispatch.Ticket, dispatch.LossReason)) (*dispatch.Ticket, *dispatch.Refusal) {
+	ticket, refusal := s.state.pick(q, cancel, doubt)
+	if refusal == nil {
+		return ticket, nil
+	}
+	until := s.placeDeadline(req)
+	for refusal != nil && refusal.MayClearWithin(until.Sub(s.now())) && s.now().Before(until) && ctx.Err() == nil {
+		time.Sleep(placeRetryInterval)
+		ticket, refusal = s.state.pick(q, cancel, doubt)
+	}
+	return ticket, refusal
+}
+
 // placeDeadline returns the time until which a request may wait for a place. A
 // request may spend half of the difference between its objective and the typical
 // latency on waiting, so that its response still meets the objective. One whose
