dispatch: bound stated prompt lengths by the engine's memory

A request that states the largest number of prompt tokens raises the mean prompt of its model to 9.2e18 tokens. The mean recovers only after thousands of requests; until then the predicted capacity of the model's groups is the lowest one, so that the planner moves groups to it. Its account, or all requests without one, go last in the queue for minutes.

The length comes from the caller's header and had no upper bound.

The mean and the work of an account count at most the tokens that fit in an engine's memory, where the configuration states that. The score of targets stays as it was.

--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -145,6 +145,9 @@
 	best.cold.record(now)
 	best.limiter.take()
 	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use, Reuse: reuse}
+	bounded := q
+	bounded.PromptTokens = t.boundedPrompt(&q)
+	ticket.work = 1 + promptWeight*t.promptWork(bounded)
 	best.add(now, ticket)
 	t.prefixHolders.add(ticket, q.Prefix)
 	t.recordPrompt(&q)
--- a/coord/dispatch/promptlength.go
+++ b/coord/dispatch/promptlength.go
@@ -27,6 +27,15 @@
 	key := poolKey{q.Service, q.Model}
 	l := t.promptLengths[key]
 	l.n = min(l.n+1, 1/promptLengthWeight)
-	l.mean += (float64(q.PromptTokens) - l.mean) / float64(l.n)
+	l.mean += (float64(t.boundedPrompt(q)) - l.mean) / float64(l.n)
 	t.promptLengths[key] = l
 }
+
+// boundedPrompt returns the length of a request's prompt, at most what fits in the
+// memory of an engine. Callers may state more.
+func (t *Table) boundedPrompt(q *Query) int {
+	if svc := t.catalog.Service(q.Service); svc != nil && svc.Engine != nil && svc.Engine.TokenCapacity > 0 {
+		return min(q.PromptTokens, svc.Engine.TokenCapacity)
+	}
+	return q.PromptTokens
+}
--- a/coord/dispatch/promptlength_test.go
+++ b/coord/dispatch/promptlength_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -42,3 +43,17 @@
 	assert.Assert(t, refusal != nil)
 	assert.Equal(t, len(s.table.promptLengths), 0)
 }
+
+// Guards against a single caller that states an impossible length: the mean, from which
+// the capacity of groups follows, would be wrong for thousands of requests, and the
+// work of its account would outweigh all others for minutes. Load: one request that
+// states the largest number, at an engine with a known memory.
+func TestPromptBeyondMemoryCountsAsFullMemory(t *testing.T) {
+	s := newScenario(1)
+	svc := s.table.catalog.Service("llm")
+	svc.Engine.TokenCapacity, svc.Engine.MeanPrompt = 100_000, 1000
+	ticket, refusal := s.table.Pick(s.now, Query{Service: "llm", Model: "m", PromptTokens: math.MaxInt})
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, s.table.MeanPromptTokens("llm", "m"), 100_000.0)
+	assert.Equal(t, ticket.Work(), 1+promptWeight*100.0)
+}
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -85,6 +85,8 @@
 	// promptWork is the length of the request's prompt relative to the mean.
 	// It counts as load until the answer has begun.
 	promptWork float64
+	// work is the predicted work of the request.
+	work float64
 	// Load is the predicted number of other requests at the target when this
 	// one was placed.
 	Load   int
@@ -92,8 +94,9 @@
 	born   int64 // start time of the VM that runs it
 }
 
-// Work is the predicted work of the request: one, and more for its prompt.
-func (t *Ticket) Work() float64 { return 1 + promptWeight*t.promptWork }
+// Work is the predicted work of the request: one, and more for its prompt, of which no
+// more counts than fits in the memory of an engine.
+func (t *Ticket) Work() float64 { return t.work }
 
 // AnswerBegan returns when the endpoint began to answer, or when the request was sent
 // if that is unknown.
