catalog: follow demand only where requests are ranked

With planning.follow_demand at "auto", capacity follows demand for a service whose requests aren't ranked: a route with a weight of 0 for the service, or priorities beyond 0 to 9 that count as the same rank, made its routes differ.

RanksRoutes compared the priorities as configured, of all backends, while ranks count bounded priorities of routes that send requests to the service.

RanksRoutes now agrees with IsRanked.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -268,11 +268,9 @@
 }
 
 // RanksRoutes reports whether two routes of the service have different
-// priorities, so that its callers compete for capacity.
-func (c *Catalog) RanksRoutes(service string) bool {
-	routes := c.ServiceRoutes(service)
-	return slices.ContainsFunc(routes, func(r *Route) bool { return r.Priority != routes[0].Priority })
-}
+// priorities, so that its callers compete for capacity. Routes that send it no
+// requests don't count.
+func (c *Catalog) RanksRoutes(service string) bool { return c.IsRanked(service) }
 
 // PickService returns the service for a request according to draw, a random number, so
 // that each backend receives requests in proportion to its weight.
--- a/coord/catalog/catalog_test.go
+++ b/coord/catalog/catalog_test.go
@@ -73,3 +73,21 @@
 		assert.Equal(t, c.RanksRoutes("llm"), test.want, name)
 	}
 }
+
+// Guards against a service whose capacity follows demand although its requests aren't
+// ranked: priorities that count as the same rank, and a route that sends the service
+// no requests.
+func TestRanksRoutesAgreesWithRanks(t *testing.T) {
+	route := func(priority, weight int) Route {
+		return Route{Host: "h", Priority: priority, Backends: []Backend{{"llm", weight}, {"other", 1}}}
+	}
+	for name, routes := range map[string][]Route{
+		"beyond the least urgent rank": {route(9, 1), route(12, 1)},
+		"below the most urgent rank":   {route(0, 1), route(-1, 1)},
+		"weight of zero":               {route(0, 1), route(2, 0)},
+		"different":                    {route(0, 1), route(2, 1)},
+	} {
+		c := New(1, routes, nil, nil, Limits{})
+		assert.Equal(t, c.RanksRoutes("llm"), c.IsRanked("llm"), name)
+	}
+}
