updates, relay: find the node that can read while the first ones are refused

Seen: where the store refuses the first three nodes of a data centre of 40, the others have data up to 15 s old although each of them could read. Cause: a node whose first two answers are old asked the other ones in turn, one every 400 ms, and after a fresh answer left the node that had given it. Each fresh answer also restarted the wait for its own read. Fix: ask the node that last had fresh data second, and a third one by order. The reader and the next one no longer take up slots, so that the third node reads a second sooner.

--- a/coord/updates/outage_test.go
+++ b/coord/updates/outage_test.go
@@ -163,7 +163,7 @@
 			n.sources.Failed(s.now, next.VM)
 			continue
 		}
-		n.round.RecordOld()
+		n.round.RecordOld(next.VM)
 		if n.old == nil {
 			n.old, n.oldAsOf = peer, peer.asOf
 		}
@@ -186,6 +186,7 @@
 	n.peerAt = s.now
 	if fresh {
 		n.freshAt = s.now
+		n.sources.RecordFresh(peer.VM)
 	}
 	n.sources.Answered(peer.VM)
 	n.round, n.nextPoll = nil, s.now.Add(simPoll)
--- a/coord/updates/round.go
+++ b/coord/updates/round.go
@@ -2,12 +2,13 @@
 
 import (
 	"cmp"
+	"math/bits"
 	"slices"
 	"time"
 )
 
 // Round is one round of requests of a node that is one of so many that reads are
-// spread out. It asks the first node that answers, and another one if that has old
+// spread out. It asks the first node that answers, and two others if that has old
 // data. A node with old data does not count as failed, because it will soon know of
 // the platform's return.
 type Round struct {
@@ -31,7 +32,7 @@
 }
 
 // maxOldAnswers is the number of old answers that end a round.
-const maxOldAnswers = 2
+const maxOldAnswers = 3
 
 // Next returns the next node to ask, if there is one.
 func (r *Round) Next() (n Node, ok bool) {
@@ -39,24 +40,42 @@
 		return Node{}, false
 	}
 	i := 0
-	if r.old > 0 {
-		i = r.sources.second(len(r.candidates))
+	switch {
+	case r.old == 0:
+	case r.old == 1:
+		i = max(0, r.sources.freshIndex(r.candidates))
+	default:
+		i = r.sources.search(len(r.candidates))
 	}
 	n = r.candidates[i]
 	r.candidates = slices.Delete(r.candidates, i, i+1)
 	return n, true
 }
 
-// RecordOld records that the last node answered with old data.
-func (r *Round) RecordOld() { r.old++ }
+// RecordOld records that the last node, which is vm, answered with old data.
+func (r *Round) RecordOld(vm string) {
+	r.old++
+	if r.sources.fresh == vm {
+		r.sources.fresh = ""
+	}
+}
+
+// RecordFresh records that a node answered with fresh data.
+func (s *Sources) RecordFresh(vm string) { s.fresh = vm }
+
+// freshIndex returns the index among candidates of the node that last had fresh data,
+// or -1. Otherwise the next one in order is asked, which reads if the reader can't.
+func (s *Sources) freshIndex(candidates []Node) int {
+	return slices.IndexFunc(candidates, func(n Node) bool { return n.VM == s.fresh })
+}
 
-// second returns the index among n nodes of the one to ask besides the first one that
-// answers. Every second time it is the next one in order, which reads if the reader
-// can't, and otherwise each one in turn, because any of them may have read first.
-func (s *Sources) second(n int) int {
+// search returns the index among n nodes of the third one to ask. Any of them may have
+// read first, but those that come early in order do so sooner: each one is asked half
+// as often as the one before it, and in every 16th round any of them in turn.
+func (s *Sources) search(n int) int {
 	s.rounds++
-	if s.rounds%2 == 0 {
-		return 0
+	if i := bits.TrailingZeros(uint(s.rounds)); i < 4 {
+		return min(i, n-1)
 	}
-	return s.rounds / 2 % n
+	return s.rounds / 16 % n
 }
--- a/coord/updates/sources.go
+++ b/coord/updates/sources.go
@@ -37,8 +37,11 @@
 	listed     []Node
 	size       size            // of listed
 	requesters map[string]Node // nodes that have asked this one, by VM
-	// rounds is the number of rounds in which a second node was asked.
+	// rounds is the number of rounds in which a third node was asked.
 	rounds int
+	// fresh is the VM of the node that last answered with fresh data, or empty if its
+	// data were old since.
+	fresh string
 }
 
 type failure struct {
@@ -138,6 +141,9 @@
 
 // Failed records that a node gave no answer or no usable one.
 func (s *Sources) Failed(now time.Time, vm string) {
+	if s.fresh == vm {
+		s.fresh = ""
+	}
 	f := s.failures[vm]
 	backoff := min(initialBackoff<<min(f.consecutive, 4), maxBackoff)
 	s.failures[vm] = failure{consecutive: f.consecutive + 1, until: now.Add(backoff)}
--- a/coord/updates/spread.go
+++ b/coord/updates/spread.go
@@ -47,9 +47,9 @@
 	nextPause = 700 * time.Millisecond
 	// firstReadsPerSecond and otherReadsPerSecond are the reads of all nodes of
 	// RoleFirst and RoleOther together. The reader adds 4.0 reads a second and the
-	// next one 1.4, so that 10.4 of the 20 allowed are used on average. The rest is for
+	// next one 1.4, so that 9.4 of the 20 allowed are used on average. The rest is for
 	// peaks, and for a second reader and next one where nodes disagree about who responds.
-	firstReadsPerSecond = 3
+	firstReadsPerSecond = 2
 	otherReadsPerSecond = 2
 )
 
@@ -97,8 +97,11 @@
 func (s *Sources) Spread(answering, fresh bool) Spread {
 	out := Spread{Nodes: s.size.nodes, DataCentres: s.size.dataCentres, Role: s.role(), Answering: answering, Fresh: fresh}
 	before, of := s.size.nodesBefore, out.Nodes
-	if out.Role == RoleFirst {
+	switch out.Role {
+	case RoleFirst:
 		before, of = s.size.dataCentresBefore, out.DataCentres
+	case RoleOther:
+		before = max(0, before-2) // the reader and the next one have no slots
 	}
 	if of > 0 {
 		out.Slot, out.SlotWidth = float64(before)/float64(of), 1/float64(of)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -210,7 +210,7 @@
 			f.use(asked, n, a)
 			return
 		}
-		round.RecordOld()
+		round.RecordOld(n.VM)
 		if old.from.VM == "" {
 			old.answer, old.from, old.asked = a, n, asked
 		}
@@ -234,6 +234,7 @@
 	if f.check(a, false) == nil {
 		f.mu.Lock()
 		f.freshAt = boottime.Now()
+		f.sources.RecordFresh(n.VM)
 		f.mu.Unlock()
 	}
 	f.setSource(n.VM, a)
