--- a/coord/updates/outage_test.go
+++ b/coord/updates/outage_test.go
@@ -501,3 +501,24 @@
 		}
 	}
 }
+
+// Guards against nodes that count as lost after they answered again, so that many nodes
+// take themselves for the reader or the next one. Each node in turn doesn't respond for
+// a while in an outage.
+func TestReadsInAnOutageAreBoundedAfterPauses(t *testing.T) {
+	for _, n := range []int{24, 48} {
+		s := newOutageSimIn(1, n, 3)
+		s.storeUp = false
+		s.run(2 * time.Second)
+		for _, node := range s.nodes {
+			node.dead = true
+			s.run(time.Second)
+			node.dead = false
+		}
+		s.run(3 * time.Second)
+		from := s.now
+		s.run(5 * time.Second)
+		total, most := s.count(from, 5*time.Second)
+		assert.Check(t, most <= maxCallsPerSecond, "%d nodes: %d calls in a second, %d in 5 s", n, most, total)
+	}
+}
