updates: a node that answers with old data responds

Seen: after each node of a data centre has not responded for a moment in an outage, all take themselves for the next reader: 48 nodes make 80 calls in a second. Cause: only the node whose answer was used ceased to count as failed, not those asked after it in the same round, so that their failures were kept for the whole outage. Fix: an old answer ends the failures of the node that gave it.

--- a/coord/updates/round.go
+++ b/coord/updates/round.go
@@ -55,6 +55,7 @@
 // RecordOld records that the last node, which is vm, answered with old data.
 func (r *Round) RecordOld(vm string) {
 	r.old++
+	r.sources.Answered(vm)
 	if r.sources.fresh == vm {
 		r.sources.fresh = ""
 	}
