--- a/coord/updates/outage_test.go
+++ b/coord/updates/outage_test.go
@@ -62,8 +62,13 @@
 // newOutageSim returns nodes in eight data centres, or fewer if there are few nodes,
 // after 15 s of normal operation.
 func newOutageSim(n int, seed uint64) *outageSim {
+	return newOutageSimIn(min(8, max(1, n/3)), n, seed)
+}
+
+// newOutageSimIn returns nodes in a number of data centres, after 15 s of normal
+// operation.
+func newOutageSimIn(places, n int, seed uint64) *outageSim {
 	s := &outageSim{rng: rand.New(rand.NewPCG(seed, 7)), now: start, storeUp: true, byVM: map[string]*simNode{}}
-	places := min(8, max(1, n/3))
 	var list []Node
 	for i := range n {
 		dc := fmt.Sprintf("dc%02d", i%places)
@@ -158,7 +163,7 @@
 			n.sources.Failed(s.now, next.VM)
 			continue
 		}
-		n.round.RecordOld()
+		n.round.RecordOld(next.VM)
 		if n.old == nil {
 			n.old, n.oldAsOf = peer, peer.asOf
 		}
@@ -181,6 +186,7 @@
 	n.peerAt = s.now
 	if fresh {
 		n.freshAt = s.now
+		n.sources.RecordFresh(peer.VM)
 	}
 	n.sources.Answered(peer.VM)
 	n.round, n.nextPoll = nil, s.now.Add(simPoll)
@@ -463,3 +469,56 @@
 		n.cutFromStore = n.cutFromStore || n.DataCentre == dataCentre
 	}
 }
+
+// Guards against data that get old at most nodes where the store refuses the first ones
+// in order and any other node could read it. Nodes that are refused themselves are left
+// out if there are three: each asks only the first two others.
+func TestDataStayFreshIfFirstNodesAreRefused(t *testing.T) {
+	for _, refused := range []int{2, 3} {
+		for _, places := range []int{1, 8} {
+			for _, n := range []int{13, 40, 94} {
+				for seed := range uint64(2) {
+					s := newOutageSimIn(places, n, seed)
+					for i := range refused {
+						if node := s.byVM[fmt.Sprintf("dc00-e%03d", i)]; node != nil {
+							node.cutFromStore = true
+						}
+					}
+					var oldest time.Duration
+					for range 150 {
+						s.run(100 * time.Millisecond)
+						for _, node := range s.nodes {
+							if node.cutFromStore && refused > 2 {
+								continue
+							}
+							oldest = max(oldest, s.now.Sub(node.asOf[ListOperators]), s.now.Sub(node.asOf[ListVMs]))
+						}
+					}
+					t.Logf("%d nodes in %d data centres, seed %d, %d refused: data up to %s old", n, places, seed, refused, oldest)
+					assert.Check(t, oldest <= 3*time.Second, "%d nodes in %d data centres, seed %d, %d refused: data %s old", n, places, seed, refused, oldest)
+				}
+			}
+		}
+	}
+}
+
+// Guards against nodes that count as lost after they answered again, so that many nodes
+// take themselves for the reader or the next one. Each node in turn doesn't respond for
+// a while in an outage.
+func TestReadsInAnOutageAreBoundedAfterPauses(t *testing.T) {
+	for _, n := range []int{24, 48} {
+		s := newOutageSimIn(1, n, 3)
+		s.storeUp = false
+		s.run(2 * time.Second)
+		for _, node := range s.nodes {
+			node.dead = true
+			s.run(time.Second)
+			node.dead = false
+		}
+		s.run(3 * time.Second)
+		from := s.now
+		s.run(5 * time.Second)
+		total, most := s.count(from, 5*time.Second)
+		assert.Check(t, most <= maxCallsPerSecond, "%d nodes: %d calls in a second, %d in 5 s", n, most, total)
+	}
+}
