Reads in an outage are spread out only where the settings ask for it

The earlier deployments are also served as before without it. outage.spread_reads is false by default.

--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -183,18 +183,18 @@
 	h.run(3 * time.Second)
 	h.planners["llm"].SetTrafficStarted()
 	h.run(15 * time.Second)
-	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(800), h.log.String())
-	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "b"), int64(200))
+	assert.Equal(t, h.gauge("model_share_number", "service", "llm", "model", "a"), int64(800), h.log.String())
+	assert.Equal(t, h.gauge("model_share_number", "service", "llm", "model", "b"), int64(200))
 	assert.Equal(t, strings.Count(h.log.String(), `msg="shares of models changed"`), 1, h.log.String())
 	configure(3, 0)
 	h.run(2 * summaryInterval)
-	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(500))
+	assert.Equal(t, h.gauge("model_share_number", "service", "llm", "model", "a"), int64(500))
 	configure(4, 1)
 	h.run(15 * time.Second)
-	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(800))
+	assert.Equal(t, h.gauge("model_share_number", "service", "llm", "model", "a"), int64(800))
 	h.store.SetFaults(memtable.Faults{Down: true})
 	h.run(5 * time.Second)
-	assert.Equal(t, h.gauge("model_share_permille", "service", "llm", "model", "a"), int64(0), "the lease is lost")
+	assert.Equal(t, h.gauge("model_share_number", "service", "llm", "model", "a"), int64(0), "the lease is lost")
 }
 
 // Guards against a setting that is read the wrong way round.
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -73,5 +73,5 @@
 }
 
 func (c *Coordinator) setShareGauge(service, model string, share float64) {
-	telemetry.Gauge(c.opts.Metrics, "model_share_permille", "service", service, "model", model).Update(int64(math.Round(1000 * share)))
+	telemetry.Gauge(c.opts.Metrics, "model_share_number", "service", service, "model", model).Update(int64(math.Round(1000 * share)))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,7 @@
 		StalledAfter: groupStallTimeout, StalledFirst: firstEventStallTimeout, SilentAfter: requestStallTimeout, FirstAfter: firstEventTimeout, Metrics: registry,
 	}, n.state, b.Engines)
 	n.follower = relay.NewFollower(relay.Options{
-		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, ReadsPlatform: n.state.ReadsPlatform, Log: log, Metrics: registry,
+		VM: cfg.VM, DataCentre: cfg.DataCentre, Address: cfg.Listen.Peers, Every: peerPollInterval, Timeout: peerPollTimeout, MaxAge: peerMaxAge, SpreadReads: cfg.Outage.SpreadReads, ReadsPlatform: n.state.ReadsPlatform, Log: log, Metrics: registry,
 	}, (*peerListener)(n))
 	n.coord = coordinator.New(coordinator.Options{
 		Lease: lease.Options{
@@ -119,7 +119,7 @@
 		n.log.Error("settings not reloaded; the current settings remain in force", "error", err)
 		return
 	}
-	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits || cfg.Planning != n.cfg.Planning
+	restart := cfg.VM != n.cfg.VM || cfg.DataCentre != n.cfg.DataCentre || cfg.Listen != n.cfg.Listen || cfg.Store != n.cfg.Store || cfg.Limits != n.cfg.Limits || cfg.Planning != n.cfg.Planning || cfg.Outage != n.cfg.Outage
 	limitMemory(cfg.Memory)
 	n.log.Info("settings reloaded", "restart_needed", restart, "memory_mb", cfg.Memory.LimitMB)
 }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -45,6 +45,9 @@
 	// MaxAge is the maximum age of the data in an answer. An older answer is
 	// rejected, unless this node can't read from the platform.
 	MaxAge time.Duration
+	// SpreadReads is whether the nodes of a large fleet share the reads of the platform
+	// in an outage. Without it, each one reads on its own schedule.
+	SpreadReads bool
 	// ReadsPlatform reports whether this node's own reads of the platform succeed.
 	// Such a node uses only fresh answers. Without it, none does.
 	ReadsPlatform func() bool
@@ -129,6 +132,9 @@
 // Spread returns what this node's pauses between reads of the platform depend on in
 // an outage.
 func (f *Follower) Spread() updates.Spread {
+	if !f.opts.SpreadReads {
+		return updates.Spread{}
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := boottime.Now()
@@ -146,7 +152,7 @@
 func (f *Follower) Relays(n updates.Node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sources.Spread(false, false).IsLarge() && f.sources.Precedes(n)
+	return f.opts.SpreadReads && f.sources.Spread(false, false).IsLarge() && f.sources.Precedes(n)
 }
 
 // ask asks one node after another until one returns a usable answer. If none
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -67,7 +67,7 @@
 
 func newTestFollower(timeout time.Duration, listener Listener, nodes ...updates.Node) *Follower {
 	f := NewFollower(Options{
-		VM: "e9", DataCentre: "a", Address: "10.0.0.9:1", Every: time.Second, Timeout: timeout, MaxAge: time.Second,
+		VM: "e9", DataCentre: "a", Address: "10.0.0.9:1", Every: time.Second, Timeout: timeout, MaxAge: time.Second, SpreadReads: true,
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: metrics.NewRegistry(),
 	}, listener)
 	f.Set(nodes)
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -24,6 +24,7 @@
 	Bounds EntryBounds `toml:"bounds"`
 	// Planning applies while this VM plans the groups of endpoint VMs.
 	Planning EntryPlanning `toml:"planning"`
+	Outage   EntryOutage   `toml:"outage"`
 	Log      Log           `toml:"log"`
 }
 
@@ -73,6 +74,13 @@
 	FollowDemand string `toml:"follow_demand"`
 }
 
+// EntryOutage contains the settings for outages of the platform's store.
+type EntryOutage struct {
+	// SpreadReads is whether more than 12 entry VMs share the reads of a store that
+	// is away, so that their calls stay bounded whatever their number.
+	SpreadReads bool `toml:"spread_reads"`
+}
+
 // EntryBounds contains the bounds that the operators require.
 type EntryBounds struct {
 	// KeysValid is the maximum time for which a withdrawn key may still be
--- a/internal/settings/entry_test.go
+++ b/internal/settings/entry_test.go
@@ -47,6 +47,7 @@
 	assert.Equal(t, s.Bounds.KeysValid, 5*time.Second)
 	assert.Equal(t, s.Bounds.RepeatSlack, 136.0, "integers are accepted for fractions")
 	assert.Equal(t, s.Log.Format, LogJSON)
+	assert.Equal(t, s.Outage.SpreadReads, false, "reads are spread out only where the settings ask for it")
 }
 
 // Deployments may omit bounds that their operators do not require.
