--- a/coord/updates/round.go
+++ b/coord/updates/round.go
@@ -40,9 +40,9 @@
 		return Node{}, false
 	}
 	i := 0
-	switch {
-	case r.old == 0:
-	case r.old == 1:
+	switch r.old {
+	case 0:
+	case 1:
 		i = max(0, r.sources.freshIndex(r.candidates))
 	default:
 		i = r.sources.search(len(r.candidates))
