--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -150,16 +149,6 @@
 	c.set.unclaim(ended)
 }
 
-// Claim counts the connection for a holder, a client account or a remote address, until
-// its requests have ended. It returns false if connections are short and the holder
-// has half of them already: the request must be refused then.
-func (c *Conn) Claim(holder string) bool {
-	if c == nil {
-		return true
-	}
-	return c.set.claim(c, holder)
-}
-
 // BeginBody tells the connection that the body of a request is read from now on.
 // holder is the holder of its memory.
 func (c *Conn) BeginBody(holder string) {
@@ -280,33 +269,6 @@
 	}
 }
 
-// recordHeader counts a part of a header, and reserves memory for what it takes when
-// parsed.
-func (c *Conn) recordHeader(p []byte) (refusal string, closing bool) {
-	// The server reads on only if what it has read before is not a complete header.
-	if c.headerBytes > c.set.limits.Load().HeaderBytes {
-		c.choose(HeaderTooLarge)
-		return headerTooLarge, true
-	}
-	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
-		p = p[:end+4]
-	}
-	c.headerBytes += len(p)
-	c.headerLines += bytes.Count(p, []byte("\n"))
-	cost := int64(c.headerBytes+c.headerLines*headerLineBytes) - freeHeaderBytes
-	if c.set.opts.Memory == nil || cost <= c.headerMemory.Size() {
-		return "", false
-	}
-	if c.headerMemory.Size() == 0 {
-		c.headerMemory = c.set.opts.Memory.Hold(c.ip, 0)
-	}
-	if err := c.headerMemory.Grow(max(cost-c.headerMemory.Size(), headerStep)); err != nil {
-		c.choose(NoMemory)
-		return noMemory, true
-	}
-	return "", false
-}
-
 // SetReadDeadline implements net.Conn. An HTTP/1 server sets one as a connection
 // becomes idle, and another one once it has the first bytes of the next request: a
 // second one without a read means that these had been read ahead.
@@ -322,40 +284,6 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Write implements net.Conn. It writes in pieces, each of which is progress.
-func (c *Conn) Write(p []byte) (int, error) {
-	written := 0
-	for {
-		piece := p[written:min(len(p), written+maxPiece)]
-		c.beginWrite()
-		n, err := c.Conn.Write(piece)
-		c.endWrite(n)
-		written += n
-		if err != nil || written >= len(p) {
-			return written, err
-		}
-	}
-}
-
-func (c *Conn) beginWrite() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writers == 0 {
-		c.wroteAt, c.queued = time.Now(), 0
-	}
-	c.writers++
-}
-
-func (c *Conn) endWrite(n int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writers--
-	if n > 0 && c.writers > 0 {
-		c.wroteAt, c.queued = time.Now(), 0
-	}
-	c.written += int64(n)
-}
-
 // waits reports whether a write has been in progress since before the last sweep.
 func (c *Conn) waits(now time.Time) bool {
 	c.mu.Lock()
@@ -396,32 +324,12 @@
 	return n, controlErr == nil && err == nil
 }
 
-// CloseWrite closes the sending side, if the connection has one.
-func (c *Conn) CloseWrite() error {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return half.CloseWrite()
-	}
-	return nil
-}
-
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.set.remove(c)
 	return c.Conn.Close()
 }
 
-// refuse sends a response to a request whose header is not read to its end, and waits
-// for the caller to read it.
-func (c *Conn) refuse(response string) {
-	c.set.record(c)
-	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // the write fails too
-	if _, err := io.WriteString(c.Conn, response); err != nil {
-		return
-	}
-	_ = c.CloseWrite() // the caller may have left
-	time.Sleep(lingerPeriod)
-}
-
 // choose chooses the connection to be closed. It returns false if it was before. c.mu
 // is locked.
 func (c *Conn) choose(reason Reason) bool {
--- /dev/null
+++ b/internal/ingress/header.go
@@ -0,0 +1,46 @@
+package ingress
+
+import (
+	"bytes"
+	"io"
+	"time"
+)
+
+// recordHeader counts a part of a header, and reserves memory for what it takes when
+// parsed.
+func (c *Conn) recordHeader(p []byte) (refusal string, closing bool) {
+	// The server reads on only if what it has read before is not a complete header.
+	if c.headerBytes > c.set.limits.Load().HeaderBytes {
+		c.choose(HeaderTooLarge)
+		return headerTooLarge, true
+	}
+	if end := bytes.Index(p, []byte("\r\n\r\n")); end >= 0 {
+		p = p[:end+4]
+	}
+	c.headerBytes += len(p)
+	c.headerLines += bytes.Count(p, []byte("\n"))
+	cost := int64(c.headerBytes+c.headerLines*headerLineBytes) - freeHeaderBytes
+	if c.set.opts.Memory == nil || cost <= c.headerMemory.Size() {
+		return "", false
+	}
+	if c.headerMemory.Size() == 0 {
+		c.headerMemory = c.set.opts.Memory.Hold(c.ip, 0)
+	}
+	if err := c.headerMemory.Grow(max(cost-c.headerMemory.Size(), headerStep)); err != nil {
+		c.choose(NoMemory)
+		return noMemory, true
+	}
+	return "", false
+}
+
+// refuse sends a response to a request whose header is not read to its end, and waits
+// for the caller to read it.
+func (c *Conn) refuse(response string) {
+	c.set.record(c)
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout)) // the write fails too
+	if _, err := io.WriteString(c.Conn, response); err != nil {
+		return
+	}
+	_ = c.CloseWrite() // the caller may have left
+	time.Sleep(lingerPeriod)
+}
