ingress, gateway, entry: one copy of what both serving paths share

The memory of a parsed header, the caller's address, closing a connection after a response, and the default for a stalled write stood on both paths. They are in internal/ingress now, which both use. A method named for a time limit is named for the timeouts that it applies. No behaviour changes; the tests are unchanged.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -3,11 +3,9 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/problem"
@@ -68,11 +66,7 @@
 	if req.account != "" {
 		return req.account
 	}
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
+	return ingress.RemoteIP(r)
 }
 
 // bodyProblem returns the problem of a body that could not be read, of a request that
@@ -105,12 +99,8 @@
 			return
 		}
 	}
-	w.Header().Set("Connection", "close")
-	// A body over the limit of a MaxBytesReader makes the server wait after the
-	// response before it closes the connection, which could discard the response
-	// otherwise. There is no other way to ask for that.
-	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1)) // fails always
-	_ = controller.SetReadDeadline(time.Unix(1, 0))                                              // not supported by every writer
+	ingress.CloseAfterResponse(w)
+	_ = controller.SetReadDeadline(time.Unix(1, 0)) // not supported by every writer
 }
 
 // mayReadRest reports whether the body of a refused request is small and has not been
--- a/internal/gateway/callerwriter.go
+++ b/internal/gateway/callerwriter.go
@@ -7,14 +7,9 @@
 	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
-const (
-	// defaultStalledWrite is how long a caller may read nothing of a response, if the
-	// options specify no time.
-	defaultStalledWrite = 15 * time.Second
-	// maxWritePiece is how much of a response is written at once, in bytes. A caller
-	// that reads slowly but steadily receives a piece within the time for a write.
-	maxWritePiece = 16 << 10
-)
+// maxWritePiece is how much of a response is written at once, in bytes. A caller that
+// reads slowly but steadily receives a piece within the time for a write.
+const maxWritePiece = 16 << 10
 
 // callerWriter is a ResponseWriter whose writes fail if the caller reads nothing for
 // longer than timeout. Such a caller would otherwise block its handler without a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,7 +93,7 @@
 		o.Memory = bodylimit.NewMemory(bodylimit.Sizes{})
 	}
 	if o.StalledWrite <= 0 {
-		o.StalledWrite = defaultStalledWrite
+		o.StalledWrite = ingress.DefaultStalledWrite
 	}
 	return &Server{
 		vm: o.VM, backend: o.Backend, endpoints: o.Endpoints, peers: o.Peers, log: o.Logger,
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"sync/atomic"
 
@@ -15,14 +14,6 @@
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
-const (
-	// headerLineBytes is the memory of one line of an HTTP/2 request's header beyond
-	// its bytes.
-	headerLineBytes = 300
-	// freeHeaderBytes is the memory of such a header that doesn't count.
-	freeHeaderBytes = 16 << 10
-)
-
 // streamsKey is the key of a connection's number of open streams, an *atomic.Int32,
 // in the context of its requests.
 type streamsKey struct{}
@@ -65,7 +56,7 @@
 				}
 			}
 		}
-		header := s.bodies.Hold(remoteIP(r), 0)
+		header := s.bodies.Hold(ingress.RemoteIP(r), 0)
 		defer header.Release()
 		var short *bodylimit.ShortageError
 		if err := header.Grow(headerMemory(r.Header)); errors.As(err, &short) {
@@ -77,7 +68,7 @@
 
 func (s *Server) refuseStream(c echo.Context, used int64) *problem.Error {
 	telemetry.Counter(s.registry, "requests_refused_streams_total").Inc(1)
-	s.log.Info("too many streams for a request", "request_id", requestID(c), "caller", remoteIP(c.Request()),
+	s.log.Info("too many streams for a request", "request_id", requestID(c), "caller", ingress.RemoteIP(c.Request()),
 		"further_streams", used, "limit", s.maxStreams)
 	return problem.New(problem.Overloaded,
 		"the callers' connections have too many HTTP/2 streams together", "retry later").WithRetryAfter(retryDelay)
@@ -87,27 +78,19 @@
 // no memory.
 func (s *Server) refuseForMemory(c echo.Context, part string, short *bodylimit.ShortageError) *problem.Error {
 	telemetry.Counter(s.registry, "requests_refused_memory_total").Inc(1)
-	s.log.Info("no memory for a request", "request_id", requestID(c), "caller", remoteIP(c.Request()), "part", part,
+	s.log.Info("no memory for a request", "request_id", requestID(c), "caller", ingress.RemoteIP(c.Request()), "part", part,
 		"length", c.Request().ContentLength, "wanted", short.Wanted, "used", short.Used, "limit", short.Limit, "holder", short.Holder)
 	return problem.New(problem.MemoryShort, "there is no memory for the request's "+part+" now", "retry later").WithRetryAfter(retryDelay)
 }
 
 // headerMemory returns how much of a header's memory counts, in bytes.
 func headerMemory(h http.Header) int64 {
-	n := int64(-freeHeaderBytes)
+	size, lines := 0, 0
 	for name, values := range h {
+		lines += len(values)
 		for _, value := range values {
-			n += int64(len(name) + len(value) + headerLineBytes)
+			size += len(name) + len(value)
 		}
 	}
-	return max(0, n)
-}
-
-// remoteIP returns the caller's address without its port.
-func remoteIP(r *http.Request) string {
-	host, _, err := net.SplitHostPort(r.RemoteAddr)
-	if err != nil {
-		return r.RemoteAddr
-	}
-	return host
+	return ingress.HeaderMemory(size, lines)
 }
--- a/internal/gateway/unread.go
+++ b/internal/gateway/unread.go
@@ -4,10 +4,11 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/pimentoshore/pimentoshore/internal/ingress"
 )
 
 // unreadTimeout is how long net/http may read the rest of a body that a response does
@@ -58,12 +59,7 @@
 	if c.Request().ProtoMajor != 1 {
 		return
 	}
-	c.Response().Header().Set(echo.HeaderConnection, "close")
-	// A body over the limit of a MaxBytesReader makes net/http wait before it closes
-	// the connection, which otherwise discards the response while the caller is still
-	// sending. There is no other way to ask for that.
-	over := http.MaxBytesReader(serverWriter(c.Response()), io.NopCloser(strings.NewReader("x")), 0)
-	_, _ = over.Read(make([]byte, 1)) // fails always
+	ingress.CloseAfterResponse(serverWriter(c.Response()))
 }
 
 // serverWriter returns the ResponseWriter of the server.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -25,11 +25,6 @@
 	// buffer that the kernel enlarges by itself, to several MB, a slow but steady
 	// reader makes no room for longer than a write may stall.
 	writeBufferBytes = 128 << 10
-	// headerLineBytes is the memory of one line of a parsed header and of its copies
-	// for the endpoint, beyond the bytes of the line.
-	headerLineBytes = 300
-	// freeHeaderBytes is the memory of a header that does not count in the budget.
-	freeHeaderBytes = 16 << 10
 	// headerStep is the memory by which the reservation for a header grows at least.
 	headerStep = 16 << 10
 	// refusalTimeout limits writing a refusal, and lingerPeriod is how long its
@@ -360,8 +355,8 @@
 	return time.Time{}, false
 }
 
-// overdue chooses the connection to be closed if it exceeds a time limit.
-func (c *Conn) overdue(now time.Time, limits *Limits, stalledWrite time.Duration) bool {
+// expire chooses the connection to be closed if one of its timeouts has passed.
+func (c *Conn) expire(now time.Time, limits *Limits, stalledWrite time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -102,7 +102,7 @@
 }
 
 // Configure sets the hooks of a server that serves a listener of Listen, and removes
-// its time limits, which Connections replace.
+// its timeouts, which Connections replace.
 func (s *Connections) Configure(server *http.Server) {
 	server.ReadHeaderTimeout, server.ReadTimeout, server.IdleTimeout = 0, 0, 0
 	server.MaxHeaderBytes = MaxHeaderBytes
@@ -319,7 +319,7 @@
 	var ended []*Conn
 	s.mu.Lock()
 	for c := range s.conns {
-		if c.overdue(now, limits, s.opts.StalledWrite) {
+		if c.expire(now, limits, s.opts.StalledWrite) {
 			ended = append(ended, c)
 			delete(s.conns, c)
 		}
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -6,6 +6,20 @@
 	"time"
 )
 
+const (
+	// headerLineBytes is the memory of one line of a parsed header and of its copies
+	// for the endpoint, beyond the bytes of the line.
+	headerLineBytes = 300
+	// freeHeaderBytes is the memory of a header that does not count in the budget.
+	freeHeaderBytes = 16 << 10
+)
+
+// HeaderMemory returns how much of the memory of a parsed header counts in a budget,
+// for its size in bytes and the number of its lines.
+func HeaderMemory(size, lines int) int64 {
+	return max(0, int64(size+lines*headerLineBytes)-freeHeaderBytes)
+}
+
 // recordHeader counts a part of a header, and reserves memory for what it takes when
 // parsed.
 func (c *Conn) recordHeader(p []byte) (refusal string, closing bool) {
@@ -19,7 +33,7 @@
 	}
 	c.headerBytes += len(p)
 	c.headerLines += bytes.Count(p, []byte("\n"))
-	cost := int64(c.headerBytes+c.headerLines*headerLineBytes) - freeHeaderBytes
+	cost := HeaderMemory(c.headerBytes, c.headerLines)
 	if c.set.opts.Memory == nil || cost <= c.headerMemory.Size() {
 		return "", false
 	}
