--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -144,13 +144,12 @@
 	}
 	best.cold.record(now)
 	best.limiter.take()
-	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use, Reuse: reuse}
-	bounded := q
-	bounded.PromptTokens = t.boundedPrompt(&q)
-	ticket.work = 1 + promptWeight*t.promptWork(bounded)
+	ticket := &Ticket{Target: best, ProgressAt: now, Load: best.load(), promptWork: t.promptWork(q.Service, q.PromptTokens), sentAt: now, born: best.Born, Parts: q.Parts, RepeatUse: use, Reuse: reuse}
+	prompt := t.boundedPrompt(&q)
+	ticket.work = 1 + promptWeight*t.promptWork(q.Service, prompt)
 	best.add(now, ticket)
 	t.prefixHolders.add(ticket, q.Prefix)
-	t.recordPrompt(&q)
+	t.recordPrompt(&q, prompt)
 	best.pause.recordSend(now, ticket)
 	return ticket, nil
 }
@@ -317,12 +316,12 @@
 
 // promptWork returns the length of a request's prompt relative to the mean of
 // the service, or 0 if the mean is unknown.
-func (t *Table) promptWork(q Query) float64 {
-	svc := t.catalog.Service(q.Service)
+func (t *Table) promptWork(service string, tokens int) float64 {
+	svc := t.catalog.Service(service)
 	if svc == nil || svc.Engine == nil || svc.Engine.MeanPrompt <= 0 {
 		return 0
 	}
-	return float64(q.PromptTokens) / svc.Engine.MeanPrompt
+	return float64(tokens) / svc.Engine.MeanPrompt
 }
 
 // hasColdCapacity reports whether this node may send a target another request
--- a/coord/dispatch/promptlength.go
+++ b/coord/dispatch/promptlength.go
@@ -19,15 +19,15 @@
 }
 
 // recordPrompt updates the mean prompt of a pool with a request that has been
-// placed there for the first time.
-func (t *Table) recordPrompt(q *Query) {
+// placed there for the first time, whose prompt has the given bounded length.
+func (t *Table) recordPrompt(q *Query, tokens int) {
 	if q.PromptTokens <= 0 || q.Repeat || q.Resent || q.Begun {
 		return
 	}
 	key := poolKey{q.Service, q.Model}
 	l := t.promptLengths[key]
 	l.n = min(l.n+1, 1/promptLengthWeight)
-	l.mean += (float64(t.boundedPrompt(q)) - l.mean) / float64(l.n)
+	l.mean += (float64(tokens) - l.mean) / float64(l.n)
 	t.promptLengths[key] = l
 }
 
