--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -267,11 +267,6 @@
 	return out
 }
 
-// RanksRoutes reports whether two routes of the service have different
-// priorities, so that its callers compete for capacity. Routes that send it no
-// requests don't count.
-func (c *Catalog) RanksRoutes(service string) bool { return c.IsRanked(service) }
-
 // PickService returns the service for a request according to draw, a random number, so
 // that each backend receives requests in proportion to its weight.
 func (r *Route) PickService(draw uint64) string {
--- a/coord/catalog/catalog_test.go
+++ b/coord/catalog/catalog_test.go
@@ -50,7 +50,7 @@
 
 // Guards against capacity that follows demand where a deployment's configuration
 // doesn't rank the routes of that service.
-func TestRanksRoutes(t *testing.T) {
+func TestIsRanked(t *testing.T) {
 	route := func(priority int, services ...string) Route {
 		r := Route{Host: "h", Priority: priority}
 		for _, s := range services {
@@ -70,14 +70,14 @@
 		"one of two backends":  {[]Route{route(1, "llm"), route(0, "other", "llm")}, true},
 	} {
 		c := New(1, test.routes, nil, nil, Limits{})
-		assert.Equal(t, c.RanksRoutes("llm"), test.want, name)
+		assert.Equal(t, c.IsRanked("llm"), test.want, name)
 	}
 }
 
 // Guards against a service whose capacity follows demand although its requests aren't
 // ranked: priorities that count as the same rank, and a route that sends the service
 // no requests.
-func TestRanksRoutesAgreesWithRanks(t *testing.T) {
+func TestIsRankedAgreesWithRanks(t *testing.T) {
 	route := func(priority, weight int) Route {
 		return Route{Host: "h", Priority: priority, Backends: []Backend{{"llm", weight}, {"other", 1}}}
 	}
@@ -88,6 +88,6 @@
 		"different":                    {route(0, 1), route(2, 1)},
 	} {
 		c := New(1, routes, nil, nil, Limits{})
-		assert.Equal(t, c.RanksRoutes("llm"), c.IsRanked("llm"), name)
+		assert.Equal(t, c.IsRanked("llm"), c.Rank("llm", &routes[0], "").Ranked, name)
 	}
 }
--- a/coord/catalog/rank.go
+++ b/coord/catalog/rank.go
@@ -47,7 +47,8 @@
 }
 
 // IsRanked reports whether the requests for a service are ranked: two of its routes
-// have different priorities.
+// have different priorities, so that its callers compete for capacity. Routes that
+// send it no requests don't count.
 func (c *Catalog) IsRanked(service string) bool { return len(c.ranks[service]) > 0 }
 
 // indexRanks sets the ranks in use for each ranked service, in ascending order, and
--- a/internal/coordinator/demand.go
+++ b/internal/coordinator/demand.go
@@ -16,7 +16,7 @@
 // planning.follow_demand.
 func FollowsDemand(setting string) func(c *catalog.Catalog, service string) bool {
 	return func(c *catalog.Catalog, service string) bool {
-		return setting == settings.FollowOn || setting == settings.FollowAuto && c.RanksRoutes(service)
+		return setting == settings.FollowOn || setting == settings.FollowAuto && c.IsRanked(service)
 	}
 }
 
