--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,7 +20,7 @@
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	number := flag.Int("case", 0, "number of the case")
 	flag.Parse()
-	cases := map[int]func(w *world, trouble bool) (broken bool, err error){6: lapsedEntries}
+	cases := map[int]func(w *world, trouble bool) (broken bool, err error){6: lapsedEntries, 7: lastKeyWithdrawn}
 	play, ok := cases[*number]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
