--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -40,6 +40,17 @@
 // All returns the VMs sorted by ID. The caller must not change the slice.
 func (t *Table) All() []*VM { return t.list }
 
+// Listed returns the number of VMs that the platform lists.
+func (t *Table) Listed() int {
+	n := 0
+	for _, vm := range t.list {
+		if vm.Listed {
+			n++
+		}
+	}
+	return n
+}
+
 // ApplyRow applies a row of the platform's list. It reports whether the VM is new
 // or has restarted.
 func (t *Table) ApplyRow(now time.Time, row Row) bool {
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -31,7 +31,7 @@
 	Era     uint64 `json:",omitempty"`
 	Version uint64
 	// Whole reports whether Rows contains all VMs; otherwise it contains only
-	// the changed ones.
+	// the changed ones. No VM is in both Rows and Removed: see Changes.
 	Whole   bool
 	Rows    []fleet.Row `json:",omitempty"`
 	Removed []string    `json:",omitempty"`
@@ -46,7 +46,7 @@
 	Era     uint64 `json:",omitempty"`
 	Version uint64
 	// Whole reports whether Rows contains all parts; otherwise it contains only
-	// the changed ones.
+	// the changed ones. No part is in both Rows and Removed: see Changes.
 	Whole   bool
 	Rows    []quarantine.Row
 	Removed []quarantine.Part
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/watch"
 )
@@ -121,9 +122,7 @@
 	for _, row := range n.Rows {
 		present[row.ID] = true
 		delete(s.relistDeadlines, row.ID)
-		if s.vms.ApplyRow(now, row) {
-			s.log.Info("VM started", "endpoint", row.ID, "born", row.Born, "service", row.Service)
-		}
+		s.list(now, row)
 	}
 	for _, id := range n.Removed {
 		s.unlist(now, id)
@@ -137,6 +136,18 @@
 	}
 }
 
+// list applies a row of a VM. s.mu must be held.
+func (s *State) list(now time.Time, row fleet.Row) {
+	before := s.vms.Get(row.ID)
+	unlisted := before != nil && !before.Listed
+	if s.vms.ApplyRow(now, row) {
+		s.log.Info("VM started", "endpoint", row.ID, "born", row.Born, "service", row.Service)
+	}
+	if unlisted && before.Listed {
+		s.log.Info("VM listed again", "endpoint", row.ID, "service", row.Service)
+	}
+}
+
 // unlist removes a VM from the list. Within updates.RelistGrace after an outage of
 // the platform, during which rows may have lapsed, the removal is deferred to the end
 // of that period. s.mu must be held.
--- /dev/null
+++ b/internal/node/lapse_test.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/coord/updates"
+	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
+)
+
+// Guards against servers that count as gone for good because their rows lapsed in an
+// outage of the store and were written again before a node read the changes (review/6).
+func TestServersThatAreListedAgainAfterAnOutageAreServed(t *testing.T) {
+	s := newTestSite(t)
+	for _, n := range s.nodes {
+		s.eventually("orders", s.canServe(n, "/order/x", "key"))
+		s.eventually("streams", s.canServe(n, "/ask/x", "key"))
+	}
+	s.store.Fail(cloud.Busy)
+	time.Sleep(500 * time.Millisecond)
+	for _, row := range s.store.Rows("servers") {
+		s.store.Delete("servers", row.Key)
+		assert.NilError(t, s.store.Put("servers", row.Key, json.RawMessage(row.Value)))
+	}
+	s.store.Fail(cloud.Healthy)
+	time.Sleep(updates.RelistGrace + time.Second)
+	for _, n := range s.nodes {
+		s.within(time.Second, "orders after the outage", s.canServe(n, "/order/x", "key"))
+		s.within(time.Second, "streams after the outage", s.canServe(n, "/ask/x", "key"))
+	}
+}
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -59,6 +59,7 @@
 		c.Response().Header().Set(echo.HeaderContentType, "text/plain; version=0.0.4")
 		n.state.Locked(func(st entry.LockedState) {
 			telemetry.Gauge(n.registry, "quarantined_parts_number").Update(int64(len(st.Quarantine.Parts())))
+			telemetry.Gauge(n.registry, "listed_vms_number").Update(int64(st.VMs.Listed()))
 		})
 		if view := n.state.View(); view != nil {
 			telemetry.Gauge(n.registry, "configuration_number").Update(view.Catalog.Version)
