fleet: a VM that is listed again with an earlier start is used

Callers would see: a server whose clock was set back before it registered again gets no requests until the nodes restart.

Cause: ApplyRow defers a row of an earlier start, and what was deferred was dropped for a VM that is not listed or has ever answered as the later start.

Both new tests failed before. After a removal the next row names the newest start; one that replaces another row is believed after the delay unless the later start has answered since.

--- a/coord/fleet/earlier_test.go
+++ b/coord/fleet/earlier_test.go
@@ -60,3 +60,37 @@
 	}
 	assert.Equal(t, table.Get("i-1").Born, int64(200))
 }
+
+// Guards against a VM that is gone for good because its clock was set back before it
+// registered again: after a removal the next row names the newest start.
+func TestVMThatIsListedAgainWithAnEarlierStartIsUsed(t *testing.T) {
+	for _, answered := range []bool{false, true} {
+		now, table := time.Unix(1000, 0), NewTable()
+		table.ApplyRow(now, startRow(200, "10.0.0.1:1"))
+		if answered {
+			table.ApplyReport(now, now, "i-1", Report{State: State{Born: 200, Model: "m"}})
+		}
+		table.Unlist(now, "i-1")
+		assert.Assert(t, table.ApplyRow(now.Add(time.Second), startRow(100, "10.0.0.2:2")), "it is another start")
+		vm := table.Get("i-1")
+		assert.Assert(t, vm.Listed)
+		assert.Equal(t, vm.Born, int64(100))
+		assert.Equal(t, vm.Address, "10.0.0.2:2")
+		assert.Equal(t, vm.Model, "", "nothing known of the later start may stay")
+	}
+}
+
+// Guards against the same if removal and row come in one answer, of which only the row
+// is left, while the VM has answered as the later start before.
+func TestRowOfAnEarlierStartIsBelievedIfTheLaterOneAnswersNoMore(t *testing.T) {
+	now, table := time.Unix(1000, 0), NewTable()
+	table.ApplyRow(now, startRow(200, "10.0.0.1:1"))
+	table.ApplyReport(now, now, "i-1", Report{State: State{Born: 200}})
+	now = now.Add(time.Second)
+	table.ApplyRow(now, startRow(100, "10.0.0.2:2"))
+	table.Sweep(now.Add(earlierStartDelay - time.Millisecond))
+	assert.Equal(t, table.Get("i-1").Born, int64(200))
+	table.Sweep(now.Add(earlierStartDelay))
+	assert.Equal(t, table.Get("i-1").Born, int64(100))
+	assert.Assert(t, table.Get("i-1").Listed)
+}
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -62,12 +62,12 @@
 		at, _ := slices.BinarySearchFunc(t.list, row.ID, func(v *VM, id string) int { return strings.Compare(v.ID, id) })
 		t.list = slices.Insert(t.list, at, vm)
 	}
-	if row.Born < vm.Born {
+	if row.Born < vm.Born && (vm.Listed || row.Born <= 0) {
 		vm.deferEarlier(now, row)
 		return false
 	}
 	vm.earlier = nil
-	restarted := row.Born > vm.Born
+	restarted := row.Born != vm.Born // also if the VM is listed again after its clock was set back
 	if restarted {
 		vm.resetState()
 		vm.Born = row.Born
@@ -92,10 +92,10 @@
 	return restarted
 }
 
-// deferEarlier keeps a row of an earlier start than the newest known one, if only a
-// row has shown that one.
+// deferEarlier keeps a row of an earlier start than the newest known one, if a row has
+// shown that one.
 func (vm *VM) deferEarlier(now time.Time, row Row) {
-	if row.Born <= 0 || vm.Born != vm.rowBorn || !vm.ReportedAt.IsZero() {
+	if row.Born <= 0 || vm.Born != vm.rowBorn {
 		return
 	}
 	since := now
@@ -106,14 +106,15 @@
 }
 
 // applyEarlier applies the newest row of a VM if it has named an earlier start than
-// the row before it for earlierStartDelay. That row was wrong.
+// the row before it for earlierStartDelay, in which the later start has not answered.
+// That row was wrong, or the VM's clock was set back.
 func (t *Table) applyEarlier(now time.Time, vm *VM) {
 	e := vm.earlier
 	if e == nil || now.Sub(e.since) < earlierStartDelay {
 		return
 	}
 	vm.earlier = nil
-	if !vm.Listed || vm.Born != vm.rowBorn || !vm.ReportedAt.IsZero() {
+	if !vm.Listed || vm.Born != vm.rowBorn || vm.ReportedAt.After(e.since) {
 		return
 	}
 	vm.resetState()
