dispatch, updates, entry: an endpoint whose warmth is unknown counts as cold

Cause: how long an endpoint is cold was taken from its row alone, which such an endpoint can't write, and a row that says nothing counted as warm.

Endpoints of a data centre that was or may have been taken back within the service's cold time get no more than a cold one, over all nodes together, unless they say otherwise in their row or in an answer. Nodes with a share of such an endpoint's rate ask it. When a data centre was taken back is passed on between nodes; a process that has just started, or that has no history, doesn't know.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -69,6 +69,11 @@
 	// ColdPerSecond is the number of requests per second that a cold endpoint
 	// can take; 0 means that the service has no cold start.
 	ColdPerSecond float64
+	// ColdTime is how long an endpoint is cold at most; 0 means unknown.
+	ColdTime time.Duration
+	// HealthPath is the path at which an endpoint says whether it is cold; empty means
+	// unknown.
+	HealthPath string
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/coord/catalog/validate.go
+++ b/coord/catalog/validate.go
@@ -84,6 +84,7 @@
 	key := "service " + s.Name + ": "
 	checkRange(v, key+"connections", s.MaxConns, 0, maxCount)
 	checkRange(v, key+"requests a second while cold", s.ColdPerSecond, 0, maxCount)
+	checkRange(v, key+"time for which endpoints are cold", s.ColdTime, 0, maxTime)
 	if s.Engine != nil {
 		v.checkEngine(key, s.Engine)
 	}
--- a/coord/catalog/validate_test.go
+++ b/coord/catalog/validate_test.go
@@ -55,6 +55,8 @@
 		"negative cold rate":  func(s *spec) { s.Services[0].ColdPerSecond = -1 },
 		"cold rate too large": func(s *spec) { s.Services[0].ColdPerSecond = 1e300 },
 		"cold rate NaN":       func(s *spec) { s.Services[0].ColdPerSecond = math.NaN() },
+		"negative cold time":  func(s *spec) { s.Services[0].ColdTime = -1 },
+		"cold time too large": func(s *spec) { s.Services[0].ColdTime = math.MaxInt64 },
 		"negative slots":      func(s *spec) { s.Services[0].Engine.Slots = -1 },
 		"slots too large":     func(s *spec) { s.Services[0].Engine.Slots = math.MaxInt },
 		"negative loads":      func(s *spec) { s.Services[0].Engine.LoadsPerSecond = -4 },
--- a/coord/dispatch/pick.go
+++ b/coord/dispatch/pick.go
@@ -325,11 +325,11 @@
 }
 
 // hasColdCapacity reports whether this node may send a target another request
-// within the rate limit of cold endpoints. A target that is not cold has no such
-// limit. A process that has just started sends none: the one before may have used
+// within the rate limit of cold endpoints. A target that is known to be warm has no
+// such limit. A process that has just started sends none: the one before may have used
 // the rate.
 func (t *Table) hasColdCapacity(now time.Time, target *Target, vm *fleet.VM) bool {
-	if vm == nil || !isCold(now, vm) {
+	if vm == nil || !now.Before(vm.ColdUntil) && !now.Before(target.unknownWarmthUntil) {
 		return true
 	}
 	svc := t.catalog.Service(target.Service)
@@ -339,8 +339,14 @@
 	if now.Sub(t.opts.StartedAt) < coldWindow {
 		return false
 	}
+	return target.cold.isBelow(now, t.coldShare(now, target.ID, t.usableColdRate(svc)))
+}
+
+// usableColdRate returns how many requests all nodes together send to a cold endpoint
+// of a service in a second.
+func (t *Table) usableColdRate(svc *catalog.Service) int {
 	limit := svc.ColdPerSecond*t.opts.ColdOverage + t.opts.ColdSlack
-	return target.cold.isBelow(now, t.coldShare(now, target.ID, int(limit*coldUsableFraction)))
+	return int(limit * coldUsableFraction)
 }
 
 // coldShare returns this node's share of the request rate that all nodes may send
@@ -364,8 +370,6 @@
 // The rest is reserved for nodes that are not counted yet.
 const coldUsableFraction = 0.9
 
-func isCold(now time.Time, vm *fleet.VM) bool { return now.Before(vm.ColdUntil) }
-
 // unitHash hashes a draw and an index to a number from 0 up to, but excluding, 1.
 func unitHash(draw uint64, i int) float64 {
 	x := (draw + uint64(i)*0x9e3779b97f4a7c15) * 0xbf58476d1ce4e5b9
--- a/coord/dispatch/table.go
+++ b/coord/dispatch/table.go
@@ -52,6 +52,7 @@
 	// broken contains the groups that this node found to be missing a VM,
 	// reportedBroken those that another node of its data centre found.
 	broken, reportedBroken map[fleet.Formation]bool
+	returnedAt             func(dataCentre string) time.Time // nil until SetReturnedAt
 	// groups and joiningHeads are derived by the last Update: the VMs of each
 	// group and the IDs of the VMs that are about to become heads.
 	groups       map[fleet.Formation][]*fleet.VM
@@ -110,6 +111,7 @@
 			continue // only heads receive requests
 		}
 		target := t.ensureTarget(vm)
+		target.unknownWarmthUntil = t.unknownWarmthUntil(vm)
 		target.applyReport(vm, t.reportLag(vm.Service), t.nodes, t.rank)
 		lossReason, accepting := t.updateGroup(now, vm, target, groups)
 		target.predictLoss(now, vm, groups[vm.Formation()], releases[vm.Service])
--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -52,8 +52,11 @@
 	// short.
 	memoryShort bool
 	cold        coldRate
-	limiter     limiter
-	health      health
+	// unknownWarmthUntil is when the target is certain to be warm, unless its VM says
+	// otherwise.
+	unknownWarmthUntil time.Time
+	limiter            limiter
+	health             health
 }
 
 // Ticket is a request that has been placed at a target.
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -78,9 +78,7 @@
 	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
 	vm.Release, vm.rowBorn = row.Release, row.Born
 	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
-	if row.ColdLeft > 0 {
-		vm.ColdUntil = now.Add(row.ColdLeft)
-	}
+	vm.applyRowColdLeft(now, row.ColdLeft, restarted)
 	row.Orders = vm.Orders
 	newerGroup := vm.Epoch > 0 && row.Epoch > vm.Epoch
 	if now.Sub(vm.ReportedAt) > reportPrecedence || newerGroup {
@@ -143,6 +141,7 @@
 	vm.FailedProbes, vm.Refused = 0, false
 	vm.Leaving, vm.LeavingAt = false, time.Time{}
 	vm.Limit = Limit{}
+	vm.ColdSaidAt, vm.WarmSaidAt = time.Time{}, time.Time{}
 }
 
 func (vm *VM) setState(s State) {
@@ -190,6 +189,9 @@
 	vm.FailedProbes, vm.Refused = 0, false
 	vm.Load = r.Load
 	vm.setState(r.State)
+	if r.Warmth != nil {
+		t.ApplyWarmth(now, sent, id, r.Born, *r.Warmth)
+	}
 	if r.Leaving {
 		t.MarkLeaving(now, id, r.Born)
 	}
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -129,12 +129,17 @@
 	Limit Limit
 	// ColdUntil is when the VM can take its full load.
 	ColdUntil time.Time
+	// ColdSaidAt is when the VM last said that it is cold, and for how long.
+	// WarmSaidAt is when it last said in an answer that it isn't: a row may be older.
+	ColdSaidAt, WarmSaidAt time.Time
 	// ListedAt is when the newest row arrived, or when the VM was unlisted.
 	ListedAt time.Time
 
 	State
 	Load
 	rowBorn int64 // Born of the newest row
+	// rowColdLeft is ColdLeft of the newest row.
+	rowColdLeft time.Duration
 	// pendingState is the newest row's state while a report takes precedence
 	// over it.
 	pendingState *State
@@ -199,6 +204,8 @@
 	Load
 	// Leaving is whether the answer announced that the VM is leaving.
 	Leaving bool `json:",omitempty"`
+	// Warmth is what the VM has said of it, or nil if it hasn't.
+	Warmth *Warmth `json:",omitempty"`
 }
 
 // MaxPause is the longest pause that a VM may request.
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -145,6 +145,8 @@
 	// requester's.
 	Operators *Operators `json:",omitempty"`
 	VMs       *VMs       `json:",omitempty"`
+	// Returns comes with Operators. Nodes with earlier software leave it out.
+	Returns *Returns `json:",omitempty"`
 	// RegainedAge is the time since the platform's list of VMs became readable
 	// again after an outage, or nil if there was none.
 	RegainedAge *time.Duration `json:",omitempty"`
--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -182,6 +182,7 @@
 	// once they are in force.
 	copied     map[string]bool
 	restoredAt time.Time
+	returns    returns
 }
 
 // Evacuated returns the data centres that must not get work.
@@ -199,13 +200,14 @@
 		return false
 	}
 	o.rev = rev
+	o.returns.receive(now, &u)
 	switch {
 	case newEra:
 		o.beginEra(now, u)
 	case o.copied != nil:
-		o.applyAfterRestore(u)
+		o.applyAfterRestore(now, u)
 	default:
-		o.applyEvacuations(u)
+		o.applyEvacuations(now, u)
 	}
 	return true
 }
@@ -224,20 +226,20 @@
 // Catalog returns the newest configuration, or nil.
 func (r *Record) Catalog() *catalog.Catalog { return r.operators.catalog }
 
-func (o *operators) applyEvacuations(u Operators) {
+func (o *operators) applyEvacuations(now time.Time, u Operators) {
 	if u.Whole {
 		for dc := range o.evacuated {
 			if !u.Evacuated[dc] {
-				o.setEvacuated(dc, false)
+				o.setEvacuated(now, dc, false)
 			}
 		}
 	}
 	for dc, evacuated := range u.Evacuated {
-		o.setEvacuated(dc, evacuated)
+		o.setEvacuated(now, dc, evacuated)
 	}
 }
 
-func (o *operators) setEvacuated(dc string, evacuated bool) {
+func (o *operators) setEvacuated(now time.Time, dc string, evacuated bool) {
 	if evacuated {
 		o.evacuated = with(o.evacuated, dc)
 		delete(o.ended, dc)
@@ -245,6 +247,7 @@
 	}
 	if o.evacuated[dc] {
 		o.ended = with(o.ended, dc)
+		o.returns.record(dc, now)
 	}
 	delete(o.evacuated, dc)
 }
--- a/coord/updates/restored.go
+++ b/coord/updates/restored.go
@@ -157,17 +157,17 @@
 		}
 		o.copied[dc] = true
 		if !o.ended[dc] {
-			o.setEvacuated(dc, true)
+			o.setEvacuated(now, dc, true)
 		}
 	}
 }
 
 // applyAfterRestore applies an update while the copy's evacuations are not in force
 // yet. Only what differs from the copy, or changes it, is news.
-func (o *operators) applyAfterRestore(u Operators) {
+func (o *operators) applyAfterRestore(now time.Time, u Operators) {
 	for dc, evacuated := range u.Evacuated {
 		if evacuated != o.copied[dc] {
-			o.setBoth(dc, evacuated)
+			o.setBoth(now, dc, evacuated)
 		}
 	}
 	if !u.Whole {
@@ -175,13 +175,13 @@
 	}
 	for dc := range o.copied {
 		if !u.Evacuated[dc] {
-			o.setBoth(dc, false)
+			o.setBoth(now, dc, false)
 		}
 	}
 }
 
-func (o *operators) setBoth(dc string, evacuated bool) {
-	o.setEvacuated(dc, evacuated)
+func (o *operators) setBoth(now time.Time, dc string, evacuated bool) {
+	o.setEvacuated(now, dc, evacuated)
 	delete(o.copied, dc)
 	if evacuated {
 		o.copied[dc] = true
@@ -196,6 +196,6 @@
 	}
 	copied := o.copied
 	o.copied = nil
-	o.applyEvacuations(Operators{Whole: true, Evacuated: copied})
+	o.applyEvacuations(now, Operators{Whole: true, Evacuated: copied})
 	return true
 }
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
-	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 )
 
@@ -82,6 +81,9 @@
 		Learned: s.learnedSince(now, time.Unix(0, after.Mark), false),
 		Demand:  s.demand.Total(now),
 	}
+	if a.Operators != nil {
+		a.Returns = s.record.Returns(now)
+	}
 	if !s.vmReadRecoveredAt.IsZero() {
 		age := now.Sub(s.vmReadRecoveredAt)
 		a.RegainedAge = &age
@@ -89,7 +91,7 @@
 	for _, vm := range s.vms.All() {
 		if vm.Rank == 0 && vm.Group != "" && !vm.IsStandby() && vm.Listed && vm.FailedProbes == 0 && vm.ReceivedAt.UnixNano() >= after.Mark {
 			a.Reports = append(a.Reports, updates.Report{
-				VM: vm.ID, Age: now.Sub(vm.ReportedAt), Report: fleet.Report{State: vm.State, Load: vm.Load},
+				VM: vm.ID, Age: now.Sub(vm.ReportedAt), Report: vm.Report(now),
 			})
 		}
 	}
@@ -114,6 +116,9 @@
 	defer s.mu.Unlock()
 	if a.Operators != nil {
 		s.applyOperators(asked.Add(-a.OperatorsAge), *a.Operators)
+		if a.Returns != nil {
+			s.record.PutReturns(s.now(), a.Operators.Revision(), a.Returns)
+		}
 	}
 	if a.RegainedAge != nil {
 		if at := asked.Add(-*a.RegainedAge); at.After(s.vmReadRecoveredAt) {
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -20,6 +20,9 @@
 	// Report returns the report of the VM with the given ID and address. It
 	// returns an error if another VM answers there.
 	Report(ctx context.Context, address, id string) (fleet.Report, error)
+	// Warmth returns the answer to a question for the warmth of a VM. It returns an
+	// error if the answer doesn't say or another VM answers there.
+	Warmth(ctx context.Context, q dispatch.WarmthQuestion) (fleet.Warmth, error)
 }
 
 // ProbeOptions configure a Prober.
@@ -65,6 +68,8 @@
 	lastProbeAt          map[string]time.Time
 	// paused contains the VMs that asked for a pause in probes.
 	paused map[string]probePause
+	// warmthAskedAt is when each endpoint that may be cold was last asked.
+	warmthAskedAt map[string]time.Time
 }
 
 // probePause is a pause in probes requested by the VM start identified by born.
@@ -129,6 +134,7 @@
 	for _, t := range p.takeDue() {
 		go p.probe(ctx, t)
 	}
+	p.askWarmth(ctx)
 }
 
 // takeDue returns the probes that are due and marks them as running.
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -21,6 +21,11 @@
 	mu     sync.Mutex
 	probes map[string]int
 	answer func(id string) (fleet.Report, error)
+	// warmthQuestions is the number of questions for the warmth of VMs, which are
+	// answered with warmth, or fail with warmthErr.
+	warmthQuestions int
+	warmth          fleet.Warmth
+	warmthErr       error
 }
 
 // Report implements Engines.
@@ -31,6 +36,14 @@
 	return f.answer(id)
 }
 
+// Warmth implements Engines.
+func (f *fakeEngines) Warmth(context.Context, dispatch.WarmthQuestion) (fleet.Warmth, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.warmthQuestions++
+	return f.warmth, f.warmthErr
+}
+
 func (f *fakeEngines) count(id string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -93,6 +93,11 @@
 // others.
 type crashEngines struct{ site *crashSite }
 
+// Warmth implements Engines.
+func (e *crashEngines) Warmth(context.Context, dispatch.WarmthQuestion) (fleet.Warmth, error) {
+	return fleet.Warmth{}, nil
+}
+
 // Report implements Engines.
 func (e *crashEngines) Report(ctx context.Context, address, id string) (fleet.Report, error) {
 	conn, err := e.site.network.dial(ctx, address)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -95,12 +95,14 @@
 
 // NewState returns the state of a node that has received no data yet.
 func NewState(log *slog.Logger, now func() time.Time, opts dispatch.Options) *State {
-	return &State{
+	s := &State{
 		log: log, now: now, vms: fleet.NewTable(), targets: dispatch.New(opts), record: updates.NewRecord(),
 		evacuated: make(map[string]bool), relistDeadlines: make(map[string]time.Time), suspects: updates.NewSuspects(),
 		quarantine: quarantine.NewRecord(), demand: updates.NewDemand(),
 		waiting: make(map[waitKey]*waitList), shares: make(map[string]*waitqueue.Shares),
 	}
+	s.targets.SetReturnedAt(s.record.ReturnedAt)
+	return s
 }
 
 // Tick updates the targets if anything that they depend on has changed, and
