fleet: who holds an address is decided anew when a row or the configuration changes

Cause: a row with an address that another VM had took that VM off the list, once and for good. Neither whether the claim was true nor whether it still stood was asked again, and the VM's own row doesn't change.

Rows of services that no configuration names claim nothing. Among the others the latest start holds the address as before, and the other VM has it back as soon as that one is gone, has moved or is no longer named, or if its own row is still there when that of an ended VM would be gone. Two log lines say so.

--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -248,6 +248,11 @@
 // Service returns the service with the given name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
+// NamesService reports whether the configuration has the service or a route to it.
+func (c *Catalog) NamesService(name string) bool {
+	return c.services[name] != nil || len(c.ServiceRoutes(name)) > 0
+}
+
 // Engines returns the services that run models, sorted by name.
 func (c *Catalog) Engines() []*Service {
 	var out []*Service
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -26,10 +26,13 @@
 	list []*VM // sorted by ID
 	// changes counts the changes to the table.
 	changes uint64
+	claims  addressClaims
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{vms: make(map[string]*VM)} }
+func NewTable() *Table {
+	return &Table{vms: make(map[string]*VM), claims: addressClaims{uses: make(map[string]int)}}
+}
 
 // Changes returns a number that increases with every change to the table.
 func (t *Table) Changes() uint64 { return t.changes }
@@ -62,7 +65,7 @@
 		at, _ := slices.BinarySearchFunc(t.list, row.ID, func(v *VM, id string) int { return strings.Compare(v.ID, id) })
 		t.list = slices.Insert(t.list, at, vm)
 	}
-	if row.Born < vm.Born && (vm.Listed || row.Born <= 0) {
+	if row.Born < vm.Born && (vm.Registered || row.Born <= 0) {
 		vm.deferEarlier(now, row)
 		return false
 	}
@@ -72,12 +75,10 @@
 		vm.resetState()
 		vm.Born = row.Born
 	}
-	if vm.Address != row.Address {
-		t.reassignAddress(now, row)
-	}
-	vm.Service, vm.Address, vm.DataCentre, vm.Slots = row.Service, row.Address, row.DataCentre, row.Slots
+	t.register(now, vm, row, restarted)
+	vm.DataCentre, vm.Slots = row.DataCentre, row.Slots
 	vm.Release, vm.rowBorn = row.Release, row.Born
-	vm.Listed, vm.Draining, vm.Engine, vm.ListedAt = true, row.Draining, row.Engine, now
+	vm.Draining, vm.Engine, vm.ListedAt = row.Draining, row.Engine, now
 	vm.applyRowColdLeft(now, row.ColdLeft, restarted)
 	row.Orders = vm.Orders
 	newerGroup := vm.Epoch > 0 && row.Epoch > vm.Epoch
@@ -112,7 +113,7 @@
 		return
 	}
 	vm.earlier = nil
-	if !vm.Listed || vm.Born != vm.rowBorn || vm.ReportedAt.After(e.since) {
+	if !vm.Registered || vm.Born != vm.rowBorn || vm.ReportedAt.After(e.since) {
 		return
 	}
 	vm.resetState()
@@ -120,14 +121,27 @@
 	t.ApplyRow(now, e.Row)
 }
 
-// reassignAddress clears the address of the VMs that had the row's address before
-// and marks them as unlisted.
-func (t *Table) reassignAddress(now time.Time, row Row) {
-	for _, other := range t.list {
-		if other.ID != row.ID && other.Address == row.Address && other.Born <= row.Born {
-			other.Address = ""
-			t.Unlist(now, other.ID)
-		}
+// register records that the platform has a row of a VM, and decides which VMs hold the
+// addresses of this row and of the one before.
+func (t *Table) register(now time.Time, vm *VM, row Row, restarted bool) {
+	before := vm.rowAddress
+	sameClaim := vm.Registered && !restarted && before == row.Address && vm.Service == row.Service
+	if restarted {
+		vm.keepsAddress = false
+	}
+	vm.Registered, vm.Service = true, row.Service
+	t.setRowAddress(vm, row.Address)
+	if vm.displacedAt.IsZero() {
+		vm.Listed, vm.Address = true, row.Address
+	}
+	if sameClaim {
+		return
+	}
+	if before != row.Address && t.claims.uses[before] > 0 {
+		t.settleAddress(now, before, nil)
+	}
+	if t.claims.uses[row.Address] > 1 || !vm.displacedAt.IsZero() {
+		t.settleAddress(now, row.Address, vm)
 	}
 }
 
@@ -157,13 +171,16 @@
 // Unlist records that the platform no longer lists a VM.
 func (t *Table) Unlist(now time.Time, id string) {
 	vm := t.vms[id]
-	if vm == nil || !vm.Listed {
+	if vm == nil || !vm.Registered {
 		return
 	}
-	vm.Listed = false
-	vm.ListedAt = now
+	vm.Registered, vm.keepsAddress = false, false
+	vm.setListed(now, false)
 	vm.earlier = nil
 	t.changes++
+	if t.claims.uses[vm.rowAddress] > 1 {
+		t.settleAddress(now, vm.rowAddress, nil)
+	}
 }
 
 // ApplyReport applies the answer, received now, to a probe that was sent at sent.
@@ -273,9 +290,10 @@
 		}
 	}
 	t.list = slices.DeleteFunc(t.list, func(vm *VM) bool {
-		drop := !vm.Listed && now.Sub(vm.ListedAt) > unlistedRetention && now.Sub(vm.ReportedAt) > unlistedRetention
+		drop := !vm.Registered && now.Sub(vm.ListedAt) > unlistedRetention && now.Sub(vm.ReportedAt) > unlistedRetention
 		if drop {
 			delete(t.vms, vm.ID)
+			t.setRowAddress(vm, "")
 			t.changes++
 		}
 		return drop
--- a/coord/fleet/vm.go
+++ b/coord/fleet/vm.go
@@ -109,16 +109,18 @@
 type VM struct {
 	ID      string
 	Service string
-	// Address is empty once another VM has the same address.
+	// Address is empty while another VM has the same address.
 	Address    string
 	DataCentre string
 	Slots      int
 	// Release is the version of the software that the VM runs.
 	Release string
 	Engine  bool
-	// Listed is whether the platform lists the VM now.
-	Listed   bool
-	Draining bool // according to its newest row
+	// Registered is whether the platform has a row of the VM now, and Listed whether
+	// it does and the VM has its address.
+	Registered bool
+	Listed     bool
+	Draining   bool // according to its newest row
 	// Leaving is whether this start has announced in an answer that it is
 	// leaving. No row clears it, because a row may have been written before the
 	// announcement.
@@ -137,7 +139,12 @@
 
 	State
 	Load
-	rowBorn int64 // Born of the newest row
+	rowBorn    int64  // Born of the newest row
+	rowAddress string // Address of the newest row
+	// displacedAt is when another VM was found to have the address of the row, or zero.
+	displacedAt time.Time
+	// keepsAddress is whether the VM is certain to have its address.
+	keepsAddress bool
 	// rowColdLeft is ColdLeft of the newest row.
 	rowColdLeft time.Duration
 	// pendingState is the newest row's state while a report takes precedence
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -52,6 +52,7 @@
 	if c := s.record.Catalog(); c != s.cat {
 		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
 		s.cat, s.targetsOutdated = c, true
+		s.vms.SetServices(s.now(), c.NamesService)
 	}
 	if s.cat == nil || asOf.IsZero() && old == nil {
 		return
@@ -129,7 +130,7 @@
 	}
 	if n.Whole {
 		for _, vm := range s.vms.All() {
-			if vm.Listed && !present[vm.ID] {
+			if vm.Registered && !present[vm.ID] {
 				s.unlist(now, vm.ID)
 			}
 		}
@@ -162,6 +163,21 @@
 	s.vms.Unlist(now, id)
 }
 
+// settleAddresses gives VMs whose address others claim falsely their addresses back, and
+// logs which VM has lost or regained its address. s.mu must be held.
+func (s *State) settleAddresses(now time.Time) {
+	if !s.vmReadFailing && now.Sub(s.vmReadRecoveredAt) >= fleet.MaxStaleRow {
+		s.vms.KeepAddresses(now, s.listedAsOf)
+	}
+	for _, c := range s.vms.AddressChanges() {
+		if c.Holder == "" || c.Holder == c.VM {
+			s.log.Info("endpoint has its address again", "endpoint", c.VM, "address", c.Address)
+			continue
+		}
+		s.log.Info("another endpoint has the address", "endpoint", c.VM, "address", c.Address, "holder", c.Holder)
+	}
+}
+
 // ReadFailed implements watch.Observer.
 func (s *State) ReadFailed(what string, err error) {
 	s.mu.Lock()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -120,6 +120,7 @@
 	}
 	s.settleRestored(now)
 	s.vms.Sweep(now)
+	s.settleAddresses(now)
 	s.tickQuarantine(now)
 	s.demand.Count(now, s.traffic.Load())
 	s.targets.SetDemandShare(s.demand.Share(now))
