httpstatus: a status line that is no answer is a break

Cause: net/http takes any three characters that are a number for a status, and no client looked at the range.

httpstatus.Check says what is an answer, and every client of another process asks it where the head is read: endpoints on both serving paths, the stores, other nodes. The request may have run, so that only what may be repeated goes on elsewhere, and the endpoint is avoided as after any break.

--- a/internal/gateway/promise.go
+++ b/internal/gateway/promise.go
@@ -37,6 +37,9 @@
 // falsePromise returns the problem that replaces a service's answer whose status
 // would promise that a call has not run that did, or nil if it may be sent.
 func falsePromise(c echo.Context, status int) *problem.Error {
+	if !httpstatus.IsStatus(status) {
+		return problem.New(problem.EndpointFailed, "the stored answer has the status "+strconv.Itoa(status), "check whether the call took effect").WithRanUnknown()
+	}
 	if !runsOnce(c) || isForwarded(c) || !httpstatus.PromisesNotRun(status) {
 		return nil
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -120,7 +120,7 @@
 	defer c.mu.Unlock()
 	t, ok := c.twirpClients[address]
 	if !ok {
-		t = peerspb.NewPeersProtobufClient(c.http.URL(address), &c.http.Client)
+		t = peerspb.NewPeersProtobufClient(c.http.URL(address), c.http)
 		c.twirpClients[address] = t
 	}
 	return t
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/httpstatus"
 )
 
 const (
@@ -64,7 +65,7 @@
 		urls = append(urls, strings.TrimRight(u, "/"))
 	}
 	return &Client{urls: urls, timeout: opts.Timeout, http: &http.Client{
-		Transport: bodylimit.NewTransport(opts.Transport, maxAnswerBytes, maxAnswersBytes),
+		Transport: bodylimit.NewTransport(httpstatus.NewTransport(opts.Transport), maxAnswerBytes, maxAnswersBytes),
 	}}
 }
 
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -18,6 +18,7 @@
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
+	"github.com/pimentoshore/pimentoshore/internal/httpstatus"
 	"github.com/pimentoshore/pimentoshore/internal/relay/relaypb"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
@@ -80,9 +81,9 @@
 	dialer := &net.Dialer{Timeout: opts.Timeout, KeepAlive: time.Second}
 	return &Follower{
 		opts: opts, listener: l, sources: updates.NewSources(opts.VM, opts.DataCentre),
-		http: http.Client{Transport: bodylimit.NewTransport(&http.Transport{
+		http: http.Client{Transport: bodylimit.NewTransport(httpstatus.NewTransport(&http.Transport{
 			DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: bodylimit.MaxHead,
-		}, maxAnswerBytes, maxAnswerBytes)},
+		}), maxAnswerBytes, maxAnswerBytes)},
 	}
 }
 
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/httpstatus"
 )
 
 const (
@@ -103,6 +104,20 @@
 	return c
 }
 
+// Do sends a request as http.Client does. An answer whose head is none of the protocol
+// is an *httpstatus.InvalidError.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	resp, err := c.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpstatus.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 func (c *Client) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, network, address)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/internal/bodylimit"
+	"github.com/pimentoshore/pimentoshore/internal/httpstatus"
 )
 
 const (
@@ -172,6 +173,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
@@ -187,6 +191,15 @@
 	return nil, &bodylimit.OversizeError{What: "the number of interim answers", Limit: maxInterimResponses, Unit: "answers"}
 }
 
+// checkHead returns an error if a head is no answer in the protocol of endpoints, which
+// is HTTP/1.
+func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return &httpstatus.InvalidError{Proto: resp.Proto, Status: resp.StatusCode}
+	}
+	return httpstatus.Check(resp)
+}
+
 // write sends the request. A body up to maxCopiedBody is sent with the head in one
 // write. A larger one is written after the head from its own buffer, since a copy for
 // each send would take its size in memory once more. The whole body is written before
