--- a/coord/dispatch/target.go
+++ b/coord/dispatch/target.go
@@ -261,25 +261,3 @@
 		h.avoidUntil = now.Add(avoidance)
 	}
 }
-
-// coldRate counts the requests sent to a cold target within a second.
-type coldRate struct {
-	sent []time.Time
-}
-
-func (c *coldRate) record(now time.Time) { c.sent = append(c.sent, now) }
-
-func (c *coldRate) isBelow(now time.Time, limit int) bool {
-	recent := c.sent[:0]
-	for _, at := range c.sent {
-		if now.Sub(at) < coldWindow {
-			recent = append(recent, at)
-		}
-	}
-	c.sent = recent
-	return len(c.sent) < limit
-}
-
-// coldWindow is slightly longer than the second for which the limit is defined,
-// since network delays vary between requests.
-const coldWindow = 1100 * time.Millisecond
