dispatch: forget the times of requests at warm endpoints

The memory of a node grows by 24 bytes with each request that it sends: the times of requests are recorded for every endpoint, since a warm one may turn cold, and were dropped only where the rate of a cold one was asked for.

Each record drops those before the window now.

--- a/coord/dispatch/cold.go
+++ b/coord/dispatch/cold.go
@@ -53,24 +53,33 @@
 // The rest is reserved for nodes that are not counted yet.
 const coldUsableFraction = 0.9
 
-// coldRate counts the requests sent to a cold target within a second.
+// coldRate counts the requests sent to a target within coldWindow, also while it is
+// warm: it may turn cold at any moment.
 type coldRate struct {
 	sent []time.Time
 }
 
-func (c *coldRate) record(now time.Time) { c.sent = append(c.sent, now) }
+func (c *coldRate) record(now time.Time) {
+	c.forget(now)
+	c.sent = append(c.sent, now)
+}
 
 func (c *coldRate) isBelow(now time.Time, limit int) bool {
-	recent := c.sent[:0]
-	for _, at := range c.sent {
-		if now.Sub(at) < coldWindow {
-			recent = append(recent, at)
-		}
-	}
-	c.sent = recent
+	c.forget(now)
 	return len(c.sent) < limit
 }
 
+// forget drops the requests that were sent before the window.
+func (c *coldRate) forget(now time.Time) {
+	old := 0
+	for old < len(c.sent) && now.Sub(c.sent[old]) >= coldWindow {
+		old++
+	}
+	if old > 0 {
+		c.sent = append(c.sent[:0], c.sent[old:]...)
+	}
+}
+
 // coldWindow is slightly longer than the second for which the limit is defined,
 // since network delays vary between requests.
 const coldWindow = 1100 * time.Millisecond
