fleet: claims of an address go by the starts that rows show

An answer to a probe of a server that has ended may come from the next one at its address, and raises the start that is known of the first, so that the two claims were equal and the first one could keep the address. Rows of a server without its address also began its time off the list anew. Found by rereading the change to claims; both new tests failed before.

--- a/coord/fleet/address.go
+++ b/coord/fleet/address.go
@@ -83,7 +83,7 @@
 	}
 	holder := t.addressHolder(claimants, newest)
 	for _, vm := range claimants {
-		ended := !vm.Registered && holder != nil && vm.Born <= holder.Born
+		ended := !vm.Registered && holder != nil && vm.rowBorn <= holder.rowBorn
 		displaced := holder != nil && vm != holder && t.isNamed(vm) && (vm.Registered || ended)
 		if displaced == !vm.displacedAt.IsZero() {
 			continue
@@ -116,7 +116,7 @@
 // both claim.
 func compareClaims(a, b, newest *VM) int {
 	return cmp.Or(
-		compareBool(a.keepsAddress, b.keepsAddress), cmp.Compare(a.Born, b.Born),
+		compareBool(a.keepsAddress, b.keepsAddress), cmp.Compare(a.rowBorn, b.rowBorn),
 		compareBool(a == newest, b == newest), compareBool(a.displacedAt.IsZero(), b.displacedAt.IsZero()),
 	)
 }
--- a/coord/fleet/address_test.go
+++ b/coord/fleet/address_test.go
@@ -116,6 +116,27 @@
 	assertHolds(t, table, "x", true, "the other one is left")
 }
 
+// Guards against a server that holds the address of the one after it, because an answer
+// of that one to its probe has shown the later start.
+func TestAnswerOfTheNextServerClaimsNothingForTheFirst(t *testing.T) {
+	table := newClaimTable()
+	table.ApplyReport(at(1), at(1), "i-1", Report{State: State{Born: 300}})
+	table.ApplyRow(at(2), claimRow("i-2", "desk", 200))
+	assertHolds(t, table, "i-1", false, "the earlier start by its row")
+	assertHolds(t, table, "i-2", true, "the later one")
+}
+
+// Guards against a VM whose time off the list begins anew with each of its rows.
+func TestRowsOfAServerWithoutItsAddressDoNotListIt(t *testing.T) {
+	table := newClaimTable()
+	table.ApplyRow(at(1), claimRow("x", "desk", 200))
+	row := claimRow("i-1", "desk", 100)
+	row.Draining = true
+	table.ApplyRow(at(5), row)
+	assertHolds(t, table, "i-1", false, "x has the address")
+	assert.Equal(t, table.Get("i-1").ListedAt, at(1))
+}
+
 // Guards against a server that stays without its address after the one that claimed it
 // is gone, has moved, or was forgotten.
 func TestServerHasItsAddressAgainOnceNoOtherClaimsIt(t *testing.T) {
--- a/coord/fleet/table.go
+++ b/coord/fleet/table.go
@@ -75,10 +75,13 @@
 		vm.resetState()
 		vm.Born = row.Born
 	}
+	vm.Release, vm.rowBorn = row.Release, row.Born
 	t.register(now, vm, row, restarted)
 	vm.DataCentre, vm.Slots = row.DataCentre, row.Slots
-	vm.Release, vm.rowBorn = row.Release, row.Born
-	vm.Draining, vm.Engine, vm.ListedAt = row.Draining, row.Engine, now
+	vm.Draining, vm.Engine = row.Draining, row.Engine
+	if vm.Listed {
+		vm.ListedAt = now
+	}
 	vm.applyRowColdLeft(now, row.ColdLeft, restarted)
 	row.Orders = vm.Orders
 	newerGroup := vm.Epoch > 0 && row.Epoch > vm.Epoch
