entry: endpoints that want no probes are not asked for their warmth

A VM that answers the question with a 503 and Retry-After, or has asked for a pause in probes before, was asked again each second.

--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -280,7 +280,6 @@
 		case err == nil:
 			st.VMs.ApplyReport(st.Now, sent, t.id, report)
 		case errors.As(err, &pause):
-			p.state.log.Info("endpoint wants no probes", "endpoint", t.id, "for", pause.For)
 		case !late && ctx.Err() != context.Canceled:
 			st.VMs.RecordProbeFailure(sent, t.id)
 			if errors.Is(err, syscall.ECONNREFUSED) {
@@ -293,10 +292,16 @@
 	defer p.mu.Unlock()
 	delete(p.running, t.id)
 	if pause != nil {
-		p.paused[t.id] = probePause{born: t.born, until: p.state.now().Add(min(pause.For, fleet.MaxPause))}
+		p.pause(pause, t.born)
 	}
 }
 
+// pause records that a start of a VM has asked for a pause in probes. p.mu must be held.
+func (p *Prober) pause(e *fleet.PausedError, born int64) {
+	p.state.log.Info("endpoint wants no probes", "endpoint", e.VM, "for", e.For)
+	p.paused[e.VM] = probePause{born: born, until: p.state.now().Add(min(e.For, fleet.MaxPause))}
+}
+
 // isPaused reports whether a VM has asked for a pause that is still in effect.
 // p.mu must be held.
 func (p *Prober) isPaused(now time.Time, vm *fleet.VM) bool {
--- a/internal/entry/returned_test.go
+++ b/internal/entry/returned_test.go
@@ -306,6 +306,11 @@
 	assert.Equal(t, ask(), 1)
 	s.assertCold("it gave no answer")
 	assert.Equal(t, ask(), 0, "it was asked just before")
+	engines.warmthErr = &fleet.PausedError{VM: "i-1", For: 300 * time.Millisecond}
+	s.now = s.now.Add(warmthInterval)
+	assert.Equal(t, ask(), 1)
+	s.now = s.now.Add(200 * time.Millisecond)
+	assert.Equal(t, ask(), 0, "it wants no probes")
 	engines.warmth, engines.warmthErr = fleet.Warmth{ColdLeft: 1200 * time.Millisecond}, nil
 	s.advance(warmthInterval)
 	assert.Equal(t, ask(), 1)
--- a/internal/entry/warmth.go
+++ b/internal/entry/warmth.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/pimentoshore/pimentoshore/coord/dispatch"
+	"github.com/pimentoshore/pimentoshore/coord/fleet"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
 )
 
@@ -29,6 +32,9 @@
 		defer p.mu.Unlock()
 		asked := make(map[string]time.Time)
 		for _, q := range st.Targets.UnknownWarmth(st.Now) {
+			if vm := st.VMs.Get(q.VM); vm == nil || p.isPaused(st.Now, vm) {
+				continue
+			}
 			asked[q.VM] = p.warmthAskedAt[q.VM]
 			if st.Now.Sub(asked[q.VM]) >= warmthInterval {
 				asked[q.VM] = st.Now
@@ -51,6 +57,13 @@
 		outcome = "failed"
 	}
 	telemetry.Counter(p.opts.Metrics, "probes_total", "for", reasonWarmth, "outcome", outcome).Inc(1)
+	var pause *fleet.PausedError
+	if errors.As(err, &pause) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.pause(pause, q.Born)
+		return
+	}
 	if err != nil {
 		p.state.log.Info("warmth of an endpoint unknown", "endpoint", q.VM, "error", err.Error())
 		return
