--- a/internal/gateway/status_test.go
+++ b/internal/gateway/status_test.go
@@ -1,39 +1,26 @@
 package gateway
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
 )
 
 // noAnswers are heads that are no answer in the protocol.
 var noAnswers = []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 +20 OK", "HTTP/3.0 200 OK"}
 
-// newRawTarget returns a target that answers each request with the bytes and closes the
-// connection.
+// newRawTarget returns a target that answers each request with the bytes.
 func newRawTarget(t *testing.T, raw string) Target {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	r, err := wire.NewRaw("127.0.0.1", raw)
 	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = io.WriteString(conn, raw) // the other side may have closed it
-			}
-			conn.Close()
-		}
-	}()
-	return Target{Endpoint: "s1", Address: l.Addr().String()}
+	t.Cleanup(r.Close)
+	return Target{Endpoint: "s1", Address: r.Address()}
 }
 
 // Guards against an answer with a status of 000 that is passed on to the caller, or ends
--- a/internal/httpstatus/answer_test.go
+++ b/internal/httpstatus/answer_test.go
@@ -3,34 +3,13 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"gotest.tools/v3/assert"
-)
 
-// answerRaw returns the URL of a server that answers each connection with the bytes and
-// closes it.
-func answerRaw(t *testing.T, raw string) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 4096)) // the request
-			_, _ = io.WriteString(conn, raw)
-			conn.Close()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
+	"github.com/pimentoshore/pimentoshore/internal/standin/wire"
+)
 
 // Guards against an answer with a status of 000, or another one that HTTP doesn't have,
 // which net/http takes as an answer.
@@ -42,7 +21,10 @@
 	} {
 		base := &http.Transport{DisableKeepAlives: true}
 		client := http.Client{Transport: NewTransport(base)}
-		resp, err := client.Get(answerRaw(t, head+"\r\nContent-Length: 0\r\n\r\n"))
+		server, err := wire.NewRaw("127.0.0.1", head+"\r\nContent-Length: 0\r\n\r\n")
+		assert.NilError(t, err)
+		t.Cleanup(server.Close)
+		resp, err := client.Get("http://" + server.Address())
 		assert.Equal(t, err == nil, ok, "%s: %v", head, err)
 		if ok {
 			resp.Body.Close()
