soak: rows that lapse and are listed again, another writer's rows, a status of 000

The removal and the row are written in one step by the stand-in, so that no newer row of an endpoint is lost.

--- a/internal/node/lapse_test.go
+++ b/internal/node/lapse_test.go
@@ -1,12 +1,9 @@
 package node
 
 import (
-	"encoding/json"
 	"testing"
 	"time"
 
-	"gotest.tools/v3/assert"
-
 	"github.com/pimentoshore/pimentoshore/coord/updates"
 	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
 )
@@ -21,10 +18,7 @@
 	}
 	s.store.Fail(cloud.Busy)
 	time.Sleep(500 * time.Millisecond)
-	for _, row := range s.store.Rows("servers") {
-		s.store.Delete("servers", row.Key)
-		assert.NilError(t, s.store.Put("servers", row.Key, json.RawMessage(row.Value)))
-	}
+	s.store.Relist("servers")
 	s.store.Fail(cloud.Healthy)
 	time.Sleep(updates.RelistGrace + time.Second)
 	for _, n := range s.nodes {
--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -73,7 +74,7 @@
 	s := f.site
 	node := s.nodes[f.rng.IntN(len(s.nodes))]
 	vm := node.vm
-	switch f.rng.IntN(12) {
+	switch f.rng.IntN(14) {
 	case 0:
 		f.injectFor(vm, "paused", f.randomDuration(4*time.Second), func() { node.signal(syscall.SIGSTOP, false) }, func() { node.signal(syscall.SIGCONT, false) })
 	case 1:
@@ -106,9 +107,34 @@
 	case 11:
 		i := f.rng.IntN(len(s.shops))
 		f.injectEndpointFault(shopName(i), s.shops[i], f.randomDuration(2*time.Second))
+	case 12:
+		relist := func() { s.store.Relist("servers") }
+		f.injectFor("", "rows lapse and are written again", f.randomDuration(time.Second), relist, relist)
+	case 13:
+		f.injectFalseRow(f.randomDuration(4 * time.Second))
 	}
 }
 
+// injectFalseRow writes a row of a service that no configuration names, with the address
+// of an endpoint, and removes it after d.
+func (f *faults) injectFalseRow(d time.Duration) {
+	rows := f.site.store.Rows("servers")
+	if len(rows) == 0 {
+		return
+	}
+	var endpoint struct {
+		Address string `json:"address"`
+	}
+	f.recordError(json.Unmarshal(rows[f.rng.IntN(len(rows))].Value, &endpoint))
+	id := fmt.Sprint("x-", f.rng.IntN(1000))
+	begin := func() {
+		f.recordError(f.site.store.Put("servers", id, map[string]any{
+			"service": "ledger", "address": endpoint.Address, "zone": dataCentre(0), "slots": 6, "state": "ready", "born": time.Now().UnixMilli(),
+		}))
+	}
+	f.injectFor("", "false row "+id+" with the address "+endpoint.Address, d, begin, func() { f.site.store.Delete("servers", id) })
+}
+
 // faultyEndpoint is an endpoint that can be made to misbehave and restarted.
 type faultyEndpoint interface {
 	Trouble(cloud.Trouble)
@@ -118,7 +144,7 @@
 // injectEndpointFault makes an endpoint misbehave for d. An endpoint that has
 // announced that it leaves is restarted afterwards.
 func (f *faults) injectEndpointFault(name string, e faultyEndpoint, d time.Duration) {
-	trouble := []cloud.Trouble{cloud.Leaving, cloud.Pausing, cloud.EndlessHead, cloud.EndlessBody}[f.rng.IntN(4)]
+	trouble := []cloud.Trouble{cloud.Leaving, cloud.Pausing, cloud.EndlessHead, cloud.EndlessBody, cloud.OddStatus}[f.rng.IntN(5)]
 	f.injectFor(name, string(trouble), d, func() { e.Trouble(trouble) }, func() {
 		e.Trouble(cloud.Calm)
 		if trouble == cloud.Leaving {
--- a/internal/standin/cloud/store.go
+++ b/internal/standin/cloud/store.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -158,6 +159,19 @@
 	s.write(Row{Table: table, Key: key, Deleted: true})
 }
 
+// Relist removes all rows of a table and writes them again, so that one answer of the
+// feed names both changes. Like Put, it works in every failure mode.
+func (s *Store) Relist(table string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range slices.Collect(maps.Values(s.rows)) {
+		if row.Table == table {
+			s.write(Row{Table: table, Key: row.Key, Deleted: true})
+			s.write(row)
+		}
+	}
+}
+
 // set applies a row at the current version and wakes the feeds. The caller must
 // hold mu.
 func (s *Store) set(r Row) {
--- a/internal/standin/cloud/trouble.go
+++ b/internal/standin/cloud/trouble.go
@@ -1,6 +1,7 @@
 package cloud
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -22,6 +23,8 @@
 	// body until the caller closes the connection. The requests don't run.
 	EndlessHead Trouble = "endless head"
 	EndlessBody Trouble = "endless body"
+	// OddStatus answers requests with a status of 000. They don't run.
+	OddStatus Trouble = "odd status"
 )
 
 // retryAfterSeconds is the Retry-After header of a pausing VM, in seconds.
@@ -64,10 +67,24 @@
 		id := r.Header.Get("Pimentoshore-Attempt-Id")
 		writeEndless(w, "HTTP/1.1 200 OK\r\nPimentoshore-Attempt-Id: "+id+"\r\nPimentoshore-Response-Seal: s\r\n\r\n", "data: x\n")
 		return
+	case trouble == OddStatus && !control:
+		id := r.Header.Get("Pimentoshore-Attempt-Id")
+		writeRaw(w, "HTTP/1.1 000 OK\r\nPimentoshore-Attempt-Id: "+id+"\r\nPimentoshore-Response-Seal: s\r\nContent-Length: 2\r\n\r\n{}")
+		return
 	}
 	t.next.ServeHTTP(w, r)
 }
 
+// writeRaw takes over the connection, writes an answer and closes the connection.
+func writeRaw(w http.ResponseWriter, answer string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, answer) // the caller may have closed it
+}
+
 // writeEndless takes over the connection, writes beginning and then repeats piece
 // until the connection is closed.
 func writeEndless(w http.ResponseWriter, beginning, piece string) {
