fleet: that a VM is warm is passed on for 5 s

Once a VM had said that it is warm, each report of it that nodes pass on was larger for good; on small links, answers to other nodes compete with the newest configuration. Found by rereading; TestWarmthIsPassedOnForALimitedTime fails without the bound.

--- a/coord/fleet/warmth.go
+++ b/coord/fleet/warmth.go
@@ -43,11 +43,18 @@
 	}
 }
 
-// warmth returns what the VM has said of its warmth, to be passed on, or nil if it
+// warmthTTL is how long it is passed on that a VM is warm. A node that hears of it later
+// asks by itself.
+const warmthTTL = 5 * time.Second
+
+// warmth returns what the VM has said of its warmth lately, to be passed on, or nil if it
 // hasn't.
 func (vm *VM) warmth(now time.Time) *Warmth {
 	switch {
 	case vm.WarmSaidAt.After(vm.ColdSaidAt):
+		if now.Sub(vm.WarmSaidAt) > warmthTTL {
+			return nil
+		}
 		return &Warmth{Age: now.Sub(vm.WarmSaidAt)}
 	case vm.ColdSaidAt.IsZero() || !now.Before(vm.ColdUntil):
 		return nil
