--- a/coord/catalog/catalog.go
+++ b/coord/catalog/catalog.go
@@ -142,15 +142,6 @@
 	return nil
 }
 
-// Account is a client account.
-type Account struct {
-	Name string
-	Keys []string
-	// Priority replaces the route's priority if HasPriority is set.
-	Priority    int
-	HasPriority bool
-}
-
 // Limits bounds what callers may send.
 type Limits struct {
 	MaxHeaderBytes int
@@ -166,7 +157,8 @@
 	routes   map[string][]*Route // by host, longest prefix first
 	services map[string]*Service
 	accounts map[string]*Account // by key
-	keyed    bool
+	// keyed is whether requests need a key, except on public routes.
+	keyed bool
 	// ranks are the ranks in use for each ranked service, in ascending order, and
 	// accountRanks those of the accounts that have one, by name.
 	ranks        map[string][]int
@@ -174,13 +166,16 @@
 	spec         spec
 }
 
-// spec contains the arguments of New and is the JSON form of a catalog.
+// spec is the content of a catalog and its JSON form.
 type spec struct {
 	Version  int64
 	Routes   []Route
 	Services []Service
 	Accounts []Account
-	Limits   Limits
+	// Keys is the rule for keys. Nodes with earlier software ignore it and leave it
+	// out: they require keys if there are accounts.
+	Keys   KeyRule `json:",omitempty"`
+	Limits Limits
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -192,36 +187,40 @@
 	if err := json.Unmarshal(data, &s); err != nil {
 		return err
 	}
-	*c = *New(s.Version, s.Routes, s.Services, s.Accounts, s.Limits)
+	*c = *build(s)
 	return nil
 }
 
-// New builds a catalog.
-func New(version int64, routes []Route, services []Service, accounts []Account, limits Limits) *Catalog {
+// New returns a catalog.
+func New(version int64, routes []Route, services []Service, accounts Accounts, limits Limits) *Catalog {
+	s := spec{Version: version, Routes: routes, Services: services, Accounts: accounts.list, Keys: accounts.rule(), Limits: limits}
+	if accounts.listed && len(s.Accounts) == 0 {
+		s.Accounts = unnamed
+	}
+	return build(s)
+}
+
+// build returns a catalog with the given content.
+func build(s spec) *Catalog {
 	c := &Catalog{
-		Version:  version,
-		Limits:   limits,
+		Version:  s.Version,
+		Limits:   s.Limits,
 		routes:   make(map[string][]*Route),
-		services: make(map[string]*Service, len(services)),
-		accounts: make(map[string]*Account),
-		keyed:    len(accounts) > 0,
-		spec:     spec{Version: version, Routes: routes, Services: services, Accounts: accounts, Limits: limits},
+		services: make(map[string]*Service, len(s.Services)),
+		keyed:    s.requiresKeys(),
+		spec:     s,
 	}
-	for i := range routes {
-		r := &routes[i]
+	for i := range s.Routes {
+		r := &s.Routes[i]
 		c.routes[r.Host] = append(c.routes[r.Host], r)
 	}
 	for _, rs := range c.routes {
 		slices.SortStableFunc(rs, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for i := range services {
-		c.services[services[i].Name] = &services[i]
-	}
-	for i := range accounts {
-		for _, key := range accounts[i].Keys {
-			c.accounts[key] = &accounts[i]
-		}
+	for i := range s.Services {
+		c.services[s.Services[i].Name] = &s.Services[i]
 	}
+	c.indexKeys()
 	c.indexRanks()
 	return c
 }
@@ -236,15 +235,6 @@
 	return nil
 }
 
-// NeedsKey reports whether requests of the route must carry an account's key.
-func (c *Catalog) NeedsKey(r *Route) bool { return c.keyed && !r.Public }
-
-// HasAccounts reports whether there are client accounts, so that keys mean something.
-func (c *Catalog) HasAccounts() bool { return c.keyed }
-
-// Account returns the account to which the key belongs, or nil.
-func (c *Catalog) Account(key string) *Account { return c.accounts[key] }
-
 // Service returns the service with the given name, or nil.
 func (c *Catalog) Service(name string) *Service { return c.services[name] }
 
--- a/coord/catalog/catalog_test.go
+++ b/coord/catalog/catalog_test.go
@@ -11,7 +11,7 @@
 		{Name: "short", Host: "h", Prefix: "/a/", Backends: []Backend{{"s", 1}}},
 		{Name: "long", Host: "h", Prefix: "/a/b/", Backends: []Backend{{"s", 1}}, Public: true},
 	}
-	return New(3, routes, []Service{{Name: "s"}}, []Account{{Name: "acc", Keys: []string{"k1", "k2"}}}, Limits{})
+	return New(3, routes, []Service{{Name: "s"}}, AccountList(Account{Name: "acc", Keys: []string{"k1", "k2"}}), Limits{})
 }
 
 func TestLongestPrefixWins(t *testing.T) {
@@ -69,7 +69,7 @@
 		"of different service": {[]Route{route(1, "llm"), route(0, "other")}, false},
 		"one of two backends":  {[]Route{route(1, "llm"), route(0, "other", "llm")}, true},
 	} {
-		c := New(1, test.routes, nil, nil, Limits{})
+		c := New(1, test.routes, nil, Accounts{}, Limits{})
 		assert.Equal(t, c.IsRanked("llm"), test.want, name)
 	}
 }
@@ -87,7 +87,7 @@
 		"weight of zero":               {route(0, 1), route(2, 0)},
 		"different":                    {route(0, 1), route(2, 1)},
 	} {
-		c := New(1, routes, nil, nil, Limits{})
+		c := New(1, routes, nil, Accounts{}, Limits{})
 		assert.Equal(t, c.IsRanked("llm"), c.Rank("llm", &routes[0], "").Ranked, name)
 	}
 }
--- a/coord/catalog/rank_test.go
+++ b/coord/catalog/rank_test.go
@@ -14,7 +14,7 @@
 		{Name: "c", Host: "h", Prefix: "/c/", Backends: []Backend{{"even", 1}, {"off", 1}}, Priority: 4},
 		{Name: "d", Host: "h", Prefix: "/d/", Backends: []Backend{{"even", 1}}, Priority: 4},
 	}
-	accounts := []Account{{Name: "plain"}, {Name: "batch", Priority: 40, HasPriority: true}, {Name: "first", Priority: -3, HasPriority: true}}
+	accounts := AccountList(Account{Name: "plain"}, Account{Name: "batch", Priority: 40, HasPriority: true}, Account{Name: "first", Priority: -3, HasPriority: true})
 	return New(1, routes, nil, accounts, Limits{})
 }
 
--- a/coord/catalog/validate_test.go
+++ b/coord/catalog/validate_test.go
@@ -28,11 +28,13 @@
 	}
 }
 
-func (s spec) catalog() *Catalog { return New(s.Version, s.Routes, s.Services, s.Accounts, s.Limits) }
+func (s spec) catalog() *Catalog {
+	return New(s.Version, s.Routes, s.Services, AccountList(s.Accounts...), s.Limits)
+}
 
 func TestSoundCatalogIsValid(t *testing.T) {
 	assert.NilError(t, soundSpec().catalog().Validate())
-	assert.NilError(t, New(0, nil, nil, nil, Limits{}).Validate())
+	assert.NilError(t, New(0, nil, nil, Accounts{}, Limits{}).Validate())
 }
 
 // A configuration with a group size of 0 or less ended the process that plans the
--- a/coord/dispatch/dispatch_test.go
+++ b/coord/dispatch/dispatch_test.go
@@ -21,7 +21,7 @@
 		}},
 		{Name: "shop"},
 	}
-	return catalog.New(1, nil, services, nil, catalog.Limits{})
+	return catalog.New(1, nil, services, catalog.Accounts{}, catalog.Limits{})
 }
 
 func testOptions() Options {
--- a/coord/dispatch/held_test.go
+++ b/coord/dispatch/held_test.go
@@ -41,7 +41,7 @@
 
 func (s *heldScenario) update() {
 	services := []catalog.Service{{Name: "llm", Engine: s.engine}}
-	s.table.Update(s.now, s.vms, catalog.New(1, nil, services, nil, catalog.Limits{}), nil)
+	s.table.Update(s.now, s.vms, catalog.New(1, nil, services, catalog.Accounts{}, catalog.Limits{}), nil)
 }
 
 // report applies a report of a group's head that is sent now.
--- a/coord/dispatch/limit_test.go
+++ b/coord/dispatch/limit_test.go
@@ -14,7 +14,7 @@
 // limitedNodes returns n nodes in front of the given VMs, all of which name a
 // limit.
 func limitedNodes(now time.Time, n int, perSecond float64, ids ...string) []*Table {
-	cat := catalog.New(1, nil, []catalog.Service{{Name: "shop"}}, nil, catalog.Limits{})
+	cat := catalog.New(1, nil, []catalog.Service{{Name: "shop"}}, catalog.Accounts{}, catalog.Limits{})
 	var nodes []*Table
 	for rank := range n {
 		vms := fleet.NewTable()
--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -53,6 +53,9 @@
 	p := Position{Operators: r.operators.rev, VMs: r.vms.rev}
 	if c := r.operators.catalog; c != nil {
 		p.CatalogVersion = c.Version
+		if !c.StatesKeys() {
+			p.CatalogVersion-- // another node may have it with the rule for keys
+		}
 	}
 	return p
 }
@@ -213,16 +216,26 @@
 }
 
 // PutCatalog stores a configuration, from whatever source, if it is newer than the
-// record's. It reports whether it was.
+// record's, or states the rule for keys where the record's of the same version doesn't.
+// It reports whether it was stored.
 func (r *Record) PutCatalog(c *catalog.Catalog) bool {
 	o := &r.operators
-	if c == nil || o.catalog != nil && c.Version <= o.catalog.Version {
+	if c == nil || !replaces(c, o.catalog) {
 		return false
 	}
-	o.catalog = c
+	o.catalog = c.After(o.catalog)
 	return true
 }
 
+// replaces reports whether a configuration is to be stored in place of before, which
+// may be nil.
+func replaces(c, before *catalog.Catalog) bool {
+	if before == nil || c.Version > before.Version {
+		return true
+	}
+	return c.Version == before.Version && c.StatesKeys() && !before.StatesKeys()
+}
+
 // Catalog returns the newest configuration, or nil.
 func (r *Record) Catalog() *catalog.Catalog { return r.operators.catalog }
 
--- a/coord/updates/record_test.go
+++ b/coord/updates/record_test.go
@@ -104,11 +104,11 @@
 func TestCatalogIsReturnedOnce(t *testing.T) {
 	r := NewRecord()
 	cat := catalog.New(3, []catalog.Route{{Name: "r", Host: "h", Prefix: "/"}}, []catalog.Service{{Name: "s"}},
-		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}}, catalog.Limits{MaxBodyBytes: 7})
+		catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"key"}}), catalog.Limits{MaxBodyBytes: 7})
 	r.PutOperators(start, Operators{Version: 10, Whole: true, Catalog: cat})
 	r.PutOperators(start, Operators{Version: 12, Evacuated: map[string]bool{"a": true, "b": true}})
 	r.PutOperators(start, Operators{Version: 13, Evacuated: map[string]bool{"a": false}})
-	r.PutOperators(start, Operators{Version: 14, Catalog: catalog.New(2, nil, nil, nil, catalog.Limits{})})
+	r.PutOperators(start, Operators{Version: 14, Catalog: catalog.New(2, nil, nil, catalog.Accounts{}, catalog.Limits{})})
 
 	got := r.OperatorsAfter(Position{Operators: Revision{Version: 9}})
 	assert.DeepEqual(t, got.Evacuated, map[string]bool{"b": true})
--- a/coord/updates/restored_test.go
+++ b/coord/updates/restored_test.go
@@ -85,8 +85,8 @@
 // Guards against configurations and evacuations that the copy takes back.
 func TestCopyTakesNoOperatorsSettingBack(t *testing.T) {
 	r := NewRecord()
-	newer := catalog.New(5, nil, nil, nil, catalog.Limits{})
-	older := catalog.New(4, nil, nil, nil, catalog.Limits{})
+	newer := catalog.New(5, nil, nil, catalog.Accounts{}, catalog.Limits{})
+	older := catalog.New(4, nil, nil, catalog.Accounts{}, catalog.Limits{})
 	assert.Assert(t, r.PutOperators(start, Operators{Era: 1, Version: 9, Whole: true, Evacuated: map[string]bool{"ended": true}}))
 	assert.Assert(t, r.PutOperators(start, Operators{Era: 1, Version: 10, Whole: true, Catalog: newer, Evacuated: map[string]bool{"lost": true}}))
 	assert.Assert(t, r.PutOperators(start, Operators{Era: 2, Version: 8, Whole: true, Catalog: older, Evacuated: map[string]bool{"ended": true}}))
--- a/internal/coordinator/coordinator_test.go
+++ b/internal/coordinator/coordinator_test.go
@@ -69,7 +69,7 @@
 		list = append(list, catalog.Service{Name: name, Engine: &catalog.Engine{Slots: 4, Models: []catalog.Model{{Name: "m", GroupSize: 1, Share: 1}}}})
 		rows = append(rows, fleet.Row{ID: "vm-" + name, Service: name, Address: name + ":1", DataCentre: "dc", Slots: 4, Engine: true, State: servingState(name)})
 	}
-	state.Operators(h.now, updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, list, nil, catalog.Limits{})})
+	state.Operators(h.now, updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, list, catalog.Accounts{}, catalog.Limits{})})
 	state.VMs(h.now, updates.VMs{Version: 1, Whole: true, Rows: rows})
 }
 
@@ -169,7 +169,7 @@
 			{Name: "r-2", Host: "h", Prefix: "/2", Kind: catalog.Stream, Backends: backends, MaxAttempts: 1, Priority: priority},
 		}
 		services := []catalog.Service{{Name: "llm", Engine: engine}}
-		h.state.Operators(h.now, updates.Operators{Version: uint64(version), Whole: true, Catalog: catalog.New(version, routes, services, nil, catalog.Limits{})})
+		h.state.Operators(h.now, updates.Operators{Version: uint64(version), Whole: true, Catalog: catalog.New(version, routes, services, catalog.Accounts{}, catalog.Limits{})})
 	}
 	configure(2, 1)
 	var rows []fleet.Row
@@ -201,8 +201,8 @@
 func TestFollowsDemand(t *testing.T) {
 	ranked := catalog.New(1, []catalog.Route{
 		{Host: "h", Backends: []catalog.Backend{{Service: "llm"}}}, {Host: "h", Priority: 1, Backends: []catalog.Backend{{Service: "llm"}}},
-	}, nil, nil, catalog.Limits{})
-	plain := catalog.New(1, nil, nil, nil, catalog.Limits{})
+	}, nil, catalog.Accounts{}, catalog.Limits{})
+	plain := catalog.New(1, nil, nil, catalog.Accounts{}, catalog.Limits{})
 	for setting, want := range map[string][2]bool{settings.FollowAuto: {true, false}, settings.FollowOn: {true, true}, settings.FollowOff: {false, false}} {
 		follows := FollowsDemand(setting)
 		assert.Equal(t, [2]bool{follows(ranked, "llm"), follows(plain, "llm")}, want, setting)
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -29,7 +29,7 @@
 	b.Helper()
 	s := NewState(discardLogger(), time.Now, dispatch.Options{DataCentre: "dc-0", ColdOverage: 1.5, RepeatRatio: 0.2, RepeatSlack: 100, RepeatWindow: 10 * time.Second})
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 22, Models: []catalog.Model{{Name: "m", GroupSize: benchGroup, Share: 1}}}}
-	s.Operators(s.now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	s.Operators(s.now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, catalog.Accounts{}, catalog.Limits{})})
 	var rows []fleet.Row
 	for i := range benchVMs {
 		rows = append(rows, fleet.Row{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -110,7 +110,7 @@
 func (s *harness) configure() {
 	s.version++
 	cat := catalog.New(s.version, s.routes, []catalog.Service{{Name: "shop"}},
-		[]catalog.Account{{Name: "acc", Keys: []string{"key"}}, {Name: "acc-2", Keys: []string{"key-2"}}}, s.limits)
+		catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"key"}}, catalog.Account{Name: "acc-2", Keys: []string{"key-2"}}), s.limits)
 	s.state.Operators(s.state.now(), updates.Operators{Version: uint64(s.version), Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
 }
 
--- a/internal/entry/held_test.go
+++ b/internal/entry/held_test.go
@@ -41,7 +41,7 @@
 	}
 	route := catalog.Route{Name: "llm", Host: "h", Prefix: "/llm/", Kind: catalog.Stream, Backends: []catalog.Backend{{Service: "llm"}}, MaxAttempts: 1, Timeout: 10 * time.Second}
 	s.state.Operators(s.state.now(), updates.Operators{Version: 9, Whole: true, Catalog: catalog.New(9, []catalog.Route{route},
-		[]catalog.Service{{Name: "llm", Engine: engine}}, []catalog.Account{{Name: "acc", Keys: []string{"key"}}}, s.limits)})
+		[]catalog.Service{{Name: "llm", Engine: engine}}, catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"key"}}), s.limits)})
 	for i, e := range []*endpoint{one, two} {
 		id := fmt.Sprint("vm-", i+1)
 		state := fleet.State{Born: 1, Model: "m", Membership: fleet.Membership{Group: "g-" + id, Epoch: 1, Stage: fleet.Open}}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
@@ -15,7 +16,7 @@
 func (s *Server) authenticate(req *request, r *http.Request, view *View) *problem.Error {
 	key, sent := s.key(r)
 	needed := view.Catalog.NeedsKey(req.route)
-	if !needed && (!sent || !view.Catalog.HasAccounts()) {
+	if !needed && (!sent || view.Catalog.Keys() == catalog.KeysIgnored) {
 		return nil
 	}
 	age := req.started.Sub(view.AsOf)
--- a/internal/entry/keys_attempts_test.go
+++ b/internal/entry/keys_attempts_test.go
@@ -118,7 +118,8 @@
 		got.record(r)
 		answerOK(w, r)
 	})
-	s.configureAccounts(2, catalog.Account{Name: "acc", Keys: []string{"first-key"}}, catalog.Account{Name: "other", Keys: []string{"second-key"}})
+	s.configureAccounts(2, catalog.AccountList(
+		catalog.Account{Name: "acc", Keys: []string{"first-key"}}, catalog.Account{Name: "other", Keys: []string{"second-key"}}))
 	req := s.request(http.MethodPost, "/once/")
 	req.Header["Authorization"] = []string{"Bearer first-key", "Bearer second-key"}
 	status, _, _, err := s.do(req)
--- a/internal/entry/keys_test.go
+++ b/internal/entry/keys_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -24,7 +23,7 @@
 
 // configureAccounts publishes a configuration with the harness's routes and the given
 // accounts.
-func (s *harness) configureAccounts(version int64, accounts ...catalog.Account) {
+func (s *harness) configureAccounts(version int64, accounts catalog.Accounts) {
 	cat := catalog.New(version, s.routes, []catalog.Service{{Name: "shop"}}, accounts, catalog.Limits{MaxBodyBytes: 1000})
 	s.state.Operators(s.state.now(), updates.Operators{Version: uint64(version), Catalog: cat, Whole: true, Evacuated: map[string]bool{}})
 }
@@ -41,11 +40,11 @@
 		"to the proxy":   {"Authorization": {"Bearer key"}, "Proxy-Authorization": {"Bearer key"}},
 		"per connection": {"Authorization": {"Bearer key"}, "Connection": {"authorization"}},
 	} {
-		for _, accounts := range [][]catalog.Account{{{Name: "acc", Keys: []string{"key"}}}, nil} {
-			t.Run(fmt.Sprint(name, " accounts ", len(accounts)), func(t *testing.T) {
+		for accounts, list := range map[string]catalog.Accounts{"accounts": catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"key"}}), "no accounts": {}} {
+			t.Run(name+" "+accounts, func(t *testing.T) {
 				s := newHarness(t)
 				got := s.recordHeaders()
-				s.configureAccounts(2, accounts...)
+				s.configureAccounts(2, list)
 				req := s.request(http.MethodGet, "/open/")
 				req.Header.Del("Authorization")
 				for field, values := range header {
@@ -120,14 +119,14 @@
 func TestKeyWithoutAccountsIsIgnored(t *testing.T) {
 	s := newHarness(t)
 	got := s.recordHeaders()
-	s.configureAccounts(2)
+	s.configureAccounts(2, catalog.Accounts{})
 	for _, path := range []string{"/open/", "/safe/"} {
 		status, _, _, err := s.do(s.request(http.MethodGet, path))
 		assert.NilError(t, err)
 		assert.Equal(t, status, http.StatusOK)
 		assert.Equal(t, got.Get("X-Account"), "")
 	}
-	s.configureAccounts(3, catalog.Account{Name: "later", Keys: []string{"key"}})
+	s.configureAccounts(3, catalog.AccountList(catalog.Account{Name: "later", Keys: []string{"key"}}))
 	status, _, _, err := s.do(s.request(http.MethodGet, "/safe/"))
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusOK)
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -16,6 +16,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.record.Position()
+	if s.cat != nil && !s.cat.StatesKeys() && s.rereadVersion != s.cat.Version {
+		p.Operators = updates.Revision{} // the platform's row states the rule for keys
+	}
 	p.Suspects = s.suspects.ForRequest(s.now())
 	p.Learned = s.learnedSince(s.now(), s.reportedSince, true)
 	p.Demand = s.demand.Below(s.now())
--- a/internal/entry/peerupdates_test.go
+++ b/internal/entry/peerupdates_test.go
@@ -215,7 +215,7 @@
 	s := newFleetHarness(t, 1)
 	before := s.state.view.Load().Catalog
 	engine := &catalog.Engine{Models: []catalog.Model{{Name: "m", GroupSize: -4}}}
-	odd := catalog.New(before.Version+1, nil, []catalog.Service{{Name: "llm", Engine: engine}}, nil, catalog.Limits{})
+	odd := catalog.New(before.Version+1, nil, []catalog.Service{{Name: "llm", Engine: engine}}, catalog.Accounts{}, catalog.Limits{})
 	s.state.ApplyAnswer(s.clock(), true, updates.Answer{Known: true, Operators: &updates.Operators{Version: 1 << 20, Whole: true, Catalog: odd}})
 	assert.Equal(t, s.state.view.Load().Catalog, before)
 }
--- a/internal/entry/prober_test.go
+++ b/internal/entry/prober_test.go
@@ -71,7 +71,7 @@
 		StalledAfter: 500 * time.Millisecond, StalledFirst: time.Second, SilentAfter: time.Hour, FirstAfter: time.Hour, Metrics: metrics.NewRegistry(),
 	}, s.state, s.engines)
 	service := catalog.Service{Name: "llm", Engine: &catalog.Engine{Slots: 8, Models: []catalog.Model{{Name: "m", GroupSize: 2, Share: 1}}}}
-	s.state.Operators(s.now, updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	s.state.Operators(s.now, updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, catalog.Accounts{}, catalog.Limits{})})
 	var rows []fleet.Row
 	for g := range groups {
 		for rank, stage := range []fleet.Stage{fleet.Open, fleet.Ready} {
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -16,6 +16,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyOperators(asOf, n)
+	if n.Whole && s.cat != nil {
+		s.rereadVersion = s.cat.Version
+	}
 }
 
 // applyOperators applies settings of the operators that were read from the
@@ -50,7 +53,8 @@
 		asOf = old.AsOf
 	}
 	if c := s.record.Catalog(); c != s.cat {
-		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf))
+		s.log.Info("configuration in force", "version", c.Version, "read_age", s.now().Sub(asOf), "keys", c.Keys(), "valid_keys", c.KeyCount())
+		s.logKeys(c)
 		s.cat, s.targetsOutdated = c, true
 		s.vms.SetServices(s.now(), c.NamesService)
 	}
@@ -60,6 +64,18 @@
 	s.view.Store(&View{Catalog: s.cat, AsOf: asOf})
 }
 
+// logKeys warns of a configuration that changes whether requests need a key, or under
+// which all that need one are refused. s.mu must be held.
+func (s *State) logKeys(c *catalog.Catalog) {
+	if s.cat != nil && s.cat.Keys() != c.Keys() {
+		s.log.Warn("rule for keys changed", "version", c.Version, "keys", c.Keys(), "keys_before", s.cat.Keys(),
+			"valid_keys", c.KeyCount(), "valid_keys_before", s.cat.KeyCount())
+	}
+	if c.Keys() == catalog.KeysRequired && c.KeyCount() == 0 {
+		s.log.Warn("no key is valid: only public routes are served", "version", c.Version)
+	}
+}
+
 // setEvacuated replaces the set of evacuated data centres, which receive no
 // requests. s.mu must be held.
 func (s *State) setEvacuated(evacuated map[string]bool) {
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -153,7 +153,7 @@
 		Name: "ask", Host: "h", Prefix: "/ask/", Kind: catalog.Stream, Resumable: true, Public: true,
 		Backends: []catalog.Backend{{Service: "llm"}}, MaxAttempts: 2, Timeout: 6 * time.Second, Objective: 500 * time.Millisecond,
 	}
-	n.state.Operators(time.Now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, []catalog.Route{route}, []catalog.Service{service}, nil, catalog.Limits{})})
+	n.state.Operators(time.Now(), updates.Operators{Version: 1, Whole: true, Catalog: catalog.New(1, []catalog.Route{route}, []catalog.Service{service}, catalog.Accounts{}, catalog.Limits{})})
 	server := NewServer(Options{
 		KeysValidFor: time.Hour, UnknownAfter: time.Hour, Log: discardLogger(), Metrics: metrics.NewRegistry(), Now: time.Now,
 	}, testProtocol, n.state, upstream.New(s.network.dial), make(chan struct{}))
--- a/internal/entry/returned_test.go
+++ b/internal/entry/returned_test.go
@@ -77,7 +77,7 @@
 	service := catalog.Service{Name: "llm", ColdPerSecond: coldPerSecond, ColdTime: coldTime, HealthPath: "/health", Engine: &catalog.Engine{
 		Slots: 1000, Models: []catalog.Model{{Name: "m", GroupSize: 1, Share: 1}},
 	}}
-	n.Operators(s.now, updates.Operators{Version: s.version, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, nil, catalog.Limits{})})
+	n.Operators(s.now, updates.Operators{Version: s.version, Whole: true, Catalog: catalog.New(1, nil, []catalog.Service{service}, catalog.Accounts{}, catalog.Limits{})})
 	n.VMs(s.now, updates.VMs{Version: s.version, Whole: true, Rows: []fleet.Row{s.row(0)}})
 	n.Tick()
 }
--- a/internal/entry/silence_test.go
+++ b/internal/entry/silence_test.go
@@ -67,7 +67,7 @@
 
 // reconfigure puts a configuration in force at all entry VMs.
 func (s *crashSite) reconfigure(version int64, routes []catalog.Route, services []catalog.Service) {
-	cat := catalog.New(version, routes, services, nil, catalog.Limits{})
+	cat := catalog.New(version, routes, services, catalog.Accounts{}, catalog.Limits{})
 	for _, n := range s.nodes {
 		n.state.Operators(time.Now(), updates.Operators{Version: uint64(version), Whole: true, Catalog: cat})
 	}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -20,13 +20,16 @@
 	log *slog.Logger
 	now func() time.Time
 
-	mu        sync.Mutex
-	vms       *fleet.Table
-	targets   *dispatch.Table
-	record    *updates.Record
-	cat       *catalog.Catalog
-	evacuated map[string]bool
-	listed    bool // the list of VMs has been received
+	mu      sync.Mutex
+	vms     *fleet.Table
+	targets *dispatch.Table
+	record  *updates.Record
+	cat     *catalog.Catalog
+	// rereadVersion is the version of the configuration at the last read of all
+	// operators' rows.
+	rereadVersion int64
+	evacuated     map[string]bool
+	listed        bool // the list of VMs has been received
 	// listedAsOf is the latest time at which the list is certain to have matched
 	// the platform's.
 	listedAsOf time.Time
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -30,7 +30,7 @@
 
 // configure puts a configuration with limits in force.
 func (n *Node) configure(version int64, l catalog.Limits) {
-	n.state.Operators(boottime.Now(), updates.Operators{Version: uint64(version), Whole: true, Catalog: catalog.New(version, nil, nil, nil, l)})
+	n.state.Operators(boottime.Now(), updates.Operators{Version: uint64(version), Whole: true, Catalog: catalog.New(version, nil, nil, catalog.Accounts{}, l)})
 }
 
 // Guards against limits of callers that remain those of an earlier configuration.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -63,6 +64,11 @@
 
 // configure publishes a configuration with one account that has the given key.
 func (s *testSite) configure(version int, key string) {
+	s.publish(version, map[string]any{"tenants": []any{map[string]any{"name": "acc", "api-keys": []string{key}}}})
+}
+
+// publish publishes a configuration with additional fields.
+func (s *testSite) publish(version int, fields map[string]any) {
 	route := func(prefix, kind, service string) map[string]any {
 		return map[string]any{
 			"name": prefix, "host": "h", "prefix": prefix, "kind": kind, "service": service, "attempts": 2, "timeout-ms": 3000,
@@ -71,9 +77,11 @@
 	}
 	slow := route("/slow/", "unsafe", "slow")
 	slow["timeout-ms"] = 30000
-	err := s.store.Put("op", "config", map[string]any{
+	open := route("/open/", "safe", "shop")
+	open["public"] = true
+	config := map[string]any{
 		"version": version,
-		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop"), slow},
+		"routes":  []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop"), slow, open},
 		"services": []any{
 			map[string]any{"name": "shop"},
 			map[string]any{"name": "slow"},
@@ -82,10 +90,10 @@
 				"models": []any{map[string]any{"name": "m", "size": 2, "share": 1, "pace": 1, "load-s": 1, "warm-s": 0.1}},
 			}},
 		},
-		"limits":  map[string]any{"max-body-bytes": 100000},
-		"tenants": []any{map[string]any{"name": "acc", "api-keys": []string{key}}},
-	})
-	assert.NilError(s.t, err)
+		"limits": map[string]any{"max-body-bytes": 100000},
+	}
+	maps.Copy(config, fields)
+	assert.NilError(s.t, s.store.Put("op", "config", config))
 }
 
 // lastNodeIP numbers the nodes' loopback addresses. Outgoing connections use
--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/pimentoshore/pimentoshore/coord/catalog"
 	"github.com/pimentoshore/pimentoshore/internal/boottime"
 	"github.com/pimentoshore/pimentoshore/internal/entry"
 	"github.com/pimentoshore/pimentoshore/internal/telemetry"
@@ -51,6 +52,14 @@
 	return ""
 }
 
+// required returns 1 if requests need a key, else 0.
+func required(c *catalog.Catalog) int64 {
+	if c.Keys() == catalog.KeysRequired {
+		return 1
+	}
+	return 0
+}
+
 // serveMetrics serves the metrics as text until the context ends.
 func (n *Node) serveMetrics(ctx context.Context) error {
 	e := echo.New()
@@ -63,6 +72,8 @@
 		})
 		if view := n.state.View(); view != nil {
 			telemetry.Gauge(n.registry, "configuration_number").Update(view.Catalog.Version)
+			telemetry.Gauge(n.registry, "valid_keys_number").Update(int64(view.Catalog.KeyCount()))
+			telemetry.Gauge(n.registry, "keys_required_number").Update(required(view.Catalog))
 			telemetry.Gauge(n.registry, "configuration_age_seconds").Update(int64(boottime.Now().Sub(view.AsOf).Seconds()))
 		}
 		telemetry.Gauge(n.registry, "request_memory_bytes").Update(n.memory.Requests.Used())
