catalog, entry: an empty key is no key, and a nameless account has none

Callers saw: with a configuration that has an empty text among an account's keys, a request whose Authorization names the scheme alone ran as that account. The key of an account without a name ran under no account, and the priority of such an account counted for all requests without one. On a public route the scheme alone got 401, although no key was sent.

Cause: an empty text was taken for a key, in the configuration and in the request, and an empty name for that of an account.

Change: keys that are empty, and those of accounts without a name, make no key valid; a scheme without a key is a request without a key.

Evidence: before the change TestListOfAccountsRequiresKeys ("empty key", 1 valid key in place of 0), TestAccountWithoutANameRanksNobody (rank 0 in place of 2), TestDecodeListOfAccounts, TestSchemeWithoutKeyIsNoKey (200 in place of 401), TestConfigurationWithoutValidKeysByAge (401 in place of 200 on a public route) and TestLastKeyIsWithdrawn failed; all pass with it.

--- a/coord/catalog/accounts.go
+++ b/coord/catalog/accounts.go
@@ -62,14 +62,20 @@
 	return slices.ContainsFunc(s.Accounts, func(a Account) bool { return a.Name != "" })
 }
 
-// indexKeys sets the account of each key. A key of several accounts belongs to the last
-// of them.
+// indexKeys sets the account of each key. An account without a name can't be named to
+// endpoints, and an empty key isn't one: neither makes a key valid. A key of several
+// accounts belongs to the last of them.
 func (c *Catalog) indexKeys() {
 	c.accounts = make(map[string]*Account)
 	for i := range c.spec.Accounts {
 		a := &c.spec.Accounts[i]
+		if a.Name == "" {
+			continue
+		}
 		for _, key := range a.Keys {
-			c.accounts[key] = a
+			if key != "" {
+				c.accounts[key] = a
+			}
 		}
 	}
 }
--- a/coord/catalog/accounts_test.go
+++ b/coord/catalog/accounts_test.go
@@ -36,11 +36,13 @@
 		want     KeyRule
 		keys     int
 	}{
-		"no list":              {Accounts{}, KeysIgnored, 0},
-		"empty list":           {AccountList(), KeysRequired, 0},
-		"empty slice":          {AccountList([]Account{}...), KeysRequired, 0},
-		"account without keys": {AccountList(Account{Name: "a"}), KeysRequired, 0},
-		"account":              {AccountList(Account{Name: "a", Keys: []string{"k"}}), KeysRequired, 1},
+		"no list":                {Accounts{}, KeysIgnored, 0},
+		"empty list":             {AccountList(), KeysRequired, 0},
+		"empty slice":            {AccountList([]Account{}...), KeysRequired, 0},
+		"account without keys":   {AccountList(Account{Name: "a"}), KeysRequired, 0},
+		"empty key":              {AccountList(Account{Name: "a", Keys: []string{""}}), KeysRequired, 0},
+		"account without a name": {AccountList(Account{Keys: []string{"k"}}), KeysRequired, 0},
+		"account":                {AccountList(Account{Name: "a", Keys: []string{"k"}}), KeysRequired, 1},
 	} {
 		c := New(1, keyRoutes, nil, test.accounts, Limits{})
 		for range 3 {
@@ -63,6 +65,17 @@
 	assert.Equal(t, relayed(t, c).Account("k").Name, "b")
 }
 
+// Guards against a priority of requests without an account that comes from an account
+// without a name.
+func TestAccountWithoutANameRanksNobody(t *testing.T) {
+	routes := []Route{
+		{Host: "h", Prefix: "/a/", Backends: []Backend{{"s", 1}}, Priority: 1},
+		{Host: "h", Prefix: "/b/", Backends: []Backend{{"s", 1}}, Priority: 2},
+	}
+	c := New(1, routes, nil, AccountList(Account{HasPriority: true}), Limits{})
+	assert.Equal(t, c.Rank("s", &routes[1], "").Value, 2)
+}
+
 // legacySpec is the JSON form that nodes with earlier software use.
 type legacySpec struct {
 	Version  int64
--- a/coord/catalog/rank.go
+++ b/coord/catalog/rank.go
@@ -57,7 +57,7 @@
 	c.ranks, c.accountRanks = make(map[string][]int), make(map[string]int)
 	var ofAccounts []int
 	for i := range c.spec.Accounts {
-		if a := &c.spec.Accounts[i]; a.HasPriority {
+		if a := &c.spec.Accounts[i]; a.HasPriority && a.Name != "" {
 			c.accountRanks[a.Name] = boundRank(a.Priority)
 			ofAccounts = append(ofAccounts, boundRank(a.Priority))
 		}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -35,10 +35,10 @@
 }
 
 // key returns the key that the request bears. sent is false if it has no credentials
-// or others.
+// or others, or names the scheme alone.
 func (s *Server) key(r *http.Request) (key string, sent bool) {
 	scheme, key, _ := strings.Cut(r.Header.Get(s.proto.Authorization), " ")
-	return key, strings.EqualFold(scheme, s.proto.KeyScheme)
+	return key, key != "" && strings.EqualFold(scheme, s.proto.KeyScheme)
 }
 
 // staleCatalog returns the problem for a catalog that may be outdated.
--- a/internal/entry/keys_withdrawn_test.go
+++ b/internal/entry/keys_withdrawn_test.go
@@ -41,6 +41,7 @@
 		{"empty", "/once/", "Bearer key", [3]int{unauthorized, unavailable, unavailable}},
 		{"empty", "/stream/", "Bearer key", [3]int{unauthorized, unavailable, unavailable}},
 		{"empty", "/open/", "Bearer key", [3]int{unauthorized, unavailable, unavailable}},
+		{"empty", "/open/", "Bearer", [3]int{ok, ok, ok}},
 		{"empty", "/open/", "", [3]int{ok, ok, ok}},
 		{"keyless", "/safe/", "Bearer key", [3]int{unauthorized, unavailable, unavailable}},
 		{"keyless", "/open/", "", [3]int{ok, ok, ok}},
@@ -68,6 +69,19 @@
 	}
 }
 
+// Guards against an empty key that counts as the key of an account.
+func TestSchemeWithoutKeyIsNoKey(t *testing.T) {
+	s := newHarness(t)
+	e := s.add(answerOK)
+	s.configureAccounts(2, catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"", "key"}}))
+	for _, authorization := range []string{"Bearer", "Bearer ", "bearer", ""} {
+		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/", "Authorization", authorization))
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusUnauthorized, authorization)
+	}
+	assert.Equal(t, e.runs.Load(), int32(0))
+}
+
 // Guards against a request that is refused although it was sent before its key was
 // withdrawn: it runs, breaks off and is sent again as the configuration changes. The
 // next request on its connection is refused.
--- a/internal/node/keys_test.go
+++ b/internal/node/keys_test.go
@@ -20,6 +20,7 @@
 	version := 1
 	for _, accounts := range []string{
 		`[]`, `null`, `[null]`, `[{"name":"acc"}]`, `[{"name":"acc","api-keys":null}]`, `[{"name":"acc","api-keys":[]}]`,
+		`[{"name":"acc","api-keys":[""]}]`, `[{"api-keys":["key"]}]`,
 	} {
 		version += 3
 		s.publish(version, map[string]any{"tenants": json.RawMessage(accounts)})
@@ -35,6 +36,8 @@
 			status, _ := s.call(n, http.MethodGet, "/open/x", "key")
 			assert.Equal(t, status, http.StatusUnauthorized, "a withdrawn key at a public route")
 			assert.Equal(t, s.shop.Runs(), before, "runs with accounts %s", accounts)
+			status, _ = s.call(n, http.MethodGet, "/open/x", "")
+			assert.Equal(t, status, http.StatusOK, "a public route without a key")
 		}
 		version += 2
 		key := fmt.Sprint("key-", version)
