updates, platform: a configuration that can't be used withdraws keys all the same

Callers saw: with a configuration that the adapter refuses as a whole, such as one with a number out of bounds, a key that it takes away was served for good.

Cause: such a configuration counted as if nothing had been written. The last good one stayed in force, and each read without changes confirmed it as the newest, so that the bound for withdrawn keys never passed.

Change: what can be read of it, its version and its client accounts, is kept beside the last good configuration, relayed, and put in force in place of that one's accounts. If it has no readable list, keys are refused with 503 after their bound, as in an outage; routes that need no key go on. It never opens a deployment, and never refuses callers of one without accounts.

--- a/coord/catalog/accounts.go
+++ b/coord/catalog/accounts.go
@@ -101,6 +101,23 @@
 // isn't if the catalog was relayed by a node with earlier software and has no accounts.
 func (c *Catalog) StatesKeys() bool { return c.spec.Keys != keysUnstated || c.spec.hasNamedAccount() }
 
+// AccountsAlone returns a catalog with the client accounts of c and nothing else, or nil
+// if c has no list of accounts.
+func (c *Catalog) AccountsAlone() *Catalog {
+	if !c.keyed || !c.StatesKeys() {
+		return nil
+	}
+	return build(spec{Version: c.Version, Accounts: c.spec.Accounts, Keys: c.spec.Keys})
+}
+
+// WithAccountsOf returns a catalog that differs from c in the client accounts, which it
+// has from the other one.
+func (c *Catalog) WithAccountsOf(other *Catalog) *Catalog {
+	s := c.spec
+	s.Accounts, s.Keys = other.spec.Accounts, other.spec.Keys
+	return build(s)
+}
+
 // After returns the catalog to use in place of before, which may be nil. It differs
 // from c if c doesn't state the rule for keys: keys stay required if before requires
 // them, since the last key may have been withdrawn.
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -16,12 +16,28 @@
 	Version uint64
 	// Catalog is nil if it has not changed.
 	Catalog *catalog.Catalog `json:",omitempty"`
+	// Unusable is the newest configuration if it can't be used, else nil. Nodes with
+	// earlier software leave it out.
+	Unusable *Unusable `json:",omitempty"`
 	// Whole reports whether Evacuated contains every data centre that must not
 	// get work; otherwise it contains only the changes.
 	Whole     bool
 	Evacuated map[string]bool `json:",omitempty"`
 }
 
+// Unusable is a configuration that can't be put in force as a whole.
+type Unusable struct {
+	Version int64
+	// Accounts is a catalog with the configuration's client accounts alone, or nil if
+	// it has no readable list of them.
+	Accounts *catalog.Catalog `json:",omitempty"`
+}
+
+// UnusableFrom returns what remains of a catalog that must not be used.
+func UnusableFrom(c *catalog.Catalog) *Unusable {
+	return &Unusable{Version: c.Version, Accounts: c.AccountsAlone()}
+}
+
 // Revision returns the revision from which the next read continues.
 func (u *Operators) Revision() Revision { return Revision{u.Era, u.Version} }
 
--- a/coord/updates/record.go
+++ b/coord/updates/record.go
@@ -175,8 +175,13 @@
 
 // operators are the operators' settings.
 type operators struct {
-	rev       Revision
-	catalog   *catalog.Catalog
+	rev Revision
+	// catalog is the newest configuration that can be used, and unusable a newer one
+	// that can't, or nil.
+	catalog  *catalog.Catalog
+	unusable *Unusable
+	// inForce is catalog, with the client accounts of unusable if it has any.
+	inForce   *catalog.Catalog
 	evacuated map[string]bool
 	// ended contains the data centres whose evacuation has ended.
 	ended map[string]bool
@@ -204,6 +209,7 @@
 	}
 	o.rev = rev
 	o.returns.receive(now, &u)
+	o.receiveUnusable(&u)
 	switch {
 	case newEra:
 		o.beginEra(now, u)
@@ -223,7 +229,8 @@
 	if c == nil || !replaces(c, o.catalog) {
 		return false
 	}
-	o.catalog = c.After(o.catalog)
+	o.catalog = c.After(o.inForce)
+	o.combine()
 	return true
 }
 
@@ -236,8 +243,9 @@
 	return c.Version == before.Version && c.StatesKeys() && !before.StatesKeys()
 }
 
-// Catalog returns the newest configuration, or nil.
-func (r *Record) Catalog() *catalog.Catalog { return r.operators.catalog }
+// Catalog returns the configuration in force, or nil: the newest one that can be used,
+// with the client accounts of a newer one that can't.
+func (r *Record) Catalog() *catalog.Catalog { return r.operators.inForce }
 
 func (o *operators) applyEvacuations(now time.Time, u Operators) {
 	if u.Whole {
@@ -289,7 +297,7 @@
 	if o.copied != nil {
 		evacuated = o.copied // each node keeps what it knows itself
 	}
-	u := &Operators{Era: o.rev.Era, Version: o.rev.Version, Whole: true, Evacuated: maps.Clone(evacuated)}
+	u := &Operators{Era: o.rev.Era, Version: o.rev.Version, Whole: true, Evacuated: maps.Clone(evacuated), Unusable: o.newerUnusable()}
 	if newerCatalog {
 		u.Catalog = o.catalog
 	}
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -44,7 +44,7 @@
 // staleCatalog returns the problem for a catalog that may be outdated.
 func staleCatalog(age time.Duration) *problem.Error {
 	return problem.New(problem.PlatformDown,
-		"the configuration was last read "+age.Round(time.Millisecond).String()+" ago",
+		"the configuration was last known to be the newest "+age.Round(time.Millisecond).String()+" ago",
 		"retry, if possible through another data centre").WithRetryAfter(time.Second)
 }
 
--- a/internal/entry/keys_withdrawn_test.go
+++ b/internal/entry/keys_withdrawn_test.go
@@ -182,3 +182,45 @@
 	lines = logged(account)
 	assert.Assert(t, strings.Contains(lines, "keys=required keys_before=ignored valid_keys=2") && !strings.Contains(lines, none), lines)
 }
+
+// Guards against keys that stay valid although the newest configuration, which can't be
+// read, may have withdrawn them, and against routes without a key that end with them.
+func TestConfigurationWhoseAccountsCannotBeRead(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		s := newHarnessWith(t, newPipes(), 0)
+		s.add(answerOK)
+		get := func(path, authorization string) int {
+			status, _, _, err := s.do(s.request(http.MethodGet, path, "Authorization", authorization))
+			assert.NilError(t, err)
+			return status
+		}
+		s.state.Operators(s.state.now(), updates.Operators{Version: 2, Unusable: &updates.Unusable{Version: 2}})
+		assert.Equal(t, get("/safe/", "Bearer key"), http.StatusOK, "within the bound for withdrawn keys")
+		for range 5 {
+			s.clockOffset.Add(int64(time.Second))
+			s.state.Operators(s.state.now(), updates.Operators{Version: 2})
+		}
+		assert.Equal(t, get("/safe/", "Bearer key"), http.StatusServiceUnavailable)
+		assert.Equal(t, get("/safe/", ""), http.StatusServiceUnavailable)
+		assert.Equal(t, get("/open/", "Bearer key"), http.StatusServiceUnavailable)
+		assert.Equal(t, get("/open/", ""), http.StatusOK)
+		s.version = 2
+		s.configure()
+		assert.Equal(t, get("/safe/", "Bearer key"), http.StatusOK)
+	})
+}
+
+// Guards against withdrawn keys that stay valid at a node which an earlier release sends
+// a configuration that must not be used.
+func TestAccountsOfARelayedUnusableConfiguration(t *testing.T) {
+	s := newHarness(t)
+	e := s.add(answerOK)
+	odd := catalog.New(2, nil, nil, catalog.AccountList(catalog.Account{Name: "acc", Keys: []string{"new"}}), catalog.Limits{IdleTimeout: -1})
+	s.state.ApplyAnswer(s.state.now(), true, updates.Answer{Known: true, Operators: &updates.Operators{Version: 2, Whole: true, Catalog: odd}})
+	for key, want := range map[string]int{"key": http.StatusUnauthorized, "new": http.StatusOK} {
+		status, _, _, err := s.do(s.request(http.MethodGet, "/safe/", "Authorization", "Bearer "+key))
+		assert.NilError(t, err)
+		assert.Equal(t, status, want, key)
+	}
+	assert.Equal(t, e.runs.Load(), int32(1))
+}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -15,25 +15,40 @@
 func (s *State) Operators(asOf time.Time, n updates.Operators) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyOperators(asOf, n)
+	if !s.receiveOperators(n) || s.record.KeysUncertain() {
+		asOf = time.Time{} // it isn't certain that the configuration here is the newest
+	}
+	s.setCatalog(asOf)
 	if n.Whole && s.cat != nil {
 		s.rereadVersion = s.cat.Version
 	}
 }
 
-// applyOperators applies settings of the operators that were read from the
-// platform or received from a peer. s.mu must be held.
-func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
+// receiveOperators records settings of the operators that were read from the platform
+// or received from a peer. It reports whether they are at least as new as those that
+// are known here. s.mu must be held.
+func (s *State) receiveOperators(n updates.Operators) bool {
 	if n.Catalog != nil && !s.isValid(n.Catalog) {
-		n.Catalog = nil
+		n.Catalog, n.Unusable = nil, updates.UnusableFrom(n.Catalog)
 	}
 	if !s.record.PutOperators(s.now(), n) {
-		s.setCatalog(time.Time{}) // keeps the age that the configuration has here
-		return
+		return false
 	}
 	s.targetsOutdated = true
 	s.setEvacuated(s.record.Evacuated())
-	s.setCatalog(asOf)
+	s.logUnusable()
+	return true
+}
+
+// logUnusable warns once of each configuration that can't be used. s.mu must be held.
+func (s *State) logUnusable() {
+	u := s.record.Unusable()
+	if u == nil || u.Version == s.unusableVersion {
+		return
+	}
+	s.unusableVersion = u.Version
+	s.log.Warn("configuration can't be used: the last good one stays in force", "version", u.Version,
+		"accounts_readable", u.Accounts != nil, "keys_uncertain", s.record.KeysUncertain())
 }
 
 // isValid reports whether a configuration may come into force.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -28,6 +28,9 @@
 	// rereadVersion is the version of the configuration at the last read of all
 	// operators' rows.
 	rereadVersion int64
+	// unusableVersion is the version of the last configuration that was logged as one
+	// that can't be used.
+	unusableVersion int64
 	evacuated     map[string]bool
 	listed        bool // the list of VMs has been received
 	// listedAsOf is the latest time at which the list is certain to have matched
