soak: all keys are withdrawn for a while, and each run is under its caller's account

Change: operators also publish a configuration with an empty list of accounts, for up to twice the bound for withdrawn keys. A run under another account than that of the request's key, or under none, is a violation.

--- a/internal/soak/fault_test.go
+++ b/internal/soak/fault_test.go
@@ -153,12 +153,16 @@
 	})
 }
 
-// injectOperatorChange makes a random change as an operator: a new
-// configuration or the evacuation of a data centre.
+// injectOperatorChange makes a random change as an operator: a new configuration, the
+// withdrawal of all keys for a while, or the evacuation of a data centre.
 func (f *faults) injectOperatorChange() {
-	if f.rng.IntN(3) > 0 {
+	switch f.rng.IntN(6) {
+	case 0, 1, 2:
 		f.injectFor("", "configuration", 0, f.site.configure, func() {})
 		return
+	case 3:
+		f.injectFor("", "all keys withdrawn", f.randomDuration(2*keyValidity), f.site.withdrawAll, f.site.configure)
+		return
 	}
 	dc := dataCentre(f.rng.IntN(2))
 	f.injectFor("", dc+" evacuated", f.randomDuration(3*time.Second), func() { f.site.setEvacuated(dc, true) }, func() { f.site.setEvacuated(dc, false) })
--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 
 	mu      sync.Mutex
 	version int
+	// accounts are those of the current version, the newest one last.
+	accounts []string
 	// varied is whether versions of the configuration also differ in timeouts,
 	// limits and routes.
 	varied bool
@@ -153,12 +156,30 @@
 // version adds.
 func accountName(version int) string { return fmt.Sprint("acc-", version) }
 
-// configure stores the next version of the configuration. It adds an account
-// and withdraws the account that was added two versions before.
+// configure stores the next version of the configuration. It adds an account and keeps
+// the newest one of the version before.
 func (s *site) configure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
+	kept := s.accounts[max(0, len(s.accounts)-1):]
+	s.publish(append(slices.Clone(kept), accountName(s.version)))
+	s.confirmedAt[accountName(s.version)] = time.Now()
+}
+
+// withdrawAll stores the next version of the configuration, with an empty list of
+// accounts. No version has the account that is named after this one.
+func (s *site) withdrawAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.publish(nil)
+	s.withdrawnAt[accountName(s.version)] = time.Now()
+}
+
+// publish stores a configuration with the given accounts and withdraws those of the
+// version before that aren't among them. s.mu must be held.
+func (s *site) publish(accounts []string) {
 	timeout, gap := 5000, 300
 	if s.varied {
 		timeout, gap = timeout+1000*(s.version%2), gap+100*(s.version%2)
@@ -169,9 +190,9 @@
 			"slo-ms": 500, "gap-target-ms": gap, "resumable": kind == "stream",
 		}
 	}
-	tenants := []any{map[string]any{"name": accountName(s.version), "api-keys": []string{"key-" + accountName(s.version)}}}
-	if s.version > 1 {
-		tenants = append(tenants, map[string]any{"name": accountName(s.version - 1), "api-keys": []string{"key-" + accountName(s.version-1)}})
+	tenants := []any{}
+	for _, account := range accounts {
+		tenants = append(tenants, map[string]any{"name": account, "api-keys": []string{"key-" + account}})
 	}
 	routes := []any{route("/ask/", "stream", "llm"), route("/order/", "unsafe", "shop"), route("/look/", "safe", "shop")}
 	limits := map[string]any{"max-body-bytes": 100000}
@@ -194,8 +215,12 @@
 	})
 	assert.NilError(s.t, err)
 	now := time.Now()
-	s.confirmedAt[accountName(s.version)] = now
-	s.withdrawnAt[accountName(s.version-2)] = now
+	for _, account := range s.accounts {
+		if !slices.Contains(accounts, account) {
+			s.withdrawnAt[account] = now
+		}
+	}
+	s.accounts = accounts
 }
 
 // currentAccount returns the account that the current version of the
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -163,6 +163,11 @@
 // endpoints.
 func (ch *checker) checkCall(c *call) {
 	runs := ch.site.ledger.Runs(c.id)
+	for _, r := range runs {
+		if r.Account != c.account {
+			ch.fail("accounts: %s %s of %s ran under account %q", c.kind, c.id, c.account, r.Account)
+		}
+	}
 	switch {
 	case c.kind == "order" && len(runs) > 1:
 		ch.fail("at most once: order %s ran %d times: %v", c.id, len(runs), runs)
@@ -203,7 +208,7 @@
 			served++
 		}
 	}
-	t.Logf("%d calls with valid keys, %d served, %d faults; calls by status: %v", calls, served, len(ch.faults.log), statuses)
+	t.Logf("%d calls with the newest key, %d served, %d faults; calls by status: %v", calls, served, len(ch.faults.log), statuses)
 	assert.Check(t, served > 0)
 	if len(ch.violations) == 0 {
 		return
