cli, daemon: an inventory without keys is pointed out, and accepts none

Change: validate, diff and apply say if no client account of an inventory has a key, so that all callers are refused. A test shows that the product's own path accepts no key then, and one that a restored store brings no key back.

Evidence: the two tests of the existing code passed at once; the one of the command line fails without the change (nothing is said).

--- a/coord/updates/keys_test.go
+++ b/coord/updates/keys_test.go
@@ -41,6 +41,17 @@
 	}
 }
 
+// Guards against a withdrawn key that a store brings back which was restored from an
+// older copy.
+func TestRestoredStoreBringsNoKeyBack(t *testing.T) {
+	r := NewRecord()
+	assert.Assert(t, r.PutOperators(start, Operators{Era: 1, Version: 10, Whole: true, Catalog: keyedCatalog(1, "k1")}))
+	assert.Assert(t, r.PutOperators(start, Operators{Era: 1, Version: 11, Catalog: catalog.New(2, nil, nil, catalog.AccountList(), catalog.Limits{})}))
+	assert.Assert(t, r.PutOperators(start, Operators{Era: 2, Version: 5, Whole: true, Catalog: keyedCatalog(1, "k1")}))
+	assert.Equal(t, r.Catalog().Keys(), catalog.KeysRequired)
+	assert.Equal(t, r.Catalog().KeyCount(), 0)
+}
+
 // Guards against a withdrawn key that an older configuration brings back, or that a
 // node without it gets from a relayed configuration: versions that come in order, are
 // skipped, or come late.
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -50,6 +50,24 @@
 	return path
 }
 
+// Guards against operators who don't learn that an inventory refuses all callers.
+func TestInventoryWithoutKeysIsPointedOut(t *testing.T) {
+	_, url := startTable(t)
+	raw, err := os.ReadFile(exampleInventory)
+	assert.NilError(t, err)
+	text, _, _ := strings.Cut(string(raw), "[[client_accounts]]")
+	bare := writeFile(t, text)
+	for _, args := range [][]string{{"validate"}, {"diff", "--platform", url}, {"apply", "--platform", url, "--dry-run"}} {
+		const said = "no client account has a key"
+		r := runCommand("", append(args, bare)...)
+		assert.Equal(t, r.code, ExitOK, r.err)
+		assert.Assert(t, strings.Contains(r.err, said), "%v: %s", args, r.err)
+		r = runCommand("", append(args, exampleInventory)...)
+		assert.Equal(t, r.code, ExitOK, r.err)
+		assert.Assert(t, !strings.Contains(r.err, said), "%v: %s", args, r.err)
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	_, url := startTable(t)
 	invalid := writeFile(t, "vm = 1\n")
--- a/internal/cli/configuration.go
+++ b/internal/cli/configuration.go
@@ -80,6 +80,7 @@
 	for _, line := range config.Describe(base.Document, change) {
 		fmt.Fprintln(a.Out, line)
 	}
+	a.warnWithoutKeys(target)
 	if dryRun {
 		a.progress("dry run: nothing was written; configuration %d stays in force", base.Number)
 		return nil
@@ -110,6 +111,7 @@
 			for _, line := range config.Describe(base.Document, config.Diff(base.Document, target)) {
 				fmt.Fprintln(a.Out, line)
 			}
+			a.warnWithoutKeys(target)
 			a.progress("compared with configuration %d", base.Number)
 			return nil
 		},
--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -6,11 +6,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/internal/load"
 	"github.com/pimentoshore/pimentoshore/internal/settings"
 )
@@ -31,7 +33,7 @@
 		Example: "  pimentoshore validate inventory.toml\n  pimentoshore validate --kind daemon /etc/pimentoshored.toml",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			if err := validateFile(kind, args[0]); err != nil {
+			if err := a.validate(kind, args[0]); err != nil {
 				return err
 			}
 			a.progress("%s is valid", args[0])
@@ -42,11 +44,30 @@
 	return cmd
 }
 
+// validate checks a file, and says what a valid inventory means for callers' keys.
+func (a *app) validate(kind, file string) error {
+	if kind != fileKindInventory {
+		return validateFile(kind, file)
+	}
+	doc, err := settings.LoadInventory(file)
+	if err == nil {
+		a.warnWithoutKeys(doc)
+	}
+	return err
+}
+
+// warnWithoutKeys says that all callers are refused if no client account has a key.
+func (a *app) warnWithoutKeys(doc inventory.Document) {
+	if slices.ContainsFunc(doc.ClientAccounts, func(c inventory.ClientAccount) bool { return len(c.KeyHashes) > 0 }) {
+		return
+	}
+	a.progress("no client account has a key: all callers are refused; add a hash of pimentoshore hash-key to key_hashes")
+}
+
+// validateFile checks a file of a kind other than an inventory.
 func validateFile(kind, file string) error {
 	var err error
 	switch kind {
-	case fileKindInventory:
-		_, err = settings.LoadInventory(file)
 	case fileKindDaemon:
 		_, err = settings.Load(file)
 	case fileKindLoad:
--- a/internal/daemon/backend_test.go
+++ b/internal/daemon/backend_test.go
@@ -7,9 +7,23 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pimentoshore/pimentoshore/coord/inventory"
 	"github.com/pimentoshore/pimentoshore/coord/problem"
 )
 
+// Guards against an inventory without client accounts, or without keys, that lets any
+// key in.
+func TestInventoryWithoutKeysAcceptsNone(t *testing.T) {
+	for _, accounts := range [][]inventory.ClientAccount{nil, {}, {{Name: "archive"}}, {{Name: "archive", KeyHashes: []string{}}}} {
+		n := newIdleNode(nil)
+		n.index = newIndex(1, &inventory.Document{ClientAccounts: accounts}, "dc")
+		for _, hash := range []string{"", "a48893fb555a3eba4a2e2f1bae0bcec29122d6ee551906a0b5865538f480914f"} {
+			_, ok := n.ClientAccount(hash)
+			assert.Assert(t, !ok)
+		}
+	}
+}
+
 // TestWaitNamesWhyItEnded checks that a wait that ends with its context says
 // whether the deadline passed or the caller left.
 func TestWaitNamesWhyItEnded(t *testing.T) {
