updates: an older copy of the store, or a list that can't be read, brings no key back

Callers would have seen (found by rereading, no run of a deployment shows it): a key that a configuration which can't be used had withdrawn was valid again after the store was restored from an older copy, or for the time of the bound after one more configuration whose list of accounts can't be read.

Cause: what is known of such a configuration was replaced by whatever the next whole read said.

Change: it holds until a newer configuration can be used; one whose version can't be read or is out of range holds until the platform has another one. The accounts that were read last stay.

--- a/coord/catalog/validate.go
+++ b/coord/catalog/validate.go
@@ -8,8 +8,10 @@
 // Bounds of the numbers of a configuration. They are far beyond sensible values and
 // keep sums and products of them in range.
 const (
-	maxVersion = 1<<53 - 1
-	maxTime    = 30 * 24 * time.Hour
+	// MaxVersion is the highest version of a configuration.
+	MaxVersion = 1<<53 - 1
+
+	maxTime = 30 * 24 * time.Hour
 	// maxCount bounds weights, rates, attempts and other numbers without a unit.
 	maxCount     = 1 << 30
 	maxGroupSize = 1 << 10
@@ -31,7 +33,7 @@
 // Validate returns an InvalidError if a number is out of range.
 func (c *Catalog) Validate() error {
 	v := &validator{}
-	checkRange(v, "version", c.Version, 0, maxVersion)
+	checkRange(v, "version", c.Version, 0, MaxVersion)
 	for i := range c.spec.Routes {
 		v.checkRoute(&c.spec.Routes[i])
 	}
--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -1,6 +1,7 @@
 package updates
 
 import (
+	"math"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/coord/catalog"
@@ -28,16 +29,27 @@
 // Unusable is a configuration that can't be put in force as a whole.
 type Unusable struct {
 	Version int64
-	// Accounts is a catalog with the configuration's client accounts alone, or nil if
-	// it has no readable list of them.
+	// Accounts is a catalog with the newest client accounts that could be read, of this
+	// configuration or an earlier one that couldn't be used either, or nil.
 	Accounts *catalog.Catalog `json:",omitempty"`
+	// AccountsUnknown is whether the configuration has no readable list of accounts.
+	AccountsUnknown bool `json:",omitempty"`
 }
 
 // UnusableFrom returns what remains of a catalog that must not be used.
 func UnusableFrom(c *catalog.Catalog) *Unusable {
-	return &Unusable{Version: c.Version, Accounts: c.AccountsAlone()}
+	accounts := c.AccountsAlone()
+	u := &Unusable{Version: c.Version, Accounts: accounts, AccountsUnknown: accounts == nil}
+	if u.Version > catalog.MaxVersion {
+		u.Version = UnreadableVersion
+	}
+	return u
 }
 
+// UnreadableVersion stands for a version that can't be read or is out of range. It counts
+// as newer than all others.
+const UnreadableVersion = math.MaxInt64
+
 // Revision returns the revision from which the next read continues.
 func (u *Operators) Revision() Revision { return Revision{u.Era, u.Version} }
 
--- a/coord/updates/unusable.go
+++ b/coord/updates/unusable.go
@@ -9,17 +9,25 @@
 // A configuration that can't be used as a whole leaves the last good one in force, with
 // one exception: its client accounts, since it may withdraw keys.
 
-// receiveUnusable records whether the newest configuration can't be used. An update of
-// changes says so only if the configuration has changed.
+// receiveUnusable records a configuration that can't be used. It holds until a newer one
+// can be: an older copy of the store doesn't bring keys back. One without a version that
+// can be read holds until the platform has another one.
 func (o *operators) receiveUnusable(u *Operators) {
-	if u.Unusable == nil && u.Catalog == nil && !u.Whole {
+	next, known := u.Unusable, o.unusable
+	unordered := known != nil && known.Version == UnreadableVersion
+	switch {
+	case next == nil && !(unordered && (u.Catalog != nil || u.Whole)):
 		return
-	}
-	if reflect.DeepEqual(o.unusable, u.Unusable) {
+	case next != nil && known != nil && !unordered && next.Version < known.Version:
 		return
 	}
-	o.unusable = u.Unusable
-	o.combine()
+	if last := o.newerUnusable(); next != nil && next.Accounts == nil && last != nil {
+		next = &Unusable{Version: next.Version, Accounts: last.Accounts, AccountsUnknown: next.AccountsUnknown}
+	}
+	if !reflect.DeepEqual(known, next) {
+		o.unusable = next
+		o.combine()
+	}
 }
 
 // combine sets the catalog in force.
@@ -43,7 +51,7 @@
 // can't be used, and its list of client accounts can't be read.
 func (r *Record) KeysUncertain() bool {
 	u := r.operators.newerUnusable()
-	return u != nil && u.Accounts == nil && r.operators.catalog.Keys() == catalog.KeysRequired
+	return u != nil && u.AccountsUnknown && r.operators.inForce.Keys() == catalog.KeysRequired
 }
 
 // Unusable returns the newest configuration if it can't be used, else nil.
--- a/internal/entry/keys_withdrawn_test.go
+++ b/internal/entry/keys_withdrawn_test.go
@@ -194,7 +194,7 @@
 			assert.NilError(t, err)
 			return status
 		}
-		s.state.Operators(s.state.now(), updates.Operators{Version: 2, Unusable: &updates.Unusable{Version: 2}})
+		s.state.Operators(s.state.now(), updates.Operators{Version: 2, Unusable: &updates.Unusable{Version: 2, AccountsUnknown: true}})
 		assert.Equal(t, get("/safe/", "Bearer key"), http.StatusOK, "within the bound for withdrawn keys")
 		for range 5 {
 			s.clockOffset.Add(int64(time.Second))
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -48,7 +48,7 @@
 	}
 	s.unusableVersion = u.Version
 	s.log.Warn("configuration can't be used: the last good one stays in force", "version", u.Version,
-		"accounts_readable", u.Accounts != nil, "keys_uncertain", s.record.KeysUncertain())
+		"accounts_readable", !u.AccountsUnknown, "keys_uncertain", s.record.KeysUncertain())
 }
 
 // isValid reports whether a configuration may come into force.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -31,8 +31,8 @@
 	// unusableVersion is the version of the last configuration that was logged as one
 	// that can't be used.
 	unusableVersion int64
-	evacuated     map[string]bool
-	listed        bool // the list of VMs has been received
+	evacuated       map[string]bool
+	listed          bool // the list of VMs has been received
 	// listedAsOf is the latest time at which the list is certain to have matched
 	// the platform's.
 	listedAsOf time.Time
