--- a/internal/entry/body_test.go
+++ b/internal/entry/body_test.go
@@ -251,6 +251,32 @@
 	})
 }
 
+// Guards against requests without any bound where the configuration has no limits.
+func TestRequestsAreBoundedWithoutConfiguredLimits(t *testing.T) {
+	inBodySite(t, func(t *testing.T, s *harness, e *endpoint) {
+		s.limits = catalog.Limits{}
+		s.configure()
+		for _, test := range []struct {
+			header string
+			status int
+		}{
+			{fmt.Sprint("Content-Length: ", defaultMaxBody+1), http.StatusRequestEntityTooLarge},
+			{"Content-Length: 0\r\nX-Long: " + strings.Repeat("x", 64<<10), http.StatusRequestHeaderFieldsTooLarge},
+		} {
+			c := s.connect(t)
+			c.begin("/once/", "key", test.header)
+			status, _, _ := c.response()
+			assert.Equal(t, status, test.status)
+		}
+		assert.Equal(t, e.runs.Load(), int32(0))
+		for _, deadline := range []string{"", "-1", "soon"} {
+			req := s.request(http.MethodPost, "/once/", testProtocol.Deadline, deadline)
+			got := s.server.deadline(&request{route: &catalog.Route{}, started: time.Unix(100, 0)}, req)
+			assert.Equal(t, got, time.Unix(100, 0).Add(defaultTimeout), deadline)
+		}
+	})
+}
+
 // Guards against memory that stays reserved after requests that end in other ways than
 // by a complete response.
 func TestMemoryIsReleasedHoweverRequestsEnd(t *testing.T) {
