--- a/internal/standin/wire/endless.go
+++ b/internal/standin/wire/endless.go
@@ -9,7 +9,7 @@
 // Endless is a server whose answers never end. On each connection it writes a
 // beginning and then repeats a piece until the peer closes the connection.
 type Endless struct {
-	listener  net.Listener
+	listener
 	beginning string
 	pieces    []byte
 	closed    chan struct{}
@@ -23,40 +23,20 @@
 
 // NewEndless starts a server on a free port of an IP address.
 func NewEndless(ip, beginning, piece string) (*Endless, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return nil, err
-	}
 	e := &Endless{
-		listener: l, beginning: beginning, pieces: []byte(strings.Repeat(piece, 1+pieceBytes/len(piece))),
+		beginning: beginning, pieces: []byte(strings.Repeat(piece, 1+pieceBytes/len(piece))),
 		closed: make(chan struct{}, maxClosed),
 	}
-	go e.accept()
-	return e, nil
+	var err error
+	e.listener, err = listen(ip, e.write)
+	return e, err
 }
 
-// Address returns the IP address and port.
-func (e *Endless) Address() string { return e.listener.Addr().String() }
-
 // Closed returns a channel that receives a value for each connection closed by the
 // peer. It keeps at most maxClosed values that aren't received.
 func (e *Endless) Closed() <-chan struct{} { return e.closed }
 
-// Close stops accepting connections. Open ones continue until the peer closes them.
-func (e *Endless) Close() { e.listener.Close() }
-
-func (e *Endless) accept() {
-	for {
-		conn, err := e.listener.Accept()
-		if err != nil {
-			return
-		}
-		go e.write(conn)
-	}
-}
-
 func (e *Endless) write(conn net.Conn) {
-	defer conn.Close()
 	Flood(conn, e.beginning, e.pieces)
 	select {
 	case e.closed <- struct{}{}:
--- a/internal/standin/wire/raw.go
+++ b/internal/standin/wire/raw.go
@@ -10,39 +10,19 @@
 // Raw is a server that answers the first request on each connection with fixed bytes
 // and closes the connection.
 type Raw struct {
-	listener net.Listener
-	answer   string
+	listener
+	answer string
 }
 
 // NewRaw starts a server at a free port of the IP address that answers with the bytes.
 func NewRaw(ip, answer string) (*Raw, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return nil, err
-	}
-	r := &Raw{listener: l, answer: answer}
-	go r.accept()
-	return r, nil
-}
-
-// Address returns the server's IP address and port.
-func (r *Raw) Address() string { return r.listener.Addr().String() }
-
-// Close closes the listener.
-func (r *Raw) Close() { r.listener.Close() }
-
-func (r *Raw) accept() {
-	for {
-		conn, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		go r.write(conn)
-	}
+	r := &Raw{answer: answer}
+	var err error
+	r.listener, err = listen(ip, r.write)
+	return r, err
 }
 
 func (r *Raw) write(conn net.Conn) {
-	defer conn.Close()
 	req, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
