updates: what is known of an unusable configuration, read again as a newcomer

A version out of range counts as unreadable on both ways, one function applies operators' settings again, and the rule when one record replaces another has a function of its own. Tests of coord/updates, platform, internal/entry and internal/node's two on keys passed; the linter is clean.

--- a/coord/updates/messages.go
+++ b/coord/updates/messages.go
@@ -36,14 +36,13 @@
 	AccountsUnknown bool `json:",omitempty"`
 }
 
-// UnusableFrom returns what remains of a catalog that must not be used.
-func UnusableFrom(c *catalog.Catalog) *Unusable {
-	accounts := c.AccountsAlone()
-	u := &Unusable{Version: c.Version, Accounts: accounts, AccountsUnknown: accounts == nil}
-	if u.Version > catalog.MaxVersion {
-		u.Version = UnreadableVersion
+// NewUnusable returns a configuration that can't be used, of which the version and a
+// catalog with the client accounts can be read. accounts is nil if they can't be.
+func NewUnusable(version int64, accounts *catalog.Catalog) *Unusable {
+	if version > catalog.MaxVersion {
+		version = UnreadableVersion
 	}
-	return u
+	return &Unusable{Version: version, Accounts: accounts, AccountsUnknown: accounts == nil}
 }
 
 // UnreadableVersion stands for a version that can't be read or is out of range. It counts
--- a/coord/updates/unusable.go
+++ b/coord/updates/unusable.go
@@ -9,27 +9,37 @@
 // A configuration that can't be used as a whole leaves the last good one in force, with
 // one exception: its client accounts, since it may withdraw keys.
 
-// receiveUnusable records a configuration that can't be used. It holds until a newer one
-// can be: an older copy of the store doesn't bring keys back. One without a version that
-// can be read holds until the platform has another one.
+// receiveUnusable records a configuration that can't be used. If its accounts can't be
+// read either, those that were read last stay.
 func (o *operators) receiveUnusable(u *Operators) {
-	next, known := u.Unusable, o.unusable
-	unordered := known != nil && known.Version == UnreadableVersion
-	switch {
-	case next == nil && !(unordered && (u.Catalog != nil || u.Whole)):
-		return
-	case next != nil && known != nil && !unordered && next.Version < known.Version:
+	if !o.replacesUnusable(u) {
 		return
 	}
+	next := u.Unusable
 	if last := o.newerUnusable(); next != nil && next.Accounts == nil && last != nil {
 		next = &Unusable{Version: next.Version, Accounts: last.Accounts, AccountsUnknown: next.AccountsUnknown}
 	}
-	if !reflect.DeepEqual(known, next) {
+	if !reflect.DeepEqual(o.unusable, next) {
 		o.unusable = next
 		o.combine()
 	}
 }
 
+// replacesUnusable reports whether an update ends what is known of a configuration that
+// can't be used. That holds until a newer one comes, so that an older copy of the store
+// doesn't bring keys back. One without a readable version holds until the platform has
+// another one.
+func (o *operators) replacesUnusable(u *Operators) bool {
+	known := o.unusable
+	switch {
+	case known != nil && known.Version == UnreadableVersion:
+		return u.Unusable != nil || u.Catalog != nil || u.Whole
+	case u.Unusable == nil:
+		return false
+	}
+	return known == nil || u.Unusable.Version >= known.Version
+}
+
 // combine sets the catalog in force.
 func (o *operators) combine() {
 	o.inForce = o.catalog
--- a/coord/updates/unusable_test.go
+++ b/coord/updates/unusable_test.go
@@ -15,6 +15,9 @@
 		catalog.AccountList(catalog.Account{Name: "a", Keys: keys}), catalog.Limits{})
 }
 
+// unusable returns what remains of a configuration that can't be used.
+func unusable(c *catalog.Catalog) *Unusable { return NewUnusable(c.Version, c.AccountsAlone()) }
+
 // Guards against a withdrawn key that stays valid, at the node that reads and at those
 // that follow it, because the configuration that withdraws it can't be used.
 func TestAccountsOfAnUnusableConfigurationAreInForce(t *testing.T) {
@@ -40,7 +43,7 @@
 	}
 	assert.Assert(t, reader.PutOperators(start, Operators{Version: 1, Whole: true, Catalog: keyedCatalog(1, "k1", "k2")}))
 	check(1, 2, false)
-	assert.Assert(t, reader.PutOperators(start, Operators{Version: 2, Unusable: UnusableFrom(keyedCatalog(2, "k2"))}))
+	assert.Assert(t, reader.PutOperators(start, Operators{Version: 2, Unusable: unusable(keyedCatalog(2, "k2"))}))
 	check(1, 1, false)
 	inForce := follower.Catalog()
 	assert.Assert(t, reader.PutOperators(start, Operators{Version: 3, Evacuated: map[string]bool{"dc": true}}))
@@ -50,11 +53,11 @@
 	check(1, 1, true)
 	assert.Assert(t, reader.PutOperators(start, Operators{Version: 4, Whole: true, Catalog: keyedCatalog(1, "k1", "k2")}))
 	check(1, 1, true)
-	assert.Assert(t, reader.PutOperators(start, Operators{Version: 5, Whole: true, Unusable: UnusableFrom(catalog.New(5, nil, nil, catalog.AccountList(), catalog.Limits{}))}))
+	assert.Assert(t, reader.PutOperators(start, Operators{Version: 5, Whole: true, Unusable: unusable(catalog.New(5, nil, nil, catalog.AccountList(), catalog.Limits{}))}))
 	check(1, 0, false)
 	assert.Assert(t, reader.PutOperators(start, Operators{Version: 6, Catalog: keyedCatalog(6, "k6")}))
 	check(6, 1, false)
-	assert.Assert(t, reader.PutOperators(start, Operators{Version: 7, Unusable: UnusableFrom(keyedCatalog(4))}))
+	assert.Assert(t, reader.PutOperators(start, Operators{Version: 7, Unusable: unusable(keyedCatalog(4))}))
 	check(6, 1, false)
 	assert.Assert(t, reader.PutOperators(start, Operators{Version: 8, Unusable: &Unusable{Version: UnreadableVersion, AccountsUnknown: true}}))
 	check(6, 1, true)
@@ -75,7 +78,7 @@
 			before = catalog.New(1, nil, nil, catalog.Accounts{}, catalog.Limits{})
 		}
 		assert.Assert(t, r.PutOperators(start, Operators{Version: 1, Whole: true, Catalog: before}))
-		assert.Assert(t, r.PutOperators(start, Operators{Version: 2, Unusable: UnusableFrom(open)}))
+		assert.Assert(t, r.PutOperators(start, Operators{Version: 2, Unusable: unusable(open)}))
 		assert.Equal(t, r.Catalog(), before)
 		assert.Equal(t, r.KeysUncertain(), keyed)
 	}
@@ -84,7 +87,7 @@
 // Guards against a node without any configuration that ends at one that can't be used.
 func TestUnusableConfigurationComesFirst(t *testing.T) {
 	r := NewRecord()
-	assert.Assert(t, r.PutOperators(start, Operators{Version: 1, Whole: true, Unusable: UnusableFrom(keyedCatalog(3, "k3"))}))
+	assert.Assert(t, r.PutOperators(start, Operators{Version: 1, Whole: true, Unusable: unusable(keyedCatalog(3, "k3"))}))
 	assert.Assert(t, r.Catalog() == nil)
 	assert.Assert(t, !r.KeysUncertain())
 	assert.Assert(t, r.PutCatalog(keyedCatalog(2, "k2")), "from a node that asks")
--- a/internal/entry/peerupdates.go
+++ b/internal/entry/peerupdates.go
@@ -118,11 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if a.Operators != nil {
-		asOf := asked.Add(-a.OperatorsAge)
-		if !s.receiveOperators(*a.Operators) {
-			asOf = time.Time{} // the configuration here keeps its age
-		}
-		s.setCatalog(asOf)
+		s.applyOperators(asked.Add(-a.OperatorsAge), *a.Operators)
 		if a.Returns != nil {
 			s.record.PutReturns(s.now(), a.Operators.Revision(), a.Returns)
 		}
--- a/internal/entry/published.go
+++ b/internal/entry/published.go
@@ -15,29 +15,29 @@
 func (s *State) Operators(asOf time.Time, n updates.Operators) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.receiveOperators(n) || s.record.KeysUncertain() {
-		asOf = time.Time{} // it isn't certain that the configuration here is the newest
-	}
-	s.setCatalog(asOf)
+	s.applyOperators(asOf, n)
 	if n.Whole && s.cat != nil {
 		s.rereadVersion = s.cat.Version
 	}
 }
 
-// receiveOperators records settings of the operators that were read from the platform
-// or received from a peer. It reports whether they are at least as new as those that
-// are known here. s.mu must be held.
-func (s *State) receiveOperators(n updates.Operators) bool {
+// applyOperators applies settings of the operators that were read from the
+// platform or received from a peer. s.mu must be held.
+func (s *State) applyOperators(asOf time.Time, n updates.Operators) {
 	if n.Catalog != nil && !s.isValid(n.Catalog) {
-		n.Catalog, n.Unusable = nil, updates.UnusableFrom(n.Catalog)
+		n.Catalog, n.Unusable = nil, updates.NewUnusable(n.Catalog.Version, n.Catalog.AccountsAlone())
 	}
 	if !s.record.PutOperators(s.now(), n) {
-		return false
+		s.setCatalog(time.Time{}) // keeps the age that the configuration has here
+		return
 	}
 	s.targetsOutdated = true
 	s.setEvacuated(s.record.Evacuated())
 	s.logUnusable()
-	return true
+	if s.record.KeysUncertain() && s.view.Load() != nil {
+		asOf = time.Time{} // the configuration here is no longer known to be the newest
+	}
+	s.setCatalog(asOf)
 }
 
 // logUnusable warns once of each configuration that can't be used. s.mu must be held.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -163,11 +163,7 @@
 // endpoints.
 func (ch *checker) checkCall(c *call) {
 	runs := ch.site.ledger.Runs(c.id)
-	for _, r := range runs {
-		if r.Account != c.account {
-			ch.fail("accounts: %s %s of %s ran under account %q", c.kind, c.id, c.account, r.Account)
-		}
-	}
+	ch.checkAccounts(c, runs)
 	switch {
 	case c.kind == "order" && len(runs) > 1:
 		ch.fail("at most once: order %s ran %d times: %v", c.id, len(runs), runs)
@@ -184,6 +180,15 @@
 	}
 }
 
+// checkAccounts checks that a request ran under the account of its key alone.
+func (ch *checker) checkAccounts(c *call, runs []cloud.Run) {
+	for _, r := range runs {
+		if r.Account != c.account {
+			ch.fail("accounts: %s %s of %s ran under account %q", c.kind, c.id, c.account, r.Account)
+		}
+	}
+}
+
 // checkRuns checks that no request ran with a key that had been withdrawn for
 // longer than keyValidity.
 func (ch *checker) checkRuns(id string, runs []cloud.Run) {
