--- a/internal/soak/site_test.go
+++ b/internal/soak/site_test.go
@@ -67,6 +67,7 @@
 	assert.NilError(t, err)
 	s := &site{t: t, dir: dir, store: cloud.NewStore(), ledger: cloud.NewLedger(), withdrawnAt: make(map[string]time.Time), confirmedAt: make(map[string]time.Time)}
 	t.Cleanup(s.store.Server.Close)
+	s.withdrawnAt[accountName(0)] = time.Now() // no version has it, and callers try its key
 	s.configure()
 	for i := range enginesPerSite {
 		s.addEngine(i)
