--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -11,14 +11,14 @@
 	exit 2
 fi
 case "${TROUBLE:-1}" in
-0) disruption="-lost-answer=false -crash=false" ;;
-crash) disruption="-lost-answer=false" ;;
+0) disruption="-lost=false -crash=false" ;;
+crash) disruption="-lost=false" ;;
 *) disruption="" ;;
 esac
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
 # shellcheck disable=SC2086 # the flags are separate words
-timeout 118 "$stand" -program "$daemon" -dir "$dir" -record "$here/record.txt" $disruption
+timeout 118 "$stand" -case open -program "$daemon" -dir "$dir" -record "$here/record.txt" $disruption
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/_stand3/stuck/engine.go
+++ b/review/_stand3/stuck/engine.go
@@ -39,8 +39,11 @@
 	mu      sync.Mutex
 	engines map[string]*engine
 	traffic bool // requests have begun
-	// loseOpen is whether the next order to open gets no answer.
+	// loseOpen is whether the next order to open gets no answer, though it is carried out.
 	loseOpen bool
+	// resetStage is whether the channel of the next order to stage is reset before the
+	// order is read, as a server does with channels beyond its limit.
+	resetStage bool
 }
 
 // membership is an engine's place in a group.
@@ -194,6 +197,12 @@
 		return
 	}
 	e.fleet.mu.Lock()
+	if o.Op == "stage" && e.fleet.resetStage {
+		e.fleet.resetStage = false
+		e.fleet.mu.Unlock()
+		e.fleet.log.add("order to %s: %s %s: the channel is reset, and nothing is done", e.id, o.Op, o.Model)
+		panic(http.ErrAbortHandler)
+	}
 	status := e.execute(r, &o)
 	lost := o.Op == "open" && status == http.StatusAccepted && e.fleet.loseOpen
 	if lost {
--- a/review/_stand3/stuck/main.go
+++ b/review/_stand3/stuck/main.go
@@ -1,8 +1,12 @@
 // Command stuck plays a small deployment on loopback: entry VMs, started as the deploy
-// file does, before engines that serve one model in a group of four servers. The answer
-// to the order that opens the group is lost; later a server of the group crashes and
-// comes back. It plays the platform, the servers and the clients. The first routes lead to
-// a plain service; the route to the engines is added by a later configuration.
+// file does, before engines that serve one model in a group of four servers. It plays the
+// platform, the servers and the clients. The first routes lead to a plain service; the
+// route to the engines is added by a later configuration.
+//
+// In the case "open" the answer to the order that opens the group is lost; later a server
+// of the group crashes and comes back. In the case "stage" an empty server is added, and
+// the channel of the order to stage the weights there is reset; later a server of the
+// group crashes for good, and the added one has to take its place.
 package main
 
 import (
@@ -26,13 +30,17 @@
 	program   = flag.String("program", "target/pimentoshored", "the daemon")
 	dir       = flag.String("dir", "", "folder for settings and logs")
 	recordTo  = flag.String("record", "record.txt", "what was sent, run and answered")
-	lostOpen  = flag.Bool("lost-answer", true, "lose the answer to the order that opens the group")
-	crash     = flag.Bool("crash", true, "a server crashes and comes back")
+	caseName  = flag.String("case", "open", "open or stage")
+	lost      = flag.Bool("lost", true, "lose the answer to the order, or reset its channel")
+	crash     = flag.Bool("crash", true, "a server crashes")
 	nodeCount = flag.Int("nodes", 2, "entry VMs")
 )
 
 const (
-	calmTime  = 10 * time.Second
+	calmTime = 10 * time.Second
+	// stageTime is how long after the server is added the crash comes in the case
+	// "stage". A load takes 16 s.
+	stageTime = 22 * time.Second
 	crashTime = 4500 * time.Millisecond
 	// recoverTime is recovery-s of the sheet.
 	recoverTime = 12 * time.Second
@@ -100,7 +108,7 @@
 	defer file.Close()
 	l := &record{began: time.Now(), out: bufio.NewWriter(file)}
 	defer l.flush()
-	f := &fleet{store: cloud.NewStore(), log: l, engines: make(map[string]*engine), loseOpen: *lostOpen}
+	f := &fleet{store: cloud.NewStore(), log: l, engines: make(map[string]*engine), loseOpen: *lost && *caseName == "open", resetStage: *lost && *caseName == "stage"}
 	if err := configure(f.store, 1); err != nil {
 		return 2, err
 	}
@@ -150,15 +158,23 @@
 		wg.Go(func() { c.run(i, []kind{first, added}[i%2], stop) })
 	}
 	time.Sleep(calmTime)
+	if *caseName == "stage" {
+		if _, err := f.start("i-5"); err != nil {
+			return 2, err
+		}
+		time.Sleep(stageTime)
+	}
 	crashedAt := time.Now()
 	if *crash {
 		f.crash("i-2")
+	}
+	if *caseName == "open" {
 		time.Sleep(crashTime)
+	}
+	if *caseName == "open" && *crash {
 		if _, err := f.start("i-2b"); err != nil {
 			return 2, err
 		}
-	} else {
-		time.Sleep(crashTime)
 	}
 	backAt := time.Now()
 	time.Sleep(recoverTime + judgeTime)
@@ -167,8 +183,8 @@
 	before := c.count(added, time.Time{}, crashedAt)
 	onFirst := c.count(first, backAt.Add(recoverTime), time.Now())
 	onAdded := c.count(added, backAt.Add(recoverTime), time.Now())
-	summary := fmt.Sprintf("lost answer %t, crash %t: on the added route %s were served before the crash; of the requests sent later than %s after all servers were back, %s on the first route and %s on the added one",
-		*lostOpen, *crash, before, recoverTime, onFirst, onAdded)
+	summary := fmt.Sprintf("case %s, order lost %t, crash %t: on the added route %s were served before the crash; of the requests sent later than %s after the last fault, %s on the first route and %s on the added one",
+		*caseName, *lost, *crash, before, recoverTime, onFirst, onAdded)
 	f.log.add("%s", summary)
 	fmt.Println(summary)
 	switch {
