--- a/review/_stand3/stuck/main.go
+++ b/review/_stand3/stuck/main.go
@@ -18,9 +18,11 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pimentoshore/pimentoshore/internal/standin/cloud"
@@ -37,7 +39,9 @@
 )
 
 const (
-	calmTime = 10 * time.Second
+	// startTimeout limits the wait for the first answer on a route.
+	startTimeout = 20 * time.Second
+	calmTime     = 10 * time.Second
 	// stageTime is how long after the server is added the crash comes in the case
 	// "stage". A load takes 16 s.
 	stageTime = 22 * time.Second
@@ -134,22 +138,35 @@
 			_ = cmd.Process.Kill() // it may have exited
 			_ = cmd.Wait()
 		}()
+		endWithSignal(cmd)
 		callers = append(callers, address)
 	}
 	c := &clientele{log: l, addresses: callers}
 	if !c.waitUntilServed(first) {
-		return 2, fmt.Errorf("no order is answered within 30 s of the start")
+		return 2, fmt.Errorf("no order is answered within %s of the start", startTimeout)
 	}
 	if err := configure(f.store, 2); err != nil {
 		return 2, err
 	}
 	l.add("configuration 2 adds the route to the engines")
 	if !c.waitUntilServed(added) {
-		return 2, fmt.Errorf("no stream is answered within 30 s of its route")
+		return 2, fmt.Errorf("no stream is answered within %s of its route", startTimeout)
 	}
 	return play(f, c)
 }
 
+// endWithSignal kills a process if this one is told to end.
+func endWithSignal(cmd *exec.Cmd) {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-told
+		_ = cmd.Process.Kill()             // it may have exited
+		time.Sleep(100 * time.Millisecond) // for the other processes
+		os.Exit(2)
+	}()
+}
+
 // play returns the exit code.
 func play(f *fleet, c *clientele) (int, error) {
 	stop := make(chan struct{})
@@ -245,7 +262,7 @@
 }
 
 func (c *clientele) waitUntilServed(k kind) bool {
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 		if c.ask(k, 0) {
 			return true
 		}
