--- a/review/_stand3/stuck/engine.go
+++ b/review/_stand3/stuck/engine_test.go
@@ -1,4 +1,4 @@
-package main
+package review
 
 import (
 	"context"
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-GOFLAGS=-buildvcs=false go build -o target/review-3/stuck ./review/_stand3/stuck
+GOFLAGS=-buildvcs=false go test -c -o target/review-3/stuck ./review/_stand3/stuck
